--- /dev/null
+++ b/include/yuccaplank/runtime/clock.hpp
@@ -0,0 +1,51 @@
+// Time sources. All code reads time through a clock, so that tests can pause and advance it.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace yuccaplank::runtime {
+
+using duration = std::chrono::nanoseconds;
+struct clock_tag {
+  using duration = runtime::duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): TrivialClock
+};
+using time_point = std::chrono::time_point<clock_tag, duration>;
+
+/// Monotonic time and wall-clock time.
+class clock {
+public:
+  virtual ~clock() = default;
+  [[nodiscard]] virtual time_point now() const = 0;
+  /// Milliseconds since the Unix epoch; may jump.
+  [[nodiscard]] virtual std::int64_t unixMs() const = 0;
+};
+
+/// Clock of the operating system.
+const clock &systemClock();
+
+/// Clock that moves only when told to.
+class manual_clock final : public clock {
+public:
+  explicit manual_clock(std::int64_t StartUnixMs = 1'700'000'000'000) : BaseUnixMs(StartUnixMs) {}
+  [[nodiscard]] time_point now() const override { return Current; }
+  [[nodiscard]] std::int64_t unixMs() const override {
+    return BaseUnixMs +
+           std::chrono::duration_cast<std::chrono::milliseconds>(Current.time_since_epoch()).count();
+  }
+  void advance(duration Step) { Current += Step; }
+
+private:
+  std::int64_t BaseUnixMs;
+  time_point Current{};
+};
+
+inline double toMs(duration Value) { return std::chrono::duration<double, std::milli>(Value).count(); }
+inline duration fromMs(double Milliseconds) {
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(Milliseconds));
+}
+
+} // namespace yuccaplank::runtime
--- /dev/null
+++ b/include/yuccaplank/runtime/error.hpp
@@ -0,0 +1,79 @@
+// Errors of the system: one enumeration with a table of names, usable as std::error_code.
+#pragma once
+
+#include <boost/outcome/std_result.hpp>
+
+#include <cstdint>
+#include <string_view>
+#include <system_error>
+
+namespace yuccaplank::runtime {
+
+/// Reasons for which a request, a task, or an operation fails.
+enum class errc : std::uint8_t {
+  Ok = 0,
+  // Input
+  MalformedDocument,
+  UnknownField,
+  WrongType,
+  OutOfRange,
+  MissingField,
+  BodyTooLarge,
+  TooManyTasks,
+  DuplicateTaskName,
+  DeadlinePassed,
+  UnknownService,
+  UnknownPath,
+  MethodNotAllowed,
+  InvalidId,
+  IdReused,
+  IdRequired,
+  Unauthorized,
+  // Admission
+  NoFitServer,
+  QuotaExceeded,
+  QueueFull,
+  DeadlineUnreachable,
+  Draining,
+  NoCatalog,
+  NotDispatcher,
+  TooManyConnections,
+  RequestTimeout,
+  // Execution
+  ConnectFailed,
+  ConnectionLost,
+  NotStarted,
+  ServerError,
+  CrossedAnswer,
+  TaskTimeout,
+  RetriesExhausted,
+  Cancelled,
+  Paused,
+  // Outcomes that cannot be known
+  AuthorityGone,
+  AuthorityUnreachable,
+  RecordExpired,
+  // Peers and platform
+  PeerUnreachable,
+  PeerRejected,
+  PlatformUnavailable,
+  RevisionConflict,
+  NotFound,
+  Internal,
+};
+
+/// Name of a reason as it appears in answers, logs, and metrics, for example "queue_full".
+std::string_view errcName(errc Code);
+
+/// Inverse of errcName; errc::Internal for an unknown name.
+errc errcFromName(std::string_view Name);
+
+const std::error_category &errorCategory();
+std::error_code make_error_code(errc Code); // NOLINT(readability-identifier-naming): found by ADL
+
+/// Value or std::error_code.
+template <typename T> using result = BOOST_OUTCOME_V2_NAMESPACE::std_result<T>;
+
+} // namespace yuccaplank::runtime
+
+template <> struct std::is_error_code_enum<yuccaplank::runtime::errc> : std::true_type {};
--- /dev/null
+++ b/include/yuccaplank/runtime/executor.hpp
@@ -0,0 +1,38 @@
+// Runs functions later. The daemon uses the event loop; tests use a manual executor on a manual clock.
+#pragma once
+
+#include "yuccaplank/runtime/clock.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace yuccaplank::runtime {
+
+/// Identifies a pending timer; 0 is never issued.
+using timer_id = std::uint64_t;
+
+/// Single-threaded executor with timers.
+class executor {
+public:
+  virtual ~executor() = default;
+  [[nodiscard]] virtual const runtime::clock &clock() const = 0;
+  /// Runs Function after the current one has returned.
+  virtual void post(std::function<void()> Function) = 0;
+  virtual timer_id after(duration Delay, std::function<void()> Function) = 0;
+  /// Cancels a timer; unknown or expired ids are ignored.
+  virtual void cancel(timer_id Timer) = 0;
+};
+
+/// Executor for tests: time passes only in advance(), which runs due timers in order.
+class manual_executor : public executor {
+public:
+  /// Runs posted functions and everything that becomes due within Step.
+  virtual void advance(duration Step) = 0;
+  /// Runs posted functions until none is left; time stands still.
+  virtual void settle() = 0;
+};
+
+std::unique_ptr<manual_executor> makeManualExecutor();
+
+} // namespace yuccaplank::runtime
--- /dev/null
+++ b/include/yuccaplank/runtime/loop.hpp
@@ -0,0 +1,25 @@
+// Event loop of a process, built on h2o's evloop.
+#pragma once
+
+#include "yuccaplank/runtime/executor.hpp"
+
+struct st_h2o_evloop_t;
+
+namespace yuccaplank::runtime {
+
+/// Executor that also drives sockets. One thread per loop.
+class loop : public executor {
+public:
+  /// Handle for h2o's socket functions.
+  virtual st_h2o_evloop_t *native() = 0;
+  virtual void run() = 0;
+  virtual void stop() = 0;
+  /// Calls Handler on the loop for each of the signals SIGTERM, SIGINT and SIGHUP.
+  virtual void onSignal(std::function<void(int Signal)> Handler) = 0;
+  /// Calls Handler first when the loop has not run for Threshold or longer, for example after SIGSTOP.
+  virtual void onPause(duration Threshold, std::function<void(duration Pause)> Handler) = 0;
+};
+
+std::unique_ptr<loop> makeLoop();
+
+} // namespace yuccaplank::runtime
--- /dev/null
+++ b/src/yuccaplank/runtime/clock.cpp
@@ -0,0 +1,24 @@
+#include "yuccaplank/runtime/clock.hpp"
+
+namespace yuccaplank::runtime {
+namespace {
+
+class system_clock final : public clock {
+public:
+  [[nodiscard]] time_point now() const override {
+    return time_point(std::chrono::steady_clock::now().time_since_epoch());
+  }
+  [[nodiscard]] std::int64_t unixMs() const override {
+    auto SinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(SinceEpoch).count();
+  }
+};
+
+} // namespace
+
+const clock &systemClock() {
+  static const system_clock Instance;
+  return Instance;
+}
+
+} // namespace yuccaplank::runtime
--- /dev/null
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -0,0 +1,122 @@
+#define H2O_USE_LIBUV 0
+extern "C" {
+#include <h2o.h>
+}
+
+#include "timer_queue.hpp"
+#include "yuccaplank/runtime/loop.hpp"
+
+#include <csignal>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <deque>
+
+namespace yuccaplank::runtime {
+namespace {
+
+// Upper bound of one poll, so that a pause of the process is noticed even when nothing happens.
+constexpr std::int32_t MaxWaitMs = 100;
+
+class loop_impl final : public loop {
+public:
+  loop_impl() : Native(h2o_evloop_create()) {}
+
+  [[nodiscard]] const runtime::clock &clock() const override { return systemClock(); }
+  void post(std::function<void()> Function) override { Posted.push_back(std::move(Function)); }
+  timer_id after(duration Delay, std::function<void()> Function) override {
+    return Timers.add(clock().now() + Delay, std::move(Function));
+  }
+  void cancel(timer_id Timer) override { Timers.cancel(Timer); }
+  st_h2o_evloop_t *native() override { return Native; }
+
+  void run() override {
+    LastTurn = clock().now();
+    while (!Stopped) {
+      checkPause();
+      runPosted();
+      runTimers();
+      if (Stopped)
+        break;
+      h2o_evloop_run(Native, waitMs());
+    }
+  }
+
+  void stop() override { Stopped = true; }
+
+  void onSignal(std::function<void(int)> Handler) override {
+    SignalHandler = std::move(Handler);
+    sigset_t Set;
+    sigemptyset(&Set);
+    for (int Signal : {SIGTERM, SIGINT, SIGHUP})
+      sigaddset(&Set, Signal);
+    sigprocmask(SIG_BLOCK, &Set, nullptr);
+    int Fd = signalfd(-1, &Set, SFD_NONBLOCK | SFD_CLOEXEC);
+    SignalSocket = h2o_evloop_socket_create(Native, Fd, H2O_SOCKET_FLAG_DONT_READ);
+    SignalSocket->data = this;
+    h2o_socket_read_start(SignalSocket, [](h2o_socket_t *Socket, const char *) {
+      static_cast<loop_impl *>(Socket->data)->readSignals(h2o_socket_get_fd(Socket));
+    });
+  }
+
+  void onPause(duration Threshold, std::function<void(duration)> Handler) override {
+    PauseThreshold = Threshold;
+    PauseHandler = std::move(Handler);
+  }
+
+private:
+  void checkPause() {
+    time_point Now = clock().now();
+    duration Gap = Now - LastTurn;
+    LastTurn = Now;
+    if (PauseHandler && Gap >= PauseThreshold)
+      PauseHandler(Gap);
+  }
+
+  void runPosted() {
+    // Functions posted meanwhile wait for the next turn, so that sockets are not starved.
+    std::deque<std::function<void()>> Batch;
+    Batch.swap(Posted);
+    for (auto &Function : Batch)
+      Function();
+  }
+
+  void runTimers() {
+    time_point Now = clock().now();
+    for (auto Due = Timers.nextDue(); Due && *Due <= Now; Due = Timers.nextDue())
+      Timers.pop()();
+  }
+
+  [[nodiscard]] std::int32_t waitMs() const {
+    if (!Posted.empty())
+      return 0;
+    auto Due = Timers.nextDue();
+    if (!Due)
+      return MaxWaitMs;
+    auto Wait = std::chrono::ceil<std::chrono::milliseconds>(*Due - clock().now()).count();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(Wait, 0, MaxWaitMs));
+  }
+
+  void readSignals(int Fd) {
+    signalfd_siginfo Info{};
+    while (read(Fd, &Info, sizeof(Info)) == sizeof(Info))
+      SignalHandler(static_cast<int>(Info.ssi_signo));
+  }
+
+  h2o_evloop_t *Native;
+  timer_queue Timers;
+  std::deque<std::function<void()>> Posted;
+  std::function<void(int)> SignalHandler;
+  h2o_socket_t *SignalSocket = nullptr;
+  duration PauseThreshold{};
+  std::function<void(duration)> PauseHandler;
+  time_point LastTurn{};
+  bool Stopped = false;
+};
+
+} // namespace
+
+std::unique_ptr<loop> makeLoop() { return std::make_unique<loop_impl>(); }
+
+} // namespace yuccaplank::runtime
--- /dev/null
+++ b/src/yuccaplank/runtime/manual_executor_test.cpp
@@ -0,0 +1,58 @@
+#include "yuccaplank/runtime/executor.hpp"
+#include "yuccaplank/runtime/mailbox.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+#include <cppunit/TestAssert.h>
+
+#include <string>
+
+using namespace std::chrono_literals;
+using namespace yuccaplank::runtime;
+using yuccaplank::testing::section;
+using yuccaplank::testing::story;
+
+namespace {
+
+// Guards against timers that run early, late, twice, or after they were cancelled.
+const story Timers("executor: timers", [] {
+  auto Executor = makeManualExecutor();
+  std::string Log;
+  timer_id Second = Executor->after(20ms, [&] { Log += "b"; });
+  Executor->after(10ms, [&] { Log += "a"; });
+  if (auto When = section("when time stands still")) {
+    Executor->settle();
+    CPPUNIT_ASSERT_EQUAL(std::string(), Log);
+  }
+  if (auto When = section("when time advances past both")) {
+    Executor->advance(20ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), Log);
+    Executor->advance(1s);
+    CPPUNIT_ASSERT_EQUAL(std::string("ab"), Log);
+  }
+  if (auto When = section("when one is cancelled")) {
+    Executor->cancel(Second);
+    Executor->advance(1s);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), Log);
+  }
+});
+
+// Guards against delivery from within post() and against delivery to a destroyed receiver.
+const story Mailbox("mailbox: delivery", [] {
+  auto Executor = makeManualExecutor();
+  std::string Log;
+  auto Box = std::make_unique<mailbox<std::string>>(*Executor, [&](const std::string &Text) { Log += Text; });
+  Box->post("x");
+  Box->post("y");
+  CPPUNIT_ASSERT_EQUAL(std::string(), Log);
+  if (auto When = section("when the executor runs")) {
+    Executor->settle();
+    CPPUNIT_ASSERT_EQUAL(std::string("xy"), Log);
+  }
+  if (auto When = section("when the mailbox is destroyed first")) {
+    Box.reset();
+    Executor->settle();
+    CPPUNIT_ASSERT_EQUAL(std::string(), Log);
+  }
+});
+
+} // namespace
--- /dev/null
+++ b/src/yuccaplank/testing/story.hpp
@@ -0,0 +1,40 @@
+// Tests that read as a narrative: nested sections over CppUnit.
+#pragma once
+
+#include <cppunit/TestAssert.h>
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace yuccaplank::testing {
+
+/// A test. Its body runs once for every innermost section, each time from the start, so that sections do not
+/// share state:
+///
+///     const story Retention("job table: retention", [] {
+///       auto Table = …;
+///       if (auto Given = section("given a finished job")) {
+///         if (auto When = section("when it is submitted again")) { … CPPUNIT_ASSERT_EQUAL(…); }
+///         if (auto When = section("when its retention has passed")) { … }
+///       }
+///     });
+class story {
+public:
+  story(std::string Name, std::function<void()> Body);
+};
+
+/// A step of the running story. It is entered when its turn has come.
+class section {
+public:
+  explicit section(std::string_view Name);
+  ~section();
+  section(const section &) = delete;
+  section &operator=(const section &) = delete;
+  explicit operator bool() const { return Entered; }
+
+private:
+  bool Entered;
+};
+
+} // namespace yuccaplank::testing
