--- a/include/yuccaplank/model/job_table.hpp
+++ b/include/yuccaplank/model/job_table.hpp
@@ -57,6 +57,8 @@
   virtual submission submit(const job_id &Id, std::uint64_t DocumentHash, waiter_id Waiter) = 0;
   /// Takes back a Start that was refused by admission: the id may be submitted again.
   virtual std::vector<waiter_id> withdraw(const std::string &Id) = 0;
+  /// Whether there is a record of the job.
+  [[nodiscard]] virtual bool contains(const std::string &Id) const = 0;
   /// State of a job; a pending answer adds the waiter when it is not 0.
   virtual schema::job_answer query(const job_id &Id, waiter_id Waiter) = 0;
   virtual void removeWaiter(waiter_id Waiter) = 0;
--- a/include/yuccaplank/node/entry_node.hpp
+++ b/include/yuccaplank/node/entry_node.hpp
@@ -59,7 +59,8 @@
   model::job_table_options Jobs;
   model::scheduler_options Scheduler;
   model::membership_options Membership;
-  std::uint32_t MaxBodyBytes = 1U << 20U;
+  /// "ip:port" of peers to ask when the platform cannot be reached at the start.
+  std::vector<std::string> SeedPeers;
   std::uint64_t Seed = 1;
 };
 
@@ -115,16 +116,30 @@
   virtual void
   history(std::string Service,
           std::function<void(runtime::result<std::vector<schema::service_revision>>)> OnDone) = 0;
+  struct vm_revision {
+    std::string Vm;
+    /// 0 when the service is unknown there.
+    std::uint64_t Revision = 0;
+  };
+  struct rollout_report {
+    std::vector<vm_revision> Vms;
+    std::vector<std::string> SilentVms;
+  };
+  /// Which revision of a service is in force on each VM.
+  virtual void rollout(const std::string &Service, std::function<void(rollout_report)> OnDone) = 0;
   struct burn_report {
     std::vector<model::burn_line> Lines;
     std::vector<std::string> SilentVms;
   };
   virtual void burnReport(std::function<void(burn_report)> OnDone) = 0;
   [[nodiscard]] virtual std::vector<model::member_view> members() const = 0;
+  /// The dispatcher of each failure domain, as far as known here.
+  [[nodiscard]] virtual std::vector<schema::incarnation> dispatchers() const = 0;
   [[nodiscard]] virtual std::vector<backend_view> backends() const = 0;
 
   // Surroundings.
-  virtual void onPeerMessage(const schema::incarnation &From, schema::envelope Message) = 0;
+  virtual void onPeerMessage(const schema::incarnation &From, const std::string &Domain,
+                             const schema::envelope &Message) = 0;
   virtual void onPeerClosed(const schema::incarnation &Peer) = 0;
   virtual void onPeerConnectFailed(const std::string &Address) = 0;
   /// The process has not run for a while.
@@ -139,6 +154,7 @@
   [[nodiscard]] virtual bool isDispatcher() const = 0;
   [[nodiscard]] virtual node_counters counters() const = 0;
   [[nodiscard]] virtual model::scheduler_load load() const = 0;
+  [[nodiscard]] virtual model::job_table_usage jobUsage() const = 0;
   [[nodiscard]] virtual std::size_t jobsInProgress() const = 0;
 };
 
--- a/include/yuccaplank/platform/claims.hpp
+++ b/include/yuccaplank/platform/claims.hpp
@@ -15,6 +15,8 @@
 struct claim_owner {
   schema::incarnation Authority;
   std::string Domain;
+  /// Whether this call inserted the claim.
+  bool Inserted = false;
 };
 
 /// Claims keys by insert-if-absent. A lost reply is resolved by reading back; errc::PlatformUnavailable means
@@ -24,6 +26,8 @@
 public:
   virtual ~claims() = default;
   virtual void claim(std::string Key, std::function<void(runtime::result<claim_owner>)> OnDone) = 0;
+  /// Owner of a key; errc::NotFound when nobody has claimed it.
+  virtual void find(std::string Key, std::function<void(runtime::result<claim_owner>)> OnDone) = 0;
 };
 
 struct claims_options {
--- /dev/null
+++ b/src/yuccaplank/node/exchanges.cpp
@@ -0,0 +1,50 @@
+#include "exchanges.hpp"
+#include "yuccaplank/model/job_id.hpp"
+
+#include <vector>
+
+namespace yuccaplank::node {
+
+std::uint64_t exchanges::open(const schema::incarnation &Peer, runtime::duration Timeout,
+                              answer_handler OnAnswer, failure_handler OnFailure) {
+  std::uint64_t Exchange = ++LastExchange;
+  auto Timer = Executor.after(Timeout, [this, Exchange] {
+    if (auto Expired = take(Exchange))
+      Expired->OnFailure(exchange_failure::TimedOut);
+  });
+  Pending.emplace(Exchange, pending{Peer, std::move(OnAnswer), std::move(OnFailure), Timer});
+  return Exchange;
+}
+
+void exchanges::answer(const schema::incarnation &From, std::uint64_t Exchange,
+                       const schema::envelope &Message) {
+  auto Found = Pending.find(Exchange);
+  if (Found == Pending.end() || !model::sameIncarnation(Found->second.Peer, From))
+    return;
+  auto Answered = take(Exchange);
+  Answered->OnAnswer(Message);
+}
+
+void exchanges::failPeer(const schema::incarnation &Peer) {
+  std::vector<std::uint64_t> Lost;
+  for (const auto &[Exchange, Entry] : Pending)
+    if (model::sameIncarnation(Entry.Peer, Peer))
+      Lost.push_back(Exchange);
+  for (std::uint64_t Exchange : Lost)
+    if (auto Entry = take(Exchange))
+      Entry->OnFailure(exchange_failure::PeerLost);
+}
+
+void exchanges::drop(std::uint64_t Exchange) { take(Exchange); }
+
+std::optional<exchanges::pending> exchanges::take(std::uint64_t Exchange) {
+  auto Found = Pending.find(Exchange);
+  if (Found == Pending.end())
+    return std::nullopt;
+  pending Entry = std::move(Found->second);
+  Pending.erase(Found);
+  Executor.cancel(Entry.Timer);
+  return Entry;
+}
+
+} // namespace yuccaplank::node
--- /dev/null
+++ b/src/yuccaplank/node/exchanges.hpp
@@ -0,0 +1,49 @@
+// Requests to peers that await their answer.
+#pragma once
+
+#include "peer.pb.h"
+#include "yuccaplank/runtime/executor.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace yuccaplank::node {
+
+/// Why an exchange ended without an answer.
+enum class exchange_failure : std::uint8_t { PeerLost, TimedOut };
+
+/// Matches answers to requests by exchange number and peer, and fails those whose peer is lost.
+class exchanges {
+public:
+  using answer_handler = std::function<void(const schema::envelope &)>;
+  using failure_handler = std::function<void(exchange_failure)>;
+
+  explicit exchanges(runtime::executor &Executor) : Executor(Executor) {}
+
+  /// Registers a request; exactly one of the handlers runs, unless the exchange is dropped.
+  std::uint64_t open(const schema::incarnation &Peer, runtime::duration Timeout, answer_handler OnAnswer,
+                     failure_handler OnFailure);
+  /// Delivers an answer; ignored when the exchange is unknown or belongs to another peer.
+  void answer(const schema::incarnation &From, std::uint64_t Exchange, const schema::envelope &Message);
+  void failPeer(const schema::incarnation &Peer);
+  void drop(std::uint64_t Exchange);
+  [[nodiscard]] std::size_t size() const { return Pending.size(); }
+
+private:
+  struct pending {
+    schema::incarnation Peer;
+    answer_handler OnAnswer;
+    failure_handler OnFailure;
+    runtime::timer_id Timer = 0;
+  };
+  std::optional<pending> take(std::uint64_t Exchange);
+
+  runtime::executor &Executor;
+  std::unordered_map<std::uint64_t, pending> Pending;
+  std::uint64_t LastExchange = 0;
+};
+
+} // namespace yuccaplank::node
