--- a/include/yuccaplank/wire/http_server.hpp
+++ b/include/yuccaplank/wire/http_server.hpp
@@ -62,6 +62,8 @@
 public:
   virtual ~http_server() = default;
   virtual void reply(request_token Token, http_reply Reply) = 0;
+  /// Closes the connection of a request without a reply; OnClosed is not called.
+  virtual void drop(request_token Token) = 0;
   /// Port on which the server listens.
   [[nodiscard]] virtual std::uint16_t port() const = 0;
   /// Reads the certificate and key files again; the old ones stay in use when this fails.
@@ -69,9 +71,12 @@
   /// Stops accepting connections; requests in progress are still answered, then connections close.
   virtual void shutdown() = 0;
   [[nodiscard]] virtual std::size_t pendingRequests() const = 0;
+  /// Open connections, idle ones included.
+  [[nodiscard]] virtual std::size_t connections() const = 0;
 };
 
-/// Handlers run on the loop. OnClosed tells that the connection of an unanswered request has closed.
+/// Handlers run on the loop. OnClosed tells that the connection of an unanswered request has closed; a client
+/// that closes only its sending side counts as gone.
 struct http_server_handlers {
   std::function<void(http_request)> OnRequest;
   std::function<void(request_token)> OnClosed;
--- /dev/null
+++ b/src/yuccaplank/wire/http_server.cpp
@@ -0,0 +1,620 @@
+#define H2O_USE_LIBUV 0
+extern "C" {
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <h2o/http2.h>
+}
+
+#include "socket_address.hpp"
+#include "yuccaplank/runtime/log.hpp"
+#include "yuccaplank/wire/http_server.hpp"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <new>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace yuccaplank::wire {
+namespace {
+
+using runtime::duration;
+using runtime::time_point;
+
+constexpr int ListenBacklog = 1024;
+// Connections accepted in one turn of the loop, so that a burst of them does not delay requests in hand.
+constexpr int AcceptBatch = 32;
+constexpr int HangupBatch = 64;
+// Streams of one HTTP/2 connection that are handled at the same time; h2o's own limit for open streams.
+constexpr std::size_t MaxStreamsPerConnection = 256;
+constexpr std::string_view JsonType = "application/json";
+
+class server_state;
+
+// An accepted connection; owned by the server's state until h2o closes the socket.
+struct connection {
+  server_state *Owner = nullptr;
+  h2o_socket_t *Socket = nullptr;
+  std::uint64_t Id = 0;
+  int Fd = -1;
+  std::size_t Pending = 0;
+  // The unanswered request of an HTTP/1.1 connection; 0 when there is none.
+  request_token Http1Request = 0;
+  bool Http2 = false;
+  bool PeerClosed = false;
+  time_point LastActivity;
+};
+
+// A request on its way; lives in the request's memory pool, so that h2o tells when the request has ended.
+struct pending_request {
+  server_state *Owner = nullptr;
+  connection *Connection = nullptr;
+  h2o_req_t *Native = nullptr;
+  request_token Token = 0;
+  // Headers and body are sent from here without a copy.
+  http_reply Reply;
+};
+
+struct handler_entry {
+  h2o_handler_t Super;
+  server_state *Owner;
+};
+
+struct filter_entry {
+  h2o_filter_t Super;
+  server_state *Owner;
+};
+
+struct too_large_stream {
+  h2o_ostream_t Super;
+  server_state *Owner;
+};
+
+std::string_view view(const h2o_iovec_t &Text) { return {Text.base, Text.len}; }
+
+std::string lowerCase(std::string_view Text) {
+  std::string Lower(Text);
+  for (char &Character : Lower)
+    if (Character >= 'A' && Character <= 'Z')
+      Character = static_cast<char>(Character - 'A' + 'a');
+  return Lower;
+}
+
+int hexDigit(char Character) {
+  if (Character >= '0' && Character <= '9')
+    return Character - '0';
+  Character = static_cast<char>(Character | 0x20);
+  return Character >= 'a' && Character <= 'f' ? Character - 'a' + 10 : -1;
+}
+
+std::string percentDecode(std::string_view Text, bool PlusIsSpace) {
+  std::string Decoded;
+  Decoded.reserve(Text.size());
+  for (std::size_t Index = 0; Index < Text.size(); ++Index) {
+    if (Text[Index] == '%' && Index + 2 < Text.size()) {
+      int High = hexDigit(Text[Index + 1]);
+      int Low = hexDigit(Text[Index + 2]);
+      if (High >= 0 && Low >= 0) {
+        Decoded.push_back(static_cast<char>(High * 16 + Low));
+        Index += 2;
+        continue;
+      }
+    }
+    Decoded.push_back(PlusIsSpace && Text[Index] == '+' ? ' ' : Text[Index]);
+  }
+  return Decoded;
+}
+
+std::vector<std::pair<std::string, std::string>> parseQuery(std::string_view Text) {
+  std::vector<std::pair<std::string, std::string>> Query;
+  while (!Text.empty()) {
+    std::string_view Part = Text.substr(0, Text.find('&'));
+    Text.remove_prefix(std::min(Part.size() + 1, Text.size()));
+    if (Part.empty())
+      continue;
+    std::size_t Equals = Part.find('=');
+    std::string_view Value = Equals == std::string_view::npos ? std::string_view() : Part.substr(Equals + 1);
+    Query.emplace_back(percentDecode(Part.substr(0, Equals), true), percentDecode(Value, true));
+  }
+  return Query;
+}
+
+struct status_reason {
+  int Status;
+  const char *Reason;
+};
+
+constexpr auto Reasons = std::to_array<status_reason>({
+    {200, "OK"},
+    {202, "Accepted"},
+    {204, "No Content"},
+    {400, "Bad Request"},
+    {401, "Unauthorized"},
+    {404, "Not Found"},
+    {405, "Method Not Allowed"},
+    {409, "Conflict"},
+    {410, "Gone"},
+    {413, "Payload Too Large"},
+    {422, "Unprocessable Entity"},
+    {429, "Too Many Requests"},
+    {500, "Internal Server Error"},
+    {502, "Bad Gateway"},
+    {503, "Service Unavailable"},
+});
+
+const char *reasonPhrase(int Status) {
+  const auto *Found = std::ranges::find(Reasons, Status, &status_reason::Status);
+  return Found == Reasons.end() ? "Other" : Found->Reason;
+}
+
+std::error_code systemError() { return {errno, std::system_category()}; }
+
+using ssl_context = std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)>;
+
+runtime::result<ssl_context> loadCertificates(const http_server_options &Options) {
+  ssl_context Context(SSL_CTX_new(TLS_server_method()), SSL_CTX_free);
+  auto Failed = make_error_code(runtime::errc::MalformedDocument);
+  SSL_CTX_set_min_proto_version(Context.get(), TLS1_2_VERSION);
+  if (SSL_CTX_use_certificate_chain_file(Context.get(), Options.CertificateFile.c_str()) != 1 ||
+      SSL_CTX_use_PrivateKey_file(Context.get(), Options.KeyFile.c_str(), SSL_FILETYPE_PEM) != 1 ||
+      SSL_CTX_check_private_key(Context.get()) != 1)
+    return Failed;
+  h2o_ssl_register_alpn_protocols(Context.get(), h2o_http2_alpn_protocols);
+  return Context;
+}
+
+// Everything h2o refers to. It outlives the server object until the last connection has closed.
+class server_state : public std::enable_shared_from_this<server_state> {
+public:
+  server_state(runtime::loop &Loop, http_server_options OptionsIn, http_server_handlers HandlersIn)
+      : Loop(Loop), Options(std::move(OptionsIn)), Handlers(std::move(HandlersIn)) {
+    configure();
+    Accept.ctx = &Context;
+    Accept.hosts = Config.hosts;
+  }
+  server_state(const server_state &) = delete;
+  server_state &operator=(const server_state &) = delete;
+  ~server_state() {
+    closeListener();
+    if (HangupSocket)
+      h2o_socket_close(HangupSocket);
+    // A shutdown leaves the timer of its second GOAWAY frame behind, which h2o does not expect at the end.
+    h2o_timeout_unlink(&Context.http2._graceful_shutdown_timeout);
+    h2o_context_dispose(&Context);
+    h2o_config_dispose(&Config);
+  }
+
+  runtime::result<void> listen() {
+    auto Address = parseSocketAddress(Options.Address);
+    if (!Address)
+      return Address.error();
+    int Fd = socket(Address.value().Bytes.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (Fd < 0)
+      return systemError();
+    int On = 1;
+    setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+    if (bind(Fd, Address.value().get(), Address.value().Length) != 0 || ::listen(Fd, ListenBacklog) != 0) {
+      std::error_code Error = systemError();
+      close(Fd);
+      return Error;
+    }
+    Listener = h2o_evloop_socket_create(Loop.native(), Fd, H2O_SOCKET_FLAG_DONT_READ);
+    Listener->data = this;
+    sockaddr_storage Bound{};
+    h2o_socket_getsockname(Listener, reinterpret_cast<sockaddr *>(&Bound));
+    Port = static_cast<std::uint16_t>(h2o_socket_getport(reinterpret_cast<sockaddr *>(&Bound)));
+    h2o_socket_read_start(Listener, [](h2o_socket_t *Socket, const char *Error) {
+      if (!Error)
+        static_cast<server_state *>(Socket->data)->acceptConnections();
+    });
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  // One epoll set reports half-closed connections, since h2o does not read from an HTTP/1.1 connection while
+  // a request is pending. It costs one system call per connection and none per request.
+  runtime::result<void> watchHangups() {
+    HangupFd = epoll_create1(EPOLL_CLOEXEC);
+    if (HangupFd < 0)
+      return systemError();
+    HangupSocket = h2o_evloop_socket_create(Loop.native(), HangupFd, H2O_SOCKET_FLAG_DONT_READ);
+    HangupSocket->data = this;
+    h2o_socket_read_start(HangupSocket, [](h2o_socket_t *Socket, const char *) {
+      static_cast<server_state *>(Socket->data)->readHangups();
+    });
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  runtime::result<void> loadTls() {
+    auto Loaded = loadCertificates(Options);
+    if (!Loaded)
+      return Loaded.error();
+    // Open connections hold their own reference to the former context.
+    Tls = std::move(Loaded.value());
+    Accept.ssl_ctx = Tls.get();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void reply(request_token Token, http_reply Reply) {
+    auto Found = Requests.find(Token);
+    if (Found == Requests.end())
+      return;
+    pending_request &Request = *Found->second;
+    Requests.erase(Found);
+    Request.Connection->Http1Request = 0;
+    Request.Reply = std::move(Reply);
+    send(Request);
+  }
+
+  void drop(request_token Token) {
+    auto Found = Requests.find(Token);
+    if (Found == Requests.end())
+      return;
+    ::shutdown(Found->second->Connection->Fd, SHUT_RDWR);
+    endRequest(Token);
+  }
+
+  void shutdown() {
+    closeListener();
+    if (Context.shutdown_requested)
+      return;
+    h2o_context_request_shutdown(&Context);
+    closeIdle();
+  }
+
+  // The server object is being destroyed: nothing more is reported, and connections close.
+  void abandon() {
+    Handlers = {};
+    shutdown();
+    for (auto &[Id, Connection] : Connections)
+      ::shutdown(Connection->Fd, SHUT_RDWR);
+    std::vector<request_token> Tokens;
+    for (auto &[Token, Request] : Requests)
+      Tokens.push_back(Token);
+    for (request_token Token : Tokens)
+      endRequest(Token);
+    if (SweepTimer)
+      Loop.cancel(SweepTimer);
+    if (!Connections.empty())
+      Self = shared_from_this();
+  }
+
+  [[nodiscard]] std::uint16_t port() const { return Port; }
+  [[nodiscard]] std::size_t pendingRequests() const { return Requests.size(); }
+  [[nodiscard]] std::size_t connections() const { return Connections.size(); }
+  [[nodiscard]] const http_server_options &options() const { return Options; }
+
+private:
+  void configure() {
+    h2o_config_init(&Config);
+    Config.server_name = h2o_iovec_init("yuccaplank", sizeof("yuccaplank") - 1);
+    Config.max_request_entity_size = Options.MaxBodyBytes;
+    auto TimeoutMs = std::max<std::int64_t>(
+        1, std::chrono::duration_cast<std::chrono::milliseconds>(Options.RequestTimeout).count());
+    Config.handshake_timeout = static_cast<std::uint64_t>(TimeoutMs);
+    Config.http1.req_timeout = static_cast<std::uint64_t>(TimeoutMs);
+    Config.http2.idle_timeout = static_cast<std::uint64_t>(TimeoutMs);
+    Config.http2.max_concurrent_requests_per_connection = MaxStreamsPerConnection;
+    h2o_hostconf_t *Host =
+        h2o_config_register_host(&Config, h2o_iovec_init("default", sizeof("default") - 1), 65535);
+    h2o_pathconf_t *Path = h2o_config_register_path(Host, "/", 0);
+    auto *Handler = reinterpret_cast<handler_entry *>(h2o_create_handler(Path, sizeof(handler_entry)));
+    Handler->Owner = this;
+    Handler->Super.on_req = [](h2o_handler_t *Super, h2o_req_t *Request) {
+      return reinterpret_cast<handler_entry *>(Super)->Owner->dispatch(Request);
+    };
+    if (!Options.TooLargeBody.empty())
+      for (h2o_pathconf_t *Each : {Path, &Host->fallback_path})
+        addTooLargeFilter(Each);
+    h2o_context_init(&Context, Loop.native(), &Config);
+  }
+
+  // h2o refuses an oversized body itself with a text body, which the filter replaces.
+  void addTooLargeFilter(h2o_pathconf_t *Path) {
+    auto *Filter = reinterpret_cast<filter_entry *>(h2o_create_filter(Path, sizeof(filter_entry)));
+    Filter->Owner = this;
+    Filter->Super.on_setup_ostream = [](h2o_filter_t *Super, h2o_req_t *Request, h2o_ostream_t **Slot) {
+      auto *Owner = reinterpret_cast<filter_entry *>(Super)->Owner;
+      h2o_setup_next_ostream(Request, Slot);
+      if (Request->res.status == 413 && !Owner->Sending)
+        Owner->replaceTooLarge(Request, Slot);
+    };
+  }
+
+  void replaceTooLarge(h2o_req_t *Request, h2o_ostream_t **Slot) {
+    Request->res.content_length = Options.TooLargeBody.size();
+    h2o_set_header(&Request->pool, &Request->res.headers, H2O_TOKEN_CONTENT_TYPE, JsonType.data(),
+                   JsonType.size(), 1);
+    auto *Stream =
+        reinterpret_cast<too_large_stream *>(h2o_add_ostream(Request, sizeof(too_large_stream), Slot));
+    Stream->Owner = this;
+    Stream->Super.do_send = [](h2o_ostream_t *Super, h2o_req_t *Request, h2o_iovec_t *, std::size_t,
+                               h2o_send_state_t State) {
+      const std::string &Text = reinterpret_cast<too_large_stream *>(Super)->Owner->Options.TooLargeBody;
+      h2o_iovec_t Body = h2o_iovec_init(Text.data(), Text.size());
+      h2o_ostream_send_next(Super, Request, &Body, 1, State);
+    };
+  }
+
+  void acceptConnections() {
+    for (int Count = 0; Count < AcceptBatch && Listener; ++Count) {
+      h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener);
+      if (!Socket)
+        return;
+      if (Connections.size() >= Options.MaxConnections) {
+        h2o_socket_close(Socket);
+        log(runtime::log_level::Warning, "too_many_connections",
+            {{"port", std::int64_t{Port}}, {"limit", static_cast<std::int64_t>(Options.MaxConnections)}});
+        continue;
+      }
+      addConnection(Socket);
+      h2o_accept(&Accept, Socket);
+    }
+  }
+
+  void addConnection(h2o_socket_t *Socket) {
+    auto Added = std::make_unique<connection>();
+    Added->Owner = this;
+    Added->Socket = Socket;
+    Added->Id = ++LastConnection;
+    Added->Fd = h2o_socket_get_fd(Socket);
+    Added->LastActivity = Loop.clock().now();
+    Socket->on_close.data = Added.get();
+    Socket->on_close.cb = [](void *Data) {
+      auto *Closed = static_cast<connection *>(Data);
+      Closed->Owner->onConnectionClosed(*Closed);
+    };
+    epoll_event Event{};
+    Event.events = EPOLLRDHUP | EPOLLET;
+    Event.data.u64 = Added->Id;
+    epoll_ctl(HangupFd, EPOLL_CTL_ADD, Added->Fd, &Event);
+    Connections.emplace(Added->Id, std::move(Added));
+    if (!SweepTimer)
+      startSweep();
+  }
+
+  void onConnectionClosed(connection &Closed) {
+    Connections.erase(Closed.Id);
+    // h2o still uses its context while it closes the connection.
+    if (Self && Connections.empty())
+      Loop.post([Last = std::move(Self)] {});
+  }
+
+  void readHangups() {
+    std::array<epoll_event, HangupBatch> Events{};
+    int Count = epoll_wait(HangupFd, Events.data(), HangupBatch, 0);
+    for (int Index = 0; Index < Count; ++Index) {
+      auto Found = Connections.find(Events[static_cast<std::size_t>(Index)].data.u64);
+      if (Found == Connections.end())
+        continue;
+      Found->second->PeerClosed = true;
+      if (Found->second->Http1Request)
+        endHttp1Request(*Found->second);
+    }
+  }
+
+  // The caller of a pending HTTP/1.1 request has gone. A client that only closed its sending side is treated
+  // alike, since the two cannot be told apart.
+  void endHttp1Request(connection &Gone) {
+    request_token Token = Gone.Http1Request;
+    ::shutdown(Gone.Fd, SHUT_RDWR);
+    notifyClosed(Token);
+    endRequest(Token);
+  }
+
+  // Ends a request without a caller; h2o closes the connection when its write fails.
+  void endRequest(request_token Token) {
+    auto Found = Requests.find(Token);
+    if (Found == Requests.end())
+      return;
+    Found->second->Native->http1_is_persistent = 0;
+    http_reply Reply;
+    Reply.Status = 503;
+    reply(Token, std::move(Reply));
+  }
+
+  void notifyClosed(request_token Token) {
+    Loop.post([Weak = weak_from_this(), Token] {
+      auto State = Weak.lock();
+      if (State && State->Handlers.OnClosed)
+        State->Handlers.OnClosed(Token);
+    });
+  }
+
+  // A connection that has delivered no request for twice the time-out is closed: h2o restarts its own
+  // time-out whenever a part of a body arrives, so a slow sender could hold a connection for ever.
+  void startSweep() {
+    SweepTimer = Loop.after(Options.RequestTimeout / 2, [Weak = weak_from_this()] {
+      if (auto State = Weak.lock())
+        State->sweep();
+    });
+  }
+
+  void sweep() {
+    SweepTimer = 0;
+    time_point Latest = Loop.clock().now() - 2 * Options.RequestTimeout;
+    for (auto &[Id, Connection] : Connections)
+      if (Connection->Pending == 0 && Connection->LastActivity <= Latest)
+        ::shutdown(Connection->Fd, SHUT_RDWR);
+    if (Context.shutdown_requested)
+      closeIdle();
+    if (!Connections.empty())
+      startSweep();
+  }
+
+  // Closes HTTP/1.1 connections that carry no request, unless one has arrived unread. h2o itself ends HTTP/2
+  // connections by GOAWAY.
+  void closeIdle() {
+    for (auto &[Id, Connection] : Connections) {
+      char Byte = 0;
+      if (!Connection->Http2 && Connection->Pending == 0 && Connection->Socket->input->size == 0 &&
+          recv(Connection->Fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
+        ::shutdown(Connection->Fd, SHUT_RDWR);
+    }
+  }
+
+  int dispatch(h2o_req_t *Native) {
+    h2o_socket_t *Socket = Native->conn->callbacks->get_socket(Native->conn);
+    auto *From = static_cast<connection *>(Socket->on_close.data);
+    void *Memory = h2o_mem_alloc_shared(&Native->pool, sizeof(pending_request), [](void *Ended) {
+      auto *Request = static_cast<pending_request *>(Ended);
+      Request->Owner->onRequestEnded(*Request);
+      Request->~pending_request();
+    });
+    auto *Request = new (Memory) pending_request;
+    Request->Owner = this;
+    Request->Connection = From;
+    Request->Native = Native;
+    Request->Token = ++LastToken;
+    Requests.emplace(Request->Token, Request);
+    ++From->Pending;
+    From->Http2 = Native->version >= 0x200;
+    if (!From->Http2)
+      From->Http1Request = Request->Token;
+    deliver(*Request);
+    if (From->PeerClosed && From->Http1Request)
+      endHttp1Request(*From);
+    return 0;
+  }
+
+  void deliver(const pending_request &Request) const {
+    const h2o_req_t &Native = *Request.Native;
+    if (!Handlers.OnRequest)
+      return;
+    http_request Value;
+    Value.Token = Request.Token;
+    Value.Method = view(Native.method);
+    std::string_view Path = view(Native.path);
+    Value.Path = percentDecode(Path.substr(0, Native.query_at), false);
+    if (Native.query_at < Path.size())
+      Value.Query = parseQuery(Path.substr(Native.query_at + 1));
+    Value.Headers.reserve(Native.headers.size);
+    for (std::size_t Index = 0; Index < Native.headers.size; ++Index) {
+      const h2o_header_t &Header = Native.headers.entries[Index];
+      Value.Headers.push_back({std::string(view(*Header.name)), std::string(view(Header.value))});
+    }
+    if (Native.entity.base)
+      Value.Body = view(Native.entity);
+    Handlers.OnRequest(std::move(Value));
+  }
+
+  void send(pending_request &Request) {
+    static h2o_generator_t NoMore{nullptr, nullptr};
+    h2o_req_t *Native = Request.Native;
+    http_reply &Reply = Request.Reply;
+    Native->res.status = Reply.Status;
+    Native->res.reason = reasonPhrase(Reply.Status);
+    Native->res.content_length = Reply.Body.size();
+    if (!Reply.ContentType.empty())
+      h2o_add_header(&Native->pool, &Native->res.headers, H2O_TOKEN_CONTENT_TYPE, nullptr,
+                     Reply.ContentType.data(), Reply.ContentType.size());
+    for (http_header &Header : Reply.Headers) {
+      Header.Name = lowerCase(Header.Name);
+      h2o_add_header_by_str(&Native->pool, &Native->res.headers, Header.Name.data(), Header.Name.size(), 1,
+                            nullptr, Header.Value.data(), Header.Value.size());
+    }
+    Sending = true;
+    h2o_start_response(Native, &NoMore);
+    Sending = false;
+    h2o_iovec_t Body = h2o_iovec_init(Reply.Body.data(), Reply.Body.size());
+    h2o_send(Native, &Body, Reply.Body.empty() ? 0 : 1, H2O_SEND_STATE_FINAL);
+  }
+
+  // Runs when h2o frees the request, after its reply was written or its connection has closed.
+  void onRequestEnded(const pending_request &Request) {
+    if (Requests.erase(Request.Token) > 0)
+      notifyClosed(Request.Token);
+    connection &From = *Request.Connection;
+    --From.Pending;
+    From.LastActivity = Loop.clock().now();
+    if (From.Http1Request == Request.Token)
+      From.Http1Request = 0;
+  }
+
+  void closeListener() {
+    if (Listener)
+      h2o_socket_close(std::exchange(Listener, nullptr));
+  }
+
+  runtime::loop &Loop;
+  http_server_options Options;
+  http_server_handlers Handlers;
+  h2o_globalconf_t Config{};
+  h2o_context_t Context{};
+  h2o_accept_ctx_t Accept{};
+  ssl_context Tls{nullptr, SSL_CTX_free};
+  h2o_socket_t *Listener = nullptr;
+  h2o_socket_t *HangupSocket = nullptr;
+  int HangupFd = -1;
+  std::uint16_t Port = 0;
+  std::unordered_map<request_token, pending_request *> Requests;
+  std::unordered_map<std::uint64_t, std::unique_ptr<connection>> Connections;
+  request_token LastToken = 0;
+  std::uint64_t LastConnection = 0;
+  runtime::timer_id SweepTimer = 0;
+  // Whether a reply of the application is being started, as opposed to one that h2o makes itself.
+  bool Sending = false;
+  // Keeps the state while connections remain after the server object has gone.
+  std::shared_ptr<server_state> Self;
+};
+
+class http_server_impl final : public http_server {
+public:
+  explicit http_server_impl(std::shared_ptr<server_state> StateIn) : State(std::move(StateIn)) {}
+  http_server_impl(const http_server_impl &) = delete;
+  http_server_impl &operator=(const http_server_impl &) = delete;
+  ~http_server_impl() override { State->abandon(); }
+
+  void reply(request_token Token, http_reply Reply) override { State->reply(Token, std::move(Reply)); }
+  void drop(request_token Token) override { State->drop(Token); }
+  [[nodiscard]] std::uint16_t port() const override { return State->port(); }
+  runtime::result<void> reloadCertificates() override {
+    if (State->options().CertificateFile.empty())
+      return BOOST_OUTCOME_V2_NAMESPACE::success();
+    return State->loadTls();
+  }
+  void shutdown() override { State->shutdown(); }
+  [[nodiscard]] std::size_t pendingRequests() const override { return State->pendingRequests(); }
+  [[nodiscard]] std::size_t connections() const override { return State->connections(); }
+
+private:
+  std::shared_ptr<server_state> State;
+};
+
+} // namespace
+
+std::string_view http_request::header(std::string_view Name) const {
+  for (const http_header &Header : Headers)
+    if (Header.Name == Name)
+      return Header.Value;
+  return {};
+}
+
+std::string_view http_request::query(std::string_view Name) const {
+  for (const auto &[Key, Value] : Query)
+    if (Key == Name)
+      return Value;
+  return {};
+}
+
+runtime::result<std::unique_ptr<http_server>> makeHttpServer(runtime::loop &Loop, http_server_options Options,
+                                                             http_server_handlers Handlers) {
+  // A write to a closed connection must fail with an error instead of ending the process.
+  static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+  bool WithTls = !Options.CertificateFile.empty();
+  auto State = std::make_shared<server_state>(Loop, std::move(Options), std::move(Handlers));
+  if (WithTls)
+    if (auto Loaded = State->loadTls(); !Loaded)
+      return Loaded.error();
+  if (auto Watching = State->watchHangups(); !Watching)
+    return Watching.error();
+  if (auto Listening = State->listen(); !Listening)
+    return Listening.error();
+  return std::unique_ptr<http_server>(std::make_unique<http_server_impl>(std::move(State)));
+}
+
+} // namespace yuccaplank::wire
