--- /dev/null
+++ b/src/yuccaplank/wire/document_reader.cpp
@@ -0,0 +1,460 @@
+#include "yuccaplank/wire/document_reader.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace yuccaplank::wire {
+namespace {
+
+using google::protobuf::Descriptor;
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+using nlohmann::json;
+using runtime::errc;
+
+// A hostile document must not make the list of issues large.
+constexpr std::size_t MaxIssues = 100;
+
+// Follows the parser through the text and knows the line of the token it has read last.
+class line_counter {
+public:
+  explicit line_counter(std::string_view Text) : Counted(Text.data()), Consumed(Text.data()) {}
+  void consumed(const char *End) { Consumed = End; }
+  // The parser has read one character beyond a number, which may be a newline; that one does not count.
+  int line() {
+    const char *Last = Consumed > Counted ? Consumed - 1 : Counted;
+    Line += static_cast<int>(std::count(Counted, Last, '\n'));
+    Counted = Last;
+    return Line;
+  }
+
+private:
+  const char *Counted;
+  const char *Consumed;
+  int Line = 1;
+};
+
+// Input iterator that reports its progress to a line counter.
+class counting_iterator {
+public:
+  using iterator_category = std::input_iterator_tag;
+  using value_type = char;
+  using difference_type = std::ptrdiff_t;
+  using pointer = const char *;
+  using reference = const char &;
+
+  counting_iterator(const char *Position, line_counter &Lines) : Position(Position), Lines(&Lines) {}
+  reference operator*() const { return *Position; }
+  counting_iterator &operator++() {
+    ++Position;
+    Lines->consumed(Position);
+    return *this;
+  }
+  friend bool operator==(const counting_iterator &Left, const counting_iterator &Right) {
+    return Left.Position == Right.Position;
+  }
+
+private:
+  const char *Position;
+  line_counter *Lines;
+};
+
+template <typename Integer> std::string integerRange() {
+  return fmt::format("integer from {} to {}", std::numeric_limits<Integer>::min(),
+                     std::numeric_limits<Integer>::max());
+}
+
+// Names of the elements of a descriptor, which Element returns by index.
+template <typename Function> std::string oneOf(int Count, Function Element) {
+  std::string Text;
+  for (int Index = 0; Index < Count; ++Index)
+    Text += (Index > 0 ? ", " : "one of ") + std::string(Element(Index)->name());
+  return Text;
+}
+
+std::string enumNames(const FieldDescriptor &Field) {
+  const auto &Type = *Field.enum_type();
+  return oneOf(Type.value_count(), [&](int Index) { return Type.value(Index); });
+}
+
+std::string fieldNames(const Descriptor &Type) {
+  return oneOf(Type.field_count(), [&](int Index) { return Type.field(Index); });
+}
+
+std::string expectedElement(const FieldDescriptor &Field) {
+  switch (Field.cpp_type()) {
+  case FieldDescriptor::CPPTYPE_INT32:
+    return integerRange<std::int32_t>();
+  case FieldDescriptor::CPPTYPE_INT64:
+    return integerRange<std::int64_t>();
+  case FieldDescriptor::CPPTYPE_UINT32:
+    return integerRange<std::uint32_t>();
+  case FieldDescriptor::CPPTYPE_UINT64:
+    return integerRange<std::uint64_t>();
+  case FieldDescriptor::CPPTYPE_DOUBLE:
+  case FieldDescriptor::CPPTYPE_FLOAT:
+    return "number";
+  case FieldDescriptor::CPPTYPE_BOOL:
+    return "true or false";
+  case FieldDescriptor::CPPTYPE_ENUM:
+    return enumNames(Field);
+  case FieldDescriptor::CPPTYPE_STRING:
+    return "string";
+  case FieldDescriptor::CPPTYPE_MESSAGE:
+    return "object";
+  }
+  return {};
+}
+
+// Sets a field or appends to a repeated one.
+struct field_writer {
+  Message &Target;
+  const FieldDescriptor &Field;
+
+  template <typename Value, typename Setter, typename Adder>
+  void put(Setter Set, Adder Add, Value &&Item) const {
+    const auto *Reflection = Target.GetReflection();
+    if (Field.is_repeated())
+      (Reflection->*Add)(&Target, &Field, std::forward<Value>(Item));
+    else
+      (Reflection->*Set)(&Target, &Field, std::forward<Value>(Item));
+  }
+};
+
+// Values of one object that is being read.
+struct frame {
+  Message *Target = nullptr;
+  // Field of the current key; null for an unknown key.
+  const FieldDescriptor *Field = nullptr;
+  std::string UnknownKey;
+  bool InArray = false;
+  int Index = 0;
+  // By field index, to find duplicate keys.
+  std::vector<bool> Seen;
+};
+
+// Receives the parser's events. Values of unknown keys and of wrong types are passed over as a whole.
+class message_builder {
+public:
+  message_builder(std::string_view Text, Message &Root, const positive_field &Positive)
+      : Lines(Text), Root(Root), Positive(Positive) {}
+
+  line_counter &lines() { return Lines; }
+  std::vector<document_issue> takeIssues() { return std::move(Issues); }
+  // Records the line of each key and array element by its path.
+  void recordLines(std::map<std::string, int> *Map) { LineOfPath = Map; }
+
+  // Events of nlohmann's SAX interface, which fixes their names.
+  // NOLINTBEGIN(readability-identifier-naming)
+  bool null() {
+    return scalar([this](const FieldDescriptor &Field) { wrongType(Field); });
+  }
+  bool boolean(bool Value) {
+    return scalar([this, Value](const FieldDescriptor &Field) {
+      if (Field.cpp_type() != FieldDescriptor::CPPTYPE_BOOL)
+        return wrongType(Field);
+      writer(Field).put(&google::protobuf::Reflection::SetBool, &google::protobuf::Reflection::AddBool,
+                        Value);
+    });
+  }
+  bool number_integer(std::int64_t Value) { return integer(Value); }
+  bool number_unsigned(std::uint64_t Value) { return integer(Value); }
+  bool number_float(double Value, const std::string & /*Literal*/) {
+    return scalar([this, Value](const FieldDescriptor &Field) { putFloat(Field, Value); });
+  }
+  bool string(std::string &Value) {
+    return scalar([this, &Value](const FieldDescriptor &Field) { putString(Field, Value); });
+  }
+  bool binary(json::binary_t & /*Value*/) { return false; }
+
+  bool start_object(std::size_t /*Size*/) {
+    if (SkipDepth > 0) {
+      ++SkipDepth;
+      return true;
+    }
+    if (Frames.empty()) {
+      push(Root);
+      return true;
+    }
+    const FieldDescriptor *Field = beginValue();
+    if (Field == nullptr || !elementAllowed(*Field) ||
+        Field->cpp_type() != FieldDescriptor::CPPTYPE_MESSAGE) {
+      if (Field != nullptr)
+        wrongType(*Field);
+      SkipDepth = 1;
+      return true;
+    }
+    Message &Parent = *Frames.back().Target;
+    const auto *Reflection = Parent.GetReflection();
+    push(Field->is_repeated() ? *Reflection->AddMessage(&Parent, Field)
+                              : *Reflection->MutableMessage(&Parent, Field));
+    return true;
+  }
+  bool key(std::string &Name) {
+    if (SkipDepth > 0)
+      return true;
+    frame &Top = Frames.back();
+    const Descriptor &Type = *Top.Target->GetDescriptor();
+    Top.Field = Type.FindFieldByName(Name);
+    if (Top.Field == nullptr) {
+      Top.UnknownKey = Name;
+      issue(errc::UnknownField, fieldNames(Type));
+      return true;
+    }
+    if (LineOfPath != nullptr)
+      LineOfPath->emplace(path(), Lines.line());
+    auto Seen = Top.Seen[Top.Field->index()];
+    if (Seen) {
+      issue(errc::MalformedDocument, "each key once");
+      Top.UnknownKey = Name;
+      Top.Field = nullptr;
+      return true;
+    }
+    Seen = true;
+    return true;
+  }
+  bool end_object() {
+    return endContainer([this] { Frames.pop_back(); });
+  }
+
+  bool start_array(std::size_t /*Size*/) {
+    if (SkipDepth > 0) {
+      ++SkipDepth;
+      return true;
+    }
+    if (Frames.empty()) {
+      issue(errc::WrongType, "object");
+      SkipDepth = 1;
+      return true;
+    }
+    const FieldDescriptor *Field = beginValue();
+    if (Field == nullptr || !Field->is_repeated() || Frames.back().InArray) {
+      if (Field != nullptr)
+        wrongType(*Field);
+      SkipDepth = 1;
+      return true;
+    }
+    Frames.back().InArray = true;
+    Frames.back().Index = 0;
+    return true;
+  }
+  bool end_array() {
+    return endContainer([this] { Frames.back().InArray = false; });
+  }
+  bool parse_error(std::size_t /*Position*/, const std::string & /*Token*/,
+                   const json::exception &Exception) {
+    std::string_view Text = Exception.what();
+    constexpr std::string_view Marker = "expected ";
+    std::size_t Found = Text.rfind(Marker);
+    // "unexpected …" is no expectation.
+    bool Names = Found != std::string_view::npos && (Found == 0 || Text[Found - 1] == ' ');
+    issue(errc::MalformedDocument,
+          Names ? std::string(Text.substr(Found + Marker.size())) : std::string("JSON"));
+    return false;
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  void push(Message &Target) {
+    frame Next;
+    Next.Target = &Target;
+    Next.Seen.resize(Target.GetDescriptor()->field_count());
+    Frames.push_back(std::move(Next));
+  }
+
+  template <typename Leave> bool endContainer(Leave LeaveContainer) {
+    if (SkipDepth > 0) {
+      if (--SkipDepth == 0)
+        endValue();
+      return true;
+    }
+    LeaveContainer();
+    endValue();
+    return true;
+  }
+
+  // Field that the next value belongs to.
+  const FieldDescriptor *beginValue() {
+    frame &Top = Frames.back();
+    if (Top.InArray && LineOfPath != nullptr)
+      LineOfPath->emplace(path(), Lines.line());
+    return Top.Field;
+  }
+  void endValue() {
+    if (!Frames.empty() && Frames.back().InArray)
+      ++Frames.back().Index;
+  }
+  [[nodiscard]] bool elementAllowed(const FieldDescriptor &Field) const {
+    return Field.is_repeated() == Frames.back().InArray;
+  }
+
+  template <typename Function> bool scalar(Function Put) {
+    if (SkipDepth > 0)
+      return true;
+    if (Frames.empty()) {
+      issue(errc::WrongType, "object");
+      return true;
+    }
+    const FieldDescriptor *Field = beginValue();
+    if (Field != nullptr) {
+      if (elementAllowed(*Field))
+        Put(*Field);
+      else
+        wrongType(*Field);
+    }
+    endValue();
+    return true;
+  }
+
+  template <typename Value> bool integer(Value Number) {
+    return scalar([this, Number](const FieldDescriptor &Field) {
+      if (&Field == Positive.Field && std::cmp_less(Number, 1))
+        return issue(Positive.Code, "integer of at least 1");
+      putInteger(Field, Number);
+    });
+  }
+
+  template <typename Target, typename Value, typename Setter, typename Adder>
+  void putRanged(const FieldDescriptor &Field, Value Number, Setter Set, Adder Add) {
+    if (!std::in_range<Target>(Number))
+      return issue(errc::OutOfRange, integerRange<Target>());
+    writer(Field).put(Set, Add, static_cast<Target>(Number));
+  }
+
+  template <typename Value> void putInteger(const FieldDescriptor &Field, Value Number) {
+    using google::protobuf::Reflection;
+    switch (Field.cpp_type()) {
+    case FieldDescriptor::CPPTYPE_INT32:
+      return putRanged<std::int32_t>(Field, Number, &Reflection::SetInt32, &Reflection::AddInt32);
+    case FieldDescriptor::CPPTYPE_INT64:
+      return putRanged<std::int64_t>(Field, Number, &Reflection::SetInt64, &Reflection::AddInt64);
+    case FieldDescriptor::CPPTYPE_UINT32:
+      return putRanged<std::uint32_t>(Field, Number, &Reflection::SetUInt32, &Reflection::AddUInt32);
+    case FieldDescriptor::CPPTYPE_UINT64:
+      return putRanged<std::uint64_t>(Field, Number, &Reflection::SetUInt64, &Reflection::AddUInt64);
+    default:
+      return putFloat(Field, static_cast<double>(Number));
+    }
+  }
+
+  void putFloat(const FieldDescriptor &Field, double Number) {
+    using google::protobuf::Reflection;
+    switch (Field.cpp_type()) {
+    case FieldDescriptor::CPPTYPE_DOUBLE:
+      return writer(Field).put(&Reflection::SetDouble, &Reflection::AddDouble, Number);
+    case FieldDescriptor::CPPTYPE_FLOAT:
+      if (std::abs(Number) > std::numeric_limits<float>::max())
+        return issue(errc::OutOfRange, "number");
+      return writer(Field).put(&Reflection::SetFloat, &Reflection::AddFloat, static_cast<float>(Number));
+    case FieldDescriptor::CPPTYPE_INT32:
+    case FieldDescriptor::CPPTYPE_INT64:
+    case FieldDescriptor::CPPTYPE_UINT32:
+    case FieldDescriptor::CPPTYPE_UINT64:
+      // Integers of more than 64 bits arrive as floating-point numbers too.
+      return issue(std::abs(Number) >= 0x1p63 ? errc::OutOfRange : errc::WrongType, expectedElement(Field));
+    default:
+      return wrongType(Field);
+    }
+  }
+
+  void putString(const FieldDescriptor &Field, std::string &Value) {
+    using google::protobuf::Reflection;
+    if (Field.cpp_type() == FieldDescriptor::CPPTYPE_STRING)
+      return writer(Field).put(&Reflection::SetString, &Reflection::AddString, std::move(Value));
+    if (Field.cpp_type() != FieldDescriptor::CPPTYPE_ENUM)
+      return wrongType(Field);
+    const auto *EnumValue = Field.enum_type()->FindValueByName(Value);
+    if (EnumValue == nullptr)
+      return issue(errc::OutOfRange, enumNames(Field));
+    writer(Field).put(&Reflection::SetEnum, &Reflection::AddEnum, EnumValue);
+  }
+
+  [[nodiscard]] field_writer writer(const FieldDescriptor &Field) const {
+    return {*Frames.back().Target, Field};
+  }
+
+  void wrongType(const FieldDescriptor &Field) {
+    bool WantsArray = Field.is_repeated() && !Frames.back().InArray;
+    issue(errc::WrongType, WantsArray ? "array" : expectedElement(Field));
+  }
+  void issue(errc Code, std::string Expected) {
+    if (Issues.size() < MaxIssues)
+      Issues.push_back({Code, path(), Lines.line(), std::move(Expected)});
+  }
+
+  [[nodiscard]] std::string path() const {
+    std::string Path;
+    for (const frame &Frame : Frames) {
+      std::string_view Name =
+          Frame.Field != nullptr ? std::string_view(Frame.Field->name()) : std::string_view(Frame.UnknownKey);
+      if (Name.empty())
+        break;
+      if (!Path.empty())
+        Path += '.';
+      Path += Name;
+      if (Frame.InArray)
+        Path += fmt::format("[{}]", Frame.Index);
+    }
+    return Path;
+  }
+
+  line_counter Lines;
+  Message &Root;
+  positive_field Positive;
+  std::vector<frame> Frames;
+  // Containers entered since the value that is passed over began.
+  int SkipDepth = 0;
+  std::vector<document_issue> Issues;
+  std::map<std::string, int> *LineOfPath = nullptr;
+};
+
+void parse(std::string_view Text, message_builder &Builder) {
+  counting_iterator Begin(Text.data(), Builder.lines());
+  counting_iterator End(Text.data() + Text.size(), Builder.lines());
+  json::sax_parse(Begin, End, &Builder, json::input_format_t::json, /*strict=*/true,
+                  /*ignore_comments=*/true);
+}
+
+// Line of a path, or of the nearest object around it.
+int lineOf(const std::map<std::string, int> &Lines, std::string Path) {
+  while (!Path.empty()) {
+    auto Found = Lines.find(Path);
+    if (Found != Lines.end())
+      return Found->second;
+    std::size_t Cut = Path.find_last_of(".[");
+    Path.resize(Cut == std::string::npos ? 0 : Cut);
+  }
+  return 1;
+}
+
+} // namespace
+
+std::vector<document_issue> readMessage(std::string_view Text, Message &Target,
+                                        const positive_field &Positive) {
+  Target.Clear();
+  message_builder Builder(Text, Target, Positive);
+  parse(Text, Builder);
+  return Builder.takeIssues();
+}
+
+void locateIssues(std::string_view Text, const Message &Prototype, std::vector<document_issue> &Issues) {
+  if (Issues.empty())
+    return;
+  std::map<std::string, int> Lines;
+  std::unique_ptr<Message> Scratch(Prototype.New());
+  message_builder Builder(Text, *Scratch, {});
+  Builder.recordLines(&Lines);
+  parse(Text, Builder);
+  for (document_issue &Issue : Issues)
+    Issue.Line = lineOf(Lines, Issue.Path);
+}
+
+} // namespace yuccaplank::wire
