--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -41,6 +41,7 @@
         break;
       h2o_evloop_run(Native, waitMs());
     }
+    Stopped = false;
   }
 
   void stop() override { Stopped = true; }
