--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -41,6 +41,8 @@
         break;
       h2o_evloop_run(Native, waitMs());
     }
+    // The loop may be run again.
+    Stopped = false;
   }
 
   void stop() override { Stopped = true; }
--- a/src/yuccaplank/wire/http_client.cpp
+++ b/src/yuccaplank/wire/http_client.cpp
@@ -188,7 +188,10 @@
   static int onBody(h2o_http1client_t *Native, const char *Error) {
     exchange &Exchange = exchangeOf(Native);
     bool AtEnd = Error == h2o_http1client_error_is_eos;
-    if (Error && !AtEnd) {
+    // h2o also reports the end of a chunked body when the connection closes between two chunks; then nothing
+    // has been read this time.
+    bool CutOff = AtEnd && Native->sock->bytes_read == 0;
+    if ((Error && !AtEnd) || CutOff) {
       Exchange.Native = nullptr;
       Exchange.Owner->fail(Exchange, errc::ConnectionLost);
       return 1;
