--- /dev/null
+++ b/src/yuccaplank/wire/http_client_test.cpp
@@ -0,0 +1,206 @@
+#include "yuccaplank/testing/sockets.hpp"
+#include "yuccaplank/testing/story.hpp"
+#include "yuccaplank/wire/http_client.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <fmt/format.h>
+
+#include <map>
+
+using namespace std::chrono_literals;
+using namespace yuccaplank::testing;
+using namespace yuccaplank::wire;
+using yuccaplank::runtime::errc;
+
+namespace {
+
+constexpr std::string_view Answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nX-Kind: Plain\r\n\r\nok";
+
+// Answers every request of a connection alike, until the client closes it.
+void answerAll(raw_socket &Socket) {
+  while (!Socket.receiveMessage().empty())
+    Socket.send(Answer);
+}
+
+// Reads one request and never answers.
+void stall(raw_socket &Socket) { static_cast<void>(Socket.closedByPeer()); }
+
+struct call_site {
+  explicit call_site(http_client_options Options = {}) : Client(makeHttpClient(*Loop, Options)) {}
+
+  std::unique_ptr<yuccaplank::runtime::loop> Loop = yuccaplank::runtime::makeLoop();
+  std::unique_ptr<http_client> Client;
+  std::map<int, http_call_result> Results;
+
+  call_id start(int Key, http_call Call) {
+    return Client->call(std::move(Call),
+                        [this, Key](http_call_result Result) { Results[Key] = std::move(Result); });
+  }
+  const http_call_result &run(http_call Call) {
+    Results.clear();
+    start(1, std::move(Call));
+    CPPUNIT_ASSERT_MESSAGE("no callback from within call()", Results.empty());
+    runUntil(*Loop, [&] { return !Results.empty(); });
+    return Results[1];
+  }
+  void waitFor(std::size_t Count) {
+    runUntil(*Loop, [&] { return Results.size() == Count; });
+  }
+};
+
+http_call get(const scripted_server &Server) {
+  http_call Call;
+  Call.Address = Server.address();
+  Call.Path = std::string("/");
+  return Call;
+}
+
+void assertFailed(errc Reason, transfer_stage Stage, const http_call_result &Result) {
+  CPPUNIT_ASSERT_EQUAL(std::string(errcName(Reason)), Result.Error.message());
+  CPPUNIT_ASSERT_EQUAL(static_cast<int>(Stage), static_cast<int>(Result.Stage));
+}
+
+// Guards against altered requests and answers.
+const story Exchange("http client: exchange", [] {
+  std::string Seen;
+  scripted_server Server({[&](raw_socket &Socket) {
+    Seen = Socket.receiveMessage();
+    Socket.send(Answer);
+    stall(Socket);
+  }});
+  call_site Site;
+  http_call Call = get(Server);
+  Call.Method = std::string("POST");
+  Call.Path = std::string("/a?b=c");
+  Call.Headers = {{"x-one", "1"}};
+  Call.Body = std::string("a\0b", 3);
+  const http_call_result &Result = Site.run(Call);
+  CPPUNIT_ASSERT(!Result.Error);
+  CPPUNIT_ASSERT_EQUAL(200, Result.Status);
+  CPPUNIT_ASSERT_EQUAL(std::string("Plain"), std::string(Result.header("x-kind")));
+  CPPUNIT_ASSERT_EQUAL(std::string("ok"), Result.Body);
+  std::string Expected =
+      fmt::format("POST /a?b=c HTTP/1.1\r\nhost: {}\r\ncontent-length: 3\r\nx-one: 1\r\n\r\n{}",
+                  Server.address(), Call.Body);
+  CPPUNIT_ASSERT_EQUAL(Expected, Seen);
+});
+
+// Guards against connections that are not reused, reused too late, or kept for ever.
+const story Pool("http client: pooled connections", [] {
+  http_client_options Options;
+  Options.IdleTimeout = 200ms;
+  scripted_server Server({answerAll, answerAll, answerAll, answerAll});
+  call_site Site(Options);
+  auto Connections = [&] { return Site.Client->connections(Server.address()); };
+  if (auto When = section("when calls follow each other")) {
+    for (int Count = 0; Count < 3; ++Count)
+      CPPUNIT_ASSERT(!Site.run(get(Server)).Error);
+    CPPUNIT_ASSERT_EQUAL(1, Server.accepted());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Connections());
+  }
+  if (auto When = section("when a callback makes the next call")) {
+    int Left = 5;
+    std::function<void(http_call_result)> Next = [&](const http_call_result &) {
+      if (--Left > 0)
+        Site.Client->call(get(Server), Next);
+    };
+    Site.Client->call(get(Server), Next);
+    runUntil(*Site.Loop, [&] { return Left == 0; });
+    CPPUNIT_ASSERT_EQUAL(1, Server.accepted());
+  }
+  if (auto When = section("when calls overlap")) {
+    for (int Key = 0; Key < 3; ++Key)
+      Site.start(Key, get(Server));
+    Site.waitFor(3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Connections());
+    CPPUNIT_ASSERT_EQUAL(3, Server.accepted());
+  }
+  if (auto When = section("when a connection was idle for the idle time-out")) {
+    Site.run(get(Server));
+    runFor(*Site.Loop, 300ms);
+    CPPUNIT_ASSERT(!Site.run(get(Server)).Error);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("not used again", 2, Server.accepted());
+  }
+  if (auto When = section("when no further call is made")) {
+    Site.run(get(Server));
+    runUntil(*Site.Loop, [&] { return Connections() == 0; });
+  }
+});
+
+// Guards against a connection that is counted for ever after its exchange failed.
+const story Failures("http client: failures", [] {
+  scripted_server Server({stall});
+  call_site Site;
+  http_call Call = get(Server);
+  if (auto When = section("when the answer does not come in time")) {
+    Call.Timeout = 50ms;
+    assertFailed(errc::RequestTimeout, transfer_stage::MaybeWritten, Site.run(Call));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Site.Client->connections(Server.address()));
+  }
+  if (auto When = section("when a header holds a line break")) {
+    Call.Headers = {{"x", "1\r\ntask-id: other"}};
+    assertFailed(errc::MalformedDocument, transfer_stage::NothingWritten, Site.run(Call));
+    CPPUNIT_ASSERT_EQUAL(0, Server.accepted());
+  }
+  if (auto When = section("when the address is no IP number")) {
+    Call.Address = std::string("localhost:1");
+    assertFailed(errc::MalformedDocument, transfer_stage::NothingWritten, Site.run(Call));
+  }
+  if (auto When = section("when the connect is refused")) {
+    std::uint16_t Port = 0;
+    listenOn(1, Port).close();
+    Call.Address = fmt::format("127.0.0.1:{}", Port);
+    assertFailed(errc::ConnectFailed, transfer_stage::NothingWritten, Site.run(Call));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Site.Client->connections(Call.Address));
+  }
+  if (auto When = section("when the call is abandoned")) {
+    call_id Id = Site.start(1, Call);
+    runUntil(*Site.Loop, [&] { return Server.accepted() == 1; });
+    Site.Client->abandon(Id);
+    runFor(*Site.Loop, 20ms);
+    CPPUNIT_ASSERT(Site.Results.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Site.Client->connections(Server.address()));
+  }
+});
+
+// Guards against replies that exhaust the memory, whatever way their length is given.
+const story LargeReplies("http client: reply size", [] {
+  constexpr std::size_t Limit = 100'000;
+  http_client_options Options;
+  Options.MaxReplyBytes = Limit;
+  auto Reply = [](std::size_t Bytes) {
+    return [Bytes](raw_socket &Socket) {
+      static_cast<void>(Socket.receiveMessage());
+      Socket.send(fmt::format("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", Bytes));
+      Socket.send(std::string(Bytes, 'x'));
+      stall(Socket);
+    };
+  };
+  if (auto When = section("when the reply has the size limit")) {
+    scripted_server Server({Reply(Limit)});
+    call_site Site(Options);
+    CPPUNIT_ASSERT_EQUAL(Limit, Site.run(get(Server)).Body.size());
+  }
+  if (auto When = section("when it is larger")) {
+    scripted_server Server({Reply(Limit + 1)});
+    call_site Site(Options);
+    assertFailed(errc::BodyTooLarge, transfer_stage::MaybeWritten, Site.run(get(Server)));
+  }
+});
+
+// Guards against use of a client that its own callback has destroyed.
+const story Destruction("http client: destruction", [] {
+  scripted_server Server({answerAll, answerAll});
+  call_site Site;
+  int Calls = 0;
+  for (int Count = 0; Count < 2; ++Count)
+    Site.Client->call(get(Server), [&](const http_call_result &) {
+      ++Calls;
+      Site.Client.reset();
+    });
+  runUntil(*Site.Loop, [&] { return !Site.Client; });
+  runFor(*Site.Loop, 20ms);
+  CPPUNIT_ASSERT_EQUAL(1, Calls);
+});
+
+} // namespace
