Grow the scheduler into the critical-time policy, with a bench program

Learns sizes per kind and speeds per server, keeps slots in speed groups, places each task on the slowest server that keeps its job's end, shares capacity between teams by weight, and adds quotas, retry budget, quarantine with probes, stall detection and admission by prediction.

--- a/include/yuccaplank/model/scheduler.hpp
+++ b/include/yuccaplank/model/scheduler.hpp
@@ -65,6 +65,8 @@
   std::uint32_t MaxQueuedTasks = 50'000;
   std::uint64_t MaxQueuedBytes = 64U << 20U;
   std::uint32_t MaxConnectionsPerServer = 24;
+  /// Jobs whose predicted response exceeds this multiple of their ideal time are refused; 0 for no limit.
+  double MaxStretch = 2.5;
   /// Share of quotas that this scheduler enforces, 1/failure domains.
   double QuotaShare = 1.0;
   std::uint64_t Seed = 1;
--- /dev/null
+++ b/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
@@ -0,0 +1,303 @@
+// Measures the scheduler on generated arrivals; prints one JSON object a line.
+#include "model_feed.hpp"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+#include <malloc.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <iostream>
+#include <random>
+#include <span>
+
+using namespace yuccaplank;
+using namespace yuccaplank::bench;
+
+namespace {
+
+struct bench_options {
+  double Seconds = 90;
+  std::uint64_t Seed = 1;
+  int Servers = 0;
+  double Load = 0;
+  std::string Strategy;
+  std::string Only;
+};
+
+constexpr auto Strategies =
+    std::to_array<const char *>({"critical_time", "fifo", "random", "round_robin", "least_outstanding"});
+
+void report(const std::string &Name, double Value, const char *Unit) {
+  nlohmann::ordered_json Line = {{"name", Name}, {"value", std::round(Value * 1e4) / 1e4}, {"unit", Unit}};
+  std::cout << Line.dump() << std::endl;
+}
+
+std::vector<double> stretches(const feed_result &Result, int Team = -1, double FromS = 0, double ToS = 1e9) {
+  std::vector<double> Values;
+  for (const auto &Job : Result.Jobs)
+    if (Job.End == job_result::end::Done && (Team < 0 || Job.Team == Team) && Job.ArrivalMs >= FromS * 1000 &&
+        Job.ArrivalMs < ToS * 1000)
+      Values.push_back(Job.ResponseMs / Job.IdealMs);
+  return Values;
+}
+
+double shareOf(const feed_result &Result, job_result::end End) {
+  auto Count = std::ranges::count(Result.Jobs, End, &job_result::End);
+  return 100.0 * static_cast<double>(Count) /
+         static_cast<double>(std::max<std::size_t>(1, Result.Jobs.size()));
+}
+
+void reportStretches(const std::string &Name, const feed_result &Result) {
+  auto Values = stretches(Result);
+  report(Name + "/p50", percentile(Values, 0.5), "response/ideal");
+  report(Name + "/p90", percentile(Values, 0.9), "response/ideal");
+  report(Name + "/p99", percentile(Values, 0.99), "response/ideal");
+  report(Name + "/refused", shareOf(Result, job_result::end::Refused), "% of jobs");
+  report(Name + "/failed", shareOf(Result, job_result::end::Failed), "% of jobs");
+}
+
+feed_options basics(const bench_options &Options) {
+  feed_options Feed;
+  Feed.Seconds = Options.Seconds;
+  Feed.Seed = Options.Seed;
+  if (Options.Servers > 0)
+    Feed.Servers = Options.Servers;
+  return Feed;
+}
+
+void response(const bench_options &Options, const char *Name, double Error) {
+  for (int Servers : {50, 12})
+    for (double Load : {0.5, 0.7, 0.9})
+      for (const std::string Strategy : Strategies) {
+        if ((Options.Servers > 0 && Servers != Options.Servers) ||
+            (Options.Load > 0 && Load != Options.Load) ||
+            (!Options.Strategy.empty() && Strategy != Options.Strategy))
+          continue;
+        auto Feed = basics(Options);
+        Feed.Servers = Servers;
+        Feed.Load = Load;
+        Feed.Error = Error;
+        Feed.Strategy = Strategy;
+        reportStretches(fmt::format("{}/{}/servers{}/load{:.0f}", Name, Strategy, Servers, Load * 100),
+                        model_feed(Feed).run());
+      }
+}
+
+void learnable(const bench_options &Options) { response(Options, "response", 1); }
+void uncertain(const bench_options &Options) { response(Options, "uncertain", 2); }
+
+void burst(const bench_options &Options) {
+  constexpr double FromS = 30;
+  constexpr double ToS = 35;
+  for (int Servers : {50, 12}) {
+    auto Feed = basics(Options);
+    Feed.Servers = Servers;
+    Feed.Seconds = 60;
+    model_feed Run(Feed);
+    Run.Changes = {{FromS, ToS, 10}};
+    auto Result = Run.run();
+    auto Name = fmt::format("burst/servers{}", Servers);
+    auto Values = stretches(Result, -1, FromS, ToS);
+    report(Name + "/admitted_p50", percentile(Values, 0.5), "response/ideal");
+    report(Name + "/admitted_p99", percentile(Values, 0.99), "response/ideal");
+    report(Name + "/failed", shareOf(Result, job_result::end::Failed), "% of jobs");
+    double Goodput = 0;
+    // The first second fills the servers.
+    for (double Second = FromS + 1; Second < ToS; ++Second)
+      Goodput += Result.Goodput[static_cast<std::size_t>(Second)] / (ToS - FromS - 1);
+    report(Name + "/goodput", 100 * Goodput, "% of capacity");
+    double NormalP90 = percentile(stretches(Result, -1, 0, FromS), 0.9);
+    double NormalAfter = 0;
+    for (double Second = ToS; Second < 55; ++Second) {
+      bool Refused = std::ranges::any_of(Result.Jobs, [&](const job_result &Job) {
+        return Job.End != job_result::end::Done && Job.ArrivalMs >= Second * 1000 &&
+               Job.ArrivalMs < (Second + 1) * 1000;
+      });
+      if (Refused || percentile(stretches(Result, -1, Second, Second + 1), 0.5) > NormalP90)
+        NormalAfter = Second + 1 - ToS;
+    }
+    report(Name + "/normal_after", NormalAfter, "s");
+    std::vector<double> RetryAfter;
+    for (const auto &Job : Result.Jobs)
+      if (Job.End == job_result::end::Refused)
+        RetryAfter.push_back(Job.RetryAfterMs);
+    report(Name + "/retry_after_p50", percentile(RetryAfter, 0.5), "ms");
+  }
+}
+
+void failingServer(const bench_options &Options) {
+  for (int Server : {0, 25, 49}) {
+    auto Feed = basics(Options);
+    Feed.Servers = 50;
+    model_feed Run(Feed);
+    Run.FailingServer = Server;
+    Run.FailsFromS = 30;
+    auto Result = Run.run();
+    report(fmt::format("failing_server/server{}/lost_starts", Server), static_cast<double>(Result.LostStarts),
+           "tasks");
+    report(fmt::format("failing_server/server{}/failed", Server), shareOf(Result, job_result::end::Failed),
+           "% of jobs");
+  }
+}
+
+void fairness(const bench_options &Options) {
+  constexpr int Teams = 10;
+  for (double Load : {0.5, 0.7}) {
+    std::array<double, 2> P99{};
+    for (int Greedy : {0, 1}) {
+      auto Feed = basics(Options);
+      Feed.Teams = Teams;
+      Feed.Load = Load;
+      model_feed Run(Feed);
+      if (Greedy == 1)
+        Run.Changes = {{0, 1e9, 10, 0}};
+      auto Result = Run.run();
+      std::vector<double> Others;
+      std::size_t Refused = 0;
+      for (const auto &Job : Result.Jobs) {
+        if (Job.Team == 0)
+          continue;
+        Refused += Job.End != job_result::end::Done ? 1 : 0;
+        Others.push_back(Job.ResponseMs / Job.IdealMs);
+      }
+      P99[static_cast<std::size_t>(Greedy)] = percentile(Others, 0.99);
+      auto Name = fmt::format("fairness/load{:.0f}/{}", Load * 100, Greedy == 1 ? "greedy" : "equal");
+      report(Name + "/others_p99", percentile(Others, 0.99), "response/ideal");
+      report(Name + "/others_not_done", static_cast<double>(Refused), "jobs");
+    }
+    report(fmt::format("fairness/load{:.0f}/increase", Load * 100), 100 * (P99[1] / P99[0] - 1), "%");
+  }
+}
+
+void decision(const bench_options &Options) {
+  for (int Servers : {143, 1000})
+    for (int Teams : {1, 330})
+      for (double Load : {0.7, 0.95}) {
+        auto Feed = basics(Options);
+        Feed.Servers = Servers;
+        Feed.Teams = Teams;
+        Feed.Load = Load;
+        Feed.Seconds = 4;
+        Feed.WarmupSeconds = 0;
+        auto Result = model_feed(Feed).run();
+        report(fmt::format("decision/servers{}/teams{}/load{:.0f}", Servers, Teams, Load * 100),
+               Result.SchedulerSeconds * 1e6 / static_cast<double>(Result.Started), "us/task");
+      }
+}
+
+/// Time per task and memory with many queued tasks: every end of a task lets the next one start.
+void queued(const bench_options &Options) {
+  constexpr int TasksPerJob = 50;
+  for (int Queued : {1000, 10'000, 49'000}) {
+    runtime::manual_clock Clock;
+    model::scheduler_options Scheduler;
+    Scheduler.MaxStretch = 0;
+    Scheduler.Seed = Options.Seed;
+    pcg32 Random(Options.Seed);
+    auto Instance = model::makeScheduler(Clock, Scheduler);
+    std::vector<schema::backend_entry> Entries(143);
+    for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
+      Entries[Index].set_id(fmt::format("s{}", Index));
+      Entries[Index].set_pool("main");
+      Entries[Index].set_slots(8);
+    }
+    Instance->setServers(Entries);
+    std::vector<schema::service_document> Services(330);
+    std::vector<schema::job> Jobs(static_cast<std::size_t>(Queued + 1200) / TasksPerJob);
+    for (std::size_t Index = 0; Index < Services.size(); ++Index) {
+      Services[Index].set_service(fmt::format("service{}", Index));
+      Services[Index].set_team(fmt::format("team{}", Index));
+      Services[Index].set_pool("main");
+    }
+    for (auto &Job : Jobs)
+      for (int Index = 0; Index < TasksPerJob; ++Index) {
+        auto &Task = *Job.add_tasks();
+        Task.set_name(fmt::format("t{}", Index));
+        Task.set_kind("render");
+        Task.set_declared_ms(std::lognormal_distribution<>(5.4, 0.6)(Random));
+      }
+    auto Before = mallinfo2().uordblks;
+    for (std::size_t Index = 0; Index < Jobs.size(); ++Index)
+      Instance->submit(
+          {Index + 1, &Jobs[Index], &Services[Index % Services.size()], Clock.now() + std::chrono::hours(1)});
+    auto Memory = mallinfo2().uordblks - Before;
+    report(fmt::format("queued/{}/memory", Queued),
+           static_cast<double>(Memory) / Instance->load().QueuedTasks, "B/task");
+    std::queue<model::task_start> Running;
+    int Steps = std::min(20'000, Queued);
+    auto Start = runtime::systemClock().now();
+    for (int Step = 0; Step < Steps; ++Step) {
+      for (auto &Each : Instance->takeDecisions().Starts)
+        Running.push(std::move(Each));
+      Clock.advance(std::chrono::microseconds(150));
+      Instance->attemptEnded(Running.front().Task, Running.front().Server, model::attempt_end::Completed);
+      Running.pop();
+    }
+    double Us = runtime::toMs(runtime::systemClock().now() - Start) * 1000;
+    report(fmt::format("queued/{}/decision", Queued), Us / (Steps + 1144), "us/task");
+  }
+}
+
+void shared(const bench_options &Options) {
+  for (double Load : {0.7, 0.9})
+    for (int Schedulers : {1, 2, 7}) {
+      auto Feed = basics(Options);
+      Feed.Load = Load;
+      Feed.Schedulers = Schedulers;
+      auto Result = model_feed(Feed).run();
+      auto Name = fmt::format("independent/schedulers{}/load{:.0f}", Schedulers, Load * 100);
+      reportStretches(Name, Result);
+      report(Name + "/refused_starts",
+             100.0 * static_cast<double>(Result.RefusedStarts) / static_cast<double>(Result.Started),
+             "% of starts");
+    }
+}
+
+struct measurement {
+  const char *Name;
+  void (*Run)(const bench_options &);
+};
+constexpr auto Measurements = std::to_array<measurement>({{"response", learnable},
+                                                          {"uncertain", uncertain},
+                                                          {"burst", burst},
+                                                          {"failing_server", failingServer},
+                                                          {"fairness", fairness},
+                                                          {"independent", shared},
+                                                          {"decision", decision},
+                                                          {"queued", queued}});
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  namespace po = boost::program_options;
+  bench_options Options;
+  po::options_description Description("yuccaplank-model-bench: measures the scheduler");
+  auto Add = Description.add_options();
+  Add("help", "print this text");
+  Add("seconds", po::value(&Options.Seconds), "simulated seconds of a run");
+  Add("seed", po::value(&Options.Seed), "seed of arrivals and sizes");
+  Add("servers", po::value(&Options.Servers), "only this number of servers");
+  Add("load", po::value(&Options.Load), "only this load, for example 0.7");
+  Add("strategy", po::value(&Options.Strategy), "only this strategy");
+  Add("only", po::value(&Options.Only), "only this measurement");
+  try {
+    po::variables_map Values;
+    po::store(po::parse_command_line(Count, Arguments, Description), Values);
+    po::notify(Values);
+    if (Values.count("help") > 0) {
+      std::cout << Description;
+      return 0;
+    }
+  } catch (const po::error &Error) {
+    std::cerr << Error.what() << '\n' << Description;
+    return 2;
+  }
+  bool Found = false;
+  for (const auto &Measurement : Measurements)
+    if (Options.Only.empty() || Options.Only == Measurement.Name) {
+      Found = true;
+      Measurement.Run(Options);
+    }
+  return Found ? 0 : 2;
+}
--- /dev/null
+++ b/src/yuccaplank/model/fair_queue.cpp
@@ -0,0 +1,152 @@
+#include "fair_queue.hpp"
+
+#include <algorithm>
+
+namespace yuccaplank::model {
+namespace {
+
+/// Lead over the fair share that a team may have before others go first. About two jobs at the sizes of
+/// design 1.4; a smaller one makes every job compete with its own team's previous one.
+constexpr double AllowanceMs = 500;
+/// Credit that an idle team keeps, as a multiple of the allowance.
+constexpr double MaxCredit = 2;
+/// Debt that a team keeps from times when nobody else needed the capacity, as a multiple of the allowance.
+constexpr double MaxDebt = 4;
+
+} // namespace
+
+flow &fair_queue::flowOf(const std::string &Service, const std::string &Team, double Weight) {
+  auto &State = Teams[Team];
+  if (State.Weight != Weight) {
+    if (State.Outstanding > 0)
+      ActiveWeight += Weight - State.Weight;
+    State.Weight = Weight;
+  }
+  // A service that changes its team keeps its flow until the jobs of the old team are gone.
+  auto &Flow = Flows[Team + '\0' + Service];
+  Flow.Team = &State;
+  return Flow;
+}
+
+void fair_queue::add(queue_item &Item) {
+  auto &Flow = *Item.Flow;
+  if (Flow.Jobs.empty())
+    Flow.Team->Virtual = std::max(Flow.Team->Virtual, GlobalVirtual - MaxCredit * allowance());
+  Flow.Jobs.emplace(Item.Key, &Item);
+  relist(Flow);
+}
+
+void fair_queue::remove(queue_item &Item) {
+  if (Item.Flow->Jobs.erase({Item.Key, &Item}) > 0)
+    relist(*Item.Flow);
+}
+
+void fair_queue::outstanding(team_share &Team, int Change) {
+  bool Before = Team.Outstanding > 0;
+  Team.Outstanding += static_cast<std::uint32_t>(Change);
+  bool After = Team.Outstanding > 0;
+  if (Before != After)
+    ActiveWeight += After ? Team.Weight : -Team.Weight;
+}
+
+void fair_queue::charge(flow &Flow, double Work) {
+  auto &Team = *Flow.Team;
+  if (!Flow.Charged)
+    Charged.push_back(&Flow);
+  Flow.Charged = true;
+  GlobalVirtual += Work / std::max(ActiveWeight, Team.Weight);
+  Team.Virtual = std::min(Team.Virtual + Work / Team.Weight, GlobalVirtual + (1 + MaxDebt) * allowance());
+}
+
+double fair_queue::allowance() const { return Capacity * AllowanceMs / std::max(1.0, ActiveWeight); }
+
+bool fair_queue::isOver(const team_share &Team) const {
+  return Fair && Team.Virtual > GlobalVirtual + allowance();
+}
+
+void fair_queue::unlist(flow &Flow) {
+  if (Flow.Listed)
+    (Flow.ListedOver ? Over : Ready).erase({Flow.ListedKey, &Flow});
+  Flow.Listed = false;
+}
+
+void fair_queue::relist(flow &Flow) {
+  unlist(Flow);
+  if (Flow.Jobs.empty())
+    return;
+  Flow.Listed = true;
+  Flow.ListedOver = isOver(*Flow.Team);
+  Flow.ListedKey = Flow.ListedOver ? Flow.Team->Virtual : Flow.Jobs.begin()->first;
+  (Flow.ListedOver ? Over : Ready).emplace(Flow.ListedKey, &Flow);
+}
+
+void fair_queue::beginPass() {
+  while (!Over.empty() && Over.begin()->first <= GlobalVirtual + allowance()) {
+    auto &Flow = *Over.begin()->second;
+    relist(Flow);
+    if (Flow.ListedOver)
+      break;
+  }
+  ReadyNext = Ready.begin();
+  OverNext = Over.begin();
+  ReadyOpen = {};
+  OverOpen = {};
+  HasLast = false;
+}
+
+queue_item *fair_queue::next(pass_step Step) {
+  if (HasLast) {
+    if (Step == pass_step::NextJob)
+      ++Last.Job;
+    if (Step != pass_step::SkipFlow && Last.Job != Last.Flow->Jobs.end()) {
+      Last.Key = InOver ? Last.Flow->Team->Virtual : Last.Job->first;
+      (InOver ? OverOpen : ReadyOpen).push(Last);
+    }
+    HasLast = false;
+  }
+  if (auto *Item = nextReady())
+    return Item;
+  return nextOver();
+}
+
+queue_item *fair_queue::nextReady() {
+  while (ReadyNext != Ready.end() && (ReadyOpen.empty() || ReadyNext->first <= ReadyOpen.top().Key)) {
+    ReadyOpen.push({ReadyNext->first, ReadyNext->second, ReadyNext->second->Jobs.begin()});
+    ++ReadyNext;
+  }
+  if (ReadyOpen.empty())
+    return nullptr;
+  Last = ReadyOpen.top();
+  ReadyOpen.pop();
+  InOver = false;
+  HasLast = true;
+  return Last.Job->second;
+}
+
+queue_item *fair_queue::nextOver() {
+  while (OverNext != Over.end() && (OverOpen.empty() || OverNext->first <= OverOpen.top().Key)) {
+    OverOpen.push({OverNext->second->Team->Virtual, OverNext->second, OverNext->second->Jobs.begin()});
+    ++OverNext;
+  }
+  if (OverOpen.empty())
+    return nullptr;
+  Last = OverOpen.top();
+  OverOpen.pop();
+  InOver = true;
+  HasLast = true;
+  return Last.Job->second;
+}
+
+void fair_queue::endPass() {
+  HasLast = false;
+  for (auto *Item : Finished)
+    remove(*Item);
+  Finished.clear();
+  for (auto *Flow : Charged) {
+    Flow->Charged = false;
+    relist(*Flow);
+  }
+  Charged.clear();
+}
+
+} // namespace yuccaplank::model
--- /dev/null
+++ b/src/yuccaplank/model/scheduled_job.hpp
@@ -0,0 +1,61 @@
+// Job as the scheduler keeps it. Times in milliseconds of the clock.
+#pragma once
+
+#include "fair_queue.hpp"
+#include "server_set.hpp"
+#include "yuccaplank/model/scheduler.hpp"
+
+#include <cstdint>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace yuccaplank::model {
+
+/// One task. Kept small because up to 50,000 may be queued.
+struct scheduled_task {
+  /// Planned run time on a server of speed 1.
+  float SizeMs = 0;
+  /// Factor above the planned time up to which a run is not surprising.
+  float Margin = 1;
+  kind_id Kind = 0;
+  fit_id Fit = 0;
+  std::uint32_t Attempts = 0;
+};
+
+using task_on_server = std::pair<std::uint32_t, server_id>;
+
+struct scheduled_job : queue_item {
+  scheduler_job Job;
+  pool_id Pool = 0;
+  double DeadlineMs = 0;
+  /// End that the job is expected to have at the earliest; tasks need not end before it.
+  double CriticalEndMs = 0;
+  std::vector<scheduled_task> Tasks;
+  /// Queued tasks in the order of starting.
+  std::vector<std::uint32_t> Queued;
+  /// Tasks that wait for their retry.
+  std::vector<std::uint32_t> Waiting;
+  std::vector<task_on_server> Running;
+  /// Servers that refused a task.
+  std::vector<task_on_server> Refused;
+  /// Size of the document, and what of it counts as queued.
+  std::uint64_t Bytes = 0;
+  std::uint64_t QueuedBytes = 0;
+  /// A task has started, or may have.
+  bool MayHaveRun = false;
+  /// Has failed; kept while attempts are running so that the user can stop them.
+  bool Ended = false;
+
+  [[nodiscard]] std::size_t queuedTasks() const { return Queued.size() + Waiting.size(); }
+};
+
+/// Jobs and servers of one pool.
+struct pool_queue {
+  explicit pool_queue(bool Fair) : Queue(Fair) {}
+  fair_queue Queue;
+  /// Work of the queued tasks at speed 1, in milliseconds.
+  double QueuedWork = 0;
+};
+
+} // namespace yuccaplank::model
