--- /dev/null
+++ b/src/yuccaplank/cli/arguments_test.cpp
@@ -0,0 +1,98 @@
+#include "yuccaplank/testing/cli_run.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+using namespace std::chrono_literals;
+using namespace yuccaplank;
+using namespace yuccaplank::cli;
+using testing::cli_run;
+using testing::section;
+using testing::story;
+
+namespace {
+
+std::string noEnvironment(const std::string & /*Name*/) { return {}; }
+
+// Guards against a wrong command line that is run, or that ends with a status other than 2.
+const story UsageErrors("cli: usage errors end with status 2", [] {
+  cli_run Run([](const wire::http_call &) { return testing::refusedConnection(); });
+  Run.Files["job.json"] = "{}";
+  const std::vector<std::vector<std::string>> Wrong = {
+      {},
+      {"nonsense"},
+      {"service"},
+      {"service", "nonsense"},
+      {"submit", "--entry", "127.0.0.1:1"},
+      {"submit", "job.json"},
+      {"submit", "job.json", "extra", "--entry", "127.0.0.1:1"},
+      {"submit", "job.json", "--entry", "localhost:1"},
+      {"submit", "job.json", "--entry", "127.0.0.1:0"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1,"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1", "--unknown"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1", "--resub", "1"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1", "--resubmit", "x"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1", "--key", "a", "--id", "b"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1", "--key", "a", "--resubmit", "1"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1", "--async", "--resubmit", "1"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1", "--wait", "-1"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1", "--timeout", "0"},
+      {"submit", "job.json", "--entry", "127.0.0.1:1", "--timeout", "nan"},
+      {"ids", "--entry", "127.0.0.1:1", "--count", "0"},
+      {"ids", "--entry", "127.0.0.1:1", "--count", "1001"},
+      {"vms"},
+      {"vms", "--operator", "[::1]"},
+      {"service", "rollback", "proofs", "--operator", "127.0.0.1:1"},
+  };
+  for (const auto &Arguments : Wrong) {
+    std::string Line = "arguments:";
+    for (const std::string &Argument : Arguments)
+      Line += " " + Argument;
+    Run.Err.clear();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Line, 2, Run.run(Arguments));
+    CPPUNIT_ASSERT_MESSAGE(Line, Run.Err.starts_with("yuccaplank: "));
+  }
+  CPPUNIT_ASSERT(Run.Client.Calls.empty());
+});
+
+// Guards against options that are ignored or mistaken for the command.
+const story Parsing("cli: argument parsing", [] {
+  if (auto Given = section("given global options before the command")) {
+    auto Parsed = parseArguments({"--entry", "127.0.0.1:1,[::1]:2", "--json", "--timeout=1.5", "get", "ID1"},
+                                 noEnvironment);
+    const auto &Invocation = std::get<invocation>(Parsed);
+    CPPUNIT_ASSERT_EQUAL(std::string("get"), std::string(Invocation.Command->Name));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Invocation.Global.Entries.size());
+    CPPUNIT_ASSERT(Invocation.Global.Json);
+    CPPUNIT_ASSERT(Invocation.Global.Timeout == 1500ms);
+    CPPUNIT_ASSERT_EQUAL(std::string("ID1"), Invocation.text("ID"));
+  }
+  if (auto Given = section("given addresses in the environment")) {
+    auto Environment = [](const std::string &Name) {
+      return Name == "YUCCAPLANK_ENTRY" ? std::string("127.0.0.1:1") : std::string("value");
+    };
+    auto Parsed = parseArguments({"submit", "-", "--entry", "127.0.0.1:9"}, [&](const std::string &Name) {
+      return Name == "YUCCAPLANK_OPERATOR" ? std::string("127.0.0.1:2") : Environment(Name);
+    });
+    const auto &Invocation = std::get<invocation>(Parsed);
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9"), Invocation.Global.Entries.at(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:2"), Invocation.Global.Operator);
+    CPPUNIT_ASSERT_EQUAL(std::string("value"), Invocation.Global.Token);
+    CPPUNIT_ASSERT_EQUAL(std::string("-"), Invocation.text("FILE"));
+  }
+  if (auto Given = section("given a request for help")) {
+    cli_run Run([](const wire::http_call &) { return testing::refusedConnection(); });
+    for (const command &Command : commandTable()) {
+      Run.Out.clear();
+      std::vector<std::string> Arguments{std::string(Command.Name), "--help"};
+      if (auto Space = Arguments[0].find(' '); Space != std::string::npos) {
+        Arguments.insert(Arguments.begin() + 1, Arguments[0].substr(Space + 1));
+        Arguments[0].resize(Space);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Arguments[0], 0, Run.run(Arguments));
+      CPPUNIT_ASSERT(Run.Out.find("Examples:\n  yuccaplank " + std::string(Command.Name)) !=
+                     std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, Run.run({"--help"}));
+  }
+});
+
+} // namespace
