--- a/src/yuccaplank/wire/http_server.cpp
+++ b/src/yuccaplank/wire/http_server.cpp
@@ -32,6 +32,8 @@
 constexpr int HangupBatch = 64;
 // Streams of one HTTP/2 connection that are handled at the same time; h2o's own limit for open streams.
 constexpr std::size_t MaxStreamsPerConnection = 256;
+// Names and values of the headers and the path of one request. h2o itself accepts 408 KiB.
+constexpr std::size_t MaxHeaderBytes = 16U << 10U;
 constexpr std::string_view JsonType = "application/json";
 
 class server_state;
@@ -142,6 +144,7 @@
     {413, "Payload Too Large"},
     {422, "Unprocessable Entity"},
     {429, "Too Many Requests"},
+    {431, "Request Header Fields Too Large"},
     {500, "Internal Server Error"},
     {502, "Bad Gateway"},
     {503, "Service Unavailable"},
@@ -152,6 +155,13 @@
   return Found == Reasons.end() ? "Other" : Found->Reason;
 }
 
+std::size_t headerBytes(const h2o_req_t &Request) {
+  std::size_t Bytes = Request.path.len;
+  for (std::size_t Index = 0; Index < Request.headers.size; ++Index)
+    Bytes += Request.headers.entries[Index].name->len + Request.headers.entries[Index].value.len;
+  return Bytes;
+}
+
 std::error_code systemError() { return {errno, std::system_category()}; }
 
 using ssl_context = std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)>;
@@ -411,10 +421,7 @@
     auto Found = Requests.find(Token);
     if (Found == Requests.end())
       return;
-    Found->second->Native->http1_is_persistent = 0;
-    http_reply Reply;
-    Reply.Status = 503;
-    reply(Token, std::move(Reply));
+    refuse(*Found->second, 503);
   }
 
   void notifyClosed(request_token Token) {
@@ -475,7 +482,10 @@
     From->Http2 = Native->version >= 0x200;
     if (!From->Http2)
       From->Http1Request = Request->Token;
-    deliver(*Request);
+    if (headerBytes(*Native) > MaxHeaderBytes)
+      refuse(*Request, 431);
+    else
+      deliver(*Request);
     if (From->PeerClosed && From->Http1Request)
       endHttp1Request(*From);
     return 0;
@@ -502,6 +512,13 @@
     Handlers.OnRequest(std::move(Value));
   }
 
+  void refuse(const pending_request &Request, int Status) {
+    Request.Native->http1_is_persistent = 0;
+    http_reply Reply;
+    Reply.Status = Status;
+    reply(Request.Token, std::move(Reply));
+  }
+
   void send(pending_request &Request) {
     static h2o_generator_t NoMore{nullptr, nullptr};
     h2o_req_t *Native = Request.Native;
--- /dev/null
+++ b/src/yuccaplank/wire/http_server_test.cpp
@@ -0,0 +1,414 @@
+#include "yuccaplank/testing/sockets.hpp"
+#include "yuccaplank/testing/story.hpp"
+#include "yuccaplank/wire/http_server.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <fmt/format.h>
+#include <openssl/pem.h>
+#include <openssl/ssl.h>
+#include <openssl/x509.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+#include <future>
+
+using namespace std::chrono_literals;
+using namespace yuccaplank::testing;
+using namespace yuccaplank::wire;
+
+namespace {
+
+constexpr std::string_view Get = "GET /a%20b?x=1&y=%2F+z&flag HTTP/1.1\r\nhost: h\r\nX-One: 1\r\n\r\n";
+constexpr std::string_view TooLarge = R"({"reason":"body_too_large"})";
+
+struct server_site {
+  explicit server_site(http_server_options Options = {}) {
+    Options.Address = std::string("127.0.0.1:0");
+    http_server_handlers Handlers;
+    Handlers.OnRequest = [this](http_request Request) {
+      Requests.push_back(std::move(Request));
+      if (AnswerAtOnce)
+        Server->reply(Requests.back().Token, ok());
+    };
+    Handlers.OnClosed = [this](request_token Token) { Closed.push_back(Token); };
+    auto Made = makeHttpServer(*Loop, std::move(Options), std::move(Handlers));
+    CPPUNIT_ASSERT(Made.has_value());
+    Server = std::move(Made.value());
+  }
+  // The server's sockets end in the loop.
+  ~server_site() {
+    Server.reset();
+    runFor(*Loop, 20ms);
+  }
+  server_site(const server_site &) = delete;
+  server_site &operator=(const server_site &) = delete;
+
+  static http_reply ok() {
+    http_reply Reply;
+    Reply.Body = std::string("{}");
+    Reply.Headers.push_back({std::string("Retry-After"), std::string("3")});
+    return Reply;
+  }
+  /// Runs a blocking client beside the loop.
+  template <typename Function> auto runBeside(Function Client) {
+    auto Result = std::async(std::launch::async, std::move(Client));
+    runUntil(*Loop, [&] { return Result.wait_for(0s) == std::future_status::ready; });
+    return Result.get();
+  }
+  /// Connects and sends a request; the reply is still to be read.
+  raw_socket request(std::string_view Text = Get) {
+    raw_socket Socket = connectTo(Server->port());
+    std::size_t Before = Requests.size();
+    Socket.send(Text);
+    runUntil(*Loop, [&] { return Requests.size() > Before; });
+    return Socket;
+  }
+  std::string exchange(std::string_view Text) {
+    return runBeside([&] {
+      raw_socket Socket = connectTo(Server->port());
+      Socket.send(Text);
+      return Socket.receiveMessage();
+    });
+  }
+
+  std::unique_ptr<yuccaplank::runtime::loop> Loop = yuccaplank::runtime::makeLoop();
+  std::unique_ptr<http_server> Server;
+  std::vector<http_request> Requests;
+  std::vector<request_token> Closed;
+  bool AnswerAtOnce = false;
+};
+
+bool contains(std::string_view Text, std::string_view Part) {
+  return Text.find(Part) != std::string_view::npos;
+}
+
+void assertStatus(int Status, std::string_view Reply) {
+  CPPUNIT_ASSERT_EQUAL(fmt::format("HTTP/1.1 {}", Status), std::string(Reply.substr(0, 12)));
+}
+
+// Guards against altered requests and replies, and against replies that only work from within the handler.
+const story Exchange("http server: exchange", [] {
+  server_site Site;
+  raw_socket Client = Site.request();
+  if (auto When = section("when a request arrives")) {
+    const http_request &Request = Site.Requests[0];
+    CPPUNIT_ASSERT_EQUAL(std::string("GET"), Request.Method);
+    CPPUNIT_ASSERT_EQUAL(std::string("/a b"), Request.Path);
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(Request.query("x")));
+    CPPUNIT_ASSERT_EQUAL(std::string("/ z"), std::string(Request.query("y")));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), std::string(Request.header("x-one")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Site.Server->pendingRequests());
+  }
+  if (auto When = section("when the reply comes later")) {
+    runFor(*Site.Loop, 50ms);
+    Site.Server->reply(Site.Requests[0].Token, server_site::ok());
+    std::string Reply = Site.runBeside([&] { return Client.receiveMessage(); });
+    assertStatus(200, Reply);
+    CPPUNIT_ASSERT(contains(Reply, "retry-after: 3\r\n") && Reply.ends_with("\r\n\r\n{}"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Site.Server->pendingRequests());
+    CPPUNIT_ASSERT(Site.Closed.empty());
+  }
+  if (auto When = section("when the connection is used again")) {
+    Site.AnswerAtOnce = true;
+    Site.Server->reply(Site.Requests[0].Token, server_site::ok());
+    std::string Second = Site.runBeside([&] {
+      static_cast<void>(Client.receiveMessage());
+      Client.send("POST /b HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\nabc");
+      return Client.receiveMessage();
+    });
+    assertStatus(200, Second);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), Site.Requests[1].Body);
+  }
+  if (auto When = section("when the request is dropped")) {
+    Site.Server->drop(Site.Requests[0].Token);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Site.runBeside([&] { return Client.receiveMessage(); }));
+    CPPUNIT_ASSERT(Site.Closed.empty());
+  }
+});
+
+// Guards against work for callers that have gone, and against replies to freed requests.
+const story Gone("http server: callers that have gone", [] {
+  server_site Site;
+  raw_socket Client = Site.request();
+  request_token Token = Site.Requests[0].Token;
+  if (auto When = section("when the connection closes")) {
+    Client.close();
+    runUntil(*Site.Loop, [&] { return !Site.Closed.empty(); });
+    CPPUNIT_ASSERT_EQUAL(Token, Site.Closed[0]);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Site.Server->pendingRequests());
+    Site.Server->reply(Token, server_site::ok());
+    runUntil(*Site.Loop, [&] { return Site.Server->connections() == 0; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Site.Closed.size());
+  }
+  if (auto When = section("when it closes together with the reply")) {
+    Client.close();
+    Site.Server->reply(Token, server_site::ok());
+    runUntil(*Site.Loop, [&] { return Site.Server->connections() == 0; });
+    CPPUNIT_ASSERT(Site.Closed.empty());
+  }
+  if (auto When = section("when the server object goes first")) {
+    Site.Server.reset();
+    CPPUNIT_ASSERT(Site.runBeside([&] { return Client.closedByPeer(); }));
+    CPPUNIT_ASSERT(Site.Closed.empty());
+  }
+});
+
+// Guards against callers that exhaust connections or memory.
+const story Limits("http server: limits", [] {
+  http_server_options Options;
+  Options.MaxBodyBytes = 100;
+  Options.MaxConnections = 2;
+  Options.RequestTimeout = 200ms;
+  Options.TooLargeBody = TooLarge;
+  server_site Site(Options);
+  Site.AnswerAtOnce = true;
+  std::string Body(101, 'x');
+  if (auto When = section("when a body has the size limit")) {
+    Body.pop_back();
+    assertStatus(200, Site.exchange(fmt::format("PUT / HTTP/1.1\r\ncontent-length: 100\r\n\r\n{}", Body)));
+  }
+  if (auto When = section("when a declared body is too large")) {
+    std::string Reply = Site.exchange(fmt::format("PUT / HTTP/1.1\r\ncontent-length: 101\r\n\r\n{}", Body));
+    assertStatus(413, Reply);
+    CPPUNIT_ASSERT(contains(Reply, "application/json") && Reply.ends_with(TooLarge));
+    CPPUNIT_ASSERT(Site.Requests.empty());
+  }
+  if (auto When = section("when a chunked body is too large")) {
+    std::string Reply = Site.exchange(
+        fmt::format("PUT / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n65\r\n{}\r\n0\r\n\r\n", Body));
+    assertStatus(413, Reply);
+    CPPUNIT_ASSERT(Reply.ends_with(TooLarge));
+  }
+  if (auto When = section("when the headers are too large")) {
+    // Above the server's own limit, and above the one of h2o.
+    for (std::size_t Bytes : {20'000UL, 500'000UL}) {
+      std::string Reply =
+          Site.exchange(fmt::format("GET / HTTP/1.1\r\nx: {}\r\n\r\n", std::string(Bytes, 'x')));
+      CPPUNIT_ASSERT(Reply.empty() || Reply.starts_with("HTTP/1.1 4"));
+    }
+    CPPUNIT_ASSERT(Site.Requests.empty());
+  }
+  if (auto When = section("when there are too many connections")) {
+    raw_socket First = connectTo(Site.Server->port());
+    raw_socket Second = connectTo(Site.Server->port());
+    raw_socket Third = connectTo(Site.Server->port());
+    Second.send(Get);
+    assertStatus(200, Site.runBeside([&] {
+      CPPUNIT_ASSERT(Third.closedByPeer());
+      return Second.receiveMessage();
+    }));
+  }
+});
+
+// Guards against connections that are held by sending slowly.
+const story Slow("http server: slow requests", [] {
+  http_server_options Options;
+  Options.RequestTimeout = 200ms;
+  server_site Site(Options);
+  // Sends one byte of the request each 50 ms until the server closes; returns whether it does within 3 s.
+  auto Drip = [&](std::string_view Head, std::string_view Rest) {
+    return Site.runBeside([&, Head, Rest] {
+      raw_socket Socket = connectTo(Site.Server->port());
+      Socket.send(Head);
+      for (int Count = 0; Count < 60; ++Count) {
+        char Byte = 0;
+        if (recv(Socket.fd(), &Byte, 1, MSG_DONTWAIT) == 0)
+          return true;
+        Socket.send(Rest.substr(0, 1));
+        std::this_thread::sleep_for(50ms);
+      }
+      return false;
+    });
+  };
+  if (auto When = section("when nothing is sent"))
+    CPPUNIT_ASSERT(Drip("", ""));
+  if (auto When = section("when the head is slow"))
+    CPPUNIT_ASSERT(Drip("GET / HTTP/1.1\r\nx: ", "x"));
+  if (auto When = section("when the body is slow"))
+    CPPUNIT_ASSERT(Drip("PUT / HTTP/1.1\r\ncontent-length: 1000\r\n\r\n", "x"));
+  if (auto When = section("when the reply is slow")) {
+    raw_socket Client = Site.request();
+    runFor(*Site.Loop, 1s);
+    Site.Server->reply(Site.Requests[0].Token, server_site::ok());
+    assertStatus(200, Site.runBeside([&] { return Client.receiveMessage(); }));
+  }
+});
+
+// Guards against a shutdown that loses requests in progress or leaves connections behind.
+const story Shutdown("http server: shutdown", [] {
+  server_site Site;
+  raw_socket Idle = connectTo(Site.Server->port());
+  raw_socket Client = Site.request();
+  Site.Server->shutdown();
+  if (auto When = section("when a request is in progress")) {
+    runFor(*Site.Loop, 50ms);
+    Site.Server->reply(Site.Requests[0].Token, server_site::ok());
+    assertStatus(200, Site.runBeside([&] { return Client.receiveMessage(); }));
+    CPPUNIT_ASSERT(Site.runBeside([&] { return Client.closedByPeer(); }));
+  }
+  if (auto When = section("when a connection is idle"))
+    CPPUNIT_ASSERT(Site.runBeside([&] { return Idle.closedByPeer(); }));
+  if (auto When = section("when another server takes the port")) {
+    http_server_options Options;
+    Options.Address = fmt::format("127.0.0.1:{}", Site.Server->port());
+    auto Second = makeHttpServer(*Site.Loop, Options, {});
+    CPPUNIT_ASSERT(Second.has_value());
+  }
+});
+
+// Client preface, empty SETTINGS, and the HEADERS of "GET /" on stream 1.
+std::string http2Request() {
+  constexpr std::string_view Parts[] = {"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+                                        {"\0\0\0\x4\0\0\0\0\0", 9},
+                                        {"\0\0\x6\x1\x5\0\0\0\x1", 9},
+                                        "\x82\x86\x84\x41\x1h"};
+  std::string Text;
+  for (std::string_view Part : Parts)
+    Text.append(Part);
+  return Text;
+}
+
+// Payload of the first DATA frame.
+std::string http2Body(const raw_socket &Socket) {
+  for (;;) {
+    std::string Head = Socket.receive(9);
+    if (Head.size() < 9)
+      return {};
+    auto Byte = [&](std::size_t Index) { return static_cast<unsigned char>(Head[Index]); };
+    std::string Payload = Socket.receive(Byte(0) * 65536U + Byte(1) * 256U + Byte(2));
+    if (Byte(3) == 0)
+      return Payload;
+  }
+}
+
+// Guards against HTTP/2 requests without reply, and against callers on it that vanish unnoticed.
+const story Http2("http server: HTTP/2 without TLS", [] {
+  server_site Site;
+  raw_socket Client = Site.request(http2Request());
+  CPPUNIT_ASSERT_EQUAL(std::string("/"), Site.Requests[0].Path);
+  if (auto When = section("when the reply is sent")) {
+    Site.Server->reply(Site.Requests[0].Token, server_site::ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"), Site.runBeside([&] { return http2Body(Client); }));
+  }
+  if (auto When = section("when the connection closes")) {
+    Client.close();
+    runUntil(*Site.Loop, [&] { return !Site.Closed.empty(); });
+    CPPUNIT_ASSERT_EQUAL(Site.Requests[0].Token, Site.Closed[0]);
+  }
+  if (auto When = section("when the server shuts down")) {
+    Site.Server->shutdown();
+    runFor(*Site.Loop, 20ms);
+    Site.Server->reply(Site.Requests[0].Token, server_site::ok());
+    CPPUNIT_ASSERT_EQUAL(std::string("{}"), Site.runBeside([&] { return http2Body(Client); }));
+    CPPUNIT_ASSERT(Site.runBeside([&] { return Client.closedByPeer(); }));
+  }
+});
+
+// Self-signed certificate in a file pair of its own.
+class certificate_files {
+public:
+  certificate_files() {
+    for (std::string *Path : {&Certificate, &Key}) {
+      *Path = std::string("/tmp/yuccaplank-test-XXXXXX");
+      close(mkstemp(Path->data()));
+    }
+  }
+  certificate_files(const certificate_files &) = delete;
+  certificate_files &operator=(const certificate_files &) = delete;
+  ~certificate_files() {
+    std::remove(Certificate.c_str());
+    std::remove(Key.c_str());
+  }
+
+  void write(long Serial) const {
+    std::unique_ptr<EVP_PKEY, decltype(&EVP_PKEY_free)> Pair(EVP_EC_gen("P-256"), EVP_PKEY_free);
+    std::unique_ptr<X509, decltype(&X509_free)> Document(X509_new(), X509_free);
+    ASN1_INTEGER_set(X509_get_serialNumber(Document.get()), Serial);
+    X509_gmtime_adj(X509_getm_notBefore(Document.get()), 0);
+    X509_gmtime_adj(X509_getm_notAfter(Document.get()), 3600);
+    X509_set_pubkey(Document.get(), Pair.get());
+    X509_sign(Document.get(), Pair.get(), EVP_sha256());
+    save(Certificate, [&](FILE *File) { PEM_write_X509(File, Document.get()); });
+    save(Key,
+         [&](FILE *File) { PEM_write_PrivateKey(File, Pair.get(), nullptr, nullptr, 0, nullptr, nullptr); });
+  }
+
+  std::string Certificate;
+  std::string Key;
+
+private:
+  template <typename Function> static void save(const std::string &Path, Function Write) {
+    FILE *File = std::fopen(Path.c_str(), "w");
+    Write(File);
+    std::fclose(File);
+  }
+};
+
+struct tls_view {
+  long Serial = 0;
+  std::string Protocol;
+  std::string Reply;
+};
+
+// Handshake with the given ALPN list, then a request over HTTP/1.1 unless HTTP/2 was agreed on.
+tls_view tlsExchange(std::uint16_t Port, std::string_view Alpn) {
+  raw_socket Socket = connectTo(Port);
+  std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)> Context(SSL_CTX_new(TLS_client_method()), SSL_CTX_free);
+  std::unique_ptr<SSL, decltype(&SSL_free)> Session(SSL_new(Context.get()), SSL_free);
+  SSL_set_alpn_protos(Session.get(), reinterpret_cast<const unsigned char *>(Alpn.data()),
+                      static_cast<unsigned>(Alpn.size()));
+  SSL_set_fd(Session.get(), Socket.fd());
+  tls_view View;
+  if (SSL_connect(Session.get()) != 1)
+    return View;
+  std::unique_ptr<X509, decltype(&X509_free)> Peer(SSL_get1_peer_certificate(Session.get()), X509_free);
+  View.Serial = ASN1_INTEGER_get(X509_get0_serialNumber(Peer.get()));
+  const unsigned char *Name = nullptr;
+  unsigned Length = 0;
+  SSL_get0_alpn_selected(Session.get(), &Name, &Length);
+  View.Protocol.assign(reinterpret_cast<const char *>(Name), Length);
+  if (View.Protocol == "h2")
+    return View;
+  SSL_write(Session.get(), Get.data(), static_cast<int>(Get.size()));
+  std::array<char, 4096> Buffer{};
+  int Count = SSL_read(Session.get(), Buffer.data(), Buffer.size());
+  View.Reply.assign(Buffer.data(), static_cast<std::size_t>(std::max(Count, 0)));
+  return View;
+}
+
+// Guards against certificates that need a restart, and against a broken file that stops service.
+const story Tls("http server: TLS", [] {
+  certificate_files Files;
+  Files.write(1);
+  http_server_options Options;
+  Options.CertificateFile = Files.Certificate;
+  Options.KeyFile = Files.Key;
+  server_site Site(Options);
+  Site.AnswerAtOnce = true;
+  auto Exchange = [&](std::string_view Alpn) {
+    return Site.runBeside([&, Alpn] { return tlsExchange(Site.Server->port(), Alpn); });
+  };
+  if (auto When = section("when the client speaks HTTP/1.1")) {
+    tls_view View = Exchange("\x8http/1.1");
+    CPPUNIT_ASSERT_EQUAL(1L, View.Serial);
+    assertStatus(200, View.Reply);
+  }
+  if (auto When = section("when the client offers HTTP/2"))
+    CPPUNIT_ASSERT_EQUAL(std::string("h2"), Exchange("\x2h2\x8http/1.1").Protocol);
+  if (auto When = section("when the certificate changes")) {
+    Files.write(2);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("before the reload", 1L, Exchange("\x8http/1.1").Serial);
+    CPPUNIT_ASSERT(Site.Server->reloadCertificates().has_value());
+    CPPUNIT_ASSERT_EQUAL(2L, Exchange("\x8http/1.1").Serial);
+  }
+  if (auto When = section("when the new certificate is broken")) {
+    std::fclose(std::fopen(Files.Certificate.c_str(), "w"));
+    CPPUNIT_ASSERT(!Site.Server->reloadCertificates().has_value());
+    CPPUNIT_ASSERT_EQUAL(1L, Exchange("\x8http/1.1").Serial);
+  }
+});
+
+} // namespace
