Recover slowly from refused starts, and judge suspect servers by new attempts only

A completed task used to reset the backoff of a server's believed limit, so that servers shared with another dispatcher were tried again at once. The backoff now lasts until all slots are believed usable.

The bench frees slots of stopped tasks at once and measures steady load without admission by stretch, so that refusals do not hide from the percentiles.

--- a/src/yuccaplank/bench/model_feed.cpp
+++ b/src/yuccaplank/bench/model_feed.cpp
@@ -64,12 +64,18 @@
     Team.Service.set_service(fmt::format("service{}", Index));
     Team.Service.set_team(fmt::format("team{}", Index));
     Team.Service.set_pool("main");
+    if (Options.Schedulers > 1) {
+      // Without a limit, since this measures how many starts are refused.
+      Team.Service.mutable_retry()->set_budget_percent(1000);
+      Team.Service.mutable_retry()->set_max_attempts(1000);
+    }
     for (int Kind = 0; Kind < Kinds; ++Kind)
       Team.KindFactors.push_back(logUniform(0.1, 10));
   }
   for (int Index = 0; Index < Options.Schedulers; ++Index) {
     model::scheduler_options Scheduler;
     Scheduler.Strategy = Options.Strategy;
+    Scheduler.MaxStretch = Options.MaxStretch;
     Scheduler.Seed = Options.Seed + static_cast<std::uint64_t>(Index);
     Schedulers.push_back(model::makeScheduler(Clock, Scheduler));
     Schedulers.back()->setServers(Entries);
@@ -173,9 +179,8 @@
   for (const auto &Start : Decisions.Starts)
     start(Index, Start);
   for (const auto &Failure : Decisions.Failures) {
-    // Stopped tasks end at once.
     for (const auto &Running : Scheduler.cancel(Failure.Job))
-      at(nowMs(), [this, Index, Running] { endAttempt(Index, Running, model::attempt_end::Failed); });
+      stop(Index, Running);
     finish(Failure.Job, job_result::end::Failed);
   }
   if (!Wakeup)
@@ -206,6 +211,8 @@
       Fails ? FailureMs : Job.ActualMs[Start.Task.Index] / Speeds[static_cast<std::size_t>(Server)];
   auto End = Fails ? model::attempt_end::Failed : model::attempt_end::Completed;
   at(nowMs() + RunMs, [this, Scheduler, Start, End, Server, Ends = nowMs() + RunMs] {
+    if (Stopped.erase({Start.Task.Job, Start.Task.Index}) > 0)
+      return;
     --Busy[static_cast<std::size_t>(Server)];
     auto Found = Jobs.find(Start.Task.Job);
     if (Found != Jobs.end() && End == model::attempt_end::Completed)
@@ -215,6 +222,13 @@
   });
 }
 
+/// A stopped task frees its slot at once.
+void model_feed::stop(int Scheduler, const model::task_start &Start) {
+  --Busy[static_cast<std::size_t>(ServerIndex.at(Start.Server))];
+  Stopped.emplace(Start.Task.Job, Start.Task.Index);
+  at(nowMs(), [this, Scheduler, Start] { endAttempt(Scheduler, Start, model::attempt_end::Failed); });
+}
+
 void model_feed::endAttempt(int Scheduler, const model::task_start &Start, model::attempt_end End) {
   {
     stopwatch Watch(Result.SchedulerSeconds);
@@ -254,6 +268,8 @@
         std::max(runtime::duration(0), runtime::fromMs(Next.AtMs) - Clock.now().time_since_epoch()));
     Next.Act();
   }
+  for (const auto &Scheduler : Schedulers)
+    Result.Probes += Scheduler->load().Probes;
   return std::move(Result);
 }
 
--- a/src/yuccaplank/bench/model_feed.hpp
+++ b/src/yuccaplank/bench/model_feed.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,7 +32,8 @@
   double WarmupSeconds = 15;
   std::uint64_t Seed = 1;
   std::uint32_t DeadlineMs = 10'000;
-  bool Learning = true;
+  /// Refuses jobs by predicted stretch; 0 admits all, so that no job is missing from the percentiles.
+  double MaxStretch = 0;
 };
 
 /// Load of a span of time, as a multiple of Load, by team; 1 outside all spans.
@@ -58,6 +60,7 @@
   std::uint64_t Started = 0;
   std::uint64_t RefusedStarts = 0;
   std::uint64_t LostStarts = 0;
+  std::uint64_t Probes = 0;
   /// Work of completed jobs by the second of the tasks' ends, as a share of the capacity.
   std::vector<double> Goodput;
   /// Real time in the schedulers.
@@ -106,6 +109,7 @@
   void decide(int Scheduler);
   void start(int Scheduler, const model::task_start &Start);
   void endAttempt(int Scheduler, const model::task_start &Start, model::attempt_end End);
+  void stop(int Scheduler, const model::task_start &Start);
   void finish(model::job_key Key, job_result::end End);
 
   feed_options Options;
@@ -121,6 +125,8 @@
   std::vector<double> PlannedWakeups;
   std::unordered_map<model::job_key, std::unique_ptr<running_job>> Jobs;
   model::job_key NextKey = 1;
+  /// Tasks that were stopped before their end.
+  std::set<std::pair<model::job_key, std::uint32_t>> Stopped;
   std::priority_queue<event> Events;
   std::uint64_t NextOrder = 0;
   feed_result Result;
--- a/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
+++ b/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
@@ -94,6 +94,7 @@
     auto Feed = basics(Options);
     Feed.Servers = Servers;
     Feed.Seconds = 60;
+    Feed.MaxStretch = model::scheduler_options().MaxStretch;
     model_feed Run(Feed);
     Run.Changes = {{FromS, ToS, 10}};
     auto Result = Run.run();
@@ -134,7 +135,9 @@
     Run.FailingServer = Server;
     Run.FailsFromS = 30;
     auto Result = Run.run();
-    report(fmt::format("failing_server/server{}/lost_starts", Server), static_cast<double>(Result.LostStarts),
+    report(fmt::format("failing_server/server{}/lost_before_quarantine", Server),
+           static_cast<double>(Result.LostStarts - Result.Probes), "tasks");
+    report(fmt::format("failing_server/server{}/lost_probes", Server), static_cast<double>(Result.Probes),
            "tasks");
     report(fmt::format("failing_server/server{}/failed", Server), shareOf(Result, job_result::end::Failed),
            "% of jobs");
--- a/src/yuccaplank/model/quarantine.hpp
+++ b/src/yuccaplank/model/quarantine.hpp
@@ -13,8 +13,10 @@
 struct server_health {
   /// Logarithm of the likelihood that the server fails most tasks over that it is like the fleet; at least 0.
   double Evidence = 0;
-  /// The last outcome was a failure that its kind does not explain.
+  /// The last outcome was a failure that its kind does not explain: one task at a time is tried.
   bool Suspect = false;
+  bool TrialRunning = false;
+  double LastFailureMs = 0;
   bool Quarantined = false;
   double ProbeAtMs = 0;
   double BackoffMs = 0;
--- a/src/yuccaplank/model/scheduler.cpp
+++ b/src/yuccaplank/model/scheduler.cpp
@@ -132,6 +132,7 @@
   void readmit(server_id Server);
   void judge(const attempt &Ended, server_id Server, bool Failed);
   void lowerLimit(server_id Server);
+  void planRaise(server_id Server);
   void retryLater(scheduled_job &Job, std::uint32_t Index, server_id Server);
   void checkStall(server_id Server);
 
@@ -355,12 +356,10 @@
 void dispatcher_scheduler::raiseLimit(server_id Server) {
   auto &State = Servers[Server];
   State.LimitPending = false;
-  if (State.Limit >= State.Slots)
-    return;
-  if (++State.Limit < State.Slots) {
-    State.LimitPending = true;
-    Timers.push({nowMs() + LimitRecoveryMs, timer_kind::RaiseLimit, {}, Server});
-  }
+  if (State.Limit < State.Slots && ++State.Limit < State.Slots)
+    planRaise(Server);
+  else
+    State.Refusals = 0;
   Servers.refresh(Server);
 }
 
@@ -556,7 +555,6 @@
   Estimator.observe(Ended.Kind, Ended.DeclaredMs, Now - Ended.StartedMs, State.Speed);
   State.LastEndMs = Now;
   State.Stalled = false;
-  State.Refusals = 0;
   Servers.refresh(Server);
 }
 
@@ -574,6 +572,11 @@
       readmit(Server);
     return;
   }
+  // Success of an attempt that began before the last failure does not show that the server works now.
+  if (!Failed && Health.LastFailureMs > 0 && Ended.StartedMs <= Health.LastFailureMs)
+    return;
+  if (Failed)
+    Health.LastFailureMs = Now;
   bool Condemned = recordOutcome(Health, FailureRates.rate(Ended.Kind), Failed);
   FailureRates.record(Ended.Kind, Server, Failed, Servers.listed());
   if (Condemned && Quarantined.size() < quarantineLimit(Servers.listed())) {
@@ -593,15 +596,20 @@
 void dispatcher_scheduler::lowerLimit(server_id Server) {
   auto &State = Servers[Server];
   State.Limit = static_cast<std::uint32_t>(State.Running.size());
-  auto Doublings = std::min(State.Refusals++, MaxRecoveryDoublings);
-  if (!State.LimitPending) {
-    State.LimitPending = true;
-    double DelayMs = LimitRecoveryMs * (1U << Doublings) * (0.75 + 0.5 * unit());
-    Timers.push({nowMs() + DelayMs, timer_kind::RaiseLimit, {}, Server});
-  }
+  ++State.Refusals;
+  if (!State.LimitPending)
+    planRaise(Server);
   Servers.refresh(Server);
 }
 
+void dispatcher_scheduler::planRaise(server_id Server) {
+  auto &State = Servers[Server];
+  State.LimitPending = true;
+  auto Doublings = std::min(State.Refusals - 1, MaxRecoveryDoublings);
+  double DelayMs = LimitRecoveryMs * (1U << Doublings) * (0.75 + 0.5 * unit());
+  Timers.push({nowMs() + DelayMs, timer_kind::RaiseLimit, {}, Server});
+}
+
 void dispatcher_scheduler::retryLater(scheduled_job &Job, std::uint32_t Index, server_id Server) {
   auto &Task = Job.Tasks[Index];
   if (!Job.Flow->Retries.take(Task.Attempts)) {
--- a/src/yuccaplank/model/server_set.cpp
+++ b/src/yuccaplank/model/server_set.cpp
@@ -26,10 +26,12 @@
 
 std::uint32_t server::freeSlots() const {
   auto Usable = std::min(Slots, Limit);
-  if (Health.Suspect)
-    Usable = std::min(Usable, 1U);
   auto Busy = static_cast<std::uint32_t>(Running.size());
-  return usable() && Usable > Busy ? Usable - Busy : 0;
+  if (!usable() || Usable <= Busy)
+    return 0;
+  if (Health.Suspect)
+    return Health.TrialRunning ? 0 : 1;
+  return Usable - Busy;
 }
 
 std::string_view server::state() const {
@@ -190,6 +192,8 @@
 void server_set::start(server_id Id, const attempt &Attempt) {
   auto &Server = Servers[Id];
   Server.Running.push_back(Attempt);
+  if (Server.Health.Suspect)
+    Server.Health.TrialRunning = Server.Running.back().Trial = true;
   if (Server.Group != None) {
     auto &Ends = Groups[Server.Group].EndsMs;
     Ends.insert(std::ranges::upper_bound(Ends, Attempt.ExpectedEndMs), Attempt.ExpectedEndMs);
@@ -203,6 +207,8 @@
   if (Found == Server.Running.end())
     return false;
   Ended = *Found;
+  if (Ended.Trial)
+    Server.Health.TrialRunning = false;
   *Found = Server.Running.back();
   Server.Running.pop_back();
   if (Server.Group != None) {
--- a/src/yuccaplank/model/server_set.hpp
+++ b/src/yuccaplank/model/server_set.hpp
@@ -37,7 +37,10 @@
   kind_id Kind = 0;
   pool_id Pool = 0;
   flow *Flow = nullptr;
+  /// Tries a quarantined server.
   bool Probe = false;
+  /// Tries a suspect server.
+  bool Trial = false;
 };
 
 struct server {
@@ -55,7 +58,7 @@
   bool Stalled = false;
   bool StallCheckPending = false;
   bool LimitPending = false;
-  /// Refused starts since the last completed task.
+  /// Refused starts since all slots were last believed usable.
   std::uint32_t Refusals = 0;
   /// Time of the server's own announcement that it leaves; 0 for none.
   double AnnouncedMs = 0;
