--- a/include/yuccaplank/runtime/loop.hpp
+++ b/include/yuccaplank/runtime/loop.hpp
@@ -12,6 +12,7 @@
 public:
   /// Handle for h2o's socket functions.
   virtual st_h2o_evloop_t *native() = 0;
+  /// Runs until stop(); may be called again afterwards.
   virtual void run() = 0;
   virtual void stop() = 0;
   /// Calls Handler on the loop for each of the signals SIGTERM, SIGINT and SIGHUP.
--- a/include/yuccaplank/wire/peer_link.hpp
+++ b/include/yuccaplank/wire/peer_link.hpp
@@ -26,7 +26,8 @@
 
 struct peer_transport_handlers {
   /// An envelope from an authenticated peer.
-  std::function<void(const schema::incarnation &From, schema::envelope Message)> OnMessage;
+  std::function<void(const schema::incarnation &From, const std::string &Domain, schema::envelope Message)>
+      OnMessage;
   /// The last connection to the incarnation has closed; messages in flight may be lost.
   std::function<void(const schema::incarnation &Peer)> OnClosed;
   /// A connection to an address could not be established or authenticated.
@@ -38,8 +39,11 @@
 public:
   virtual ~peer_transport() = default;
   /// Queues an envelope for the VM at an address, connecting when needed. Envelopes arrive in order or not at
-  /// all.
-  virtual void send(const std::string &Vm, const std::string &Address, schema::envelope Message) = 0;
+  /// all. An empty Vm takes whichever VM answers at the address; an empty address works while the VM is
+  /// connected. Errors: errc::BodyTooLarge for an oversized envelope, errc::QueueFull; the latter closes an
+  /// established connection, because its peer has stopped reading.
+  virtual std::error_code send(const std::string &Vm, const std::string &Address,
+                               schema::envelope Message) = 0;
   /// Closes the connection to a VM.
   virtual void disconnect(const std::string &Vm) = 0;
   [[nodiscard]] virtual std::uint16_t port() const = 0;
@@ -50,7 +54,8 @@
     std::uint64_t BytesReceived = 0;
   };
   [[nodiscard]] virtual counters totals() const = 0;
-  /// Test hook: drops traffic from and to a VM while Blocked, as a network partition does.
+  /// Test hook: while Blocked, traffic from and to a VM stalls on open connections, as TCP does in a network
+  /// partition, and connects time out. Connections closed meanwhile end for the peer only after unblocking.
   virtual void setBlocked(const std::string &Vm, bool Blocked) = 0;
 };
 
--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -22,6 +22,15 @@
 class loop_impl final : public loop {
 public:
   loop_impl() : Native(h2o_evloop_create()) {}
+  loop_impl(const loop_impl &) = delete;
+  loop_impl &operator=(const loop_impl &) = delete;
+  ~loop_impl() override {
+    if (SignalSocket != nullptr)
+      h2o_socket_close(SignalSocket);
+    // Closed sockets are freed by the next turn.
+    h2o_evloop_run(Native, 0);
+    h2o_evloop_destroy(Native);
+  }
 
   [[nodiscard]] const runtime::clock &clock() const override { return systemClock(); }
   void post(std::function<void()> Function) override { Posted.push_back(std::move(Function)); }
@@ -41,6 +50,8 @@
         break;
       h2o_evloop_run(Native, waitMs());
     }
+    // The loop may be run again.
+    Stopped = false;
   }
 
   void stop() override { Stopped = true; }
--- /dev/null
+++ b/src/yuccaplank/wire/peer_link.cpp
@@ -0,0 +1,351 @@
+#define H2O_USE_LIBUV 0
+extern "C" {
+#include <h2o.h>
+}
+
+#include "peer_connection.hpp"
+#include "socket_address.hpp"
+#include "yuccaplank/runtime/log.hpp"
+#include "yuccaplank/wire/peer_link.hpp"
+
+#include <openssl/rand.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace yuccaplank::wire {
+namespace {
+
+using runtime::errc;
+
+constexpr int ListenBacklog = 256;
+// Accepted connections that have not finished the handshake; bounds the memory that strangers can take.
+constexpr std::size_t MaxUnauthenticated = 256;
+// Closed connections to blocked VMs whose sockets are kept open, so that the peer does not see them end.
+constexpr std::size_t MaxHeldConnections = 64;
+
+// No VM id begins like this.
+const std::string AddressKeyPrefix = "@";
+
+bool same(const schema::incarnation &Left, const schema::incarnation &Right) {
+  return Left.vm() == Right.vm() && Left.started_ms() == Right.started_ms() && Left.nonce() == Right.nonce();
+}
+
+// State per remote VM. The connections belong to one incarnation, usually there is one; two arise when both
+// VMs connect at the same time. Each end then keeps sending on the connection that it authenticated first,
+// so that neither order nor messages are lost.
+struct peer_state {
+  schema::incarnation Incarnation;
+  std::set<peer_connection *> Connections;
+  peer_connection *Active = nullptr;
+  // Frames that wait for a connection.
+  std::deque<std::string> Waiting;
+  std::size_t WaitingBytes = 0;
+  bool Connecting = false;
+
+  void sendWaiting(peer_connection &Connection) {
+    for (const std::string &Frame : Waiting)
+      Connection.send(Frame);
+    dropWaiting();
+  }
+  void dropWaiting() {
+    Waiting.clear();
+    WaitingBytes = 0;
+  }
+};
+
+struct connection_entry {
+  std::unique_ptr<peer_connection> Connection;
+  // Key of the peer for which it was opened; empty when it was accepted.
+  std::string Key;
+};
+
+class transport_impl final : public peer_transport, peer_connection_owner {
+public:
+  transport_impl(runtime::loop &Loop, peer_transport_options InitialOptions,
+                 peer_transport_handlers InitialHandlers)
+      : Loop(Loop), Options(std::move(InitialOptions)), Handlers(std::move(InitialHandlers)) {}
+  transport_impl(const transport_impl &) = delete;
+  transport_impl &operator=(const transport_impl &) = delete;
+  ~transport_impl() override {
+    *Alive = false;
+    if (Listener != nullptr)
+      h2o_socket_close(Listener);
+  }
+
+  std::error_code listen() {
+    auto Address = parseSocketAddress(Options.Address);
+    if (!Address)
+      return Address.error();
+    int Fd = socket(Address.value().get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (Fd < 0)
+      return {errno, std::system_category()};
+    int Enable = 1;
+    setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &Enable, sizeof(Enable));
+    if (bind(Fd, Address.value().get(), Address.value().Length) != 0 || ::listen(Fd, ListenBacklog) != 0) {
+      std::error_code Error(errno, std::system_category());
+      ::close(Fd);
+      return Error;
+    }
+    socket_address Bound;
+    Bound.Length = sizeof(Bound.Bytes);
+    getsockname(Fd, Bound.get(), &Bound.Length);
+    Port = static_cast<std::uint16_t>(h2o_socket_getport(Bound.get()));
+    Listener = h2o_evloop_socket_create(Loop.native(), Fd, H2O_SOCKET_FLAG_DONT_READ);
+    Listener->data = this;
+    h2o_socket_read_start(
+        Listener, +[](h2o_socket_t *Socket, const char *Error) {
+          if (Error == nullptr)
+            static_cast<transport_impl *>(Socket->data)->onAccept();
+        });
+    return {};
+  }
+
+  std::error_code send(const std::string &Vm, const std::string &Address, schema::envelope Message) override {
+    std::string Frame = encodeEnvelope(Message);
+    if (Frame.size() > Options.MaxEnvelopeBytes) {
+      logPeer("peer_envelope_too_large", Vm, errc::BodyTooLarge);
+      return errc::BodyTooLarge;
+    }
+    std::string Key = peerKey(Vm, Address);
+    peer_state &Peer = Peers[Key];
+    std::size_t Queued = Peer.Active != nullptr ? Peer.Active->queuedBytes() : Peer.WaitingBytes;
+    if (Queued + Frame.size() > Options.MaxQueuedBytes) {
+      logPeer("peer_queue_full", Vm, errc::QueueFull);
+      if (Peer.Active != nullptr)
+        Peer.Active->close(errc::QueueFull);
+      return errc::QueueFull;
+    }
+    ++Totals.MessagesSent;
+    if (Peer.Active != nullptr) {
+      Peer.Active->send(Frame);
+      return {};
+    }
+    Peer.WaitingBytes += Frame.size();
+    Peer.Waiting.push_back(std::move(Frame));
+    if (!Peer.Connecting)
+      connect(Key, Address, Peer);
+    return {};
+  }
+
+  void disconnect(const std::string &Vm) override {
+    auto Found = Peers.find(Vm);
+    if (Found == Peers.end())
+      return;
+    Found->second.dropWaiting();
+    closeAll(Found->second, errc::PeerUnreachable);
+  }
+
+  [[nodiscard]] std::uint16_t port() const override { return Port; }
+  [[nodiscard]] counters totals() const override { return Totals; }
+
+  void setBlocked(const std::string &Vm, bool IsBlocked) override {
+    if (IsBlocked) {
+      Blocked.insert(Vm);
+      return;
+    }
+    if (Blocked.erase(Vm) == 0)
+      return;
+    std::erase_if(Held, [&](const auto &Connection) { return Connection->vm() == Vm; });
+    std::vector<peer_connection *> Stalled;
+    for (auto &[Id, Entry] : Connections)
+      if (Entry.Connection->vm() == Vm)
+        Stalled.push_back(Entry.Connection.get());
+    // Connections are destroyed only in posted functions, so the pointers stay valid.
+    for (peer_connection *Connection : Stalled)
+      Connection->resume();
+  }
+
+private:
+  void later(std::function<void()> Function) {
+    Loop.post([Alive = Alive, Function = std::move(Function)] {
+      if (*Alive)
+        Function();
+    });
+  }
+
+  static void logPeer(std::string_view Event, const std::string &Vm, errc Reason) {
+    runtime::log(runtime::log_level::Warning, Event,
+                 {{"peer", Vm}, {"reason", std::string(runtime::errcName(Reason))}});
+  }
+
+  peer_connection_options makeOptions(peer_role Role) {
+    peer_connection_options Result;
+    Result.Id = ++LastId;
+    Result.Protocol.Role = Role;
+    Result.Protocol.Key = Options.Key;
+    Result.Protocol.Self = Options.Self;
+    Result.Protocol.Domain = Options.Domain;
+    Result.Protocol.Nonce.resize(PeerNonceBytes);
+    RAND_bytes(reinterpret_cast<unsigned char *>(Result.Protocol.Nonce.data()),
+               static_cast<int>(PeerNonceBytes));
+    Result.Protocol.MaxEnvelopeBytes = Options.MaxEnvelopeBytes;
+    Result.HandshakeTimeout = Options.ConnectTimeout;
+    return Result;
+  }
+
+  // Peers whose id is not known before their hello are kept under their address until then.
+  std::string peerKey(const std::string &Vm, const std::string &Address) const {
+    if (!Vm.empty())
+      return Vm;
+    auto Known = VmsByAddress.find(Address);
+    if (Known != VmsByAddress.end() && Peers.at(Known->second).Active != nullptr)
+      return Known->second;
+    return AddressKeyPrefix + Address;
+  }
+
+  void connect(const std::string &Key, const std::string &Address, peer_state &Peer) {
+    Peer.Connecting = true;
+    if (Blocked.contains(Key)) {
+      Loop.after(Options.ConnectTimeout, [this, Alive = Alive, Key, Address] {
+        if (*Alive)
+          connectEnded(Key, Address, errc::RequestTimeout);
+      });
+      return;
+    }
+    peer_connection_options Connection = makeOptions(peer_role::Client);
+    if (!Key.starts_with(AddressKeyPrefix))
+      Connection.Vm = Key;
+    Connection.Address = Address;
+    std::uint64_t Id = Connection.Id;
+    auto Started = connectPeer(Loop, *this, std::move(Connection));
+    if (Started)
+      Connections.emplace(Id, connection_entry{std::move(Started.value()), Key});
+    else
+      later([this, Key, Address] { connectEnded(Key, Address, errc::ConnectFailed); });
+  }
+
+  void connectEnded(const std::string &Key, const std::string &Address, errc Reason) {
+    peer_state &Peer = Peers[Key];
+    Peer.Connecting = false;
+    // The peer may have connected meanwhile.
+    if (Peer.Active != nullptr)
+      return;
+    Peer.dropWaiting();
+    if (Handlers.OnConnectFailed)
+      Handlers.OnConnectFailed(Address, Reason);
+  }
+
+  void onAccept() {
+    while (h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener)) {
+      auto Unauthenticated = std::ranges::count_if(
+          Connections, [](const auto &Item) { return !Item.second.Connection->authenticated(); });
+      if (static_cast<std::size_t>(Unauthenticated) >= MaxUnauthenticated) {
+        logPeer("peer_refused", "", errc::TooManyConnections);
+        h2o_socket_close(Socket);
+        continue;
+      }
+      peer_connection_options Connection = makeOptions(peer_role::Server);
+      std::uint64_t Id = Connection.Id;
+      Connections.emplace(Id, connection_entry{acceptPeer(Loop, *this, std::move(Connection), Socket), {}});
+    }
+  }
+
+  void onAuthenticated(peer_connection &Connection) override {
+    std::string Vm = Connection.vm();
+    peer_state &Peer = Peers[Vm];
+    // The VM has restarted: its former incarnation has no use for its connections.
+    if (!Peer.Connections.empty() && !same(Peer.Incarnation, Connection.peer()))
+      closeAll(Peer, errc::ConnectionLost);
+    Peer.Incarnation = Connection.peer();
+    Peer.Connections.insert(&Connection);
+    if (Peer.Active == nullptr)
+      Peer.Active = &Connection;
+    Peer.sendWaiting(*Peer.Active);
+    if (Connection.address().empty())
+      return;
+    VmsByAddress[Connection.address()] = Vm;
+    peer_state &Origin = Peers[Connections.at(Connection.id()).Key];
+    Origin.Connecting = false;
+    Origin.sendWaiting(*Peer.Active);
+  }
+
+  void onEnvelope(peer_connection &Connection, schema::envelope Message) override {
+    if (Handlers.OnMessage)
+      Handlers.OnMessage(Connection.peer(), Connection.domain(), std::move(Message));
+  }
+
+  void onClosed(peer_connection &Connection, errc Reason) override {
+    std::string Vm = Connection.vm();
+    bool Expected = Reason == errc::ConnectionLost || Reason == errc::PeerUnreachable;
+    runtime::log(Expected ? runtime::log_level::Debug : runtime::log_level::Warning, "peer_connection_closed",
+                 {{"peer", Vm},
+                  {"authenticated", Connection.authenticated()},
+                  {"reason", std::string(runtime::errcName(Reason))}});
+    later([this, Id = Connection.id()] { destroy(Id); });
+    auto Found = Peers.find(Vm);
+    if (Found != Peers.end() && Found->second.Connections.erase(&Connection) > 0)
+      closedAuthenticated(Found->second, Connection, Reason);
+    else if (!Connection.address().empty())
+      later([this, Key = Connections.at(Connection.id()).Key, Address = Connection.address(), Reason] {
+        connectEnded(Key, Address, Reason);
+      });
+  }
+
+  // Messages may be lost with any connection to an incarnation, so all of them end with the first.
+  void closedAuthenticated(peer_state &Peer, peer_connection &Connection, errc Reason) {
+    if (Peer.Active == &Connection)
+      Peer.Active = nullptr;
+    if (!Peer.Connections.empty())
+      return (*Peer.Connections.begin())->close(Reason);
+    later([this, Incarnation = Connection.peer()] {
+      if (Handlers.OnClosed)
+        Handlers.OnClosed(Incarnation);
+    });
+  }
+
+  bool isBlocked(const std::string &Vm) override { return Blocked.contains(Vm); }
+  void countReceived(std::size_t Bytes) override { Totals.BytesReceived += Bytes; }
+  void countSent(std::size_t Bytes) override { Totals.BytesSent += Bytes; }
+
+  static void closeAll(peer_state &Peer, errc Reason) {
+    if (!Peer.Connections.empty())
+      (*Peer.Connections.begin())->close(Reason);
+  }
+
+  void destroy(std::uint64_t Id) {
+    auto Found = Connections.find(Id);
+    if (Found == Connections.end())
+      return;
+    if (Blocked.contains(Found->second.Connection->vm())) {
+      Held.push_back(std::move(Found->second.Connection));
+      if (Held.size() > MaxHeldConnections)
+        Held.pop_front();
+    }
+    Connections.erase(Found);
+  }
+
+  runtime::loop &Loop;
+  peer_transport_options Options;
+  peer_transport_handlers Handlers;
+  h2o_socket_t *Listener = nullptr;
+  std::uint16_t Port = 0;
+  std::map<std::string, peer_state> Peers;
+  std::map<std::string, std::string> VmsByAddress;
+  std::map<std::uint64_t, connection_entry> Connections;
+  std::deque<std::unique_ptr<peer_connection>> Held;
+  std::set<std::string> Blocked;
+  std::uint64_t LastId = 0;
+  counters Totals;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace
+
+runtime::result<std::unique_ptr<peer_transport>>
+makePeerTransport(runtime::loop &Loop, peer_transport_options Options, peer_transport_handlers Handlers) {
+  // With an empty key every proof could be computed by anyone.
+  if (Options.Key.empty())
+    return errc::MissingField;
+  auto Transport = std::make_unique<transport_impl>(Loop, std::move(Options), std::move(Handlers));
+  if (std::error_code Error = Transport->listen())
+    return Error;
+  return std::unique_ptr<peer_transport>(std::move(Transport));
+}
+
+} // namespace yuccaplank::wire
--- /dev/null
+++ b/src/yuccaplank/wire/peer_link_test.cpp
@@ -0,0 +1,475 @@
+#include "peer_protocol.hpp"
+#include "yuccaplank/testing/sockets.hpp"
+#include "yuccaplank/testing/story.hpp"
+#include "yuccaplank/wire/peer_link.hpp"
+
+#include <arpa/inet.h>
+#include <cppunit/TestAssert.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace std::chrono_literals;
+using namespace yuccaplank;
+using namespace yuccaplank::wire;
+using yuccaplank::testing::runFor;
+using yuccaplank::testing::runUntil;
+using yuccaplank::testing::section;
+using yuccaplank::testing::story;
+
+namespace {
+
+schema::incarnation makeIncarnation(const std::string &Vm, std::int64_t StartedMs = 1) {
+  schema::incarnation Value;
+  Value.set_vm(Vm);
+  Value.set_started_ms(StartedMs);
+  return Value;
+}
+
+schema::envelope makeProbe(std::uint64_t Sequence) {
+  schema::envelope Message;
+  Message.mutable_probe()->set_sequence(Sequence);
+  return Message;
+}
+
+// One VM's transport and what it reported.
+struct test_vm {
+  test_vm(runtime::loop &Loop, peer_transport_options Options) : Name(Options.Self.vm()) {
+    peer_transport_handlers Handlers;
+    Handlers.OnMessage = [this](const schema::incarnation &From, const std::string &Domain,
+                                schema::envelope Message) {
+      CPPUNIT_ASSERT_EQUAL(std::string("east"), Domain);
+      Senders.push_back(From);
+      Messages.push_back(std::move(Message));
+    };
+    Handlers.OnClosed = [this](const schema::incarnation &Peer) { Closed.push_back(Peer); };
+    Handlers.OnConnectFailed = [this](const std::string &, std::error_code Error) {
+      Failures.push_back(Error);
+    };
+    Transport = makePeerTransport(Loop, std::move(Options), std::move(Handlers)).value();
+  }
+  std::error_code send(const test_vm &To, schema::envelope Message) const {
+    return Transport->send(To.Name, To.address(), std::move(Message));
+  }
+  [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(Transport->port()); }
+  // Whether probes 0 to Count-1 have arrived, in order and once each.
+  [[nodiscard]] bool gotProbes(std::uint64_t Count) const {
+    for (std::size_t Index = 0; Index < Messages.size(); ++Index)
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::uint64_t>(Index), Messages[Index].probe().sequence());
+    return Messages.size() == Count;
+  }
+
+  std::string Name;
+  std::vector<schema::incarnation> Senders;
+  std::vector<schema::envelope> Messages;
+  std::vector<schema::incarnation> Closed;
+  std::vector<std::error_code> Failures;
+  std::unique_ptr<peer_transport> Transport;
+};
+
+peer_transport_options makeOptions(const std::string &Vm, std::int64_t StartedMs = 1) {
+  peer_transport_options Options;
+  Options.Address = "127.0.0.1:0";
+  Options.Key = "shared key";
+  Options.Self = makeIncarnation(Vm, StartedMs);
+  Options.Domain = "east";
+  return Options;
+}
+
+// Guards against lost, repeated, reordered and damaged envelopes, and against messages attributed to the
+// wrong incarnation.
+const story Delivery("peer link: delivery", [] {
+  auto Loop = runtime::makeLoop();
+  test_vm First(*Loop, makeOptions("vm1"));
+  test_vm Second(*Loop, makeOptions("vm2", 77));
+  if (auto Given = section("given one sender")) {
+    for (std::uint64_t Index = 0; Index < 5000; ++Index)
+      CPPUNIT_ASSERT(!First.send(Second, makeProbe(Index)));
+    runUntil(*Loop, [&] { return Second.gotProbes(5000); });
+    CPPUNIT_ASSERT_EQUAL(std::string("vm1"), Second.Senders.front().vm());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5000), First.Transport->totals().MessagesSent);
+    if (auto When = section("when the other end answers")) {
+      Second.send(First, makeProbe(0));
+      runUntil(*Loop, [&] { return First.gotProbes(1); });
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(77), First.Senders.front().started_ms());
+    }
+    if (auto When = section("when a large envelope follows")) {
+      schema::envelope Large;
+      auto *Task = Large.mutable_forward_job()->mutable_job()->add_tasks();
+      Task->set_payload(std::string(24U << 20U, 'p'));
+      Second.Messages.clear();
+      First.send(Second, Large);
+      runUntil(*Loop, [&] { return !Second.Messages.empty(); });
+      CPPUNIT_ASSERT(Second.Messages.front().SerializeAsString() == Large.SerializeAsString());
+    }
+  }
+  if (auto Given = section("given two VMs that connect at the same time")) {
+    for (std::uint64_t Index = 0; Index < 1000; ++Index) {
+      First.send(Second, makeProbe(Index));
+      Second.send(First, makeProbe(Index));
+    }
+    runUntil(*Loop, [&] { return First.gotProbes(1000) && Second.gotProbes(1000); });
+    for (std::uint64_t Index = 1000; Index < 2000; ++Index) {
+      First.send(Second, makeProbe(Index));
+      Second.send(First, makeProbe(Index));
+    }
+    runUntil(*Loop, [&] { return First.gotProbes(2000) && Second.gotProbes(2000); });
+    CPPUNIT_ASSERT(First.Failures.empty() && First.Closed.empty());
+    if (auto When = section("when one disconnects")) {
+      First.Transport->disconnect("vm2");
+      runUntil(*Loop, [&] { return First.Closed.size() == 1 && Second.Closed.size() == 1; });
+      runFor(*Loop, 20ms);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), First.Closed.size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Second.Closed.size());
+    }
+  }
+});
+
+// Guards against a new VM that cannot reach seeds, of which it knows only the addresses, and against answers
+// that find no way back to it.
+const story Seeds("peer link: unknown ids and addresses", [] {
+  auto Loop = runtime::makeLoop();
+  test_vm First(*Loop, makeOptions("vm1"));
+  test_vm Second(*Loop, makeOptions("vm2"));
+  if (auto Given = section("given only the address")) {
+    for (std::uint64_t Index = 0; Index < 3; ++Index)
+      First.Transport->send("", Second.address(), makeProbe(Index));
+    runUntil(*Loop, [&] { return Second.gotProbes(3); });
+    First.Transport->send("", Second.address(), makeProbe(3));
+    First.send(Second, makeProbe(4));
+    Second.Transport->send("vm1", "", makeProbe(0));
+    runUntil(*Loop, [&] { return Second.gotProbes(5) && First.gotProbes(1); });
+    First.Transport->disconnect("vm2");
+    runUntil(*Loop, [&] { return First.Closed.size() == 1 && Second.Closed.size() == 1; });
+    CPPUNIT_ASSERT(First.Failures.empty() && Second.Failures.empty());
+    First.Transport->send("", Second.address(), makeProbe(5));
+    runUntil(*Loop, [&] { return Second.gotProbes(6); });
+  }
+  if (auto Given = section("given the VM's own address, or only an id without a connection")) {
+    First.Transport->send("", First.address(), makeProbe(0));
+    First.Transport->send("vm2", "", makeProbe(0));
+    runUntil(*Loop, [&] { return First.Failures.size() == 2; });
+    CPPUNIT_ASSERT(First.Messages.empty() && Second.Messages.empty());
+  }
+});
+
+// Guards against a sender that waits for ever, or takes a dead incarnation for its successor.
+const story Endings("peer link: ends of connections", [] {
+  auto Loop = runtime::makeLoop();
+  test_vm First(*Loop, makeOptions("vm1"));
+  auto Second = std::make_unique<test_vm>(*Loop, makeOptions("vm2", 10));
+  if (auto Given = section("given a VM that restarts at the same address")) {
+    First.send(*Second, makeProbe(0));
+    runUntil(*Loop, [&] { return Second->gotProbes(1); });
+    auto Options = makeOptions("vm2", 20);
+    Options.Address = Second->address();
+    Second.reset();
+    Second = std::make_unique<test_vm>(*Loop, Options);
+    runUntil(*Loop, [&] { return First.Closed.size() == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(10), First.Closed.front().started_ms());
+    First.send(*Second, makeProbe(0));
+    runUntil(*Loop, [&] { return Second->gotProbes(1); });
+    Second->send(First, makeProbe(0));
+    runUntil(*Loop, [&] { return First.gotProbes(1); });
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(20), First.Senders.front().started_ms());
+  }
+  if (auto Given = section("given a restarted VM that connects before its former connection has ended")) {
+    First.send(*Second, makeProbe(0));
+    runUntil(*Loop, [&] { return Second->gotProbes(1); });
+    test_vm Successor(*Loop, makeOptions("vm2", 20));
+    Successor.send(First, makeProbe(0));
+    runUntil(*Loop, [&] { return First.gotProbes(1) && First.Closed.size() == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(10), First.Closed.front().started_ms());
+    First.send(Successor, makeProbe(0));
+    runUntil(*Loop, [&] { return Successor.gotProbes(1); });
+  }
+  if (auto Given = section("given an address at which nobody listens")) {
+    std::string Address = Second->address();
+    Second.reset();
+    First.Transport->send("vm2", Address, makeProbe(0));
+    runUntil(*Loop, [&] { return First.Failures.size() == 1; });
+    CPPUNIT_ASSERT(First.Failures.front() == runtime::errc::ConnectFailed);
+  }
+  if (auto Given = section("given malformed addresses")) {
+    for (const char *Address : {"", ":1", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536", "host:1", "[::1:1"}) {
+      First.Failures.clear();
+      First.Transport->send("vm3", Address, makeProbe(0));
+      runUntil(*Loop, [&] { return First.Failures.size() == 1; });
+    }
+  }
+  if (auto Given = section("given another VM at the expected address")) {
+    First.Transport->send("vm3", Second->address(), makeProbe(0));
+    runUntil(*Loop, [&] { return First.Failures.size() == 1; });
+    CPPUNIT_ASSERT(First.Failures.front() == runtime::errc::PeerRejected);
+    CPPUNIT_ASSERT(Second->Messages.empty());
+    First.send(*Second, makeProbe(0));
+    runUntil(*Loop, [&] { return Second->gotProbes(1); });
+  }
+  if (auto Given = section("given the VM's own address")) {
+    First.Transport->send("vm1", First.address(), makeProbe(0));
+    runUntil(*Loop, [&] { return First.Failures.size() == 1; });
+    CPPUNIT_ASSERT(First.Messages.empty());
+  }
+});
+
+// Guards against envelopes accepted from, or sent to, peers that do not know the key.
+const story Authentication("peer link: authentication", [] {
+  auto Loop = runtime::makeLoop();
+  test_vm First(*Loop, makeOptions("vm1"));
+  if (auto Given = section("given a peer with another key")) {
+    auto Options = makeOptions("vm2");
+    Options.Key = "another key";
+    test_vm Second(*Loop, Options);
+    First.send(Second, makeProbe(0));
+    Second.send(First, makeProbe(0));
+    runUntil(*Loop, [&] { return First.Failures.size() == 1 && Second.Failures.size() == 1; });
+    CPPUNIT_ASSERT(First.Messages.empty() && Second.Messages.empty());
+    CPPUNIT_ASSERT(First.Closed.empty() && Second.Closed.empty());
+  }
+  if (auto Given = section("given no key")) {
+    auto Options = makeOptions("vm2");
+    Options.Key.clear();
+    CPPUNIT_ASSERT(!makePeerTransport(*Loop, Options, {}));
+  }
+});
+
+// Opens a plain connection and writes bytes.
+int openRaw(std::uint16_t Port, const std::string &Bytes) {
+  int Fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Port);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  CPPUNIT_ASSERT_EQUAL(0, connect(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)));
+  CPPUNIT_ASSERT_EQUAL(static_cast<ssize_t>(Bytes.size()),
+                       ::send(Fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL));
+  return Fd;
+}
+
+// Reads until the peer closes; false while it is open.
+bool endReached(int Fd) {
+  std::string Buffer(4096, '\0');
+  ssize_t Count = 1;
+  while (Count > 0)
+    Count = recv(Fd, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+  return Count == 0 || errno == ECONNRESET;
+}
+
+// Guards against strangers that crash a VM, hold its connections, or take its memory.
+const story Strangers("peer link: strangers", [] {
+  auto Loop = runtime::makeLoop();
+  auto Options = makeOptions("vm1");
+  Options.ConnectTimeout = 100ms;
+  test_vm First(*Loop, Options);
+  std::string Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+  std::string Settings("\0\0\0\4\0\0\0\0\0", 9);
+  for (const std::string &Bytes :
+       {std::string("GET / HTTP/1.1\r\n\r\n"), std::string(), Preface, Preface + Settings,
+        Preface + std::string("\xff\xff\xff\0\0\0\0\0\1", 9), std::string(200'000, '\xff')}) {
+    int Fd = openRaw(First.Transport->port(), Bytes);
+    runUntil(*Loop, [&] { return endReached(Fd); });
+    close(Fd);
+  }
+});
+
+// Guards against idle strangers that take all connections of a VM.
+const story Crowds("peer link: crowd of strangers", [] {
+  auto Loop = runtime::makeLoop();
+  auto Options = makeOptions("vm1");
+  Options.ConnectTimeout = 10min;
+  test_vm First(*Loop, Options);
+  constexpr std::ptrdiff_t Surplus = 44;
+  std::vector<int> Crowd;
+  for (std::ptrdiff_t Index = 0; Index < 256 + Surplus; ++Index) {
+    Crowd.push_back(openRaw(First.Transport->port(), ""));
+    runFor(*Loop, 1ms);
+  }
+  runUntil(*Loop, [&] { return std::ranges::count_if(Crowd, endReached) == Surplus; });
+  for (int Fd : Crowd)
+    close(Fd);
+  test_vm Second(*Loop, makeOptions("vm2"));
+  Second.send(First, makeProbe(0));
+  runUntil(*Loop, [&] {
+    // The first attempts may come before the ends of the crowd have been noticed.
+    if (!std::exchange(Second.Failures, {}).empty())
+      Second.send(First, makeProbe(0));
+    return First.gotProbes(1);
+  });
+});
+
+// Guards against a queue that grows without bound while a peer does not read.
+const story Bounds("peer link: bounds", [] {
+  auto Loop = runtime::makeLoop();
+  auto Options = makeOptions("vm1");
+  Options.MaxEnvelopeBytes = 10'000;
+  Options.MaxQueuedBytes = 20'000;
+  test_vm First(*Loop, Options);
+  test_vm Second(*Loop, makeOptions("vm2"));
+  schema::envelope Large;
+  Large.mutable_forward_answer()->mutable_answer()->set_id(std::string(9'000, 'x'));
+  if (auto Given = section("given an envelope above the limit")) {
+    Large.mutable_forward_answer()->mutable_answer()->set_id(std::string(11'000, 'x'));
+    CPPUNIT_ASSERT(First.send(Second, Large) == runtime::errc::BodyTooLarge);
+    Second.send(First, Large);
+    runUntil(*Loop, [&] { return Second.Closed.size() == 1; });
+    CPPUNIT_ASSERT(First.Messages.empty());
+  }
+  if (auto Given = section("given a full queue before the connection exists")) {
+    CPPUNIT_ASSERT(!First.send(Second, Large));
+    CPPUNIT_ASSERT(!First.send(Second, Large));
+    CPPUNIT_ASSERT(First.send(Second, Large) == runtime::errc::QueueFull);
+    runUntil(*Loop, [&] { return Second.Messages.size() == 2; });
+  }
+  if (auto Given = section("given a full queue of an open connection")) {
+    First.send(Second, makeProbe(0));
+    runUntil(*Loop, [&] { return Second.gotProbes(1); });
+    First.Transport->setBlocked("vm2", true);
+    CPPUNIT_ASSERT(!First.send(Second, Large));
+    CPPUNIT_ASSERT(!First.send(Second, Large));
+    CPPUNIT_ASSERT(First.send(Second, Large) == runtime::errc::QueueFull);
+    runUntil(*Loop, [&] { return First.Closed.size() == 1; });
+  }
+});
+
+// Guards against a partition hook that lets traffic or the end of a connection through.
+const story Partition("peer link: blocked links", [] {
+  auto Loop = runtime::makeLoop();
+  auto Options = makeOptions("vm1");
+  Options.ConnectTimeout = 50ms;
+  test_vm First(*Loop, Options);
+  Options.Self = makeIncarnation("vm2");
+  test_vm Second(*Loop, Options);
+  if (auto Given = section("given an open connection that is blocked at one end")) {
+    First.send(Second, makeProbe(0));
+    runUntil(*Loop, [&] { return Second.gotProbes(1); });
+    First.Transport->setBlocked("vm2", true);
+    First.send(Second, makeProbe(1));
+    Second.send(First, makeProbe(0));
+    runFor(*Loop, 100ms);
+    CPPUNIT_ASSERT(Second.gotProbes(1) && First.gotProbes(0));
+    CPPUNIT_ASSERT(First.Closed.empty() && Second.Closed.empty());
+    if (auto When = section("when it heals")) {
+      First.Transport->setBlocked("vm2", false);
+      runUntil(*Loop, [&] { return Second.gotProbes(2) && First.gotProbes(1); });
+    }
+    if (auto When = section("when the blocking end disconnects")) {
+      First.Transport->disconnect("vm2");
+      runUntil(*Loop, [&] { return First.Closed.size() == 1; });
+      runFor(*Loop, 100ms);
+      CPPUNIT_ASSERT(Second.Closed.empty());
+      First.Transport->setBlocked("vm2", false);
+      runUntil(*Loop, [&] { return Second.Closed.size() == 1; });
+      First.send(Second, makeProbe(1));
+      runUntil(*Loop, [&] { return Second.gotProbes(2); });
+    }
+  }
+  if (auto Given = section("given connects while blocked")) {
+    First.Transport->setBlocked("vm2", true);
+    First.send(Second, makeProbe(0));
+    Second.send(First, makeProbe(0));
+    runUntil(*Loop, [&] { return First.Failures.size() == 1 && Second.Failures.size() == 1; });
+    CPPUNIT_ASSERT(First.Failures.front() == runtime::errc::RequestTimeout);
+    CPPUNIT_ASSERT(Second.Failures.front() == runtime::errc::RequestTimeout);
+    CPPUNIT_ASSERT(Second.gotProbes(0) && First.gotProbes(0));
+    First.Transport->setBlocked("vm2", false);
+    First.send(Second, makeProbe(0));
+    Second.send(First, makeProbe(0));
+    runUntil(*Loop, [&] { return Second.gotProbes(1) && First.gotProbes(1); });
+  }
+});
+
+peer_protocol makeProtocol(peer_role Role, const std::string &Vm, char NonceByte) {
+  peer_protocol_options Options;
+  Options.Role = Role;
+  Options.Key = "shared key";
+  Options.Self = makeIncarnation(Vm);
+  Options.Domain = "east";
+  Options.Nonce = std::string(PeerNonceBytes, NonceByte);
+  Options.MaxEnvelopeBytes = 10'000;
+  return peer_protocol(std::move(Options));
+}
+
+// Guards against every way past the handshake that does not need the key.
+const story Handshake("peer protocol: handshake", [] {
+  auto Client = makeProtocol(peer_role::Client, "vm1", 'c');
+  auto Server = makeProtocol(peer_role::Server, "vm2", 's');
+  auto Rejected = [](peer_protocol &Protocol, const std::string &Bytes) {
+    Protocol.feed(Bytes);
+    auto Next = Protocol.next();
+    return !Next && Next.error() == runtime::errc::PeerRejected && !Protocol.authenticated();
+  };
+  if (auto Given = section("given an envelope before the hello")) {
+    CPPUNIT_ASSERT(Rejected(Server, encodeEnvelope(makeProbe(1))));
+  }
+  if (auto Given = section("given a hello from the VM itself, or without a whole nonce, or without a name")) {
+    CPPUNIT_ASSERT(Rejected(Server, makeProtocol(peer_role::Client, "vm2", 'c').hello()));
+    auto Other = makeProtocol(peer_role::Server, "vm2", 's');
+    schema::envelope Message;
+    *Message.mutable_hello()->mutable_self() = makeIncarnation("vm1");
+    Message.mutable_hello()->set_nonce("short");
+    CPPUNIT_ASSERT(Rejected(Other, encodeEnvelope(Message)));
+    auto Third = makeProtocol(peer_role::Server, "vm2", 's');
+    CPPUNIT_ASSERT(Rejected(Third, makeProtocol(peer_role::Client, "", 'c').hello()));
+  }
+  if (auto Given = section("given hellos of both ends")) {
+    Client.feed(Server.hello());
+    Server.feed(Client.hello());
+    CPPUNIT_ASSERT(!Client.next().value() && !Server.next().value());
+    std::string ClientProof = Client.takeReply();
+    std::string ServerProof = Server.takeReply();
+    if (auto When = section("when the right proofs follow")) {
+      Server.feed(ClientProof + encodeEnvelope(makeProbe(5)));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Server.next().value()->probe().sequence());
+      Client.feed(ServerProof);
+      CPPUNIT_ASSERT(!Client.next().value());
+      CPPUNIT_ASSERT(Client.authenticated() && Server.authenticated());
+      if (auto Then = section("then a second handshake is an error")) {
+        Server.feed(Client.hello());
+        CPPUNIT_ASSERT(Server.next().error() == runtime::errc::MalformedDocument);
+      }
+      if (auto Then = section("then an oversized or unparsable envelope is an error")) {
+        Server.feed("\xff\xff\x7f");
+        CPPUNIT_ASSERT(Server.next().error() == runtime::errc::BodyTooLarge);
+        Client.feed("\x02\xff\xff");
+        CPPUNIT_ASSERT(Client.next().error() == runtime::errc::MalformedDocument);
+      }
+      if (auto Then = section("then an endless length is an error")) {
+        Server.feed("\xff\xff\xff\xff\xff\xff");
+        CPPUNIT_ASSERT(!Server.next());
+      }
+      if (auto Then = section("then an envelope of an unknown kind is skipped")) {
+        Server.feed(std::string("\x04\xfa\x06\x01x", 5) + encodeEnvelope(makeProbe(6)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), Server.next().value()->probe().sequence());
+      }
+    }
+    if (auto When = section("when a proof is reflected to its sender")) {
+      CPPUNIT_ASSERT(Rejected(Server, ServerProof));
+    }
+    if (auto When = section("when an envelope or a second hello comes before the proof")) {
+      CPPUNIT_ASSERT(Rejected(Server, encodeEnvelope(makeProbe(1))));
+      CPPUNIT_ASSERT(Rejected(Client, Server.hello()));
+    }
+    if (auto When = section("when the proof is empty or cut short")) {
+      schema::envelope Message;
+      Message.mutable_hello_proof();
+      CPPUNIT_ASSERT(Rejected(Server, encodeEnvelope(Message)));
+      Message.mutable_hello_proof()->set_hmac(std::string(31, 'x'));
+      CPPUNIT_ASSERT(Rejected(Client, encodeEnvelope(Message)));
+    }
+    if (auto When = section("when a recorded proof is replayed on another connection")) {
+      auto Replayed = makeProtocol(peer_role::Server, "vm2", 't');
+      CPPUNIT_ASSERT(Rejected(Replayed, Client.hello() + ClientProof));
+    }
+    if (auto When = section("when a recorded proof is used with another identity")) {
+      auto Same = makeProtocol(peer_role::Server, "vm2", 's');
+      CPPUNIT_ASSERT(Rejected(Same, makeProtocol(peer_role::Client, "vm3", 'c').hello() + ClientProof));
+    }
+  }
+});
+
+} // namespace
--- /dev/null
+++ b/src/yuccaplank/wire/peer_protocol.cpp
@@ -0,0 +1,174 @@
+#include "peer_protocol.hpp"
+
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <array>
+
+namespace yuccaplank::wire {
+namespace {
+
+using runtime::errc;
+
+constexpr std::string_view ProofLabel = "yuccaplank peer proof 1";
+// A hello holds two names, a nonce and two numbers; anything larger is not worth buffering for a stranger.
+constexpr std::size_t MaxHandshakeBytes = 1024;
+constexpr std::size_t MaxLengthBytes = 5;
+// Consumed input is discarded from this size on, so that small envelopes do not each move the buffer.
+constexpr std::size_t CompactBytes = 64 * 1024;
+
+void appendField(std::string &Text, std::string_view Field) {
+  std::uint64_t Size = Field.size();
+  for (int Shift = 56; Shift >= 0; Shift -= 8)
+    Text.push_back(static_cast<char>(Size >> Shift));
+  Text.append(Field);
+}
+
+std::string hmacSha256(const std::string &Key, const std::string &Text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
+  unsigned int Size = 0;
+  HMAC(EVP_sha256(), Key.data(), static_cast<int>(Key.size()),
+       reinterpret_cast<const unsigned char *>(Text.data()), Text.size(), Digest.data(), &Size);
+  return {reinterpret_cast<const char *>(Digest.data()), Size};
+}
+
+bool equalInConstantTime(const std::string &Left, const std::string &Right) {
+  return Left.size() == Right.size() && CRYPTO_memcmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+peer_role otherRole(peer_role Role) {
+  return Role == peer_role::Client ? peer_role::Server : peer_role::Client;
+}
+
+} // namespace
+
+std::string encodeEnvelope(const schema::envelope &Message) {
+  std::string Frame;
+  google::protobuf::io::StringOutputStream Stream(&Frame);
+  google::protobuf::io::CodedOutputStream Coded(&Stream);
+  Coded.WriteVarint32(static_cast<std::uint32_t>(Message.ByteSizeLong()));
+  Message.SerializeWithCachedSizes(&Coded);
+  Coded.Trim();
+  return Frame;
+}
+
+peer_protocol::peer_protocol(peer_protocol_options InitialOptions) : Options(std::move(InitialOptions)) {
+  schema::envelope Message;
+  auto *Hello = Message.mutable_hello();
+  *Hello->mutable_self() = Options.Self;
+  Hello->set_domain(Options.Domain);
+  Hello->set_nonce(Options.Nonce);
+  OwnHello = Message.SerializeAsString();
+}
+
+std::string peer_protocol::hello() const {
+  // The proof covers exactly these bytes, so they are not serialized a second time.
+  std::string Frame;
+  google::protobuf::io::StringOutputStream Stream(&Frame);
+  google::protobuf::io::CodedOutputStream Coded(&Stream);
+  Coded.WriteVarint32(static_cast<std::uint32_t>(OwnHello.size()));
+  Coded.WriteString(OwnHello);
+  Coded.Trim();
+  return Frame;
+}
+
+void peer_protocol::feed(std::string_view Data) {
+  compact();
+  Input.append(Data);
+}
+
+std::string peer_protocol::takeReply() { return std::exchange(Reply, {}); }
+
+runtime::result<std::optional<schema::envelope>> peer_protocol::next() {
+  while (true) {
+    auto Frame = nextFrame();
+    if (!Frame)
+      return Frame.error();
+    if (!Frame.value())
+      return std::optional<schema::envelope>();
+    std::string_view Body =
+        std::string_view(Input).substr(Consumed + Frame.value()->HeaderBytes, Frame.value()->BodyBytes);
+    schema::envelope Message;
+    if (!Message.ParseFromArray(Body.data(), static_cast<int>(Body.size())))
+      return errc::MalformedDocument;
+    bool InHandshake = !Authenticated;
+    if (InHandshake) {
+      if (auto Result = onHandshake(Message, Body); !Result)
+        return Result.error();
+    } else if (Message.has_hello() || Message.has_hello_proof()) {
+      return errc::MalformedDocument;
+    }
+    Consumed += Frame.value()->HeaderBytes + Frame.value()->BodyBytes;
+    // Envelopes of a kind that this version does not know are skipped, so that versions can be mixed.
+    if (!InHandshake && Message.body_case() != schema::envelope::BODY_NOT_SET)
+      return std::optional<schema::envelope>(std::move(Message));
+  }
+}
+
+runtime::result<std::optional<peer_protocol::frame>> peer_protocol::nextFrame() const {
+  frame Frame;
+  std::uint64_t Size = 0;
+  while (true) {
+    if (Consumed + Frame.HeaderBytes == Input.size())
+      return std::optional<frame>();
+    if (Frame.HeaderBytes == MaxLengthBytes)
+      return errc::MalformedDocument;
+    auto Byte = static_cast<unsigned char>(Input[Consumed + Frame.HeaderBytes]);
+    Size |= static_cast<std::uint64_t>(Byte & 0x7FU) << (7 * Frame.HeaderBytes++);
+    if (Byte < 0x80U)
+      break;
+  }
+  if (Size > (Authenticated ? Options.MaxEnvelopeBytes : MaxHandshakeBytes))
+    return errc::BodyTooLarge;
+  Frame.BodyBytes = Size;
+  if (Input.size() - Consumed - Frame.HeaderBytes < Frame.BodyBytes)
+    return std::optional<frame>();
+  return std::optional<frame>(Frame);
+}
+
+runtime::result<void> peer_protocol::onHandshake(const schema::envelope &Message, std::string_view Body) {
+  if (!Peer && Message.has_hello())
+    return onHello(Message.hello(), Body);
+  if (!Peer || !Message.has_hello_proof())
+    return errc::PeerRejected;
+  if (!equalInConstantTime(Message.hello_proof().hmac(), proof(otherRole(Options.Role))))
+    return errc::PeerRejected;
+  Authenticated = true;
+  return runtime::result<void>(BOOST_OUTCOME_V2_NAMESPACE::in_place_type<void>);
+}
+
+runtime::result<void> peer_protocol::onHello(const schema::hello &Hello, std::string_view Body) {
+  bool Valid = !Hello.self().vm().empty() && Hello.self().vm() != Options.Self.vm() &&
+               Hello.nonce().size() == PeerNonceBytes && Hello.nonce() != Options.Nonce;
+  if (!Valid)
+    return errc::PeerRejected;
+  Peer = Hello;
+  PeerHello = Body;
+  schema::envelope Answer;
+  Answer.mutable_hello_proof()->set_hmac(proof(Options.Role));
+  Reply += encodeEnvelope(Answer);
+  return runtime::result<void>(BOOST_OUTCOME_V2_NAMESPACE::in_place_type<void>);
+}
+
+// The role keeps a proof from being reflected to its sender; the hellos bind nonces and incarnations.
+std::string peer_protocol::proof(peer_role Prover) const {
+  bool IsClient = Options.Role == peer_role::Client;
+  std::string Text;
+  appendField(Text, ProofLabel);
+  appendField(Text, Prover == peer_role::Client ? "client" : "server");
+  appendField(Text, IsClient ? OwnHello : PeerHello);
+  appendField(Text, IsClient ? PeerHello : OwnHello);
+  return hmacSha256(Options.Key, Text);
+}
+
+void peer_protocol::compact() {
+  if (Consumed != Input.size() && Consumed < CompactBytes)
+    return;
+  Input.erase(0, Consumed);
+  Consumed = 0;
+}
+
+} // namespace yuccaplank::wire
--- /dev/null
+++ b/src/yuccaplank/wire/socket_address.cpp
@@ -0,0 +1,44 @@
+#include "socket_address.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <charconv>
+#include <cstring>
+#include <string>
+
+namespace yuccaplank::wire {
+
+runtime::result<socket_address> parseSocketAddress(std::string_view Text) {
+  auto Malformed = make_error_code(runtime::errc::MalformedDocument);
+  std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return Malformed;
+  std::string Host(Text.substr(0, Colon));
+  std::string_view PortText = Text.substr(Colon + 1);
+  std::uint16_t Port = 0;
+  auto [End, Error] = std::from_chars(PortText.data(), PortText.data() + PortText.size(), Port);
+  if (Error != std::errc() || End != PortText.data() + PortText.size())
+    return Malformed;
+  socket_address Address;
+  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']') {
+    sockaddr_in6 V6{};
+    V6.sin6_family = AF_INET6;
+    V6.sin6_port = htons(Port);
+    if (inet_pton(AF_INET6, Host.substr(1, Host.size() - 2).c_str(), &V6.sin6_addr) != 1)
+      return Malformed;
+    std::memcpy(&Address.Bytes, &V6, sizeof(V6));
+    Address.Length = sizeof(V6);
+    return Address;
+  }
+  sockaddr_in V4{};
+  V4.sin_family = AF_INET;
+  V4.sin_port = htons(Port);
+  if (inet_pton(AF_INET, Host.c_str(), &V4.sin_addr) != 1)
+    return Malformed;
+  std::memcpy(&Address.Bytes, &V4, sizeof(V4));
+  Address.Length = sizeof(V4);
+  return Address;
+}
+
+} // namespace yuccaplank::wire
