--- a/src/yuccaplank/daemon/daemon.cpp
+++ b/src/yuccaplank/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include "yuccaplank/runtime/log.hpp"
 #include "yuccaplank/wire/job_codec.hpp"
 
+#include <boost/outcome/try.hpp>
 #include <openssl/rand.h>
 
 #include <csignal>
@@ -97,12 +98,12 @@
             [this] { return Metrics->text(); }, [this](const blocked_links &Links) { setLinks(Links); }) {}
 
   result<void> open() {
-    BOOST_OUTCOME_TRY(openTransport());
-    BOOST_OUTCOME_TRY(auto Server, openServer(Settings.listen().callers(),
+    BOOST_OUTCOME_TRYV(openTransport());
+    BOOST_OUTCOME_TRY(Server, openServer(Settings.listen().callers(),
                                               {[this](const auto &Request) { Callers.onRequest(Request); },
                                                [this](auto Token) { Callers.onClosed(Token); }}));
     CallerServer = std::move(Server);
-    BOOST_OUTCOME_TRY(auto Second, openServer(Settings.listen().operators(),
+    BOOST_OUTCOME_TRY(Second, openServer(Settings.listen().operators(),
                                               {[this](const auto &Request) { Operators.onRequest(Request); },
                                                [](auto) {}}));
     OperatorServer = std::move(Second);
@@ -147,7 +148,7 @@
     Handlers.OnConnectFailed = [this](const std::string &Address, std::error_code) {
       Node->onPeerConnectFailed(Address);
     };
-    BOOST_OUTCOME_TRY(auto Made, wire::makePeerTransport(Loop, Options, Handlers));
+    BOOST_OUTCOME_TRY(Made, wire::makePeerTransport(Loop, Options, Handlers));
     Transport = std::move(Made);
     Ports->setTransport(Transport.get());
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -240,7 +241,7 @@
 result<std::unique_ptr<entry_daemon>> makeDaemon(runtime::loop &Loop,
                                                  const schema::daemon_settings &Settings) {
   auto Daemon = std::make_unique<daemon_impl>(Loop, Settings);
-  BOOST_OUTCOME_TRY(Daemon->open());
+  BOOST_OUTCOME_TRYV(Daemon->open());
   return std::unique_ptr<entry_daemon>(std::move(Daemon));
 }
 
--- a/src/yuccaplank/daemon/socket_ports.cpp
+++ b/src/yuccaplank/daemon/socket_ports.cpp
@@ -16,7 +16,7 @@
   void setTransport(wire::peer_transport *Given) override { Transport = Given; }
 
   void sendToPeer(const std::string &Vm, const std::string &Address, schema::envelope Message) override {
-    if (Transport != nullptr && !Address.empty())
+    if (Transport != nullptr && !(Vm.empty() && Address.empty()))
       Transport->send(Vm, Address, std::move(Message));
   }
 
--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -25,11 +25,14 @@
   loop_impl(const loop_impl &) = delete;
   loop_impl &operator=(const loop_impl &) = delete;
   ~loop_impl() override {
+    Posted.clear();
     if (SignalSocket != nullptr)
       h2o_socket_close(SignalSocket);
     // Closed sockets are freed by the next turn.
     h2o_evloop_run(Native, 0);
-    h2o_evloop_destroy(Native);
+    // h2o aborts on time-outs that are still registered, for example by a server with open connections.
+    if (h2o_linklist_is_empty(&Native->_timeouts))
+      h2o_evloop_destroy(Native);
   }
 
   [[nodiscard]] const runtime::clock &clock() const override { return systemClock(); }
