--- a/include/yuccaplank/platform/claims.hpp
+++ b/include/yuccaplank/platform/claims.hpp
@@ -23,6 +23,7 @@
 class claims {
 public:
   virtual ~claims() = default;
+  /// Key is "<service>/<caller key>"; its row is "claim/<service>/<caller key>".
   virtual void claim(std::string Key, std::function<void(runtime::result<claim_owner>)> OnDone) = 0;
 };
 
--- a/include/yuccaplank/platform/documents.hpp
+++ b/include/yuccaplank/platform/documents.hpp
@@ -17,7 +17,7 @@
   /// Revision that the operator has seen; the apply conflicts when another one is current. 0 for a new
   /// service.
   std::uint64_t ExpectedRevision = 0;
-  /// Chosen by the operator's client; the same id is never applied twice.
+  /// Chosen by the operator's client, 1 to 128 characters; the same id is never applied twice.
   std::string ChangeId;
   /// Highest revision of the service that this VM knows; the new one is higher.
   std::uint64_t KnownRevision = 0;
@@ -31,14 +31,17 @@
   schema::service_revision Current;
 };
 
-/// Keys: "service/<name>" holds the current revision, "history/<name>/<revision, 20 digits>" all of them.
+/// Keys: "service/<name>" holds the current revision, "history/<name>/<revision, 20 digits>" all of them, and
+/// "change/<name>/<change id>" the revision that a change committed.
 class documents {
 public:
   virtual ~documents() = default;
   /// errc::PlatformUnavailable means that the outcome stays open; repeating with the same change id settles
-  /// it.
+  /// it. A change that was applied before, and may have been replaced since, is reported as committed.
+  /// ExpectedRevision is compared with the higher of the table's revision and KnownRevision.
   virtual void apply(apply_request Request, std::function<void(runtime::result<apply_reply>)> OnDone) = 0;
-  /// Documents changed after a table revision.
+  /// Documents changed after a table revision; all documents when the table's revision is lower than that,
+  /// as after a restore from an old copy.
   virtual void changes(std::uint64_t After,
                        std::function<void(runtime::result<schema::catalog_snapshot>)> OnDone) = 0;
   /// All revisions of a service, oldest first.
--- /dev/null
+++ b/src/yuccaplank/platform/table.cpp
@@ -0,0 +1,111 @@
+#include "yuccaplank/platform/table.hpp"
+
+#include "yuccaplank/platform/table_codec.hpp"
+#include "yuccaplank/wire/settings_reader.hpp"
+
+#include <array>
+
+namespace yuccaplank::platform {
+namespace {
+
+using runtime::errc;
+using wire::http_call_result;
+
+constexpr int StatusOk = 200;
+constexpr int StatusConflict = 409;
+
+std::string percentEncode(std::string_view Text) {
+  constexpr std::string_view Plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
+  constexpr std::string_view Digits = "0123456789ABCDEF";
+  constexpr unsigned NibbleBits = 4;
+  std::string Encoded;
+  for (char Letter : Text) {
+    if (Plain.find(Letter) != std::string_view::npos) {
+      Encoded += Letter;
+      continue;
+    }
+    auto Byte = static_cast<unsigned char>(Letter);
+    Encoded += '%';
+    Encoded += Digits[Byte >> NibbleBits];
+    Encoded += Digits[Byte % Digits.size()];
+  }
+  return Encoded;
+}
+
+runtime::result<schema::vm_list> readVmList(std::string_view Text) {
+  schema::vm_list List;
+  if (!wire::readDocument(Text, List).empty())
+    return errc::MalformedDocument;
+  return List;
+}
+
+class table_impl final : public table {
+public:
+  table_impl(wire::http_client &Client, table_options Options)
+      : Client(Client), Options(std::move(Options)) {}
+
+  void commit(table_transaction Transaction,
+              std::function<void(runtime::result<transaction_reply>)> OnDone) override {
+    ++Totals.Writes;
+    wire::http_call Call = makeCall("POST", "/v1/table/transaction");
+    Call.Headers = {{"content-type", "application/json"}};
+    Call.Body = writeTransaction(Transaction);
+    send(std::move(Call), readTransactionReply, std::move(OnDone));
+  }
+  void read(std::string Key, std::function<void(runtime::result<table_row>)> OnDone) override {
+    get("/v1/table/row?key=" + percentEncode(Key), readRow, std::move(OnDone));
+  }
+  void rows(std::string Prefix,
+            std::function<void(runtime::result<std::vector<table_row>>)> OnDone) override {
+    get("/v1/table/rows?prefix=" + percentEncode(Prefix), readRows, std::move(OnDone));
+  }
+  void changes(std::string Prefix, std::uint64_t After,
+               std::function<void(runtime::result<table_changes>)> OnDone) override {
+    get("/v1/table/changes?prefix=" + percentEncode(Prefix) + "&after=" + std::to_string(After), readChanges,
+        std::move(OnDone));
+  }
+  void vms(std::function<void(runtime::result<schema::vm_list>)> OnDone) override {
+    get("/v1/vms", readVmList, std::move(OnDone));
+  }
+  [[nodiscard]] counters totals() const override { return Totals; }
+
+private:
+  [[nodiscard]] wire::http_call makeCall(std::string Method, std::string Path) const {
+    wire::http_call Call;
+    Call.Method = std::move(Method);
+    Call.Address = Options.Address;
+    Call.Path = std::move(Path);
+    Call.Timeout = Options.Timeout;
+    return Call;
+  }
+
+  template <typename T>
+  void get(std::string Path, runtime::result<T> (*Read)(std::string_view),
+           std::function<void(runtime::result<T>)> OnDone) {
+    ++Totals.Reads;
+    send(makeCall("GET", std::move(Path)), Read, std::move(OnDone));
+  }
+
+  // Any reply other than a well-formed one of the protocol leaves open what the platform did.
+  template <typename T>
+  void send(wire::http_call &&Call, runtime::result<T> (*Read)(std::string_view),
+            std::function<void(runtime::result<T>)> OnDone) {
+    Client.call(std::move(Call), [Read, OnDone = std::move(OnDone)](const http_call_result &Result) {
+      bool Usable = !Result.Error && (Result.Status == StatusOk || Result.Status == StatusConflict);
+      auto Value = Usable ? Read(Result.Body) : runtime::result<T>(errc::PlatformUnavailable);
+      OnDone(Value ? std::move(Value) : runtime::result<T>(errc::PlatformUnavailable));
+    });
+  }
+
+  wire::http_client &Client;
+  table_options Options;
+  counters Totals;
+};
+
+} // namespace
+
+std::unique_ptr<table> makeTable(wire::http_client &Client, table_options Options) {
+  return std::make_unique<table_impl>(Client, std::move(Options));
+}
+
+} // namespace yuccaplank::platform
--- /dev/null
+++ b/src/yuccaplank/standin/platform_test.cpp
@@ -0,0 +1,187 @@
+#include "yuccaplank/standin/platform.hpp"
+
+#include "yuccaplank/platform/table.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+#include <fmt/format.h>
+
+using namespace std::chrono_literals;
+using namespace yuccaplank;
+using standin::reply_delivery;
+using testing::section;
+using testing::story;
+
+namespace {
+
+wire::http_request requestOf(std::string Method, std::string Path, std::string Body = {}) {
+  wire::http_request Request;
+  Request.Method = std::move(Method);
+  Request.Path = std::move(Path);
+  Request.Body = std::move(Body);
+  return Request;
+}
+
+const std::string Transaction = R"({"checks":[{"key":"a","revision":0}],"puts":[{"key":"a","value":"1"}]})";
+
+// Guards against a stand-in whose protocol or faults differ from what tests assume.
+const story Service("stand-in platform: protocol and faults", [] {
+  runtime::manual_clock Clock;
+  standin::platform_options Options;
+  Options.Vms.add_entry_vms()->set_id("vm1");
+  auto Platform = standin::makePlatformService(Clock, Options);
+  auto Handle = [&](const std::string &Method, const std::string &Path, const std::string &Body = {}) {
+    return Platform->handle(requestOf(Method, Path, Body));
+  };
+  auto Commit = [&] { return Handle("POST", "/v1/table/transaction", Transaction); };
+  auto RowA = [&] {
+    auto Request = requestOf("GET", "/v1/table/row");
+    Request.Query = {{"key", "a"}};
+    return Platform->handle(Request).Reply.Body;
+  };
+  const std::string Absent = R"({"key":"a","revision":0,"value":""})";
+  const std::string Present = R"({"key":"a","revision":1,"value":"1"})";
+
+  if (auto When = section("when transactions are committed")) {
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"revision":1})"), Commit().Reply.Body);
+    auto Second = Commit();
+    CPPUNIT_ASSERT_EQUAL(409, Second.Reply.Status);
+    CPPUNIT_ASSERT_EQUAL(R"({"conflicts":[)" + Present + "]}", Second.Reply.Body);
+    CPPUNIT_ASSERT_EQUAL(Present, RowA());
+  }
+  if (auto When = section("when the VM list is read")) {
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"version":1,"entry_vms":[{"id":"vm1"}]})"),
+                         Handle("GET", "/v1/vms").Reply.Body);
+    CPPUNIT_ASSERT_EQUAL(200, Handle("POST", "/vms", R"({"entry_vms":[{"id":"vm2"}]})").Reply.Status);
+    CPPUNIT_ASSERT(Handle("GET", "/v1/vms").Reply.Body.find("vm1") != std::string::npos);
+    Clock.advance(2s);
+    CPPUNIT_ASSERT(Handle("GET", "/v1/vms").Reply.Body.find("vm2") != std::string::npos);
+  }
+  if (auto When = section("when requests are malformed")) {
+    CPPUNIT_ASSERT_EQUAL(400, Handle("POST", "/v1/table/transaction", "{}").Reply.Status);
+    CPPUNIT_ASSERT_EQUAL(400, Handle("GET", "/v1/table/changes").Reply.Status);
+    CPPUNIT_ASSERT_EQUAL(400, Handle("POST", "/fault", R"({"mode":"odd"})").Reply.Status);
+    CPPUNIT_ASSERT_EQUAL(400, Handle("POST", "/vms", R"({"odd":1})").Reply.Status);
+    CPPUNIT_ASSERT_EQUAL(404, Handle("GET", "/v1/other").Reply.Status);
+  }
+  if (auto When = section("when it is down")) {
+    Handle("POST", "/fault", R"({"mode":"down"})");
+    CPPUNIT_ASSERT_EQUAL(503, Commit().Reply.Status);
+    Handle("POST", "/fault", "{}");
+    CPPUNIT_ASSERT_EQUAL(Absent, RowA());
+  }
+  if (auto When = section("when it hangs")) {
+    Handle("POST", "/fault", R"({"mode":"hang"})");
+    CPPUNIT_ASSERT(Commit().Delivery == reply_delivery::Withhold);
+    Handle("POST", "/fault", "{}");
+    CPPUNIT_ASSERT_EQUAL(Absent, RowA());
+  }
+  if (auto When = section("when it is slow")) {
+    Handle("POST", "/fault", R"({"mode":"slow","delay_ms":250})");
+    CPPUNIT_ASSERT(Commit().Delay == 250ms);
+  }
+  if (auto When = section("when replies are lost")) {
+    Handle("POST", "/fault", R"({"lose_next_replies":1})");
+    CPPUNIT_ASSERT(Commit().Delivery == reply_delivery::Drop);
+    CPPUNIT_ASSERT_EQUAL(Present, RowA());
+    CPPUNIT_ASSERT(Commit().Delivery == reply_delivery::Send);
+    Handle("POST", "/fault", R"({"lose_replies_percent":100})");
+    CPPUNIT_ASSERT(Commit().Delivery == reply_delivery::Drop);
+  }
+  if (auto When = section("when it refuses transactions")) {
+    Handle("POST", "/fault", R"({"refuse_transactions":true})");
+    CPPUNIT_ASSERT_EQUAL(503, Commit().Reply.Status);
+    CPPUNIT_ASSERT_EQUAL(Absent, RowA());
+  }
+  if (auto When = section("when it is restored from an old copy")) {
+    std::string Copy = Handle("GET", "/backup").Reply.Body;
+    Commit();
+    CPPUNIT_ASSERT_EQUAL(200, Handle("POST", "/restore", Copy).Reply.Status);
+    CPPUNIT_ASSERT_EQUAL(Absent, RowA());
+  }
+  if (auto When = section("when requests are counted")) {
+    Clock.advance(1h);
+    Commit();
+    for (int Index = 0; Index < 20; ++Index)
+      RowA();
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"reads":20,"reads_per_s":2.0,"writes":1,"writes_per_s":0.1})"),
+                         Handle("GET", "/counters").Reply.Body);
+    Clock.advance(20s);
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"reads":20,"reads_per_s":0.0,"writes":1,"writes_per_s":0.0})"),
+                         Handle("GET", "/counters").Reply.Body);
+  }
+});
+
+// Guards against a client and a stand-in that disagree on the protocol once real sockets are between them.
+const story Client("table client: over HTTP", [] {
+  auto Loop = runtime::makeLoop();
+  auto Server = standin::makePlatformServer(*Loop, {});
+  CPPUNIT_ASSERT(Server.has_value());
+  auto Http = wire::makeHttpClient(*Loop);
+  platform::table_options Options;
+  Options.Address = fmt::format("127.0.0.1:{}", Server.value()->port());
+  auto Table = platform::makeTable(*Http, Options);
+  // Ends a test whose replies do not arrive.
+  Loop->after(10s, [&] { Loop->stop(); });
+  std::string Log;
+  auto Done = [&] { Loop->stop(); };
+
+  if (auto When = section("when a row with special characters is written and read")) {
+    const std::string Key = "k/ä &=%+?#";
+    Table->commit(
+        {{{Key, 0}}, {{Key, "value \n\""}}}, [&](const runtime::result<platform::transaction_reply> &Reply) {
+          CPPUNIT_ASSERT(Reply.has_value());
+          Log += fmt::format("{}@{} ", Reply.value().Committed, Reply.value().Revision);
+          Table->read(Key, [&](const runtime::result<platform::table_row> &Row) {
+            CPPUNIT_ASSERT(Row.has_value());
+            Log += fmt::format("{}={}@{}", Row.value().Key, Row.value().Value, Row.value().Revision);
+            Done();
+          });
+        });
+    Loop->run();
+    CPPUNIT_ASSERT_EQUAL("true@1 " + Key + "=value \n\"@1", Log);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Table->totals().Reads);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Table->totals().Writes);
+  }
+  if (auto When = section("when a check fails")) {
+    Table->commit({{{"a", 5}}, {}}, [&](const runtime::result<platform::transaction_reply> &Reply) {
+      CPPUNIT_ASSERT(Reply.has_value());
+      CPPUNIT_ASSERT(!Reply.value().Committed);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Reply.value().Conflicts.size());
+      Done();
+    });
+    Loop->run();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Table->totals().Writes);
+  }
+  if (auto When = section("when rows, changes and the VM list are read")) {
+    Table->rows("a", [&](const runtime::result<std::vector<platform::table_row>> &Rows) {
+      Log += Rows.has_value() ? "rows " : "";
+      Table->changes("a", 7, [&](const runtime::result<platform::table_changes> &Changes) {
+        Log += Changes.has_value() ? "changes " : "";
+        Table->vms([&](const runtime::result<schema::vm_list> &List) {
+          Log += List.has_value() ? "vms" : "";
+          Done();
+        });
+      });
+    });
+    Loop->run();
+    CPPUNIT_ASSERT_EQUAL(std::string("rows changes vms"), Log);
+  }
+  if (auto When = section("when the platform loses the reply")) {
+    wire::http_call Fault;
+    Fault.Method = "POST";
+    Fault.Address = Options.Address;
+    Fault.Path = "/fault";
+    Fault.Body = R"({"lose_next_replies":1})";
+    Http->call(Fault, [&](const wire::http_call_result &) {
+      Table->commit({{}, {{"a", "1"}}}, [&](const runtime::result<platform::transaction_reply> &Reply) {
+        CPPUNIT_ASSERT(!Reply);
+        Log = Reply.error().message();
+        Done();
+      });
+    });
+    Loop->run();
+    CPPUNIT_ASSERT_EQUAL(std::string("platform_unavailable"), Log);
+  }
+});
+
+} // namespace
