--- a/include/yuccaplank/platform/claims.hpp
+++ b/include/yuccaplank/platform/claims.hpp
@@ -15,7 +15,7 @@
 struct claim_owner {
   schema::incarnation Authority;
   std::string Domain;
-  /// Whether this call inserted the claim.
+  /// Whether this call, or an earlier one of the same incarnation with an open outcome, inserted the claim.
   bool Inserted = false;
 };
 
@@ -25,7 +25,7 @@
 class claims {
 public:
   virtual ~claims() = default;
-  /// Key is "<service>/<caller key>"; its row is "claim/<service>/<caller key>".
+  /// Key is the caller key; its row is "claim/<key>".
   virtual void claim(std::string Key, std::function<void(runtime::result<claim_owner>)> OnDone) = 0;
   /// Owner of a key; errc::NotFound when nobody has claimed it.
   virtual void find(std::string Key, std::function<void(runtime::result<claim_owner>)> OnDone) = 0;
--- a/src/yuccaplank/daemon/daemon.cpp
+++ b/src/yuccaplank/daemon/daemon.cpp
@@ -100,12 +100,12 @@
   result<void> open() {
     BOOST_OUTCOME_TRYV(openTransport());
     BOOST_OUTCOME_TRY(Server, openServer(Settings.listen().callers(),
-                                              {[this](const auto &Request) { Callers.onRequest(Request); },
-                                               [this](auto Token) { Callers.onClosed(Token); }}));
+                                         {[this](const auto &Request) { Callers.onRequest(Request); },
+                                          [this](auto Token) { Callers.onClosed(Token); }}));
     CallerServer = std::move(Server);
-    BOOST_OUTCOME_TRY(Second, openServer(Settings.listen().operators(),
-                                              {[this](const auto &Request) { Operators.onRequest(Request); },
-                                               [](auto) {}}));
+    BOOST_OUTCOME_TRY(
+        Second, openServer(Settings.listen().operators(),
+                           {[this](const auto &Request) { Operators.onRequest(Request); }, [](auto) {}}));
     OperatorServer = std::move(Second);
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
--- a/src/yuccaplank/platform/claims.cpp
+++ b/src/yuccaplank/platform/claims.cpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace yuccaplank::platform {
@@ -18,6 +19,9 @@
 constexpr std::string_view KeyPrefix = "claim/";
 // Commits of one batch. A lost reply needs one more; further losses in a row mean an outage.
 constexpr int MaxCommits = 3;
+// Keys whose claim has no known outcome. Forgetting one only means that a later claim of it is not taken for
+// the first.
+constexpr std::size_t MaxUnresolved = 100'000;
 
 // The batch number tells whether the very transaction took effect, rather than an earlier one with the same
 // key.
@@ -30,15 +34,23 @@
       .dump();
 }
 
-runtime::result<claim_owner> readClaim(const std::string &Text) {
+// A row with the batch that wrote it.
+struct claim_row {
+  claim_owner Owner;
+  std::uint64_t Batch = 0;
+};
+
+runtime::result<claim_row> readClaim(const std::string &Text) {
   try {
     json Object = json::parse(Text);
-    claim_owner Owner;
+    claim_row Row;
+    claim_owner &Owner = Row.Owner;
+    Row.Batch = Object.at("batch").get<std::uint64_t>();
     Owner.Authority.set_vm(Object.at("vm").get<std::string>());
     Owner.Authority.set_started_ms(Object.at("started_ms").get<std::int64_t>());
     Owner.Authority.set_nonce(Object.at("nonce").get<std::uint32_t>());
     Owner.Domain = Object.at("domain").get<std::string>();
-    return Owner;
+    return Row;
   } catch (const json::exception &) {
     return errc::Internal;
   }
@@ -127,7 +139,7 @@
     if (!Result)
       return Table.read(InFlight->Keys.front(), onReply(&claim_batcher::onReadBack));
     if (Result.value().Committed)
-      return endBatch(Options.Self);
+      return endBatch(ownClaim());
     onConflicts(Result.value().Conflicts);
   }
 
@@ -135,7 +147,7 @@
   void onConflicts(const std::vector<table_row> &Conflicts) {
     std::map<std::string, runtime::result<claim_owner>> Owners;
     for (const table_row &Row : Conflicts)
-      Owners.emplace(Row.Key, readClaim(Row.Value));
+      Owners.emplace(Row.Key, ownerOf(Row));
     std::vector<std::string> Free;
     std::vector<std::string> Taken;
     for (std::string &Key : InFlight->Keys)
@@ -158,14 +170,43 @@
   // it may still do so later; the repeated transaction then conflicts with this incarnation's own claims.
   void onReadBack(runtime::result<table_row> Result) {
     if (!Result)
-      return endBatch(errc::PlatformUnavailable);
+      return endUnresolved();
     if (Result.value().Value == writeClaim(Options.Self, InFlight->Number))
-      return endBatch(Options.Self);
+      return endBatch(ownClaim());
     if (InFlight->Commits >= MaxCommits)
-      return endBatch(errc::PlatformUnavailable);
+      return endUnresolved();
     commit();
   }
 
+  claim_owner ownClaim() const {
+    claim_owner Owner = Options.Self;
+    Owner.Inserted = true;
+    return Owner;
+  }
+
+  // An own claim counts as inserted now when it comes from the batch in flight, or from one without a known
+  // outcome.
+  runtime::result<claim_owner> ownerOf(const table_row &Row) {
+    auto Claim = readClaim(Row.Value);
+    if (!Claim)
+      return Claim.error();
+    claim_owner Owner = Claim.value().Owner;
+    auto Node = Unresolved.extract(Row.Key);
+    const schema::incarnation &Self = Options.Self.Authority;
+    bool Mine = Owner.Authority.vm() == Self.vm() && Owner.Authority.nonce() == Self.nonce() &&
+                Owner.Authority.started_ms() == Self.started_ms();
+    std::uint64_t Batch = Claim.value().Batch;
+    Owner.Inserted = Mine && (Batch == InFlight->Number || (!Node.empty() && Node.mapped().contains(Batch)));
+    return Owner;
+  }
+
+  void endUnresolved() {
+    for (const std::string &Key : InFlight->Keys)
+      if (Unresolved.size() < MaxUnresolved)
+        Unresolved[Key].insert(InFlight->Number);
+    endBatch(errc::PlatformUnavailable);
+  }
+
   void endBatch(const runtime::result<claim_owner> &Owner) {
     std::vector<std::string> Keys = std::move(InFlight->Keys);
     InFlight.reset();
@@ -190,6 +231,8 @@
   std::map<std::string, std::vector<callback>> Waiting;
   std::deque<std::string> Queue;
   std::optional<batch> InFlight;
+  // Batches per key that may have taken effect, or may still do so.
+  std::map<std::string, std::set<std::uint64_t>> Unresolved;
   runtime::timer_id Timer = 0;
   std::uint64_t LastBatch = 0;
   bool Closed = false;
@@ -198,14 +241,26 @@
 class claims_impl final : public claims {
 public:
   claims_impl(runtime::executor &Executor, table &Table, claims_options Options)
-      : Batcher(std::make_shared<claim_batcher>(Executor, Table, std::move(Options))) {}
+      : Table(Table), Batcher(std::make_shared<claim_batcher>(Executor, Table, std::move(Options))) {}
   claims_impl(const claims_impl &) = delete;
   claims_impl &operator=(const claims_impl &) = delete;
   ~claims_impl() override { Batcher->close(); }
 
   void claim(std::string Key, callback OnDone) override { Batcher->claim(Key, std::move(OnDone)); }
 
+  void find(std::string Key, callback OnDone) override {
+    Table.read(std::string(KeyPrefix) + Key, [OnDone = std::move(OnDone)](runtime::result<table_row> Row) {
+      if (!Row)
+        return OnDone(Row.error());
+      if (Row.value().Revision == 0)
+        return OnDone(errc::NotFound);
+      auto Claim = readClaim(Row.value().Value);
+      OnDone(Claim ? runtime::result<claim_owner>(Claim.value().Owner) : Claim.error());
+    });
+  }
+
 private:
+  table &Table;
   std::shared_ptr<claim_batcher> Batcher;
 };
 
--- a/src/yuccaplank/scenario/script.cpp
+++ b/src/yuccaplank/scenario/script.cpp
@@ -18,6 +18,7 @@
   std::string Step;
 };
 
+constexpr runtime::duration SlowPlatformDelay = std::chrono::milliseconds(400);
 constexpr const char *StateKey = "yuccaplank.scenario";
 
 script_state &stateOf(lua_State *Lua) {
@@ -220,23 +221,30 @@
 }
 
 int luaPlatform(lua_State *Lua) {
-  constexpr std::array<const char *, 5> Names{"normal", "down", "slow", "lose_replies", nullptr};
+  constexpr std::array<const char *, 6> Names{"normal", "down", "hang", "slow", "lose_replies", nullptr};
   int Mode = luaL_checkoption(Lua, 1, "normal", Names.data());
-  worldOf(Lua).table().setMode(static_cast<platform::fake_table_mode>(Mode));
+  platform::fake_faults Faults;
+  if (Mode <= 2)
+    Faults.Mode = static_cast<platform::fake_mode>(Mode);
+  if (Mode == 3)
+    Faults.ExtraDelay = SlowPlatformDelay;
+  if (Mode == 4)
+    Faults.LoseRepliesPercent = 100;
+  worldOf(Lua).platformFake().faults() = Faults;
   return 0;
 }
 
 int luaPlatformWrites(lua_State *Lua) {
-  lua_pushinteger(Lua, static_cast<lua_Integer>(worldOf(Lua).table().totals().Writes));
+  lua_pushinteger(Lua, static_cast<lua_Integer>(worldOf(Lua).platformFake().totals().Writes));
   return 1;
 }
 
 int luaBackup(lua_State *Lua) {
-  worldOf(Lua).table().backup();
+  worldOf(Lua).backup();
   return 0;
 }
 int luaRestore(lua_State *Lua) {
-  worldOf(Lua).table().restore();
+  worldOf(Lua).restore();
   return 0;
 }
 
--- a/src/yuccaplank/scenario/world.cpp
+++ b/src/yuccaplank/scenario/world.cpp
@@ -65,9 +65,41 @@
   vm &Vm;
 };
 
+template <typename Reply> using callback = std::function<void(runtime::result<Reply>)>;
+
+// Client of the platform whose callbacks obey the state of the VM.
+class guarded_table final : public platform::table {
+public:
+  guarded_table(vm_executor &Executor, std::unique_ptr<platform::table> Table)
+      : Executor(Executor), Table(std::move(Table)) {}
+  void commit(platform::table_transaction Transaction,
+              callback<platform::transaction_reply> OnDone) override {
+    Table->commit(std::move(Transaction), guard(std::move(OnDone)));
+  }
+  void read(std::string Key, callback<platform::table_row> OnDone) override {
+    Table->read(std::move(Key), guard(std::move(OnDone)));
+  }
+  void rows(std::string Prefix, callback<std::vector<platform::table_row>> OnDone) override {
+    Table->rows(std::move(Prefix), guard(std::move(OnDone)));
+  }
+  void changes(std::string Prefix, std::uint64_t After, callback<platform::table_changes> OnDone) override {
+    Table->changes(std::move(Prefix), After, guard(std::move(OnDone)));
+  }
+  void vms(callback<schema::vm_list> OnDone) override { Table->vms(guard(std::move(OnDone))); }
+  [[nodiscard]] counters totals() const override { return Table->totals(); }
+
+private:
+  template <typename Reply> callback<Reply> guard(callback<Reply> OnDone) {
+    return [this, OnDone = std::move(OnDone)](runtime::result<Reply> Result) {
+      Executor.guard([OnDone, Result = std::move(Result)] { OnDone(Result); })();
+    };
+  }
+  vm_executor &Executor;
+  std::unique_ptr<platform::table> Table;
+};
+
 world::world(const world_options &Options)
-    : Servers(*(Executor = runtime::makeManualExecutor())), Options(Options),
-      Table(platform::makeFakeTable(*Executor)) {
+    : Options(Options), Platform(platform::makeFakePlatform(*Executor, {.Seed = Options.Seed})) {
   int Number = 0;
   for (const std::string &Domain : Options.Domains) {
     for (int Index = 1; Index <= Options.ServersPerDomain; ++Index) {
@@ -92,6 +124,11 @@
 
 world::~world() = default;
 
+void world::restore() {
+  if (auto Copy = platform::readBackup(Backup))
+    Platform->state() = Copy.value();
+}
+
 void world::run(double Milliseconds) { Executor->advance(runtime::fromMs(Milliseconds)); }
 
 double world::nowMs() const { return runtime::toMs(Executor->clock().now().time_since_epoch()); }
@@ -104,8 +141,8 @@
   Vm->Self.set_started_ms(Executor->clock().unixMs());
   Vm->Self.set_nonce(++LastNonce);
   Vm->Ports = std::make_unique<vm_ports>(*this, *Vm);
-  Vm->Table =
-      Table->client(Vm->Executor, [this, Domain = Vm->Domain] { return !CutFromPlatform.contains(Domain); });
+  auto Blocked = [this, Domain = Vm->Domain] { return CutFromPlatform.contains(Domain); };
+  Vm->Table = std::make_unique<guarded_table>(Vm->Executor, Platform->makeClient(Blocked));
   node::entry_node_options NodeOptions;
   NodeOptions.Self = Vm->Self;
   NodeOptions.Domain = Vm->Domain;
@@ -309,7 +346,6 @@
 
 void world::updateVmList() {
   schema::vm_list List;
-  List.set_version(++ListVersion);
   for (const std::string &Name : Listed) {
     schema::entry_vm &Entry = *List.add_entry_vms();
     Entry.set_id(Name);
@@ -318,7 +354,7 @@
   }
   for (const schema::backend_entry &Entry : Servers.entries())
     *List.add_backends() = Entry;
-  Table->setVmList(List);
+  Platform->vmList().publish(List, Executor->clock().now());
 }
 
 } // namespace yuccaplank::scenario
--- a/src/yuccaplank/scenario/world.hpp
+++ b/src/yuccaplank/scenario/world.hpp
@@ -44,6 +44,9 @@
 };
 
 class world {
+  // Declared first, since the fakes are made with it.
+  std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
+
 public:
   explicit world(const world_options &Options);
   ~world();
@@ -79,8 +82,10 @@
   [[nodiscard]] std::vector<std::string> breaches() const;
 
   runtime::manual_executor &executor() { return *Executor; }
-  platform::fake_table &table() { return *Table; }
-  backend_fakes Servers;
+  platform::fake_platform &platformFake() { return *Platform; }
+  void backup() { Backup = platform::writeBackup(Platform->state()); }
+  void restore();
+  backend_fakes Servers{*Executor};
   std::vector<submission_record> Submissions;
   std::vector<apply_record> Applies;
 
@@ -97,8 +102,8 @@
   node::answer_function recorder(std::size_t Index);
 
   world_options Options;
-  std::unique_ptr<runtime::manual_executor> Executor;
-  std::unique_ptr<platform::fake_table> Table;
+  std::shared_ptr<platform::fake_platform> Platform;
+  std::string Backup;
   std::map<std::string, std::unique_ptr<vm>> Vms;
   // Ended VMs are kept, since callbacks of the fakes may still name them.
   std::vector<std::unique_ptr<vm>> Ended;
@@ -106,7 +111,6 @@
   std::set<std::string> CutFromPlatform;
   std::set<std::string> Listed;
   std::set<std::string> Drained;
-  std::uint64_t ListVersion = 0;
   std::uint32_t LastNonce = 0;
 };
 
