--- /dev/null
+++ b/include/yuccaplank/runtime/random.hpp
@@ -0,0 +1,30 @@
+// Seeded random numbers.
+#pragma once
+
+#include "yuccaplank/runtime/clock.hpp"
+
+#include <pcg_random.hpp>
+
+#include <cstdint>
+#include <random>
+
+namespace yuccaplank::runtime {
+
+/// Generator with a fixed sequence per seed.
+class random {
+public:
+  explicit random(std::uint64_t Seed) : Engine(Seed) {}
+  /// Uniform in [0, 1).
+  double uniform() { return std::uniform_real_distribution<double>(0, 1)(Engine); }
+  /// Period changed by up to Fraction of it either way.
+  duration spread(duration Period, double Fraction) {
+    return std::chrono::duration_cast<duration>(Period * (1 + Fraction * (2 * uniform() - 1)));
+  }
+  std::uint64_t next() { return Engine(); }
+  pcg64 &engine() { return Engine; }
+
+private:
+  pcg64 Engine;
+};
+
+} // namespace yuccaplank::runtime
