Fuzz the reader of peer envelopes and handshakes

The first run showed that protobuf writes an unlimited plain line to standard error for every malformed string, also before authentication (more than 1,000 lines in 45,000 inputs); its messages now go to the structured log at debug level.

--- /dev/null
+++ b/src/yuccaplank/wire/fuzz/peer_reader.cpp
@@ -0,0 +1,73 @@
+#include "peer_reader.hpp"
+#include "yuccaplank/wire/peer_protocol.hpp"
+
+#include <algorithm>
+#include <string_view>
+
+namespace yuccaplank::wire {
+namespace {
+
+constexpr std::size_t MaxEnvelopeBytes = 64 * 1024;
+
+peer_protocol makeProtocol(peer_role Role, const std::string &Vm, char NonceByte) {
+  peer_protocol_options Options;
+  Options.Role = Role;
+  Options.Key = "fuzzed key";
+  Options.Self.set_vm(Vm);
+  Options.Self.set_started_ms(1);
+  Options.Domain = "east";
+  Options.Nonce = std::string(PeerNonceBytes, NonceByte);
+  Options.MaxEnvelopeBytes = MaxEnvelopeBytes;
+  return peer_protocol(std::move(Options));
+}
+
+void authenticate(peer_protocol &Reader, peer_protocol &Partner) {
+  Reader.feed(Partner.hello());
+  Partner.feed(Reader.hello());
+  (void)Reader.next();
+  (void)Partner.next();
+  Reader.feed(Partner.takeReply());
+  (void)Reader.next();
+}
+
+// Whether the reader kept its rules; sets Ended when it found an error.
+bool drain(peer_protocol &Reader, bool KnowsKey, bool &Ended) {
+  while (true) {
+    auto Next = Reader.next();
+    if (Reader.authenticated() && !KnowsKey)
+      return false;
+    Ended = !Next;
+    if (Ended || !Next.value())
+      return true;
+    if (!KnowsKey || Next.value()->has_hello() || Next.value()->has_hello_proof())
+      return false;
+  }
+}
+
+} // namespace
+
+int fuzzPeerReader(const std::uint8_t *Data, std::size_t Size) {
+  if (Size == 0)
+    return 0;
+  unsigned Selector = Data[0];
+  std::string_view Input(reinterpret_cast<const char *>(Data + 1), Size - 1);
+  bool IsServer = (Selector & 1U) != 0;
+  bool KnowsKey = (Selector & 2U) != 0;
+  std::size_t Piece = std::size_t(1) << (3 * ((Selector >> 2U) & 7U));
+  auto Reader = makeProtocol(IsServer ? peer_role::Server : peer_role::Client, "vm1", 'r');
+  if (KnowsKey) {
+    auto Partner = makeProtocol(IsServer ? peer_role::Client : peer_role::Server, "vm2", 'p');
+    authenticate(Reader, Partner);
+  }
+  bool Ended = false;
+  while (!Input.empty() && !Ended) {
+    std::size_t Count = std::min(Piece, Input.size());
+    Reader.feed(Input.substr(0, Count));
+    Input.remove_prefix(Count);
+    if (!drain(Reader, KnowsKey, Ended))
+      return 1;
+  }
+  return 0;
+}
+
+} // namespace yuccaplank::wire
--- a/src/yuccaplank/wire/peer_protocol.cpp
+++ b/src/yuccaplank/wire/peer_protocol.cpp
@@ -1,7 +1,9 @@
 #include "peer_protocol.hpp"
+#include "yuccaplank/runtime/log.hpp"
 
 #include <google/protobuf/io/coded_stream.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/stubs/logging.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -43,6 +45,16 @@
   return Role == peer_role::Client ? peer_role::Server : peer_role::Client;
 }
 
+// By default the library writes a line of plain text to standard error for every malformed string, as often
+// as a stranger sends one.
+void redirectProtobufLog() {
+  static const auto Previous = google::protobuf::SetLogHandler(
+      [](google::protobuf::LogLevel, const char *, int, const std::string &Text) {
+        runtime::log(runtime::log_level::Debug, "protobuf", {{"message", Text}});
+      });
+  (void)Previous;
+}
+
 } // namespace
 
 std::string encodeEnvelope(const schema::envelope &Message) {
@@ -56,6 +68,7 @@
 }
 
 peer_protocol::peer_protocol(peer_protocol_options InitialOptions) : Options(std::move(InitialOptions)) {
+  redirectProtobufLog();
   schema::envelope Message;
   auto *Hello = Message.mutable_hello();
   *Hello->mutable_self() = Options.Self;
