--- a/src/yuccaplank/model/membership_test.cpp
+++ b/src/yuccaplank/model/membership_test.cpp
@@ -160,6 +160,7 @@
 const story Pauses("membership: pauses", [] {
   membership_fleet Fleet(makeOptions(7, 4));
   startFleet(Fleet);
+  // Detection takes at least 1.2 s and 0.7 s, less the longest time since the last heartbeat of 0.53 s.
   if (auto Given = section("given a pause shorter than any detection, at any time between heartbeats")) {
     for (int Round = 0; Round < 22; ++Round) {
       Fleet.pause("vm02");
--- a/src/yuccaplank/wire/peer_connection.cpp
+++ b/src/yuccaplank/wire/peer_connection.cpp
@@ -22,8 +22,14 @@
 constexpr std::int32_t WindowBytes = 64 << 20;
 // Bytes handed to the socket in one write.
 constexpr std::size_t MaxWriteBytes = 512 * 1024;
-// Sent bytes are discarded from the queue from this size on.
-constexpr std::size_t CompactBytes = 1 << 20;
+// Emptied buffers above this size are freed: a VM may keep 100 connections open within 128 MB.
+constexpr std::size_t KeptBufferBytes = 64 * 1024;
+
+void emptyBuffer(std::string &Buffer) {
+  Buffer.clear();
+  if (Buffer.capacity() > KeptBufferBytes)
+    Buffer.shrink_to_fit();
+}
 
 nghttp2_nv makeHeader(std::string_view Name, std::string_view Value) {
   auto Bytes = [](std::string_view Text) {
@@ -188,7 +194,11 @@
       return NGHTTP2_ERR_DEFERRED;
     std::memcpy(Buffer, Output.data() + OutputSent, Count);
     OutputSent += Count;
-    if (OutputSent == Output.size() || OutputSent >= CompactBytes) {
+    if (OutputSent == Output.size()) {
+      emptyBuffer(Output);
+      OutputSent = 0;
+    } else if (OutputSent >= KeptBufferBytes && 2 * OutputSent >= Output.size()) {
+      // Waiting for half of the buffer keeps the moved bytes below the sent ones.
       Output.erase(0, OutputSent);
       OutputSent = 0;
     }
@@ -322,7 +332,7 @@
 
   void onWritten(const char *Error) {
     Writing = false;
-    WriteBuffer.clear();
+    emptyBuffer(WriteBuffer);
     if (Closed)
       return;
     if (Error != nullptr)
--- a/src/yuccaplank/wire/peer_protocol.cpp
+++ b/src/yuccaplank/wire/peer_protocol.cpp
@@ -182,6 +182,8 @@
     return;
   Input.erase(0, Consumed);
   Consumed = 0;
+  if (Input.empty() && Input.capacity() > CompactBytes)
+    Input.shrink_to_fit();
 }
 
 } // namespace yuccaplank::wire
