--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -25,9 +25,12 @@
   loop_impl(const loop_impl &) = delete;
   loop_impl &operator=(const loop_impl &) = delete;
   ~loop_impl() override {
-    Posted.clear();
     if (SignalSocket)
       h2o_socket_close(SignalSocket);
+    // Closed connections end in the next turn, and functions that own what remains of a server go after it.
+    h2o_evloop_run(Native, 0);
+    Posted.clear();
+    h2o_evloop_run(Native, 0);
     // h2o aborts on time-outs that are still registered, for example by a server with open connections.
     if (h2o_linklist_is_empty(&Native->_timeouts))
       h2o_evloop_destroy(Native);
