Poll without waiting while h2o has completed reads or writes to report

Writes made by posted functions and timers complete at once, but h2o runs their callbacks only after the next poll, so each such call or reply waited for another event or for the 100 ms that a poll takes at most.

Also frees the connection pools of addresses that are no longer used, and checks the verdicts of 3,000 tasks under random faults against the starts that the stand-in servers counted.

--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -104,7 +104,9 @@
   }
 
   [[nodiscard]] std::int32_t waitMs() const {
-    if (!Posted.empty())
+    // h2o runs callbacks of completed reads and writes after it has polled. Those of writes made by posted
+    // functions and timers would wait for the next event, up to MaxWaitMs.
+    if (!Posted.empty() || Native->_pending_as_client || Native->_pending_as_server)
       return 0;
     auto Due = Timers.nextDue();
     if (!Due)
--- a/src/yuccaplank/standin/servers_test.cpp
+++ b/src/yuccaplank/standin/servers_test.cpp
@@ -7,6 +7,10 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <pcg_random.hpp>
+
+#include <array>
+#include <map>
 #include <optional>
 
 using namespace std::chrono_literals;
@@ -197,6 +201,63 @@
   }
 });
 
+// Guards against a verdict that differs from what the server counted, whatever the faults: a task judged as
+// not started that did start would be started again.
+const story RandomFaults("stand-in servers: verdicts under random faults", [] {
+  constexpr int TaskCount = 3000;
+  constexpr int Concurrency = 24;
+  constexpr std::uint64_t Seed = 20261204;
+  constexpr auto Modes =
+      std::to_array<const char *>({"normal", "normal", "fail_all", "refuse", "late", "crossed", "down",
+                                   "leaving", "drop_answer", "drop_request"});
+  standin::servers_options Options;
+  Options.Count = 4;
+  Options.Slots = 4;
+  Options.Connections = 7;
+  servers_site Site(Options);
+  pcg32 Random(Seed);
+  int Started = 0;
+  int Done = 0;
+  std::map<std::string, attempt_verdict> Verdicts;
+  std::vector<std::uint16_t> Ports;
+  for (std::uint32_t Index = 0; Index < Options.Count; ++Index)
+    Ports.push_back(Site.Servers->port(Index));
+  std::function<void()> Next = [&] {
+    if (Started == TaskCount)
+      return;
+    std::string Id = fmt::format("j/{}", ++Started);
+    wire::http_call Call = servers_site::callTo(Ports[Random(Options.Count)], "POST", "/task", R"({"ms":1})");
+    Call.Headers = {{"task-id", Id}};
+    Site.Client->call(std::move(Call), [&, Id](const wire::http_call_result &Result) {
+      Verdicts[Id] = wire::judgeAttempt(Result, Id).Verdict;
+      ++Done;
+      Next();
+    });
+    if (Started % 20 == 0)
+      Site.Client->call(
+          servers_site::callTo(Site.Servers->controlPort(), "POST", "/fault",
+                               fmt::format(R"({{"servers":["s{}"],"mode":"{}","delay_ms":2}})",
+                                           Random(Options.Count) + 1, Modes[Random(Modes.size())])),
+          [](const wire::http_call_result &) {});
+  };
+  for (int Count = 0; Count < Concurrency; ++Count)
+    Next();
+  runUntil(*Site.Loop, [&] { return Done == TaskCount; });
+  json Starts = Site.control("GET", "/starts?prefix=j/");
+  std::array<int, 3> Seen{};
+  for (const auto &[Id, Verdict] : Verdicts) {
+    int Count = Starts.value(Id, 0);
+    ++Seen[static_cast<std::size_t>(Verdict)];
+    CPPUNIT_ASSERT_MESSAGE(Id, Count <= 1);
+    if (Verdict == attempt_verdict::Completed)
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Id, 1, Count);
+    if (Verdict == attempt_verdict::NotStarted)
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Id, 0, Count);
+  }
+  for (int Count : Seen)
+    CPPUNIT_ASSERT_MESSAGE("every verdict occurs", Count > 0);
+});
+
 // Guards against a VM list that names other servers than those that run.
 const story VmList("stand-in servers: VM list", [] {
   standin::servers_options Options;
--- a/src/yuccaplank/wire/http_client.cpp
+++ b/src/yuccaplank/wire/http_client.cpp
@@ -25,11 +25,24 @@
 // Request line and headers of a task request take about 250 bytes.
 constexpr std::size_t TypicalHeadBytes = 512;
 
+// Idle time-outs after which the pool of an address without connections is freed. Each pool holds an h2o
+// timer that every turn of the loop visits, so pools of replaced VMs must not accumulate.
+constexpr int PoolRetentionFactor = 10;
+
 class client_impl;
 
 struct connection_pool {
   h2o_socketpool_t Native{};
   bool Valid = false;
+  runtime::time_point LastUsed;
+
+  connection_pool() = default;
+  connection_pool(const connection_pool &) = delete;
+  connection_pool &operator=(const connection_pool &) = delete;
+  ~connection_pool() {
+    if (Valid)
+      h2o_socketpool_dispose(&Native);
+  }
 };
 
 // One exchange, from call() until its callback has run.
@@ -88,9 +101,9 @@
   ~client_impl() override {
     for (auto &[Id, Exchange] : Exchanges)
       release(*Exchange);
-    for (auto &[Address, Pool] : Pools)
-      if (Pool->Valid)
-        h2o_socketpool_dispose(&Pool->Native);
+    if (PruneTimer)
+      Loop.cancel(PruneTimer);
+    Pools.clear();
     h2o_timeout_dispose(Loop.native(), &IoTimeout);
   }
 
@@ -102,6 +115,7 @@
     Exchange.OnDone = std::move(OnDone);
     Exchanges.emplace(Exchange.Id, std::move(Owned));
     connection_pool &Pool = poolFor(Call.Address);
+    Pool.LastUsed = Loop.clock().now();
     if (!Pool.Valid || !wellFormed(Call)) {
       fail(Exchange, errc::MalformedDocument);
       return Exchange.Id;
@@ -223,9 +237,28 @@
       h2o_socketpool_set_timeout(&Pool->Native, Loop.native(), static_cast<std::uint64_t>(IdleMs));
       Pool->Valid = true;
     }
+    if (!PruneTimer)
+      startPruning();
     return *Pools.emplace(Address, std::move(Pool)).first->second;
   }
 
+  // A pool must outlive the connects it has begun, which hold no connection yet.
+  [[nodiscard]] duration poolRetention() const {
+    return PoolRetentionFactor * Options.IdleTimeout + Options.ConnectTimeout;
+  }
+
+  void startPruning() {
+    PruneTimer = Loop.after(poolRetention(), [this] {
+      PruneTimer = 0;
+      runtime::time_point Latest = Loop.clock().now() - poolRetention();
+      std::erase_if(Pools, [&](const auto &Entry) {
+        return Entry.second->Native._shared.count == 0 && Entry.second->LastUsed <= Latest;
+      });
+      if (!Pools.empty())
+        startPruning();
+    });
+  }
+
   // One timer for each exchange: until it is connected the earlier of both limits applies.
   void armTimer(exchange &Exchange) {
     if (Exchange.Timer)
@@ -301,6 +334,7 @@
   std::unordered_map<std::string, std::unique_ptr<connection_pool>> Pools;
   std::unordered_map<call_id, std::unique_ptr<exchange>> Exchanges;
   std::vector<call_id> Finished;
+  runtime::timer_id PruneTimer = 0;
   call_id LastCall = 0;
   std::shared_ptr<int> Alive = std::make_shared<int>(0);
 };
--- a/src/yuccaplank/wire/http_client_test.cpp
+++ b/src/yuccaplank/wire/http_client_test.cpp
@@ -127,6 +127,42 @@
   }
 });
 
+// Guards against use of a pool that was freed because its address was not used for long.
+const story Retention("http client: retention of pools", [] {
+  http_client_options Options;
+  Options.IdleTimeout = 20ms;
+  Options.ConnectTimeout = 100ms;
+  scripted_server Server({answerAll, answerAll});
+  call_site Site(Options);
+  Site.run(get(Server));
+  // h2o closes idle connections within 1 s, and the pool goes 10 idle time-outs and a connect time-out later.
+  runFor(*Site.Loop, 2s);
+  CPPUNIT_ASSERT(!Site.run(get(Server)).Error);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Site.Client->connections(Server.address()));
+});
+
+// Guards against a loop that waits for an event although a write made by a posted function has completed;
+// each call then took the 100 ms that the loop waits at most.
+const story Latency("http client: calls from posted functions", [] {
+  constexpr int Calls = 200;
+  scripted_server Server({answerAll});
+  call_site Site;
+  int Done = 0;
+  std::function<void()> Next = [&] {
+    Site.Client->call(get(Server), [&](const http_call_result &) {
+      if (++Done < Calls)
+        Site.Loop->post(Next);
+      else
+        Site.Loop->stop();
+    });
+  };
+  auto Begin = std::chrono::steady_clock::now();
+  Site.Loop->post(Next);
+  Site.Loop->run();
+  CPPUNIT_ASSERT_EQUAL(Calls, Done);
+  CPPUNIT_ASSERT(std::chrono::steady_clock::now() - Begin < Calls * 50ms);
+});
+
 // Guards against a connection that is counted for ever after its exchange failed.
 const story Failures("http client: failures", [] {
   scripted_server Server({stall});
