--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -25,10 +25,11 @@
   loop_impl(const loop_impl &) = delete;
   loop_impl &operator=(const loop_impl &) = delete;
   ~loop_impl() override {
-    Posted.clear();
-    if (SignalSocket != nullptr)
+    if (SignalSocket)
       h2o_socket_close(SignalSocket);
-    // Closed sockets are freed by the next turn.
+    // Closed connections end in the next turn, and functions that own what remains of a server go after it.
+    h2o_evloop_run(Native, 0);
+    Posted.clear();
     h2o_evloop_run(Native, 0);
     // h2o aborts on time-outs that are still registered, for example by a server with open connections.
     if (h2o_linklist_is_empty(&Native->_timeouts))
@@ -103,7 +104,9 @@
   }
 
   [[nodiscard]] std::int32_t waitMs() const {
-    if (!Posted.empty())
+    // h2o runs callbacks of completed reads and writes after it has polled. Those of writes made by posted
+    // functions and timers would wait for the next event, up to MaxWaitMs.
+    if (!Posted.empty() || Native->_pending_as_client || Native->_pending_as_server)
       return 0;
     auto Due = Timers.nextDue();
     if (!Due)
