Place tasks by a cautious run time, and give long jobs more slack

A task now goes to a slow server only if the job's end is kept even when the task runs two standard deviations long; before, the median decided.

Long jobs may stretch by 1.25 instead of 1.05, which frees the fastest slots, and jobs are ordered by longest task and total work.

--- a/src/yuccaplank/model/placement.cpp
+++ b/src/yuccaplank/model/placement.cpp
@@ -85,7 +85,8 @@
   return None;
 }
 
-/// The slowest free server that keeps the target; otherwise the earliest end, waiting if that is earlier.
+/// The slowest free server that keeps the target even when the task is long; otherwise the fastest, or a wait
+/// for a faster one that ends earlier.
 placement_choice table_strategy::criticalTime(const placement_request &Request) {
   const auto &Class = Servers.fitClass(Request.Fit);
   auto Refused = Request.Refused;
@@ -93,6 +94,7 @@
     Refused = {};
   double FreeEnd = std::numeric_limits<double>::infinity();
   double WaitEnd = FreeEnd;
+  bool Keeps = false;
   group_id FreeGroup = None;
   group_id WaitGroup = None;
   for (auto Group : Class.Groups) {
@@ -104,7 +106,8 @@
         continue;
       FreeEnd = End;
       FreeGroup = Group;
-      if (End <= Request.TargetMs)
+      Keeps = Request.NowMs + Request.CautiousMs / State.speed() <= Request.TargetMs;
+      if (Keeps)
         break;
       continue;
     }
@@ -114,7 +117,7 @@
       WaitGroup = Group;
     }
   }
-  if (FreeGroup != None && (FreeEnd <= Request.TargetMs || FreeEnd <= WaitEnd))
+  if (FreeGroup != None && (Keeps || FreeEnd <= std::max(Request.TargetMs, WaitEnd)))
     return {pick(FreeGroup, Refused), FreeEnd};
   if (WaitGroup != None)
     Servers.claim(WaitGroup);
--- a/src/yuccaplank/model/placement.hpp
+++ b/src/yuccaplank/model/placement.hpp
@@ -13,6 +13,8 @@
   fit_id Fit = 0;
   /// Planned run time on a server of speed 1, in milliseconds.
   double SizeMs = 0;
+  /// Run time on a server of speed 1 that is exceeded rarely.
+  double CautiousMs = 0;
   double NowMs = 0;
   /// End that the job's other tasks allow; earlier ends bring the job nothing.
   double TargetMs = 0;
--- a/src/yuccaplank/model/scheduler.cpp
+++ b/src/yuccaplank/model/scheduler.cpp
@@ -23,12 +23,18 @@
 using runtime::errc;
 
 /// Jobs may end at this multiple of their ideal time without being considered late; short tasks then leave
-/// the fast servers to long ones.
+/// the fast servers to long ones. 1.0 and 1.1 gave the same 99th percentile, 1.2 exceeds the median's target.
 constexpr double TargetStretch = 1.05;
-/// Weight of a job's longest task in its key: a job of twice the length waits that much longer for its turn.
-constexpr double KeyStretch = 1.0;
-/// Planned run times lie this many standard deviations above the median.
-constexpr double PlanDeviations = 0.0;
+/// Added to TargetStretch for jobs of LongJobMs and more, in proportion for shorter ones. Long tasks occupy
+/// the fastest slots longest; at 70 % load this lowers the 99th percentile from 1.30 to 1.25.
+constexpr double LongJobStretch = 0.2;
+constexpr double LongJobMs = 2000;
+/// Weights of a job's longest task and of its share of the pool's time in its key. A job goes ahead of those
+/// that arrived up to their difference in key earlier, so that every job's turn comes.
+constexpr double KeyLongest = 2.0;
+constexpr double KeyWork = 4.0;
+/// Deviations from the median up to which a longer run is not surprising.
+constexpr double MarginDeviations = 2;
 /// Tasks examined in one pass over a queue, beyond those that start. Bounds the time of a decision.
 constexpr int ExaminedPerPass = 48;
 /// Starts of one job before a team with less service is served, while its own team is beyond its share.
@@ -100,8 +106,12 @@
 private:
   using job_map = std::unordered_map<job_key, scheduled_job>;
   struct prediction {
+    /// Until the job's turn comes.
     double WaitMs = 0;
+    /// Longest task on the fastest server.
     double IdealMs = 0;
+    /// The job's work over the capacity of the pool.
+    double OwnMs = 0;
   };
 
   [[nodiscard]] double nowMs() const { return runtime::toMs(Clock.now().time_since_epoch()); }
@@ -217,8 +227,8 @@
     State.Kind = Previous && Previous->kind() == Task.kind() ? Job.Tasks[Job.Tasks.size() - 2].Kind
                                                              : Estimator.kind(Service.service(), Task.kind());
     auto Size = Estimator.estimate(State.Kind, Task.declared_ms());
-    State.SizeMs = static_cast<float>(std::exp(Size.Log + PlanDeviations * Size.Spread));
-    State.Margin = static_cast<float>(std::exp(2 * Size.Spread));
+    State.SizeMs = static_cast<float>(std::exp(Size.Log));
+    State.Margin = static_cast<float>(std::exp(MarginDeviations * Size.Spread));
     Previous = &Task;
   }
   return std::nullopt;
@@ -226,7 +236,9 @@
 
 dispatcher_scheduler::prediction dispatcher_scheduler::predict(const scheduled_job &Job) const {
   prediction Expected;
+  double OwnWork = 0;
   for (const auto &Task : Job.Tasks) {
+    OwnWork += Task.SizeMs;
     const auto &Groups = Servers.knownFitClass(Task.Fit).Groups;
     if (!Groups.empty())
       Expected.IdealMs = std::max(Expected.IdealMs, Task.SizeMs / Servers.group(Groups.back()).speed());
@@ -243,6 +255,7 @@
     Work = std::min(Work, Team.QueuedWork * Active / Team.Weight);
   }
   Expected.WaitMs = Work / Pool.Capacity;
+  Expected.OwnMs = OwnWork / Pool.Capacity;
   return Expected;
 }
 
@@ -282,8 +295,11 @@
     std::ranges::stable_sort(Job.Queued, std::ranges::greater(),
                              [&](std::uint32_t Index) { return Job.Tasks[Index].SizeMs; });
   double Now = nowMs();
-  Job.Key = Now + (Traits.Fair ? KeyStretch * Expected.IdealMs : 0);
-  Job.CriticalEndMs = Now + TargetStretch * Expected.IdealMs;
+  Job.Key = Now;
+  if (Traits.Fair)
+    Job.Key += KeyLongest * Expected.IdealMs + KeyWork * Expected.OwnMs;
+  double Stretch = TargetStretch + LongJobStretch * std::min(1.0, Expected.IdealMs / LongJobMs);
+  Job.CriticalEndMs = Now + Stretch * Expected.IdealMs;
   Job.Bytes = Job.QueuedBytes = Job.Job.Job->ByteSizeLong();
   double Work = 0;
   for (const auto &Task : Job.Tasks)
@@ -416,7 +432,8 @@
       if (Task == Index)
         Refused.push_back(Server);
     const auto &Task = Job.Tasks[Index];
-    auto Choice = Placement->choose({Task.Fit, Task.SizeMs, Now, TargetMs, Refused});
+    auto Choice =
+        Placement->choose({Task.Fit, Task.SizeMs, Task.SizeMs * Task.Margin, Now, TargetMs, Refused});
     if (std::isfinite(Choice.EndMs))
       TargetMs = std::max(TargetMs, Choice.EndMs);
     if (Choice.Server == None) {
