Refuse by the work ahead of a job and by the backlog of its team

A job's wait is now predicted from the queued work with earlier keys, and a backlog of more than 1.2 s is refused.

--- a/include/yuccaplank/model/scheduler.hpp
+++ b/include/yuccaplank/model/scheduler.hpp
@@ -67,6 +67,8 @@
   std::uint32_t MaxConnectionsPerServer = 24;
   /// Jobs whose predicted response exceeds this multiple of their ideal time are refused; 0 for no limit.
   double MaxStretch = 2.5;
+  /// Jobs are refused while the backlog that counts against their team takes longer; 0 for no limit.
+  double MaxBacklogMs = 1200;
   /// Share of quotas that this scheduler enforces, 1/failure domains.
   double QuotaShare = 1.0;
   std::uint64_t Seed = 1;
--- a/src/yuccaplank/bench/model_feed.cpp
+++ b/src/yuccaplank/bench/model_feed.cpp
@@ -75,7 +75,8 @@
   for (int Index = 0; Index < Options.Schedulers; ++Index) {
     model::scheduler_options Scheduler;
     Scheduler.Strategy = Options.Strategy;
-    Scheduler.MaxStretch = Options.MaxStretch;
+    if (!Options.Admission)
+      Scheduler.MaxStretch = Scheduler.MaxBacklogMs = 0;
     Scheduler.Seed = Options.Seed + static_cast<std::uint64_t>(Index);
     Schedulers.push_back(model::makeScheduler(Clock, Scheduler));
     Schedulers.back()->setServers(Entries);
@@ -210,14 +211,14 @@
   double RunMs =
       Fails ? FailureMs : Job.ActualMs[Start.Task.Index] / Speeds[static_cast<std::size_t>(Server)];
   auto End = Fails ? model::attempt_end::Failed : model::attempt_end::Completed;
-  at(nowMs() + RunMs, [this, Scheduler, Start, End, Server, Ends = nowMs() + RunMs] {
+  at(nowMs() + RunMs, [this, Scheduler, Start, End, Server, FromMs = nowMs()] {
     if (Stopped.erase({Start.Task.Job, Start.Task.Index}) > 0)
       return;
-    --Busy[static_cast<std::size_t>(Server)];
+    auto Position = static_cast<std::size_t>(Server);
+    --Busy[Position];
     auto Found = Jobs.find(Start.Task.Job);
     if (Found != Jobs.end() && End == model::attempt_end::Completed)
-      Found->second->DoneWork.emplace_back(static_cast<int>(Ends / 1000),
-                                           Found->second->ActualMs[Start.Task.Index]);
+      Found->second->DoneWork.push_back({FromMs, nowMs(), Speeds[Position]});
     endAttempt(Scheduler, Start, End);
   });
 }
@@ -248,15 +249,24 @@
   Job.Result.End = End;
   Job.Result.ResponseMs = nowMs() - Job.Result.ArrivalMs;
   if (End == job_result::end::Done)
-    for (auto [Second, Work] : Job.DoneWork) {
-      Result.Goodput.resize(std::max(Result.Goodput.size(), static_cast<std::size_t>(Second) + 1));
-      Result.Goodput[static_cast<std::size_t>(Second)] += Work / (Capacity * 1000);
-    }
+    for (const auto &Run : Job.DoneWork)
+      creditWork(Run);
   if (Job.Result.ArrivalMs >= Options.WarmupSeconds * 1000)
     Result.Jobs.push_back(Job.Result);
   Jobs.erase(Found);
 }
 
+/// Spreads the work of a task over the seconds in which it ran.
+void model_feed::creditWork(const interval &Run) {
+  for (double FromMs = Run.FromMs; FromMs < Run.ToMs;) {
+    auto Second = static_cast<std::size_t>(FromMs / 1000);
+    double ToMs = std::min(Run.ToMs, static_cast<double>(Second + 1) * 1000);
+    Result.Goodput.resize(std::max(Result.Goodput.size(), Second + 1));
+    Result.Goodput[Second] += (ToMs - FromMs) * Run.Speed / (Capacity * 1000);
+    FromMs = ToMs;
+  }
+}
+
 feed_result model_feed::run() {
   for (int Team = 0; Team < Options.Teams; ++Team)
     arrive(Team);
--- a/src/yuccaplank/bench/model_feed.hpp
+++ b/src/yuccaplank/bench/model_feed.hpp
@@ -32,8 +32,8 @@
   double WarmupSeconds = 15;
   std::uint64_t Seed = 1;
   std::uint32_t DeadlineMs = 10'000;
-  /// Refuses jobs by predicted stretch; 0 admits all, so that no job is missing from the percentiles.
-  double MaxStretch = 0;
+  /// Refuses jobs by predicted stretch and backlog; otherwise no job is missing from the percentiles.
+  bool Admission = false;
 };
 
 /// Load of a span of time, as a multiple of Load, by team; 1 outside all spans.
@@ -61,7 +61,7 @@
   std::uint64_t RefusedStarts = 0;
   std::uint64_t LostStarts = 0;
   std::uint64_t Probes = 0;
-  /// Work of completed jobs by the second of the tasks' ends, as a share of the capacity.
+  /// Work of completed jobs by the second in which it was done, as a share of the capacity.
   std::vector<double> Goodput;
   /// Real time in the schedulers.
   double SchedulerSeconds = 0;
@@ -78,13 +78,19 @@
   feed_result run();
 
 private:
+  /// Time in which a task ran, and its work for each unit of it.
+  struct interval {
+    double FromMs = 0;
+    double ToMs = 0;
+    double Speed = 0;
+  };
   struct running_job {
     schema::job Job;
     std::vector<double> ActualMs;
     job_result Result;
     int Scheduler = 0;
     std::size_t Left = 0;
-    std::vector<std::pair<int, double>> DoneWork;
+    std::vector<interval> DoneWork;
   };
   struct event {
     double AtMs;
@@ -110,6 +116,7 @@
   void start(int Scheduler, const model::task_start &Start);
   void endAttempt(int Scheduler, const model::task_start &Start, model::attempt_end End);
   void stop(int Scheduler, const model::task_start &Start);
+  void creditWork(const interval &Run);
   void finish(model::job_key Key, job_result::end End);
 
   feed_options Options;
--- a/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
+++ b/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
@@ -87,6 +87,19 @@
 void learnable(const bench_options &Options) { response(Options, "response", 1); }
 void uncertain(const bench_options &Options) { response(Options, "uncertain", 2); }
 
+/// Steady load with the default limits: what they refuse.
+void admission(const bench_options &Options) {
+  for (int Servers : {50, 12})
+    for (double Load : {0.7, 0.9}) {
+      auto Feed = basics(Options);
+      Feed.Servers = Servers;
+      Feed.Load = Load;
+      Feed.Admission = true;
+      reportStretches(fmt::format("admission/servers{}/load{:.0f}", Servers, Load * 100),
+                      model_feed(Feed).run());
+    }
+}
+
 void burst(const bench_options &Options) {
   constexpr double FromS = 30;
   constexpr double ToS = 35;
@@ -94,7 +107,7 @@
     auto Feed = basics(Options);
     Feed.Servers = Servers;
     Feed.Seconds = 60;
-    Feed.MaxStretch = model::scheduler_options().MaxStretch;
+    Feed.Admission = true;
     model_feed Run(Feed);
     Run.Changes = {{FromS, ToS, 10}};
     auto Result = Run.run();
@@ -152,6 +165,7 @@
       auto Feed = basics(Options);
       Feed.Teams = Teams;
       Feed.Load = Load;
+      Feed.Admission = true;
       model_feed Run(Feed);
       if (Greedy == 1)
         Run.Changes = {{0, 1e9, 10, 0}};
@@ -196,6 +210,7 @@
     runtime::manual_clock Clock;
     model::scheduler_options Scheduler;
     Scheduler.MaxStretch = 0;
+    Scheduler.MaxBacklogMs = 0;
     Scheduler.Seed = Options.Seed;
     pcg32 Random(Options.Seed);
     auto Instance = model::makeScheduler(Clock, Scheduler);
@@ -263,6 +278,7 @@
 };
 constexpr auto Measurements = std::to_array<measurement>({{"response", learnable},
                                                           {"uncertain", uncertain},
+                                                          {"admission", admission},
                                                           {"burst", burst},
                                                           {"failing_server", failingServer},
                                                           {"fairness", fairness},
--- a/src/yuccaplank/model/fair_queue.hpp
+++ b/src/yuccaplank/model/fair_queue.hpp
@@ -75,6 +75,8 @@
   /// Capacity of the pool, from which the allowance of a team is derived.
   void setCapacity(double WorkPerMs) { Capacity = WorkPerMs; }
   [[nodiscard]] double activeWeight() const { return ActiveWeight; }
+  /// Whether a team has received more than its share and goes behind the others.
+  [[nodiscard]] bool isOver(const team_share &Team) const;
   [[nodiscard]] bool empty() const { return Ready.empty() && Over.empty(); }
 
   /// Starts a pass over the queue. Until endPass jobs must only be removed by finished().
@@ -96,7 +98,6 @@
     bool operator<(const cursor &Other) const { return Key > Other.Key; }
   };
   [[nodiscard]] double allowance() const;
-  [[nodiscard]] bool isOver(const team_share &Team) const;
   void unlist(flow &Flow);
   void relist(flow &Flow);
   queue_item *nextReady();
--- a/src/yuccaplank/model/scheduled_job.hpp
+++ b/src/yuccaplank/model/scheduled_job.hpp
@@ -6,6 +6,7 @@
 #include "yuccaplank/model/scheduler.hpp"
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <utility>
 #include <vector>
@@ -50,11 +51,35 @@
   [[nodiscard]] std::size_t queuedTasks() const { return Queued.size() + Waiting.size(); }
 };
 
-/// Jobs and servers of one pool.
+/// Queued work by key, which tells how much goes ahead of a job.
+class work_by_key {
+public:
+  void add(double Key, double Work) {
+    auto [Found, New] = Buckets.try_emplace(bucket(Key), 0);
+    Found->second += Work;
+    // Sums and differences of the same sizes leave rounding errors of much less than a task's size.
+    if (Found->second < MinWorkMs)
+      Buckets.erase(Found);
+  }
+  [[nodiscard]] double before(double Key) const {
+    double Work = 0;
+    for (auto Each = Buckets.begin(); Each != Buckets.end() && Each->first < bucket(Key); ++Each)
+      Work += Each->second;
+    return Work;
+  }
+
+private:
+  static constexpr double BucketMs = 50;
+  static constexpr double MinWorkMs = 1e-3;
+  static std::int64_t bucket(double Key) { return static_cast<std::int64_t>(Key / BucketMs); }
+  std::map<std::int64_t, double> Buckets;
+};
+
+/// Queued jobs of one pool. Work is run time at speed 1, in milliseconds.
 struct pool_queue {
   explicit pool_queue(bool Fair) : Queue(Fair) {}
   fair_queue Queue;
-  /// Work of the queued tasks at speed 1, in milliseconds.
+  work_by_key WorkByKey;
   double QueuedWork = 0;
 };
 
--- a/src/yuccaplank/model/scheduler.cpp
+++ b/src/yuccaplank/model/scheduler.cpp
@@ -112,6 +112,8 @@
     double IdealMs = 0;
     /// The job's work over the capacity of the pool.
     double OwnMs = 0;
+    /// Until the pool has done all queued work that counts against the job's team.
+    double BacklogMs = 0;
   };
 
   [[nodiscard]] double nowMs() const { return runtime::toMs(Clock.now().time_since_epoch()); }
@@ -122,6 +124,9 @@
   std::optional<admission_refusal> describe(scheduled_job &Job);
   std::optional<admission_refusal> checkLimits(const scheduled_job &Job, const prediction &Expected);
   [[nodiscard]] prediction predict(const scheduled_job &Job) const;
+  static double keyOffset(const prediction &Expected) {
+    return KeyLongest * Expected.IdealMs + KeyWork * Expected.OwnMs;
+  }
   std::uint32_t retryAfter(double WaitMs);
   void enqueue(scheduled_job &Job, const prediction &Expected);
 
@@ -247,15 +252,19 @@
   const auto &Queue = Queues[Job.Pool];
   if (Pool.Capacity <= 0)
     return Expected;
-  // The backlog of the pool, but no more than what the team's fair share needs for the team's own.
+  Expected.OwnMs = OwnWork / Pool.Capacity;
+  // The work ahead in the pool's order, but no more than what the team's fair share needs for the team's own.
   double Work = Queue.QueuedWork;
   if (Traits.Fair) {
     const auto &Team = *Job.Flow->Team;
+    if (!Queue.Queue.isOver(Team))
+      Work = Queue.WorkByKey.before(nowMs() + keyOffset(Expected));
     double Active = Queue.Queue.activeWeight() + (Team.Outstanding == 0 ? Team.Weight : 0);
-    Work = std::min(Work, Team.QueuedWork * Active / Team.Weight);
+    double OwnShare = Team.QueuedWork * Active / Team.Weight;
+    Work = std::min(Work, OwnShare);
+    Expected.BacklogMs = std::min(Queue.QueuedWork, OwnShare) / Pool.Capacity;
   }
   Expected.WaitMs = Work / Pool.Capacity;
-  Expected.OwnMs = OwnWork / Pool.Capacity;
   return Expected;
 }
 
@@ -284,7 +293,9 @@
                              retryAfter(Expected.WaitMs)};
   if (Options.MaxStretch > 0 && Expected.WaitMs > MinRefusedWaitMs &&
       ResponseMs > Options.MaxStretch * Expected.IdealMs)
-    return admission_refusal{errc::QueueFull, "max_stretch", retryAfter(Expected.WaitMs)};
+    return admission_refusal{errc::QueueFull, "max_stretch", retryAfter(Expected.BacklogMs)};
+  if (Options.MaxBacklogMs > 0 && Expected.BacklogMs > Options.MaxBacklogMs)
+    return admission_refusal{errc::QueueFull, "max_backlog_ms", retryAfter(Expected.BacklogMs)};
   return std::nullopt;
 }
 
@@ -297,7 +308,7 @@
   double Now = nowMs();
   Job.Key = Now;
   if (Traits.Fair)
-    Job.Key += KeyLongest * Expected.IdealMs + KeyWork * Expected.OwnMs;
+    Job.Key += keyOffset(Expected);
   double Stretch = TargetStretch + LongJobStretch * std::min(1.0, Expected.IdealMs / LongJobMs);
   Job.CriticalEndMs = Now + Stretch * Expected.IdealMs;
   Job.Bytes = Job.QueuedBytes = Job.Job.Job->ByteSizeLong();
@@ -306,6 +317,7 @@
     Work += Task.SizeMs;
   auto &Pool = queueOf(Job.Pool);
   Pool.QueuedWork += Work;
+  Pool.WorkByKey.add(Job.Key, Work);
   Job.Flow->Team->QueuedWork += Work;
   Job.Flow->QueuedTasks += static_cast<std::uint32_t>(Job.Tasks.size());
   QueuedTasks += Job.Tasks.size();
@@ -727,6 +739,7 @@
   auto &Pool = queueOf(Job.Pool);
   double Work = Job.Tasks[Index].SizeMs * Change;
   Pool.QueuedWork = std::max(0.0, Pool.QueuedWork + Work);
+  Pool.WorkByKey.add(Job.Key, Work);
   Job.Flow->Team->QueuedWork = std::max(0.0, Job.Flow->Team->QueuedWork + Work);
   Job.Flow->QueuedTasks += static_cast<std::uint32_t>(Change);
   QueuedTasks += static_cast<std::uint64_t>(Change);
