Let teams far beyond their share leave the fast servers to others

The longer allowance lowers the p99 of equal teams at 70 % from 1.36 to 1.26. Reserving 5 % of the slots instead had no effect beyond noise and was dropped.

--- a/src/yuccaplank/model/fair_queue.cpp
+++ b/src/yuccaplank/model/fair_queue.cpp
@@ -5,13 +5,15 @@
 namespace yuccaplank::model {
 namespace {
 
-/// Lead over the fair share that a team may have before others go first. About two jobs at the sizes of
-/// design 1.4; a smaller one makes every job compete with its own team's previous one.
-constexpr double AllowanceMs = 500;
+/// Lead over the fair share, as time of that share, that a team may have before others go first. With 500 ms
+/// ten equal teams at 70 % load took turns in being delayed: their p99 was 1.36, with 2000 ms it is 1.26.
+constexpr double AllowanceMs = 2000;
 /// Credit that an idle team keeps, as a multiple of the allowance.
 constexpr double MaxCredit = 2;
 /// Debt that a team keeps from times when nobody else needed the capacity, as a multiple of the allowance.
 constexpr double MaxDebt = 4;
+/// Lead of a team that is far over its share, as a multiple of the allowance.
+constexpr double FarOver = 4;
 
 } // namespace
 
@@ -64,6 +66,10 @@
   return Fair && Team.Virtual > GlobalVirtual + allowance();
 }
 
+bool fair_queue::isFarOver(const team_share &Team) const {
+  return Fair && Team.Virtual > GlobalVirtual + FarOver * allowance();
+}
+
 void fair_queue::unlist(flow &Flow) {
   if (Flow.Listed)
     (Flow.ListedOver ? Over : Ready).erase({Flow.ListedKey, &Flow});
--- a/src/yuccaplank/model/fair_queue.hpp
+++ b/src/yuccaplank/model/fair_queue.hpp
@@ -77,6 +77,8 @@
   [[nodiscard]] double activeWeight() const { return ActiveWeight; }
   /// Whether a team has received more than its share and goes behind the others.
   [[nodiscard]] bool isOver(const team_share &Team) const;
+  /// Whether a team has been using much more than its share for a while.
+  [[nodiscard]] bool isFarOver(const team_share &Team) const;
   [[nodiscard]] bool empty() const { return Ready.empty() && Over.empty(); }
 
   /// Starts a pass over the queue. Until endPass jobs must only be removed by finished().
--- a/src/yuccaplank/model/scheduled_job.hpp
+++ b/src/yuccaplank/model/scheduled_job.hpp
@@ -30,6 +30,8 @@
   scheduler_job Job;
   pool_id Pool = 0;
   double DeadlineMs = 0;
+  /// Longest task on the fastest server, at submission.
+  double IdealMs = 0;
   /// End that the job is expected to have at the earliest; tasks need not end before it.
   double CriticalEndMs = 0;
   std::vector<scheduled_task> Tasks;
--- a/src/yuccaplank/model/scheduler.cpp
+++ b/src/yuccaplank/model/scheduler.cpp
@@ -35,6 +35,10 @@
 constexpr double KeyWork = 4.0;
 /// Deviations from the median up to which a longer run is not surprising.
 constexpr double MarginDeviations = 2;
+/// Added to the target stretch of a team's jobs while the team is far beyond its share and few slots are
+/// free, so that the fast servers are left to the other teams.
+constexpr double YieldStretch = 1.0;
+constexpr double YieldFreeShare = 0.2;
 /// Tasks examined in one pass over a queue, beyond those that start. Bounds the time of a decision.
 constexpr int ExaminedPerPass = 48;
 /// Starts of one job before a team with less service is served, while its own team is beyond its share.
@@ -310,6 +314,7 @@
   if (Traits.Fair)
     Job.Key += keyOffset(Expected);
   double Stretch = TargetStretch + LongJobStretch * std::min(1.0, Expected.IdealMs / LongJobMs);
+  Job.IdealMs = Expected.IdealMs;
   Job.CriticalEndMs = Now + Stretch * Expected.IdealMs;
   Job.Bytes = Job.QueuedBytes = Job.Job.Job->ByteSizeLong();
   double Work = 0;
@@ -427,6 +432,9 @@
   double Now = nowMs();
   double TargetMs = std::max(Now, Job.CriticalEndMs);
   const auto &Totals = Servers.totals(Job.Pool);
+  if (BeyondShare && Totals.FreeSlots < YieldFreeShare * Totals.Slots &&
+      queueOf(Job.Pool).Queue.isFarOver(*Job.Flow->Team))
+    TargetMs += YieldStretch * Job.IdealMs;
   auto &Quota = Job.Flow->Quota;
   int Starts = 0;
   std::vector<server_id> Refused;
