Skip flows whose class of servers has no free slot; end stalls

Jobs are queued by service and class of servers, so that a pass does not examine every queued job for scarce servers while others have free slots. A stalled server works again when a task completes, and is probed when it lost all its tasks; before, it stayed stalled when its attempts ended by failure.

--- a/src/yuccaplank/model/fair_queue.cpp
+++ b/src/yuccaplank/model/fair_queue.cpp
@@ -17,29 +17,44 @@
 
 } // namespace
 
-flow &fair_queue::flowOf(const std::string &Service, const std::string &Team, double Weight) {
+flow &fair_queue::flowOf(const std::string &Service, const std::string &Team, double Weight,
+                         std::uint32_t Class) {
   auto &State = Teams[Team];
   if (State.Weight != Weight) {
     if (State.Outstanding > 0)
       ActiveWeight += Weight - State.Weight;
     State.Weight = Weight;
   }
-  // A service that changes its team keeps its flow until the jobs of the old team are gone.
-  auto &Flow = Flows[Team + '\0' + Service];
-  Flow.Team = &State;
+  // A service that changes its team keeps its flows until the jobs of the old team are gone.
+  auto Name = Team + '\0' + Service;
+  auto &Limits = Services[Name];
+  auto [Found, New] = Flows.try_emplace(Name + '\0' + std::to_string(Class));
+  auto &Flow = Found->second;
+  if (New) {
+    Flow.Sequence = NextSequence++;
+    Flow.Team = &State;
+    Flow.Service = &Limits;
+  }
   return Flow;
 }
 
+void fair_queue::setQuotaShare(double Share) {
+  for (auto &[Name, Limits] : Services)
+    Limits.Quota.setShare(Share);
+}
+
 void fair_queue::add(queue_item &Item) {
   auto &Flow = *Item.Flow;
+  if (Item.Sequence == 0)
+    Item.Sequence = ++NextSequence;
   if (Flow.Jobs.empty())
     Flow.Team->Virtual = std::max(Flow.Team->Virtual, GlobalVirtual - MaxCredit * allowance());
-  Flow.Jobs.emplace(Item.Key, &Item);
+  Flow.Jobs.insert(&Item);
   relist(Flow);
 }
 
 void fair_queue::remove(queue_item &Item) {
-  if (Item.Flow->Jobs.erase({Item.Key, &Item}) > 0)
+  if (Item.Flow->Jobs.erase(&Item) > 0)
     relist(*Item.Flow);
 }
 
@@ -72,7 +87,7 @@
 
 void fair_queue::unlist(flow &Flow) {
   if (Flow.Listed)
-    (Flow.ListedOver ? Over : Ready).erase({Flow.ListedKey, &Flow});
+    (Flow.ListedOver ? Over : Ready).erase({Flow.ListedKey, Flow.Sequence, &Flow});
   Flow.Listed = false;
 }
 
@@ -82,13 +97,13 @@
     return;
   Flow.Listed = true;
   Flow.ListedOver = isOver(*Flow.Team);
-  Flow.ListedKey = Flow.ListedOver ? Flow.Team->Virtual : Flow.Jobs.begin()->first;
-  (Flow.ListedOver ? Over : Ready).emplace(Flow.ListedKey, &Flow);
+  Flow.ListedKey = Flow.ListedOver ? Flow.Team->Virtual : (*Flow.Jobs.begin())->Key;
+  (Flow.ListedOver ? Over : Ready).emplace(Flow.ListedKey, Flow.Sequence, &Flow);
 }
 
 void fair_queue::beginPass() {
-  while (!Over.empty() && Over.begin()->first <= GlobalVirtual + allowance()) {
-    auto &Flow = *Over.begin()->second;
+  while (!Over.empty() && std::get<double>(*Over.begin()) <= GlobalVirtual + allowance()) {
+    auto &Flow = *std::get<flow *>(*Over.begin());
     relist(Flow);
     if (Flow.ListedOver)
       break;
@@ -105,7 +120,7 @@
     if (Step == pass_step::NextJob)
       ++Last.Job;
     if (Step != pass_step::SkipFlow && Last.Job != Last.Flow->Jobs.end()) {
-      Last.Key = InOver ? Last.Flow->Team->Virtual : Last.Job->first;
+      Last.Key = InOver ? Last.Flow->Team->Virtual : (*Last.Job)->Key;
       (InOver ? OverOpen : ReadyOpen).push(Last);
     }
     HasLast = false;
@@ -116,31 +131,30 @@
 }
 
 queue_item *fair_queue::nextReady() {
-  while (ReadyNext != Ready.end() && (ReadyOpen.empty() || ReadyNext->first <= ReadyOpen.top().Key)) {
-    ReadyOpen.push({ReadyNext->first, ReadyNext->second, ReadyNext->second->Jobs.begin()});
-    ++ReadyNext;
+  while (ReadyNext != Ready.end() &&
+         (ReadyOpen.empty() || std::get<double>(*ReadyNext) <= ReadyOpen.top().Key)) {
+    auto *Flow = std::get<flow *>(*ReadyNext++);
+    ReadyOpen.push({Flow->ListedKey, Flow, Flow->Jobs.begin()});
   }
-  if (ReadyOpen.empty())
-    return nullptr;
-  Last = ReadyOpen.top();
-  ReadyOpen.pop();
-  InOver = false;
-  HasLast = true;
-  return Last.Job->second;
+  return take(ReadyOpen, false);
 }
 
 queue_item *fair_queue::nextOver() {
-  while (OverNext != Over.end() && (OverOpen.empty() || OverNext->first <= OverOpen.top().Key)) {
-    OverOpen.push({OverNext->second->Team->Virtual, OverNext->second, OverNext->second->Jobs.begin()});
-    ++OverNext;
+  while (OverNext != Over.end() && (OverOpen.empty() || std::get<double>(*OverNext) <= OverOpen.top().Key)) {
+    auto *Flow = std::get<flow *>(*OverNext++);
+    OverOpen.push({Flow->Team->Virtual, Flow, Flow->Jobs.begin()});
   }
-  if (OverOpen.empty())
+  return take(OverOpen, true);
+}
+
+queue_item *fair_queue::take(std::priority_queue<cursor> &Open, bool Over) {
+  if (Open.empty())
     return nullptr;
-  Last = OverOpen.top();
-  OverOpen.pop();
-  InOver = true;
+  Last = Open.top();
+  Open.pop();
+  InOver = Over;
   HasLast = true;
-  return Last.Job->second;
+  return *Last.Job;
 }
 
 void fair_queue::endPass() {
--- a/src/yuccaplank/model/fair_queue.hpp
+++ b/src/yuccaplank/model/fair_queue.hpp
@@ -8,6 +8,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -31,16 +32,30 @@
 struct queue_item {
   /// Smaller goes first; fixed at submission.
   double Key = 0;
+  /// Order among equal keys.
+  std::uint64_t Sequence = 0;
   flow *Flow = nullptr;
 };
 
-/// Queued jobs of one service.
-struct flow {
-  team_share *Team = nullptr;
+struct earlier_item {
+  bool operator()(const queue_item *Left, const queue_item *Right) const {
+    return std::tie(Left->Key, Left->Sequence) < std::tie(Right->Key, Right->Sequence);
+  }
+};
+
+/// Limits of one service.
+struct service_limits {
   start_quota Quota;
   retry_budget Retries;
   std::uint32_t QueuedTasks = 0;
-  std::set<std::pair<double, queue_item *>> Jobs;
+};
+
+/// Queued jobs of one service whose tasks need servers of the same class.
+struct flow {
+  team_share *Team = nullptr;
+  service_limits *Service = nullptr;
+  std::uint64_t Sequence = 0;
+  std::set<queue_item *, earlier_item> Jobs;
   // Position in the queue.
   bool Listed = false;
   bool ListedOver = false;
@@ -54,7 +69,7 @@
   NextJob,
   /// The same job again, behind teams that have received less.
   Again,
-  /// Leaves out the other jobs of the service.
+  /// Leaves out the other jobs of the flow.
   SkipFlow,
 };
 
@@ -65,7 +80,9 @@
   fair_queue(fair_queue &&) = default;
   fair_queue(const fair_queue &) = delete;
 
-  flow &flowOf(const std::string &Service, const std::string &Team, double Weight);
+  /// Class tells jobs of one service apart that need different servers.
+  flow &flowOf(const std::string &Service, const std::string &Team, double Weight, std::uint32_t Class);
+  void setQuotaShare(double Share);
   void add(queue_item &Item);
   void remove(queue_item &Item);
   /// Counts tasks that come (positive) or go (negative) as outstanding.
@@ -92,11 +109,11 @@
   void endPass();
 
 private:
-  using position = std::pair<double, flow *>;
+  using position = std::tuple<double, std::uint64_t, flow *>;
   struct cursor {
     double Key;
     flow *Flow;
-    std::set<std::pair<double, queue_item *>>::iterator Job;
+    std::set<queue_item *, earlier_item>::iterator Job;
     bool operator<(const cursor &Other) const { return Key > Other.Key; }
   };
   [[nodiscard]] double allowance() const;
@@ -104,9 +121,11 @@
   void relist(flow &Flow);
   queue_item *nextReady();
   queue_item *nextOver();
+  queue_item *take(std::priority_queue<cursor> &Open, bool Over);
 
   bool Fair;
   std::unordered_map<std::string, team_share> Teams;
+  std::unordered_map<std::string, service_limits> Services;
   std::unordered_map<std::string, flow> Flows;
   /// Flows of teams within their share, by the key of their first job.
   std::set<position> Ready;
@@ -125,6 +144,7 @@
   bool HasLast = false;
   std::vector<queue_item *> Finished;
   std::vector<flow *> Charged;
+  std::uint64_t NextSequence = 0;
 };
 
 } // namespace yuccaplank::model
--- a/src/yuccaplank/model/placement.cpp
+++ b/src/yuccaplank/model/placement.cpp
@@ -33,7 +33,7 @@
   bool onlyRefused(const placement_request &Request, const fit_class &Class);
   placement_choice at(server_id Server, const placement_request &Request) {
     if (Server == None)
-      return {None, Request.NowMs};
+      return {None, Request.NowMs, Request.Refused.empty()};
     return {Server, Request.NowMs + Request.SizeMs / Servers[Server].speed()};
   }
   template <typename function> void forFree(const placement_request &Request, function Visit) {
@@ -121,7 +121,7 @@
     return {pick(FreeGroup, Refused), FreeEnd};
   if (WaitGroup != None)
     Servers.claim(WaitGroup);
-  return {None, WaitEnd};
+  return {None, WaitEnd, FreeGroup == None && Refused.empty()};
 }
 
 placement_choice table_strategy::fastestFree(const placement_request &Request) {
--- a/src/yuccaplank/model/placement.hpp
+++ b/src/yuccaplank/model/placement.hpp
@@ -27,6 +27,8 @@
   server_id Server = None;
   /// Expected end, also of a task that waits.
   double EndMs = 0;
+  /// No server of the class has a free slot.
+  bool NoFreeSlot = false;
 };
 
 class placement_strategy {
--- a/src/yuccaplank/model/quota.hpp
+++ b/src/yuccaplank/model/quota.hpp
@@ -13,8 +13,13 @@
 class start_quota {
 public:
   void configure(const schema::service_quota &Quota, double Share) {
-    MaxRunning = Quota.max_running_tasks() == 0 ? 0 : std::max(1.0, Quota.max_running_tasks() * Share);
-    PerMs = Quota.task_starts_per_s() * Share / 1000;
+    FleetRunning = Quota.max_running_tasks();
+    FleetPerMs = Quota.task_starts_per_s() / 1000.0;
+    setShare(Share);
+  }
+  void setShare(double Share) {
+    MaxRunning = FleetRunning == 0 ? 0 : std::max(1.0, FleetRunning * Share);
+    PerMs = FleetPerMs * Share;
     // A burst of 100 ms, and one start at least, so that low rates are reached.
     Burst = std::max(1.0, PerMs * 100);
   }
@@ -45,6 +50,8 @@
     Tokens = std::min(Burst, Tokens + (NowMs - LastMs) * PerMs);
     LastMs = NowMs;
   }
+  double FleetRunning = 0;
+  double FleetPerMs = 0;
   double MaxRunning = 0;
   double PerMs = 0;
   double Burst = 1;
--- a/src/yuccaplank/model/scheduled_job.hpp
+++ b/src/yuccaplank/model/scheduled_job.hpp
@@ -45,6 +45,8 @@
   /// Size of the document, and what of it counts as queued.
   std::uint64_t Bytes = 0;
   std::uint64_t QueuedBytes = 0;
+  /// All tasks need servers of the same class.
+  bool SameFit = true;
   /// A task has started, or may have.
   bool MayHaveRun = false;
   /// Has failed; kept while attempts are running so that the user can stop them.
--- a/src/yuccaplank/model/scheduler.cpp
+++ b/src/yuccaplank/model/scheduler.cpp
@@ -94,7 +94,11 @@
 
   void markLeaving(const std::string &Id) override { Servers.markLeaving(Id, nowMs()); }
 
-  void setQuotaShare(double Share) override { Options.QuotaShare = Share; }
+  void setQuotaShare(double Share) override {
+    Options.QuotaShare = Share;
+    for (auto &Pool : Queues)
+      Pool.Queue.setQuotaShare(Share);
+  }
 
   std::optional<admission_refusal> submit(const scheduler_job &Job) override;
   std::vector<task_start> cancel(job_key Key) override;
@@ -114,6 +118,8 @@
     double WaitMs = 0;
     /// Longest task on the fastest server.
     double IdealMs = 0;
+    /// The same if the tasks are shorter than expected, by as much as they may well be.
+    double LeastMs = 0;
     /// The job's work over the capacity of the pool.
     double OwnMs = 0;
     /// Until the pool has done all queued work that counts against the job's team.
@@ -123,6 +129,7 @@
   [[nodiscard]] double nowMs() const { return runtime::toMs(Clock.now().time_since_epoch()); }
   double unit() { return std::uniform_real_distribution<>(0, 1)(Random); }
   pool_queue &queueOf(pool_id Pool);
+  flow &flowOf(const scheduled_job &Job);
 
   // Admission.
   std::optional<admission_refusal> describe(scheduled_job &Job);
@@ -141,6 +148,9 @@
   void requeue(const task_ref &Task);
   void expireDeadlines();
   void runPass(pool_id Pool);
+  [[nodiscard]] bool exhausted(fit_id Fit) const {
+    return Fit < ExhaustedIn.size() && ExhaustedIn[Fit] == Pass;
+  }
   pass_step placeTasks(scheduled_job &Job, bool BeyondShare);
   void startTask(scheduled_job &Job, std::size_t Position, const placement_choice &Choice, bool Probe);
   void probe(pool_id Pool);
@@ -154,6 +164,8 @@
   void planRaise(server_id Server);
   void retryLater(scheduled_job &Job, std::uint32_t Index, server_id Server);
   void checkStall(server_id Server);
+  void endStall(server_id Server, attempt_end End);
+  void quarantine(server_id Server);
 
   // Ends of jobs.
   void failJob(scheduled_job &Job, errc Reason, std::string Subject);
@@ -180,6 +192,9 @@
   /// Time at which held tasks or tasks over quota have to be looked at again; 0 for none.
   double RecheckMs = 0;
   int Examined = 0;
+  /// Number of the pass, and for each fit class the last pass in which it had no free slot left.
+  std::uint64_t Pass = 0;
+  std::vector<std::uint64_t> ExhaustedIn;
   std::uint64_t QueuedTasks = 0;
   std::uint64_t QueuedBytes = 0;
   std::uint64_t Started = 0;
@@ -194,6 +209,14 @@
   return Queues[Pool];
 }
 
+/// Flow of a job, by its service and the class of servers that it needs.
+flow &dispatcher_scheduler::flowOf(const scheduled_job &Job) {
+  const auto &Service = *Job.Job.Service;
+  auto Class = Job.SameFit && !Job.Tasks.empty() ? Job.Tasks.front().Fit : None;
+  return queueOf(Job.Pool).Queue.flowOf(Service.service(), Service.team(),
+                                        Service.weight() == 0 ? 1 : Service.weight(), Class);
+}
+
 // Admission
 
 std::optional<admission_refusal> dispatcher_scheduler::submit(const scheduler_job &Given) {
@@ -204,16 +227,16 @@
   if (auto Refusal = describe(Job))
     return Refusal;
   const auto &Service = *Given.Service;
-  Job.Flow = &queueOf(Job.Pool).Queue.flowOf(Service.service(), Service.team(),
-                                             Service.weight() == 0 ? 1 : Service.weight());
-  Job.Flow->Quota.configure(Service.quota(), Options.QuotaShare);
-  Job.Flow->Retries.configure(Service.retry());
+  Job.Flow = &flowOf(Job);
+  Job.Flow->Service->Quota.configure(Service.quota(), Options.QuotaShare);
+  Job.Flow->Service->Retries.configure(Service.retry());
   auto Expected = predict(Job);
   if (auto Refusal = checkLimits(Job, Expected))
     return Refusal;
   auto [Place, New] = Jobs.emplace(Given.Key, std::move(Job));
-  if (New)
-    enqueue(Place->second, Expected);
+  if (!New)
+    return admission_refusal{errc::IdReused, {}, 0};
+  enqueue(Place->second, Expected);
   return std::nullopt;
 }
 
@@ -230,6 +253,7 @@
     bool SameFit = Previous && Previous->cores() == Task.cores() &&
                    Previous->memory_mb() == Task.memory_mb() &&
                    Previous->accelerators() == Task.accelerators();
+    Job.SameFit = Job.SameFit && (SameFit || Previous == nullptr);
     State.Fit = SameFit ? Job.Tasks[Job.Tasks.size() - 2].Fit : Servers.fit(Job.Pool, Task);
     if (!SameFit && !Servers.fitClass(State.Fit).Runnable)
       return admission_refusal{errc::NoFitServer, Task.name(), 0};
@@ -249,8 +273,11 @@
   for (const auto &Task : Job.Tasks) {
     OwnWork += Task.SizeMs;
     const auto &Groups = Servers.knownFitClass(Task.Fit).Groups;
-    if (!Groups.empty())
-      Expected.IdealMs = std::max(Expected.IdealMs, Task.SizeMs / Servers.group(Groups.back()).speed());
+    if (Groups.empty())
+      continue;
+    double FastestMs = Task.SizeMs / Servers.group(Groups.back()).speed();
+    Expected.IdealMs = std::max(Expected.IdealMs, FastestMs);
+    Expected.LeastMs = std::max(Expected.LeastMs, FastestMs / Task.Margin);
   }
   const auto &Pool = Servers.totals(Job.Pool);
   const auto &Queue = Queues[Job.Pool];
@@ -259,6 +286,7 @@
   Expected.OwnMs = OwnWork / Pool.Capacity;
   // The work ahead in the pool's order, but no more than what the team's fair share needs for the team's own.
   double Work = Queue.QueuedWork;
+  Expected.BacklogMs = Work / Pool.Capacity;
   if (Traits.Fair) {
     const auto &Team = *Job.Flow->Team;
     if (!Queue.Queue.isOver(Team))
@@ -284,15 +312,16 @@
   double Work = 0;
   for (const auto &Task : Job.Tasks)
     Work += Task.SizeMs;
-  double QuotaMs = Job.Flow->Quota.timeFor(Job.Flow->QueuedTasks + Count, Work / std::max(1.0, Count));
+  double QuotaMs =
+      Job.Flow->Service->Quota.timeFor(Job.Flow->Service->QueuedTasks + Count, Work / std::max(1.0, Count));
   if (QuotaMs > RemainingMs)
     return admission_refusal{errc::QuotaExceeded, Job.Job.Service->team(), retryAfter(QuotaMs - RemainingMs)};
   if (QueuedTasks + Job.Tasks.size() > Options.MaxQueuedTasks)
-    return admission_refusal{errc::QueueFull, "max_queued_tasks", retryAfter(Expected.WaitMs)};
+    return admission_refusal{errc::QueueFull, "max_queued_tasks", retryAfter(Expected.BacklogMs)};
   if (QueuedBytes + Job.Job.Job->ByteSizeLong() > Options.MaxQueuedBytes)
-    return admission_refusal{errc::QueueFull, "max_queued_bytes", retryAfter(Expected.WaitMs)};
+    return admission_refusal{errc::QueueFull, "max_queued_bytes", retryAfter(Expected.BacklogMs)};
   double ResponseMs = Expected.WaitMs + Expected.IdealMs;
-  if (ResponseMs > RemainingMs * DeadlineMargin)
+  if (Expected.WaitMs + Expected.LeastMs > RemainingMs * DeadlineMargin)
     return admission_refusal{errc::DeadlineUnreachable, Job.Job.Service->service(),
                              retryAfter(Expected.WaitMs)};
   if (Options.MaxStretch > 0 && Expected.WaitMs > MinRefusedWaitMs &&
@@ -324,7 +353,7 @@
   Pool.QueuedWork += Work;
   Pool.WorkByKey.add(Job.Key, Work);
   Job.Flow->Team->QueuedWork += Work;
-  Job.Flow->QueuedTasks += static_cast<std::uint32_t>(Job.Tasks.size());
+  Job.Flow->Service->QueuedTasks += static_cast<std::uint32_t>(Job.Tasks.size());
   QueuedTasks += Job.Tasks.size();
   QueuedBytes += Job.QueuedBytes;
   Pool.Queue.add(Job);
@@ -342,9 +371,7 @@
   State.Pool = Self.Servers.pool(Service.pool());
   if (Self.describe(State))
     return std::numeric_limits<double>::infinity();
-  State.Flow =
-      &Self.queueOf(State.Pool)
-           .Queue.flowOf(Service.service(), Service.team(), Service.weight() == 0 ? 1 : Service.weight());
+  State.Flow = &Self.flowOf(State);
   auto Expected = predict(State);
   return Expected.WaitMs + Expected.IdealMs;
 }
@@ -414,6 +441,7 @@
     return;
   Queue.setCapacity(Totals.Capacity);
   Servers.beginRound();
+  ++Pass;
   Examined = 0;
   Queue.beginPass();
   auto Step = pass_step::NextJob;
@@ -435,7 +463,7 @@
   if (BeyondShare && Totals.FreeSlots < YieldFreeShare * Totals.Slots &&
       queueOf(Job.Pool).Queue.isFarOver(*Job.Flow->Team))
     TargetMs += YieldStretch * Job.IdealMs;
-  auto &Quota = Job.Flow->Quota;
+  auto &Quota = Job.Flow->Service->Quota;
   int Starts = 0;
   std::vector<server_id> Refused;
   for (std::size_t Position = 0; Position < Job.Queued.size() && Totals.FreeSlots > 0;) {
@@ -447,6 +475,12 @@
     if (BeyondShare && Starts >= StartsPerTurn)
       return pass_step::Again;
     auto Index = Job.Queued[Position];
+    if (exhausted(Job.Tasks[Index].Fit)) {
+      if (Job.SameFit)
+        return pass_step::SkipFlow;
+      ++Position;
+      continue;
+    }
     Refused.clear();
     for (auto [Task, Server] : Job.Refused)
       if (Task == Index)
@@ -458,6 +492,11 @@
       TargetMs = std::max(TargetMs, Choice.EndMs);
     if (Choice.Server == None) {
       ++Position;
+      if (Choice.NoFreeSlot) {
+        ExhaustedIn.resize(std::max<std::size_t>(ExhaustedIn.size(), Task.Fit + 1));
+        ExhaustedIn[Task.Fit] = Pass;
+        continue;
+      }
       if (++Examined >= ExaminedPerPass)
         break;
       continue;
@@ -498,8 +537,8 @@
   ++Task.Attempts;
   ++Started;
   ++RunningTasks;
-  Job.Flow->Quota.started();
-  Job.Flow->Retries.started();
+  Job.Flow->Service->Quota.started();
+  Job.Flow->Service->Retries.started();
   Job.CriticalEndMs = std::max(Job.CriticalEndMs, Choice.EndMs);
   Job.Running.emplace_back(Index, Choice.Server);
   Decisions.Starts.push_back({Attempt.Task, Server.Id, Server.Address});
@@ -530,7 +569,7 @@
   auto &State = Servers[Server];
   double Now = nowMs();
   if ((!Job.Job.Job->repeatable() && Now < State.Health.ProbeAtMs + AnyProbeAfterMs) ||
-      !Job.Flow->Quota.allows(Now))
+      !Job.Flow->Service->Quota.allows(Now))
     return false;
   // The shortest task that fits, since a probe may be lost.
   for (std::size_t Position = Job.Queued.size(); Position-- > 0;) {
@@ -554,7 +593,7 @@
   if (Server == None || !Servers.end(Server, Task, Ended))
     return;
   --RunningTasks;
-  Ended.Flow->Quota.ended();
+  Ended.Flow->Service->Quota.ended();
   queueOf(Ended.Pool).Queue.outstanding(*Ended.Flow->Team, -1);
   auto Found = Jobs.find(Task.Job);
   bool Current = Found != Jobs.end() && !Found->second.Ended;
@@ -567,6 +606,7 @@
   }
   if (Current && End == attempt_end::Completed)
     learn(Ended, Server);
+  endStall(Server, End);
   if (Found == Jobs.end())
     return;
   auto &Job = Found->second;
@@ -588,13 +628,31 @@
 
 void dispatcher_scheduler::learn(const attempt &Ended, server_id Server) {
   auto &State = Servers[Server];
-  double Now = nowMs();
-  Estimator.observe(Ended.Kind, Ended.DeclaredMs, Now - Ended.StartedMs, State.Speed);
-  State.LastEndMs = Now;
+  Estimator.observe(Ended.Kind, Ended.DeclaredMs, nowMs() - Ended.StartedMs, State.Speed);
+  Servers.refresh(Server);
+}
+
+/// A completed task ends a stall. A stalled server that lost all its tasks is tried again by probes.
+void dispatcher_scheduler::endStall(server_id Server, attempt_end End) {
+  auto &State = Servers[Server];
+  if (End == attempt_end::Completed)
+    State.LastEndMs = nowMs();
+  if (!State.Stalled || (End != attempt_end::Completed && !State.Running.empty()))
+    return;
   State.Stalled = false;
+  if (End != attempt_end::Completed && !State.Health.Quarantined)
+    quarantine(Server);
   Servers.refresh(Server);
 }
 
+/// Starts a quarantine unless too many servers are in one.
+void dispatcher_scheduler::quarantine(server_id Server) {
+  if (!Servers[Server].Listed || Quarantined.size() >= quarantineLimit(Servers.listed()))
+    return;
+  enterQuarantine(Servers[Server].Health, nowMs(), unit());
+  Quarantined.push_back(Server);
+}
+
 /// Takes the outcome into the server's health, and starts or ends its quarantine.
 void dispatcher_scheduler::judge(const attempt &Ended, server_id Server, bool Failed) {
   auto &State = Servers[Server];
@@ -616,10 +674,8 @@
     Health.LastFailureMs = Now;
   bool Condemned = recordOutcome(Health, FailureRates.rate(Ended.Kind), Failed);
   FailureRates.record(Ended.Kind, Server, Failed, Servers.listed());
-  if (Condemned && Quarantined.size() < quarantineLimit(Servers.listed())) {
-    enterQuarantine(Health, Now, unit());
-    Quarantined.push_back(Server);
-  }
+  if (Condemned)
+    quarantine(Server);
   Servers.refresh(Server);
 }
 
@@ -649,7 +705,7 @@
 
 void dispatcher_scheduler::retryLater(scheduled_job &Job, std::uint32_t Index, server_id Server) {
   auto &Task = Job.Tasks[Index];
-  if (!Job.Flow->Retries.take(Task.Attempts)) {
+  if (!Job.Flow->Service->Retries.take(Task.Attempts)) {
     failJob(Job, errc::RetriesExhausted, Job.Job.Job->tasks(static_cast<int>(Index)).name());
     return;
   }
@@ -749,7 +805,7 @@
   Pool.QueuedWork = std::max(0.0, Pool.QueuedWork + Work);
   Pool.WorkByKey.add(Job.Key, Work);
   Job.Flow->Team->QueuedWork = std::max(0.0, Job.Flow->Team->QueuedWork + Work);
-  Job.Flow->QueuedTasks += static_cast<std::uint32_t>(Change);
+  Job.Flow->Service->QueuedTasks += static_cast<std::uint32_t>(Change);
   QueuedTasks += static_cast<std::uint64_t>(Change);
   auto Bytes = Job.queuedTasks() > 0 ? Job.Bytes : 0;
   QueuedBytes += Bytes - Job.QueuedBytes;
