--- a/src/yuccaplank/model/placement.hpp
+++ b/src/yuccaplank/model/placement.hpp
@@ -13,6 +13,8 @@
   fit_id Fit = 0;
   /// Planned run time on a server of speed 1, in milliseconds.
   double SizeMs = 0;
+  /// Run time on a server of speed 1 that is exceeded rarely.
+  double CautiousMs = 0;
   double NowMs = 0;
   /// End that the job's other tasks allow; earlier ends bring the job nothing.
   double TargetMs = 0;
@@ -25,6 +27,8 @@
   server_id Server = None;
   /// Expected end, also of a task that waits.
   double EndMs = 0;
+  /// No server of the class has a free slot.
+  bool NoFreeSlot = false;
 };
 
 class placement_strategy {
