Add the load tool yuccaplank-load

It offers jobs by rate or in a closed loop, resubmits and cancels them, and checks every answer and the stand-in servers' records of starts.

--- /dev/null
+++ b/src/yuccaplank/load/measurements.hpp
@@ -0,0 +1,75 @@
+// Figures of a run: percentiles over all samples, counts, and a timeline by seconds.
+#pragma once
+
+#include "yuccaplank/load/checks.hpp"
+#include "yuccaplank/runtime/clock.hpp"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yuccaplank::load {
+
+/// Nearest-rank percentile; 0 without samples. Sorts the samples.
+double percentile(std::vector<double> &Samples, double Percent);
+
+struct run_counts {
+  std::array<std::uint64_t, 5> Jobs{};
+  std::array<std::uint64_t, BreachNames.size()> Breaches{};
+  std::uint64_t Submissions = 0;
+  std::uint64_t Resubmissions = 0;
+  std::uint64_t LostAttempts = 0;
+  std::uint64_t Cancels = 0;
+  std::uint64_t TasksDone = 0;
+  /// Arrivals left out because too many jobs were in flight.
+  std::uint64_t Skipped = 0;
+  /// Jobs for which no id could be obtained; they count as refused.
+  std::uint64_t WithoutId = 0;
+};
+
+class measurements {
+public:
+  /// First breaches are kept with their details.
+  void addBreach(const breach &Breach);
+  void addJob(submission_end End) { ++Counts.Jobs[static_cast<std::size_t>(End)]; }
+  void addDone(double ResponseMs, double IdealMs);
+  void addSendDelay(double Ms) { SendDelaysMs.push_back(Ms); }
+  [[nodiscard]] bool breached() const;
+  [[nodiscard]] const std::vector<breach> &firstBreaches() const { return FirstBreaches; }
+
+  /// JSON lines {"name":…,"value":…,"unit":…}.
+  std::string report(double Seconds);
+
+  run_counts Counts;
+
+private:
+  std::vector<double> ResponsesMs;
+  std::vector<double> Ratios;
+  std::vector<double> SendDelaysMs;
+  std::vector<breach> FirstBreaches;
+};
+
+/// One JSON line: {"name":…,"value":…,"unit":…}.
+std::string figureLine(std::string_view Name, double Value, std::string_view Unit);
+
+/// Ends of jobs by the second in which they came.
+class timeline {
+public:
+  void add(std::int64_t Second, submission_end End, double ResponseMs);
+  /// Lines of all seconds before Second, which are then dropped.
+  std::string takeUntil(std::int64_t Second);
+
+private:
+  struct second_counts {
+    std::array<std::uint64_t, 5> Ends{};
+    std::vector<double> ResponsesMs;
+  };
+  std::map<std::int64_t, second_counts> Seconds;
+  std::int64_t NextSecond = 0;
+};
+
+} // namespace yuccaplank::load
--- /dev/null
+++ b/src/yuccaplank/load/yuccaplank_load_main.cpp
@@ -0,0 +1,70 @@
+// Load tool, see options.cpp for its options.
+#include "yuccaplank/load/load_run.hpp"
+#include "yuccaplank/load/workload.hpp"
+#include "yuccaplank/runtime/loop.hpp"
+
+#include <fmt/format.h>
+
+#include <sys/resource.h>
+
+#include <csignal>
+#include <random>
+
+namespace {
+
+using namespace yuccaplank;
+
+constexpr int UsageStatus = 2;
+// Seeds stay short enough to be typed.
+constexpr std::uint64_t MaxRandomSeed = 1'000'000'000;
+
+// Every job in flight uses a connection.
+void raiseDescriptorLimit() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  Limit.rlim_cur = Limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &Limit);
+}
+
+void printLines(std::string_view Lines) {
+  fmt::print("{}", Lines);
+  std::fflush(stdout);
+}
+
+int runLoad(const load::load_options &Options) {
+  raiseDescriptorLimit();
+  printLines(load::figureLine("seed", static_cast<double>(Options.Seed), "count"));
+  printLines(load::figureLine("mean_task_ms", load::workload(Options).meanTaskMs(), "ms"));
+  auto Loop = runtime::makeLoop();
+  auto Client = wire::makeHttpClient(*Loop);
+  auto Run = load::makeLoadRun(*Loop, *Client, Options, printLines);
+  Loop->onSignal([&](int) { Run->stopArrivals(); });
+  Run->start([&] { Loop->stop(); });
+  runtime::time_point Begin = Loop->clock().now();
+  Loop->run();
+  load::load_result &Result = Run->result();
+  printLines(Result.Measurements.report(runtime::toMs(Loop->clock().now() - Begin) / 1000));
+  printLines(load::figureLine("check_errors", static_cast<double>(Result.CheckErrors), "count"));
+  for (const load::breach &Breach : Result.Measurements.firstBreaches())
+    fmt::print(stderr, "{}: {}: {}\n", load::BreachNames[static_cast<std::size_t>(Breach.Kind)], Breach.JobId,
+               Breach.Detail);
+  return load::exitStatusOf(Result);
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::uint64_t RandomSeed = std::random_device()() % MaxRandomSeed;
+  auto Parsed = load::parseLoadOptions({Arguments + 1, Arguments + Count}, RandomSeed);
+  if (const auto *Help = std::get_if<load::load_help>(&Parsed)) {
+    fmt::print("{}", Help->Text);
+    return 0;
+  }
+  if (const auto *Wrong = std::get_if<load::load_usage_error>(&Parsed)) {
+    fmt::print(stderr, "yuccaplank-load: {}\n", Wrong->Message);
+    return UsageStatus;
+  }
+  return runLoad(std::get<load::load_options>(Parsed));
+}
