--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -22,6 +22,19 @@
 class loop_impl final : public loop {
 public:
   loop_impl() : Native(h2o_evloop_create()) {}
+  loop_impl(const loop_impl &) = delete;
+  loop_impl &operator=(const loop_impl &) = delete;
+  ~loop_impl() override {
+    if (SignalSocket)
+      h2o_socket_close(SignalSocket);
+    // Closed connections end in the next turn, and functions that own what remains of a server go after it.
+    h2o_evloop_run(Native, 0);
+    Posted.clear();
+    h2o_evloop_run(Native, 0);
+    // h2o aborts on time-outs that are still registered, for example by a server with open connections.
+    if (h2o_linklist_is_empty(&Native->_timeouts))
+      h2o_evloop_destroy(Native);
+  }
 
   [[nodiscard]] const runtime::clock &clock() const override { return systemClock(); }
   void post(std::function<void()> Function) override { Posted.push_back(std::move(Function)); }
@@ -41,6 +54,7 @@
         break;
       h2o_evloop_run(Native, waitMs());
     }
+    // The loop may be run again.
     Stopped = false;
   }
 
