Treat unexplained server errors of an apply as an open outcome

Only draining and no_catalog say that the table was not asked; after any other error of the VM the change may have been committed.

--- a/src/yuccaplank/cli/service_change.cpp
+++ b/src/yuccaplank/cli/service_change.cpp
@@ -21,13 +21,15 @@
     return change_end::Open;
   if (Result.Status == 200)
     return change_end::Committed;
-  auto Reason = Body.find("reason");
-  bool PlatformOut = Reason != Body.end() && *Reason == errcName(runtime::errc::PlatformUnavailable);
   if (Result.Status == 409)
     return change_end::Conflict;
-  if (Result.Status >= 500)
-    return PlatformOut ? change_end::Open : change_end::Refused;
-  return change_end::Rejected;
+  if (Result.Status < 500)
+    return change_end::Rejected;
+  // Only these reasons say that the table was not asked.
+  auto Reason = Body.find("reason");
+  bool NotAsked = Reason != Body.end() && (*Reason == errcName(runtime::errc::Draining) ||
+                                           *Reason == errcName(runtime::errc::NoCatalog));
+  return NotAsked ? change_end::Refused : change_end::Open;
 }
 
 } // namespace
--- a/src/yuccaplank/cli/service_commands_test.cpp
+++ b/src/yuccaplank/cli/service_commands_test.cpp
@@ -132,6 +132,15 @@
     Case.Puts = {lostConnection(), refusedConnection()};
     CPPUNIT_ASSERT_EQUAL(5, Case.run({"service", "apply", "new.json", "--yes", "--timeout", "5"}));
   }
+  if (auto When = section("when an internal error is repeated")) {
+    Case.Puts = {replyWith(503, R"({"reason":"internal"})")};
+    CPPUNIT_ASSERT_EQUAL(5, Case.run({"service", "apply", "new.json", "--yes", "--timeout", "5"}));
+  }
+  if (auto When = section("when the VM is draining")) {
+    Case.Puts = {replyWith(503, R"({"reason":"draining"})")};
+    CPPUNIT_ASSERT_EQUAL(4, Case.run({"service", "apply", "new.json", "--yes"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Case.puts().size());
+  }
   if (auto When = section("when nothing was ever written")) {
     Case.Puts = {refusedConnection()};
     CPPUNIT_ASSERT_EQUAL(4, Case.run({"service", "apply", "new.json", "--yes"}));
