--- a/src/yuccaplank/cli/submission_test.cpp
+++ b/src/yuccaplank/cli/submission_test.cpp
@@ -221,6 +221,8 @@
   CPPUNIT_ASSERT_EQUAL(5, Status("get", replyWith(410, Unknown)));
   CPPUNIT_ASSERT_EQUAL(5, Status("get", refusedConnection()));
   CPPUNIT_ASSERT_EQUAL(0, Status("cancel", replyWith(502, R"({"outcome":"failed","reason":"cancelled"})")));
+  CPPUNIT_ASSERT_EQUAL(0, Status("cancel", replyWith(409, R"({"outcome":"refused","reason":"cancelled"})")));
+  CPPUNIT_ASSERT_EQUAL(4, Status("cancel", replyWith(404, R"({"outcome":"refused","reason":"not_found"})")));
   CPPUNIT_ASSERT_EQUAL(1, Status("cancel", replyWith(200, Done)));
   CPPUNIT_ASSERT_EQUAL(5, Status("cancel", replyWith(410, Unknown)));
   Reply = replyWith(200, R"({"ids":["a","b"],"valid_s":600})");
