Give a seed of the load tool always the same arrivals

Arrivals draw from their own random sequence and begin once ids have arrived, so that the first jobs are not measured as late.

--- a/src/yuccaplank/load/load_run.cpp
+++ b/src/yuccaplank/load/load_run.cpp
@@ -21,6 +21,8 @@
 constexpr duration RepeatDelay = std::chrono::milliseconds(50);
 // Jobs that have waited this long for an id are given up.
 constexpr duration MaxIdWait = std::chrono::seconds(5);
+// Arrivals begin after this time even if no id has been issued.
+constexpr duration MaxStartDelay = std::chrono::seconds(1);
 constexpr duration CancelTimeout = std::chrono::seconds(5);
 constexpr duration MaxResubmitDelay = std::chrono::milliseconds(500);
 constexpr double MinResubmitSpreadMs = 5;
@@ -70,11 +72,31 @@
   load_run_impl(runtime::executor &Executor, wire::http_client &Client, const load_options &Options,
                 std::function<void(std::string_view)> Print)
       : Executor(Executor), Client(Client), Options(Options), Print(std::move(Print)), Work(this->Options),
-        Ids(Executor, Client, this->Options.Entries, Options.IdsBlock, [this] { startWaiting(); }),
-        Random(Options.Seed, 1) {}
+        Ids(Executor, Client, this->Options.Entries, Options.IdsBlock, [this] { onIds(); }),
+        ArrivalRandom(Options.Seed, 1), Random(Options.Seed, 2) {}
 
   void start(std::function<void()> Done) override {
     OnDone = std::move(Done);
+    Ids.refill();
+    Executor.after(MaxStartDelay, [this] { startArrivals(); });
+  }
+
+  void stopArrivals() override {
+    if (Stopping)
+      return;
+    Stopping = true;
+    Started = true;
+    finishWhenIdle();
+  }
+
+  load_result &result() override { return Result; }
+
+private:
+  // Runs once, when the first ids have arrived or could have.
+  void startArrivals() {
+    if (Started)
+      return;
+    Started = true;
     StartedAt = Executor.clock().now();
     NextArrival = StartedAt;
     ArrivalsEnd = StartedAt + runtime::fromMs(Options.Seconds * 1000);
@@ -83,23 +105,12 @@
       Executor.after((ArrivalsEnd - StartedAt) * Wave / (Options.CancelWaves + 1), [this] { cancelAll(); });
     if (Options.Timeline)
       scheduleTimeline();
-    Ids.refill();
     if (Options.Rate > 0)
       arriveDue();
     else
       fillClosedLoop();
   }
 
-  void stopArrivals() override {
-    if (Stopping)
-      return;
-    Stopping = true;
-    finishWhenIdle();
-  }
-
-  load_result &result() override { return Result; }
-
-private:
   [[nodiscard]] time_point now() const { return Executor.clock().now(); }
   run_counts &counts() { return Result.Measurements.Counts; }
   std::size_t randomEntry() {
@@ -114,7 +125,7 @@
       arrive();
       double GapS = Options.Arrivals == arrival_kind::Fixed
                         ? 1 / Options.Rate
-                        : std::exponential_distribution<double>(Options.Rate)(Random);
+                        : std::exponential_distribution<double>(Options.Rate)(ArrivalRandom);
       NextArrival += runtime::fromMs(GapS * 1000);
     }
     if (!Stopping)
@@ -156,6 +167,11 @@
     submit({Job, Entry, now() + Options.AnswerTimeout, true});
   }
 
+  void onIds() {
+    startArrivals();
+    startWaiting();
+  }
+
   void startWaiting() {
     while (!Waiting.empty()) {
       std::size_t Before = Waiting.size();
@@ -334,6 +350,8 @@
   std::function<void(std::string_view)> Print;
   workload Work;
   id_pool Ids;
+  // Apart from the other choices, whose order depends on replies: a seed always gives the same arrivals.
+  pcg64 ArrivalRandom;
   pcg64 Random;
   std::function<void()> OnDone;
   time_point StartedAt;
@@ -343,6 +361,7 @@
   std::deque<waiting_job> Waiting;
   timeline Timeline;
   load_result Result;
+  bool Started = false;
   bool Stopping = false;
   bool Finished = false;
 };
