Report a change as committed when its delayed request lands between two reads

After a lost reply, an apply read the change's row first and the service's row second. A delayed request that took effect between the two made the operator's own change look like a conflicting one. The service's row is now read first: when the change is absent after that, an earlier request can no longer take effect. A test with that timing failed before and passes now; a second test runs three operators under random delays, losses and outages from a fixed seed.

Answers with a negative retry_after_ms are refused as malformed instead of being read as a large number.

--- a/src/yuccaplank/platform/documents.cpp
+++ b/src/yuccaplank/platform/documents.cpp
@@ -47,24 +47,24 @@
         OnDone(std::move(OnDone)),
         ChangeKey("change/" + this->Request.Document.service() + "/" + this->Request.ChangeId) {}
 
-  // A change that is known to the table is done; everything else depends on the current revision.
-  void start() { Table.read(ChangeKey, onReply(&apply_attempt::onChangeRead)); }
+  // The service's row is read before the change's row. When the change is then still absent and the service
+  // has moved on, an earlier request of this change can no longer take effect. In the other order it could do
+  // so between the two reads and would be taken for a conflicting change.
+  void start() { Table.read(serviceKey(Request.Document.service()), onReply(&apply_attempt::onServiceRead)); }
 
 private:
-  void onChangeRead(runtime::result<table_row> Result) {
+  void onServiceRead(runtime::result<table_row> Result) {
     if (!Result)
       return OnDone(errc::PlatformUnavailable);
-    if (Result.value().Revision != 0)
-      return finish(true, Result.value());
-    if (Commits >= MaxCommits)
-      return OnDone(errc::PlatformUnavailable);
-    Table.read(serviceKey(Request.Document.service()), onReply(&apply_attempt::onServiceRead));
+    Row = std::move(Result.value());
+    Table.read(ChangeKey, onReply(&apply_attempt::onChangeRead));
   }
 
-  void onServiceRead(runtime::result<table_row> Result) {
+  void onChangeRead(runtime::result<table_row> Result) {
     if (!Result)
       return OnDone(errc::PlatformUnavailable);
-    const table_row &Row = Result.value();
+    if (Result.value().Revision != 0)
+      return finish(true, Result.value());
     schema::service_revision Current;
     if (Row.Revision != 0) {
       auto Read = readRevision(Row);
@@ -75,6 +75,8 @@
     std::uint64_t Highest = std::max(Current.revision(), Request.KnownRevision);
     if (Request.ExpectedRevision != Highest)
       return OnDone(apply_reply{false, std::move(Current)});
+    if (Commits >= MaxCommits)
+      return OnDone(errc::PlatformUnavailable);
     commit(Row.Revision, Highest + 1);
   }
 
@@ -124,6 +126,8 @@
   apply_request Request;
   apply_callback OnDone;
   std::string ChangeKey;
+  // The service's row as read last.
+  table_row Row;
   schema::service_revision Proposed;
   int Commits = 0;
 };
--- a/src/yuccaplank/platform/documents_test.cpp
+++ b/src/yuccaplank/platform/documents_test.cpp
@@ -2,9 +2,13 @@
 
 #include "yuccaplank/platform/fake_table.hpp"
 #include "yuccaplank/testing/story.hpp"
+#include "yuccaplank/wire/settings_reader.hpp"
 
 #include <fmt/format.h>
+#include <pcg_random.hpp>
 
+#include <map>
+#include <set>
 #include <vector>
 
 using namespace std::chrono_literals;
@@ -137,6 +141,17 @@
     // c1, the delayed request, and the repetition.
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, Setup.Platform->totals().Writes);
   }
+  if (auto When = section("when a delayed request takes effect between the two reads of the read back")) {
+    Setup.apply("c2", 1, 1, 20);
+    Setup.Executor->advance(3500us);
+    // Sent at 4 ms; the reads arrive at 1505 ms and 1507 ms.
+    Faults.ExtraDelay = 1501ms;
+    Setup.Executor->advance(1ms);
+    Faults.ExtraDelay = 0s;
+    Setup.Executor->advance(10s);
+    CPPUNIT_ASSERT_EQUAL(std::string("c2:committed@2/20 "), Setup.Log);
+    CPPUNIT_ASSERT_EQUAL(std::string("1:c1 2:c2 "), Setup.history());
+  }
   if (auto When = section("when a lost request lets another operator win")) {
     Faults.LoseNextRequests = 1;
     Setup.apply("c2", 1, 1, 20);
@@ -179,6 +194,77 @@
   }
 });
 
+// Operator that applies changes one after another, each on what the last reply showed, and repeats those
+// whose outcome is open.
+struct operator_client {
+  documents_setup &Setup;
+  std::string Name;
+  std::unique_ptr<platform::table> Table;
+  std::unique_ptr<platform::documents> Documents;
+  std::uint64_t Seen = 0;
+  int Change = 0;
+  std::set<std::string> Committed;
+  std::set<std::string> Refused;
+
+  operator_client(documents_setup &Setup, std::string Name)
+      : Setup(Setup), Name(std::move(Name)), Table(Setup.Platform->makeClient()),
+        Documents(platform::makeDocuments(*Setup.Executor, *Table)) {}
+
+  void applyNext() {
+    std::string Id = fmt::format("{}{}", Name, Change);
+    Documents->apply(requestOf(Id, Seen, 0, 1),
+                     [this, Id](const runtime::result<platform::apply_reply> &Reply) {
+                       if (Reply) {
+                         Seen = Reply.value().Current.revision();
+                         (Reply.value().Committed ? Committed : Refused).insert(Id);
+                         ++Change;
+                       }
+                       Setup.Executor->after(100ms, [this] { applyNext(); });
+                     });
+  }
+};
+
+// Guards against any wrong outcome under random delays, losses and outages: every change whose outcome is
+// known is in the history exactly when it was reported as committed, and once.
+const story RandomFaults("documents: random faults", [] {
+  constexpr std::uint64_t Seed = 4711;
+  constexpr int Steps = 3000;
+  documents_setup Setup;
+  pcg32 Random(Seed);
+  std::vector<std::unique_ptr<operator_client>> Clients;
+  for (const char *Name : {"a", "b", "c"}) {
+    Clients.push_back(std::make_unique<operator_client>(Setup, Name));
+    Clients.back()->applyNext();
+  }
+  auto &Faults = Setup.Platform->faults();
+  for (int Step = 0; Step < Steps; ++Step) {
+    Faults.LoseRepliesPercent = Random(4) * 15;
+    Faults.LoseNextRequests = Random(8) == 0 ? 1 : 0;
+    Faults.ExtraDelay = Random(4) == 0 ? std::chrono::milliseconds(1450 + Random(120)) : 0ms;
+    Faults.Mode = static_cast<platform::fake_mode>(Random(10) == 0 ? Random(3) : 0);
+    Setup.Executor->advance(std::chrono::milliseconds(Random(200)));
+  }
+  Faults = {};
+  Setup.Executor->advance(10s);
+  std::map<std::string, int> Applied;
+  std::uint64_t Last = 0;
+  for (const auto &Row : Setup.Platform->state().rows("history/proofs/")) {
+    schema::service_revision Revision;
+    CPPUNIT_ASSERT(wire::readDocument(Row.Value, Revision).empty());
+    ++Applied[Revision.change_id()];
+    CPPUNIT_ASSERT_EQUAL(++Last, Revision.revision());
+  }
+  std::size_t Outcomes = 0;
+  for (const auto &Client : Clients) {
+    for (const std::string &Id : Client->Committed)
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Id, 1, Applied[Id]);
+    for (const std::string &Id : Client->Refused)
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Id, 0, Applied[Id]);
+    Outcomes += Client->Committed.size() + Client->Refused.size();
+  }
+  CPPUNIT_ASSERT(Outcomes > 100);
+});
+
 // Guards against a configuration that reverts when the platform was restored from an old copy.
 const story Restored("documents: platform restored from an old copy", [] {
   documents_setup Setup;
--- a/src/yuccaplank/standin/platform.cpp
+++ b/src/yuccaplank/standin/platform.cpp
@@ -237,6 +237,8 @@
   runtime::loop &Loop;
   std::unique_ptr<platform_service> Service;
   std::unique_ptr<wire::http_server> Server;
+  // Late replies look whether the server still exists.
+  std::shared_ptr<char> Alive = std::make_shared<char>();
 };
 
 std::int64_t secondOf(time_point Time) {
--- a/src/yuccaplank/wire/job_codec.cpp
+++ b/src/yuccaplank/wire/job_codec.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <optional>
 #include <unordered_set>
+#include <utility>
 
 namespace yuccaplank::wire {
 namespace {
@@ -163,7 +164,12 @@
   Answer.set_id(Object.value("id", ""));
   Answer.set_reason(Object.value("reason", ""));
   Answer.set_subject(Object.value("subject", ""));
-  Answer.set_retry_after_ms(Object.value("retry_after_ms", std::uint32_t{0}));
+  if (Object.contains("retry_after_ms")) {
+    const json &Value = Object["retry_after_ms"];
+    if (!Value.is_number_unsigned() || !std::in_range<std::uint32_t>(Value.get<std::uint64_t>()))
+      return false;
+    Answer.set_retry_after_ms(Value.get<std::uint32_t>());
+  }
   if (Object.contains("results"))
     for (const json &Result : Object["results"])
       if (!readResult(Result, *Answer.add_results()))
--- a/src/yuccaplank/wire/job_codec_test.cpp
+++ b/src/yuccaplank/wire/job_codec_test.cpp
@@ -127,6 +127,8 @@
   if (auto When = section("when an answer is malformed")) {
     for (const char *Text :
          {"", "[]", "{}", R"({"outcome":"fine"})", R"({"outcome":1})", R"({"outcome":"done","results":[{}]})",
+          R"({"outcome":"refused","retry_after_ms":-1})",
+          R"({"outcome":"refused","retry_after_ms":4294967296})",
           R"({"outcome":"done","results":[{"name":"a","payload_base64":"?"}]})"})
       CPPUNIT_ASSERT(wire::readAnswer(Text).error() == errc::MalformedDocument);
   }
