--- a/src/yuccaplank/node/catalog_sync.cpp
+++ b/src/yuccaplank/node/catalog_sync.cpp
@@ -40,21 +40,30 @@
 
 void catalog_sync::apply(platform::apply_request Request,
                          std::function<void(runtime::result<platform::apply_reply>)> OnDone) {
-  auto Known = Catalog.find(Request.Document.service());
+  std::string Service = Request.Document.service();
+  auto Known = Catalog.find(Service);
   Request.KnownRevision = Known ? Known->revision() : 0;
-  Documents.apply(
-      std::move(Request), [this, OnDone = std::move(OnDone)](runtime::result<platform::apply_reply> Reply) {
-        if (Reply && Reply.value().Current.revision() > 0 && Catalog.merge(Reply.value().Current)) {
-          updateDigest();
-          schema::envelope Message;
-          *Message.mutable_catalog_update()->add_services() = Reply.value().Current;
-          Peers.broadcast(Message);
-          runtime::log(runtime::log_level::Info, "service_revision",
-                       {{"service", Reply.value().Current.document().service()},
-                        {"revision", static_cast<std::int64_t>(Reply.value().Current.revision())}});
-        }
-        OnDone(std::move(Reply));
-      });
+  Documents.apply(std::move(Request),
+                  [this, Service, OnDone = std::move(OnDone)](runtime::result<platform::apply_reply> Reply) {
+                    if (Reply)
+                      applied(Service, Reply.value());
+                    OnDone(std::move(Reply));
+                  });
+}
+
+void catalog_sync::applied(const std::string &Service, platform::apply_reply &Reply) {
+  if (Reply.Current.revision() > 0 && Catalog.merge(Reply.Current)) {
+    updateDigest();
+    schema::envelope Message;
+    *Message.mutable_catalog_update()->add_services() = Reply.Current;
+    Peers.broadcast(Message);
+    runtime::log(runtime::log_level::Info, "service_revision",
+                 {{"service", Service}, {"revision", static_cast<std::int64_t>(Reply.Current.revision())}});
+  }
+  // A platform restored from an old copy may report a lower revision than the one in force.
+  auto InForce = Catalog.find(Service);
+  if (!Reply.Committed && InForce && InForce->revision() > Reply.Current.revision())
+    Reply.Current = *InForce;
 }
 
 void catalog_sync::onUpdate(const schema::catalog_update &Update) {
--- a/src/yuccaplank/node/catalog_sync.hpp
+++ b/src/yuccaplank/node/catalog_sync.hpp
@@ -32,6 +32,7 @@
   [[nodiscard]] const schema::vm_list &vmList() const { return VmList; }
 
 private:
+  void applied(const std::string &Service, platform::apply_reply &Reply);
   void pollDocuments();
   void pollVms();
   void askPeers();
