--- a/src/yuccaplank/load/options.cpp
+++ b/src/yuccaplank/load/options.cpp
@@ -43,6 +43,7 @@
       "empty, or log-normal: 50 ms to 1 s, 2 % up to 6 s");
   Add("task-spread", po::value(&Options.TaskSpread)->default_value(1.3, "1.3"),
       "greatest factor between a task's run time and the mean of its kind");
+  Add("time-scale", po::value(&Options.TimeScale)->default_value(1, "1"), "factor on all run times");
   Add("declared-factor", po::value(&Options.DeclaredFactor)->default_value(10, "10"),
       "greatest factor between declared run times and the mean of the kind");
   Add("repeatable", po::bool_switch(&Options.Repeatable), "jobs are repeatable");
@@ -87,6 +88,8 @@
     return "--rate, --seconds and --warmup must not be negative, and --seconds not 0.";
   if (!(Options.TaskSpread >= 1) || !(Options.DeclaredFactor >= 1))
     return "--task-spread and --declared-factor must be at least 1.";
+  if (!(Options.TimeScale > 0))
+    return "--time-scale must be above 0.";
   if (!(Options.SpeedMax > 0) || !(Options.RoundTripMs >= 0) || !(Raw.AnswerTimeoutS > 0))
     return "--speed-max and --answer-timeout must be above 0, --rtt-ms at least 0.";
   if (!(Options.ResubmitPercent >= 0 && Options.ResubmitPercent <= 100))
--- a/src/yuccaplank/load/options.hpp
+++ b/src/yuccaplank/load/options.hpp
@@ -32,6 +32,8 @@
   double TaskSpread = 1.3;
   /// Greatest factor between the declared run time and the mean of the kind.
   double DeclaredFactor = 10;
+  /// Factor on all run times.
+  double TimeScale = 1;
   bool Repeatable = false;
   std::uint32_t DeadlineMs = 10'000;
   /// Speed of the fastest backend server, for the ideal response time.
--- a/src/yuccaplank/load/workload.cpp
+++ b/src/yuccaplank/load/workload.cpp
@@ -85,9 +85,9 @@
       continue;
     }
     const task_kind &Kind = drawKind(Kinds, Random);
-    double Ms = drawMs(Kind, Options.TaskSpread, Random);
+    double Ms = Options.TimeScale * drawMs(Kind, Options.TaskSpread, Random);
     Task.set_kind(Kind.Name);
-    Task.set_declared_ms(Kind.DeclaredMs);
+    Task.set_declared_ms(Options.TimeScale * Kind.DeclaredMs);
     Task.set_payload(fmt::format(R"({{"ms":{:.3f},"n":"{}.{}.{}"}})", Ms, Options.Seed, Number, Index));
     Planned.LongestMs = std::max(Planned.LongestMs, Ms);
     Planned.TotalMs += Ms;
@@ -107,7 +107,7 @@
   double Sum = 0;
   for (int Index = 0; Index < SampleTasks; ++Index)
     Sum += drawMs(drawKind(Kinds, Sampler), Options.TaskSpread, Sampler);
-  return Sum / SampleTasks;
+  return Options.TimeScale * Sum / SampleTasks;
 }
 
 } // namespace yuccaplank::load
