--- a/include/yuccaplank/wire/http_client.hpp
+++ b/include/yuccaplank/wire/http_client.hpp
@@ -49,8 +49,9 @@
 
 struct http_client_options {
   runtime::duration ConnectTimeout = std::chrono::milliseconds(500);
-  /// Idle connections are closed after this time. It must be shorter than the servers' keep-alive, since a
-  /// connection that the server closes while a request is written makes the outcome ambiguous.
+  /// Idle connections are not used after this time and are closed at most 1 s later. It must be shorter than
+  /// the servers' keep-alive, since a connection that the server closes while a request is written makes the
+  /// outcome ambiguous.
   runtime::duration IdleTimeout = std::chrono::seconds(2);
   std::size_t MaxReplyBytes = 16U << 20U;
 };
--- a/src/yuccaplank/wire/http_client.cpp
+++ b/src/yuccaplank/wire/http_client.cpp
@@ -89,6 +89,14 @@
   return Head;
 }
 
+// A body that ends with the connection cannot be told from one that was cut off, and two lengths may
+// disagree.
+bool lengthIsCertain(const http_call_result &Result) {
+  return std::ranges::count_if(Result.Headers, [](const http_header &Header) {
+           return Header.Name == "content-length" || Header.Name == "transfer-encoding";
+         }) == 1;
+}
+
 class client_impl final : public http_client {
 public:
   client_impl(runtime::loop &Loop, const http_client_options &Options) : Loop(Loop), Options(Options) {
@@ -189,9 +197,7 @@
       Exchange.Owner->succeed(Exchange);
       return nullptr;
     }
-    // A body that ends with the connection cannot be told from one that was cut off.
-    if (Exchange.Result.header("content-length").empty() &&
-        Exchange.Result.header("transfer-encoding").empty()) {
+    if (!lengthIsCertain(Exchange.Result)) {
       Exchange.Native = nullptr;
       Exchange.Owner->fail(Exchange, errc::ConnectionLost);
       return nullptr;
--- a/src/yuccaplank/wire/start_certainty_test.cpp
+++ b/src/yuccaplank/wire/start_certainty_test.cpp
@@ -99,6 +99,8 @@
        StartedAndFailed, errc::ConnectionLost},
       {"closes after a body of unknown length", cutAfter("HTTP/1.1 200 OK\r\ntask-id: job/t1\r\n\r\nok"),
        StartedAndFailed, errc::ConnectionLost},
+      {"sends two lengths", cutAfter(answerText("200 OK", "task-id: job/t1\r\ncontent-length: 1\r\n")),
+       StartedAndFailed, errc::ConnectionLost},
       {"sends no HTTP", cutAfter("nonsense\r\n\r\n"), StartedAndFailed, errc::ConnectionLost},
       {"does not answer", [](raw_socket &Socket) { static_cast<void>(Socket.closedByPeer()); },
        StartedAndFailed, errc::TaskTimeout},
