--- a/src/yuccaplank/model/membership_test.cpp
+++ b/src/yuccaplank/model/membership_test.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/bench/membership_fleet.hpp"
+#include "yuccaplank/runtime/random.hpp"
 #include "yuccaplank/testing/story.hpp"
 
 #include <cppunit/TestAssert.h>
@@ -302,6 +303,78 @@
   }
 });
 
+// Guards against views that stay wrong after any sequence of faults, and against VMs that are taken for lost
+// without a fault of their own or of their link.
+const story Soak("membership: random faults", [] {
+  constexpr std::uint64_t Seeds = 20;
+  constexpr int Faults = 40;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    auto Options = makeOptions(Seed % 5 == 0 ? 30 : 7, 4, Seed % 2 == 0);
+    Options.Seed = Seed;
+    membership_fleet Fleet(Options);
+    runtime::random Random(Seed);
+    startFleet(Fleet);
+    auto Pick = [&] { return fmt::format("vm{:02}", Random.next() % static_cast<unsigned>(Options.Vms)); };
+    std::set<std::string> Disturbed;
+    bool Partitioned = false;
+    for (int Fault = 0; Fault < Faults; ++Fault) {
+      auto &Vm = Fleet.at(Pick());
+      Disturbed.insert(Vm.Id);
+      switch (Random.next() % 6) {
+      case 0:
+        Vm.Paused ? Fleet.resume(Vm.Id) : Fleet.crash(Vm.Id);
+        break;
+      case 1:
+        Vm.Paused ? Fleet.resume(Vm.Id) : Fleet.loseHost(Vm.Id);
+        break;
+      case 2:
+        if (!Vm.Alive)
+          Fleet.start(Vm.Id);
+        else if (!Vm.Paused)
+          Fleet.pause(Vm.Id);
+        break;
+      case 3:
+        // Without partitions, all VMs without a fault of their own have to stay reachable.
+        if (Seed % 3 != 0)
+          break;
+        Partitioned = true;
+        Fleet.separate({Vm.Id, Pick(), Pick()});
+        break;
+      case 4:
+        Fleet.heal();
+        break;
+      default:
+        if (Vm.Alive && !Vm.Paused)
+          Fleet.drain(Vm.Id);
+        break;
+      }
+      Fleet.run(std::chrono::milliseconds(Random.next() % 3000));
+    }
+    Fleet.heal();
+    for (auto &[Id, Vm] : Fleet.all()) {
+      if (Vm.Paused)
+        Fleet.resume(Id);
+      if (!Vm.Alive)
+        Fleet.start(Id);
+    }
+    Fleet.run(10s);
+    for (auto &[Id, Vm] : Fleet.all()) {
+      for (auto &[OtherId, Other] : Fleet.all()) {
+        auto Label = fmt::format("{}, seed {}", label(Id, OtherId), Seed);
+        CPPUNIT_ASSERT_MESSAGE(Label, Vm.Model->reachable(Other.Entry.self()));
+        CPPUNIT_ASSERT_MESSAGE(Label, !Vm.Model->replaced(Other.Entry.self()));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(Label, incarnationName(*Other.Model->dispatcher("d1")),
+                                     incarnationName(*Vm.Model->dispatcher("d1")));
+      }
+      for (const bench::fleet_event &Event : Vm.Events) {
+        bool Undisturbed = !Partitioned && !Disturbed.contains(Event.Event.Vm.vm());
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("{}, seed {}", Id, Seed),
+                               !Undisturbed || Event.Event.Kind != kind::Unreachable);
+      }
+    }
+  }
+});
+
 // Guards against trust in a list that lags.
 const story Lists("membership: lagging platform list", [] {
   membership_fleet Fleet(makeOptions(7, 4));
