--- a/include/yuccaplank/platform/claims.hpp
+++ b/include/yuccaplank/platform/claims.hpp
@@ -15,6 +15,8 @@
 struct claim_owner {
   schema::incarnation Authority;
   std::string Domain;
+  /// Whether this call, or an earlier one of the same incarnation with an open outcome, inserted the claim.
+  bool Inserted = false;
 };
 
 /// Claims keys by insert-if-absent. A lost reply is resolved by reading back; errc::PlatformUnavailable means
@@ -23,7 +25,10 @@
 class claims {
 public:
   virtual ~claims() = default;
+  /// Key is the caller key; its row is "claim/<key>".
   virtual void claim(std::string Key, std::function<void(runtime::result<claim_owner>)> OnDone) = 0;
+  /// Owner of a key; errc::NotFound when nobody has claimed it.
+  virtual void find(std::string Key, std::function<void(runtime::result<claim_owner>)> OnDone) = 0;
 };
 
 struct claims_options {
