--- a/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
+++ b/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
@@ -104,8 +104,9 @@
 }
 
 void burst(const bench_options &Options) {
-  constexpr double FromS = 30;
-  constexpr double ToS = 35;
+  constexpr int FromS = 30;
+  constexpr int ToS = 35;
+  constexpr int EndS = 55;
   for (int Servers : {50, 12}) {
     auto Feed = basics(Options);
     Feed.Servers = Servers;
@@ -121,12 +122,12 @@
     report(Name + "/failed", shareOf(Result, job_result::end::Failed), "% of jobs");
     double Goodput = 0;
     // The first second fills the servers.
-    for (double Second = FromS + 1; Second < ToS; ++Second)
+    for (int Second = FromS + 1; Second < ToS; ++Second)
       Goodput += Result.Goodput[static_cast<std::size_t>(Second)] / (ToS - FromS - 1);
     report(Name + "/goodput", 100 * Goodput, "% of capacity");
     double NormalP90 = percentile(stretches(Result, -1, 0, FromS), 0.9);
     double NormalAfter = 0;
-    for (double Second = ToS; Second < 55; ++Second) {
+    for (int Second = ToS; Second < EndS; ++Second) {
       bool Refused = std::ranges::any_of(Result.Jobs, [&](const job_result &Job) {
         return Job.End != job_result::end::Done && Job.ArrivalMs >= Second * 1000 &&
                Job.ArrivalMs < (Second + 1) * 1000;
--- a/src/yuccaplank/model/scheduled_job.hpp
+++ b/src/yuccaplank/model/scheduled_job.hpp
@@ -65,9 +65,10 @@
     if (Found->second < MinWorkMs)
       Buckets.erase(Found);
   }
-  [[nodiscard]] double before(double Key) const {
+  /// Work with keys up to Key.
+  [[nodiscard]] double upTo(double Key) const {
     double Work = 0;
-    for (auto Each = Buckets.begin(); Each != Buckets.end() && Each->first < bucket(Key); ++Each)
+    for (auto Each = Buckets.begin(); Each != Buckets.end() && Each->first <= bucket(Key); ++Each)
       Work += Each->second;
     return Work;
   }
--- a/src/yuccaplank/model/scheduler.cpp
+++ b/src/yuccaplank/model/scheduler.cpp
@@ -33,6 +33,8 @@
 /// that arrived up to their difference in key earlier, so that every job's turn comes.
 constexpr double KeyLongest = 2.0;
 constexpr double KeyWork = 4.0;
+/// Largest difference, as a share of the time to the deadline: a large job must get its turn before that.
+constexpr double KeyDeadline = 0.5;
 /// Deviations from the median up to which a longer run is not surprising.
 constexpr double MarginDeviations = 2;
 /// Added to the target stretch of a team's jobs while the team is far beyond its share and few slots are
@@ -118,10 +120,10 @@
     double WaitMs = 0;
     /// Longest task on the fastest server.
     double IdealMs = 0;
-    /// The same if the tasks are shorter than expected, by as much as they may well be.
-    double LeastMs = 0;
     /// The job's work over the capacity of the pool.
     double OwnMs = 0;
+    /// The longer of both if the tasks are shorter than expected, by as much as they may well be.
+    double LeastMs = 0;
     /// Until the pool has done all queued work that counts against the job's team.
     double BacklogMs = 0;
   };
@@ -135,8 +137,9 @@
   std::optional<admission_refusal> describe(scheduled_job &Job);
   std::optional<admission_refusal> checkLimits(const scheduled_job &Job, const prediction &Expected);
   [[nodiscard]] prediction predict(const scheduled_job &Job) const;
-  static double keyOffset(const prediction &Expected) {
-    return KeyLongest * Expected.IdealMs + KeyWork * Expected.OwnMs;
+  [[nodiscard]] double keyOffset(const scheduled_job &Job, const prediction &Expected) const {
+    return std::min(KeyLongest * Expected.IdealMs + KeyWork * Expected.OwnMs,
+                    KeyDeadline * (Job.DeadlineMs - nowMs()));
   }
   std::uint32_t retryAfter(double WaitMs);
   void enqueue(scheduled_job &Job, const prediction &Expected);
@@ -270,8 +273,10 @@
 dispatcher_scheduler::prediction dispatcher_scheduler::predict(const scheduled_job &Job) const {
   prediction Expected;
   double OwnWork = 0;
+  double LeastWork = 0;
   for (const auto &Task : Job.Tasks) {
     OwnWork += Task.SizeMs;
+    LeastWork += Task.SizeMs / Task.Margin;
     const auto &Groups = Servers.knownFitClass(Task.Fit).Groups;
     if (Groups.empty())
       continue;
@@ -284,13 +289,14 @@
   if (Pool.Capacity <= 0)
     return Expected;
   Expected.OwnMs = OwnWork / Pool.Capacity;
+  Expected.LeastMs = std::max(Expected.LeastMs, LeastWork / Pool.Capacity);
   // The work ahead in the pool's order, but no more than what the team's fair share needs for the team's own.
   double Work = Queue.QueuedWork;
   Expected.BacklogMs = Work / Pool.Capacity;
   if (Traits.Fair) {
     const auto &Team = *Job.Flow->Team;
     if (!Queue.Queue.isOver(Team))
-      Work = Queue.WorkByKey.before(nowMs() + keyOffset(Expected));
+      Work = Queue.WorkByKey.upTo(nowMs() + keyOffset(Job, Expected));
     double Active = Queue.Queue.activeWeight() + (Team.Outstanding == 0 ? Team.Weight : 0);
     double OwnShare = Team.QueuedWork * Active / Team.Weight;
     Work = std::min(Work, OwnShare);
@@ -341,7 +347,7 @@
   double Now = nowMs();
   Job.Key = Now;
   if (Traits.Fair)
-    Job.Key += keyOffset(Expected);
+    Job.Key += keyOffset(Job, Expected);
   double Stretch = TargetStretch + LongJobStretch * std::min(1.0, Expected.IdealMs / LongJobMs);
   Job.IdealMs = Expected.IdealMs;
   Job.CriticalEndMs = Now + Stretch * Expected.IdealMs;
@@ -373,7 +379,7 @@
     return std::numeric_limits<double>::infinity();
   State.Flow = &Self.flowOf(State);
   auto Expected = predict(State);
-  return Expected.WaitMs + Expected.IdealMs;
+  return Expected.WaitMs + std::max(Expected.IdealMs, Expected.OwnMs);
 }
 
 // Decisions
@@ -597,14 +603,14 @@
   queueOf(Ended.Pool).Queue.outstanding(*Ended.Flow->Team, -1);
   auto Found = Jobs.find(Task.Job);
   bool Current = Found != Jobs.end() && !Found->second.Ended;
-  // A task of an ended job may have been stopped on request, which says nothing about its server.
+  // A task of an ended job may have failed because it was stopped, which says nothing about its server.
   if (End == attempt_end::NotStarted) {
     ++RefusedStarts;
     lowerLimit(Server);
-  } else if (Current) {
+  } else if (Current || End == attempt_end::Completed) {
     judge(Ended, Server, End == attempt_end::Failed);
   }
-  if (Current && End == attempt_end::Completed)
+  if (End == attempt_end::Completed)
     learn(Ended, Server);
   endStall(Server, End);
   if (Found == Jobs.end())
