--- a/src/yuccaplank/model/scheduler_test.cpp
+++ b/src/yuccaplank/model/scheduler_test.cpp
@@ -192,20 +192,17 @@
     CPPUNIT_ASSERT(!World.submit(3, World.job(100), 1s));
   }
   if (auto When = section("the retry time grows with the backlog and is spread")) {
-    std::map<int, std::set<std::uint32_t>> Times;
-    for (int Jobs : {10, 40}) {
-      scheduler_world World(1, {.MaxStretch = 0, .MaxBacklogMs = 500});
-      for (int Index = 0; Index < Jobs; ++Index) {
-        // Another team's backlog counts as well.
-        auto &Service = *new schema::service_document( // NOLINT: lives as long as the test program
-            scheduler_world::service(fmt::format("s{}", Index), fmt::format("team{}", Index)));
-        World.submit(static_cast<job_key>(Index) + 1, World.job(50), Service, 60s);
-      }
+    std::vector<std::set<std::uint32_t>> Times;
+    for (std::uint32_t Limit : {400U, 2000U}) {
+      scheduler_world World(1, {.MaxQueuedTasks = Limit, .MaxStretch = 0, .MaxBacklogMs = 0});
+      for (job_key Key = 1; Key <= Limit / 100; ++Key)
+        CPPUNIT_ASSERT(!World.submit(Key, World.job(100), 600s));
+      auto &Found = Times.emplace_back();
       for (job_key Key = 100; Key < 120; ++Key)
-        if (auto Refusal = World.submit(Key, World.job(50, 1)))
-          Times[Jobs].insert(Refusal->RetryAfterMs);
+        Found.insert(World.submit(Key, World.job(1), 600s)->RetryAfterMs);
     }
-    CPPUNIT_ASSERT(Times[10].size() > 5 || Times[40].size() > 5);
+    CPPUNIT_ASSERT(Times[0].size() > 10 && Times[1].size() > 10);
+    CPPUNIT_ASSERT(*Times[0].rbegin() < *Times[1].begin());
   }
 });
 
