--- a/src/yuccaplank/cli/job_commands.cpp
+++ b/src/yuccaplank/cli/job_commands.cpp
@@ -92,8 +92,9 @@
       Session.send({"DELETE", "/v1/jobs/" + percentEncode(Id), {}, "", Context.Invocation.Global.Timeout});
   Reply.MaybeWritten = true;
   schema::job_answer Answer = answerOf(Reply, Id).Answer;
-  bool Cancelled =
-      Answer.outcome() == schema::OUTCOME_FAILED && Answer.reason() == errcName(runtime::errc::Cancelled);
+  // A job of which no task had started ends as refused.
+  bool Ended = Answer.outcome() == schema::OUTCOME_FAILED || Answer.outcome() == schema::OUTCOME_REFUSED;
+  bool Cancelled = Ended && Answer.reason() == errcName(runtime::errc::Cancelled);
   if (Context.Invocation.Global.Json)
     Context.Console.Out(wire::writeAnswer(Answer) + "\n");
   if (Cancelled || (Reply.Answered && Answer.outcome() == schema::OUTCOME_PENDING)) {
--- a/src/yuccaplank/cli/submission_test.cpp
+++ b/src/yuccaplank/cli/submission_test.cpp
@@ -115,6 +115,17 @@
     CPPUNIT_ASSERT_EQUAL(5, Case.submit({"--resubmit", "3", "--wait", "2"}));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Case.submittedPaths().size());
   }
+  if (auto Given = section("given entry VMs that cannot be reached after a refusal of a repetition")) {
+    submit_case Case({lostConnection(), replyWith(503, Refused), refusedConnection()});
+    CPPUNIT_ASSERT_EQUAL(5, Case.submit({"--resubmit", "3", "--wait", "2"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Case.submittedPaths().size());
+    CPPUNIT_ASSERT(Case.Run.Err.find("was refused and not run") == std::string::npos);
+  }
+  if (auto Given = section("given a proxy that answers in place of an entry VM")) {
+    submit_case Case({replyWith(502, "<html>"), replyWith(200, Done)});
+    CPPUNIT_ASSERT_EQUAL(0, Case.submit({"--resubmit", "3"}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Case.submittedPaths().size());
+  }
   if (auto Given = section("given an accepted job whose queries are lost")) {
     submit_case Case({replyWith(202, Pending), lostConnection()});
     CPPUNIT_ASSERT_EQUAL(5, Case.submit({"--resubmit", "3", "--timeout", "2"}));
