--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -142,6 +142,9 @@
     def wait(self, condition, what, timeout=READY_TIMEOUT_S):
         end = time.monotonic() + timeout
         while not condition():
+            ended = [process.args[0] for process in self.processes if process.poll() not in (None, 0)]
+            if ended:
+                raise RuntimeError(f"{ended[0]} has ended, see the logs in {self.directory}")
             if time.monotonic() > end:
                 raise RuntimeError(f"{what} not ready after {timeout} s, see {self.directory}")
             time.sleep(0.02)
