--- a/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
+++ b/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
@@ -92,15 +92,18 @@
 
 /// Steady load with the default limits: what they refuse.
 void admission(const bench_options &Options) {
-  for (int Servers : {50, 12})
-    for (double Load : {0.7, 0.9}) {
-      auto Feed = basics(Options);
-      Feed.Servers = Servers;
-      Feed.Load = Load;
-      Feed.Admission = true;
-      reportStretches(fmt::format("admission/servers{}/load{:.0f}", Servers, Load * 100),
-                      model_feed(Feed).run());
-    }
+  for (double Error : {1, 2})
+    for (int Servers : {50, 12})
+      for (double Load : {0.7, 0.9}) {
+        auto Feed = basics(Options);
+        Feed.Servers = Servers;
+        Feed.Load = Load;
+        Feed.Error = Error;
+        Feed.Admission = true;
+        reportStretches(fmt::format("admission/{}/servers{}/load{:.0f}",
+                                    Error > 1 ? "uncertain" : "learnable", Servers, Load * 100),
+                        model_feed(Feed).run());
+      }
 }
 
 void burst(const bench_options &Options) {
