--- a/src/yuccaplank/model/dispatcher_scheduler.hpp
+++ b/src/yuccaplank/model/dispatcher_scheduler.hpp
@@ -73,11 +73,8 @@
   struct prediction {
     /// Until the job's turn comes.
     double WaitMs = 0;
-    /// Longest task on the fastest server.
-    double IdealMs = 0;
-    /// The job's work over the capacity of the pool.
-    double OwnMs = 0;
-    /// The longer of both if the tasks are shorter than expected, by as much as they may well be.
+    /// The longer of the job's ideal time and its own work if the tasks are shorter than expected, by as much
+    /// as they may well be.
     double LeastMs = 0;
     /// Until the pool has done all queued work that counts against the job's team.
     double BacklogMs = 0;
@@ -91,11 +88,13 @@
   // Admission.
   std::optional<admission_refusal> describe(scheduled_job &Job);
   std::optional<admission_refusal> checkLimits(const scheduled_job &Job, const prediction &Expected);
-  [[nodiscard]] prediction predict(const scheduled_job &Job) const;
-  /// Difference between a job's key and its arrival.
-  [[nodiscard]] double keyOffset(const scheduled_job &Job, const prediction &Expected) const;
+  /// Sets what the job's key depends on, and predicts its response.
+  prediction predict(scheduled_job &Job) const;
+  /// Key of a job whose longest queued task has the size HeadMs.
+  static double keyOf(const scheduled_job &Job);
+  void rekey(scheduled_job &Job);
   std::uint32_t retryAfter(double WaitMs);
-  void enqueue(scheduled_job &Job, const prediction &Expected);
+  void enqueue(scheduled_job &Job);
 
   // Decisions.
   void recheckAt(double AtMs) { RecheckMs = RecheckMs > 0 ? std::min(RecheckMs, AtMs) : AtMs; }
@@ -148,6 +147,8 @@
   /// Time at which held tasks or tasks over quota have to be looked at again; 0 for none.
   double RecheckMs = 0;
   int Examined = 0;
+  /// Jobs whose longest tasks have started in this pass.
+  std::vector<scheduled_job *> Shrunk;
   /// Number of the pass, and for each fit class the last pass in which it had no free slot left.
   std::uint64_t Pass = 0;
   std::vector<std::uint64_t> ExhaustedIn;
--- a/src/yuccaplank/model/fair_queue.hpp
+++ b/src/yuccaplank/model/fair_queue.hpp
@@ -30,7 +30,7 @@
 
 /// What the queue needs to know of a job.
 struct queue_item {
-  /// Smaller goes first; fixed at submission.
+  /// Smaller goes first; changes only while the job is not in the queue.
   double Key = 0;
   /// Order among equal keys.
   std::uint64_t Sequence = 0;
--- a/src/yuccaplank/model/scheduled_job.hpp
+++ b/src/yuccaplank/model/scheduled_job.hpp
@@ -30,8 +30,16 @@
   scheduler_job Job;
   pool_id Pool = 0;
   double DeadlineMs = 0;
+  double ArrivalMs = 0;
   /// Longest task on the fastest server, at submission.
   double IdealMs = 0;
+  /// The job's work over the capacity of the pool, at submission.
+  double OwnMs = 0;
+  /// Sizes of the longest task, and of the longest queued one when the key was last set.
+  double LongestMs = 0;
+  double HeadMs = 0;
+  /// Work of the queued tasks.
+  double QueuedWork = 0;
   /// End that the job is expected to have at the earliest; tasks need not end before it.
   double CriticalEndMs = 0;
   std::vector<scheduled_task> Tasks;
--- a/src/yuccaplank/model/scheduler_decisions.cpp
+++ b/src/yuccaplank/model/scheduler_decisions.cpp
@@ -13,6 +13,8 @@
 constexpr double YieldFreeShare = 0.2;
 /// Tasks examined in one pass over a queue, beyond those that start. Bounds the time of a decision.
 constexpr int ExaminedPerPass = 48;
+/// A job's key is set anew when its longest queued task is at most this share of that at the last time.
+constexpr double RekeyShare = 0.5;
 /// Starts of one job before a team with less service is served, while its own team is beyond its share.
 constexpr int StartsPerTurn = 8;
 /// Time after which held tasks are looked at again although no attempt has ended.
@@ -103,6 +105,12 @@
     Step = placeTasks(static_cast<scheduled_job &>(*Item), Queue.beyondShare());
   }
   Queue.endPass();
+  if (!Shrunk.empty()) {
+    for (auto *Job : Shrunk)
+      rekey(*Job);
+    Shrunk.clear();
+    return runPass(Pool);
+  }
   if (Examined > 0 && Totals.FreeSlots > 0)
     recheckAt(nowMs() + HoldRecheckMs);
 }
@@ -132,6 +140,10 @@
       ++Position;
       continue;
     }
+    if (Traits.Fair && Position == 0 && Job.Tasks[Index].SizeMs <= RekeyShare * Job.HeadMs) {
+      Shrunk.push_back(&Job);
+      return pass_step::NextJob;
+    }
     Refused.clear();
     for (auto [Task, Server] : Job.Refused)
       if (Task == Index)
--- a/src/yuccaplank/model/scheduler_outcomes.cpp
+++ b/src/yuccaplank/model/scheduler_outcomes.cpp
@@ -233,6 +233,7 @@
   double Work = Job.Tasks[Index].SizeMs * Change;
   Pool.QueuedWork = std::max(0.0, Pool.QueuedWork + Work);
   Pool.WorkByKey.add(Job.Key, Work);
+  Job.QueuedWork += Work;
   Job.Flow->Team->QueuedWork = std::max(0.0, Job.Flow->Team->QueuedWork + Work);
   Job.Flow->Service->QueuedTasks += static_cast<std::uint32_t>(Change);
   QueuedTasks += static_cast<std::uint64_t>(Change);
