Bound what callers' names and sizes can make the scheduler remember

Kinds beyond 20,000 share one entry a service, and needs are rounded up to sizes that servers have, so that there is one class for each of these. A probe that was not started prolongs the quarantine instead of being repeated at once. A job without tasks is refused.

--- a/src/yuccaplank/model/runtime_estimator.cpp
+++ b/src/yuccaplank/model/runtime_estimator.cpp
@@ -20,6 +20,9 @@
 constexpr int SurpriseLimit = 3;
 constexpr double MaxSpeedVariance = 0.25;
 constexpr double FleetGain = 0.01;
+/// Kinds beyond this number share one entry a service, since callers choose the names.
+constexpr std::size_t MaxKinds = 20'000;
+constexpr std::string_view OtherKinds = "\1";
 
 } // namespace
 
@@ -41,6 +44,8 @@
   std::string Name;
   Name.reserve(Service.size() + Kind.size() + 1);
   Name.append(Service).append(1, '\0').append(Kind);
+  if (Kinds.size() >= MaxKinds && Kind != OtherKinds && !Names.contains(Name))
+    return kind(Service, OtherKinds);
   auto [Found, New] = Names.try_emplace(std::move(Name), static_cast<kind_id>(Kinds.size()));
   if (New)
     Kinds.emplace_back();
--- a/src/yuccaplank/model/runtime_estimator_test.cpp
+++ b/src/yuccaplank/model/runtime_estimator_test.cpp
@@ -51,6 +51,13 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, Ratio(1, 200), 0.25);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, Ratio(10'000, 200), 0.25);
   }
+  if (auto When = section("given ever new kinds, memory stays bounded")) {
+    kind_id Last = 0;
+    for (int Index = 0; Index < 30'000; ++Index)
+      Last = Estimator.kind("proofs", std::to_string(Index));
+    CPPUNIT_ASSERT(Last <= 20'000);
+    CPPUNIT_ASSERT_EQUAL(Kind, Estimator.kind("proofs", "render"));
+  }
   if (auto When = section("given no declared times that vary by 2x either way")) {
     for (int Task = 0; Task < 400; ++Task)
       Estimator.observe(Kind, 0, LogUniform(100, 400), Slow);
--- a/src/yuccaplank/model/scheduler_admission.cpp
+++ b/src/yuccaplank/model/scheduler_admission.cpp
@@ -66,6 +66,8 @@
 std::optional<admission_refusal> dispatcher_scheduler::describe(scheduled_job &Job) {
   const auto &Tasks = Job.Job.Job->tasks();
   const auto &Service = *Job.Job.Service;
+  if (Tasks.empty())
+    return admission_refusal{errc::MissingField, "tasks", 0};
   if (Servers.totals(Job.Pool).Listed == 0)
     return admission_refusal{errc::NoFitServer, Service.pool(), retryAfter(NoServerRetryMs)};
   Job.Tasks.reserve(Tasks.size());
@@ -75,9 +77,9 @@
     bool SameFit = Previous && Previous->cores() == Task.cores() &&
                    Previous->memory_mb() == Task.memory_mb() &&
                    Previous->accelerators() == Task.accelerators();
-    Job.SameFit = Job.SameFit && (SameFit || Previous == nullptr);
     State.Fit = SameFit ? Job.Tasks[Job.Tasks.size() - 2].Fit : Servers.fit(Job.Pool, Task);
-    if (!SameFit && !Servers.fitClass(State.Fit).Runnable)
+    Job.SameFit = Job.SameFit && State.Fit == Job.Tasks.front().Fit;
+    if (!SameFit && (State.Fit == None || !Servers.fitClass(State.Fit).Runnable))
       return admission_refusal{errc::NoFitServer, Task.name(), 0};
     State.Kind = Previous && Previous->kind() == Task.kind() ? Job.Tasks[Job.Tasks.size() - 2].Kind
                                                              : Estimator.kind(Service.service(), Task.kind());
--- a/src/yuccaplank/model/scheduler_outcomes.cpp
+++ b/src/yuccaplank/model/scheduler_outcomes.cpp
@@ -32,6 +32,8 @@
   if (End == attempt_end::NotStarted) {
     ++RefusedStarts;
     lowerLimit(Server);
+    if (Ended.Probe && Servers[Server].Health.Quarantined)
+      enterQuarantine(Servers[Server].Health, nowMs(), unit());
   } else if (Current || End == attempt_end::Completed) {
     judge(Ended, Server, End == attempt_end::Failed);
   }
--- a/src/yuccaplank/model/scheduler_test.cpp
+++ b/src/yuccaplank/model/scheduler_test.cpp
@@ -157,6 +157,18 @@
     CPPUNIT_ASSERT(Refusal->Reason == errc::NoFitServer && Refusal->RetryAfterMs == 0);
     CPPUNIT_ASSERT_EQUAL(std::string("t1"), Refusal->Subject);
   }
+  if (auto When = section("a task goes only to servers that have what it needs")) {
+    scheduler_world World(2);
+    World.addServer("large").set_memory_mb(4000);
+    World.Scheduler->setServers(World.Servers);
+    auto &Job = World.job(3);
+    Job.mutable_tasks(0)->set_memory_mb(1001);
+    Job.mutable_tasks(1)->set_memory_mb(4000);
+    Job.mutable_tasks(2)->set_memory_mb(4000);
+    CPPUNIT_ASSERT(!World.submit(1, Job));
+    World.decide();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), World.runningOn("large"));
+  }
   if (auto When = section("a pool without servers is refused for now")) {
     scheduler_world World(0);
     auto Refusal = World.submit(1, World.job(1));
--- a/src/yuccaplank/model/server_set.cpp
+++ b/src/yuccaplank/model/server_set.cpp
@@ -77,6 +77,9 @@
     Server.Cores = Entry.cores();
     Server.MemoryMb = Entry.memory_mb();
     Server.Accelerators = Entry.accelerators();
+    Sizes[Pool].Cores.insert(Entry.cores());
+    Sizes[Pool].MemoryMb.insert(Entry.memory_mb());
+    Sizes[Pool].Accelerators.insert(Entry.accelerators());
     if (Slots != Server.Slots)
       Server.Limit = Slots;
     Server.Slots = Slots;
@@ -127,20 +130,29 @@
 
 pool_id server_set::pool(const std::string &Name) {
   auto [Found, New] = PoolNames.try_emplace(Name, static_cast<pool_id>(Pools.size()));
-  if (New)
+  if (New) {
     Pools.emplace_back();
+    Sizes.emplace_back();
+  }
   return Found->second;
 }
 
 fit_id server_set::fit(pool_id Pool, const schema::task &Task) {
-  auto [Found, New] = FitKeys.try_emplace({Pool, Task.cores(), Task.memory_mb(), Task.accelerators()},
-                                          static_cast<fit_id>(Fits.size()));
+  auto &Known = Sizes[Pool];
+  auto Cores = Known.Cores.lower_bound(Task.cores());
+  auto MemoryMb = Known.MemoryMb.lower_bound(Task.memory_mb());
+  auto Accelerators = Known.Accelerators.lower_bound(Task.accelerators());
+  if (Cores == Known.Cores.end() || MemoryMb == Known.MemoryMb.end() ||
+      Accelerators == Known.Accelerators.end())
+    return None;
+  auto [Found, New] =
+      FitKeys.try_emplace({Pool, *Cores, *MemoryMb, *Accelerators}, static_cast<fit_id>(Fits.size()));
   if (New) {
     auto &Class = Fits.emplace_back();
     Class.Pool = Pool;
-    Class.Cores = Task.cores();
-    Class.MemoryMb = Task.memory_mb();
-    Class.Accelerators = Task.accelerators();
+    Class.Cores = *Cores;
+    Class.MemoryMb = *MemoryMb;
+    Class.Accelerators = *Accelerators;
   }
   return Found->second;
 }
--- a/src/yuccaplank/model/server_set.hpp
+++ b/src/yuccaplank/model/server_set.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -107,6 +108,14 @@
   bool Runnable = false;
 };
 
+/// Amounts of each resource that servers of a pool have. Needs are rounded up to them, so that there are few
+/// classes whatever callers ask for.
+struct pool_sizes {
+  std::set<std::uint32_t> Cores;
+  std::set<std::uint32_t> MemoryMb;
+  std::set<std::uint32_t> Accelerators;
+};
+
 struct pool_totals {
   std::uint32_t Listed = 0;
   std::uint32_t Slots = 0;
@@ -132,6 +141,7 @@
   [[nodiscard]] const pool_totals &totals(pool_id Pool) const { return Pools[Pool]; }
   [[nodiscard]] std::size_t pools() const { return Pools.size(); }
 
+  /// Class of a task's needs; None when no server of the pool has as much of some resource.
   fit_id fit(pool_id Pool, const schema::task &Task);
   /// Fit class with its groups brought up to date.
   const fit_class &fitClass(fit_id Fit);
@@ -165,6 +175,7 @@
   std::unordered_map<std::string, server_id> Ids;
   std::unordered_map<std::string, pool_id> PoolNames;
   std::vector<pool_totals> Pools;
+  std::vector<pool_sizes> Sizes;
   std::map<group_key, group_id> GroupKeys;
   std::vector<group_key> GroupOrder;
   std::vector<server_group> Groups;
