--- a/include/yuccaplank/model/scheduler.hpp
+++ b/include/yuccaplank/model/scheduler.hpp
@@ -111,7 +111,8 @@
   /// Replaces the set of backend servers. Servers that vanish get no new work; their running tasks stay
   /// known.
   virtual void setServers(const std::vector<schema::backend_entry> &Servers) = 0;
-  /// A server announced that it is leaving; valid until the list names it live under a newer version.
+  /// A server announced that it is leaving. A list that names it live within the next 10 s is taken to lag
+  /// behind.
   virtual void markLeaving(const std::string &Server) = 0;
   virtual void setQuotaShare(double Share) = 0;
 
