--- a/include/yuccaplank/model/scheduler.hpp
+++ b/include/yuccaplank/model/scheduler.hpp
@@ -69,7 +69,7 @@
   /// Service documents may say otherwise.
   double MaxStretch = 2.5;
   /// Jobs are refused while the backlog that counts against their team takes longer; 0 for no limit.
-  double MaxBacklogMs = 1200;
+  double MaxBacklogMs = 1000;
   /// Share of quotas that this scheduler enforces, 1/failure domains.
   double QuotaShare = 1.0;
   std::uint64_t Seed = 1;
@@ -112,7 +112,8 @@
   /// Replaces the set of backend servers. Servers that vanish get no new work; their running tasks stay
   /// known.
   virtual void setServers(const std::vector<schema::backend_entry> &Servers) = 0;
-  /// A server announced that it is leaving; valid until the list names it live under a newer version.
+  /// A server announced that it is leaving. A list that names it live within the next 10 s is taken to lag
+  /// behind.
   virtual void markLeaving(const std::string &Server) = 0;
   virtual void setQuotaShare(double Share) = 0;
 
--- a/src/yuccaplank/model/scheduler_outcomes.cpp
+++ b/src/yuccaplank/model/scheduler_outcomes.cpp
@@ -32,6 +32,8 @@
   if (End == attempt_end::NotStarted) {
     ++RefusedStarts;
     lowerLimit(Server);
+    if (Ended.Probe && Servers[Server].Health.Quarantined)
+      enterQuarantine(Servers[Server].Health, nowMs(), unit());
   } else if (Current || End == attempt_end::Completed) {
     judge(Ended, Server, End == attempt_end::Failed);
   }
@@ -233,6 +235,7 @@
   double Work = Job.Tasks[Index].SizeMs * Change;
   Pool.QueuedWork = std::max(0.0, Pool.QueuedWork + Work);
   Pool.WorkByKey.add(Job.Key, Work);
+  Job.QueuedWork += Work;
   Job.Flow->Team->QueuedWork = std::max(0.0, Job.Flow->Team->QueuedWork + Work);
   Job.Flow->Service->QueuedTasks += static_cast<std::uint32_t>(Change);
   QueuedTasks += static_cast<std::uint64_t>(Change);
