Do not take a pause that coincides with a probe for a failure

When one VM failed, all VMs probed all others and gave each 0.7 s, so that a VM paused for 0.8 s at that time was found unreachable. A probe now gets 1.4 s unless its VM had been silent towards its ring successor for 1.2 s, that successor does not answer either, or three connects failed within 0.7 s.

--- a/src/yuccaplank/model/membership.cpp
+++ b/src/yuccaplank/model/membership.cpp
@@ -48,8 +48,17 @@
   return std::chrono::duration_cast<duration>(Whole * Fraction);
 }
 
+// A VM that is not known to have been silent before its probe gets this multiple of the probe's time, so that
+// a pause that coincides with a probe is not taken for a failure.
+constexpr int PatientFactor = 2;
+// Connects that fail within the probe's time mean that no process listens; a paused one still accepts them.
+constexpr int RefusedConnects = 3;
+
 struct probe_state {
-  time_point Deadline;
+  time_point Start;
+  // The VM has been silent towards its successor on the ring.
+  bool Silent = false;
+  int FailedConnects = 0;
   time_point RetryAt = time_point::max();
   time_point AnnounceAt = time_point::max();
   // State under which the VM is announced.
@@ -181,9 +190,10 @@
       if (Member.Entry.peer_address() != Address)
         continue;
       Changed = true;
-      if (Member.Probe && Member.Reachable)
+      if (Member.Probe && Member.Reachable) {
         Member.Probe->RetryAt = now() + ProbeRetryDelay;
-      else if (Member.Probe)
+        ++Member.Probe->FailedConnects;
+      } else if (Member.Probe)
         markUnreachable(Member);
       else if (Member.Reachable)
         suspect(Member, announcementDelay());
@@ -304,11 +314,11 @@
 
   [[nodiscard]] time_point computeWakeup() const {
     time_point Next = nextHeartbeat();
-    if (const member *Predecessor = predecessor(); Predecessor != nullptr && !Predecessor->Probe)
+    if (const member *Predecessor = predecessor(); Predecessor != nullptr && !silenceNoted(*Predecessor))
       Next = std::min(Next, silenceStart(*Predecessor) + Options.SuspicionTimeout - AnnounceDelay);
     for (const auto &[Vm, Member] : Members) {
       if (Member.Probe)
-        Next = std::min({Next, Member.Probe->Deadline, Member.Probe->RetryAt, Member.Probe->AnnounceAt});
+        Next = std::min({Next, nextDeadline(*Member.Probe), Member.Probe->RetryAt, Member.Probe->AnnounceAt});
       else if (!Member.Reachable)
         Next = std::min(Next, Member.NextProbe);
     }
@@ -489,14 +499,20 @@
       WatchedVm = Predecessor->incarnation().vm();
       WatchedSince = now();
     }
-    if (now() - silenceStart(*Predecessor) < Options.SuspicionTimeout - AnnounceDelay || Predecessor->Probe)
+    if (now() - silenceStart(*Predecessor) < Options.SuspicionTimeout - AnnounceDelay ||
+        silenceNoted(*Predecessor))
       return;
     suspect(*Predecessor, AnnounceDelay);
     // The time until the announcement is not part of the time for the answer.
-    Predecessor->Probe->Deadline += AnnounceDelay;
+    Predecessor->Probe->Start = now() + AnnounceDelay;
+    Predecessor->Probe->Silent = true;
     Predecessor->Probe->Announcement = schema::VM_UNKNOWN;
   }
 
+  [[nodiscard]] static bool silenceNoted(const member &Member) {
+    return Member.Probe && Member.Probe->Silent;
+  }
+
   // Probes
 
   duration announcementDelay() {
@@ -513,7 +529,7 @@
   void startProbe(member &Member) {
     Changed = true;
     Member.Probe = probe_state{};
-    Member.Probe->Deadline = now() + Options.ProbeTimeout;
+    Member.Probe->Start = now();
     sendProbe(Member);
   }
 
@@ -537,7 +553,9 @@
         startProbe(Member);
       return;
     }
-    if (now() >= Member.Probe->Deadline) {
+    duration Unanswered = now() - Member.Probe->Start;
+    if (Unanswered >= Options.ProbeTimeout * PatientFactor ||
+        (Unanswered >= Options.ProbeTimeout && silentBefore(Member))) {
       markUnreachable(Member);
       return;
     }
@@ -551,6 +569,30 @@
     }
   }
 
+  [[nodiscard]] time_point nextDeadline(const probe_state &Probe) const {
+    time_point First = Probe.Start + Options.ProbeTimeout;
+    return now() < First ? First : Probe.Start + Options.ProbeTimeout * PatientFactor;
+  }
+
+  // Whether the VM had been silent before it was probed, or nobody could have noticed its silence because its
+  // successor on the ring does not answer either.
+  [[nodiscard]] bool silentBefore(const member &Member) const {
+    if (!Member.Reachable || Member.Probe->Silent || Member.Probe->FailedConnects >= RefusedConnects)
+      return true;
+    // Ring order, starting behind the VM; the own VM is in the ring, but not in the map.
+    const std::string &Vm = Member.incarnation().vm();
+    auto Rank = [&](const std::string &Id) { return std::make_pair(Id < Vm, Id); };
+    const member *Next = nullptr;
+    for (const auto &[Id, Candidate] : Members) {
+      bool InRing =
+          Candidate.Reachable || (Candidate.known() && Candidate.UnreachableSince >= Member.Probe->Start);
+      if (&Candidate != &Member && InRing && (Next == nullptr || Rank(Id) < Rank(Next->incarnation().vm())))
+        Next = &Candidate;
+    }
+    bool IsOwn = Next == nullptr || Rank(Options.Self.vm()) < Rank(Next->incarnation().vm());
+    return !IsOwn && (!Next->Reachable || Next->Probe);
+  }
+
   // Has all VMs probe the suspected one, so that all find out at about the same time.
   void announceSuspicion(member &Suspected) {
     bool Silent = Suspected.Probe->Announcement == schema::VM_UNKNOWN;
@@ -585,7 +627,7 @@
       Member.LastHeard = std::min(now(), Member.LastHeard + Pause);
       if (!Member.Probe)
         continue;
-      Member.Probe->Deadline += Pause;
+      Member.Probe->Start += Pause;
       if (Member.Probe->AnnounceAt != time_point::max())
         Member.Probe->AnnounceAt += Pause;
     }
@@ -625,6 +667,10 @@
       break;
     default:
       hintUnreachable(*Member);
+      if (Member->Probe && !Member->Probe->Silent) {
+        Member->Probe->Start = now();
+        Member->Probe->Silent = true;
+      }
       checkAll();
       break;
     }
--- a/src/yuccaplank/model/membership_test.cpp
+++ b/src/yuccaplank/model/membership_test.cpp
@@ -182,6 +182,27 @@
     for (auto &[Id, Vm] : Fleet.all())
       CPPUNIT_ASSERT_MESSAGE(Id, Vm.Model->reachable(Fleet.at("vm02").Entry.self()));
   }
+  if (auto Given = section("given a pause while all VMs probe each other because of another failure")) {
+    for (int OffsetMs = 0; OffsetMs < 2000; OffsetMs += 50) {
+      membership_fleet Other(makeOptions(7, 4));
+      startFleet(Other);
+      Other.loseHost("vm05");
+      Other.run(std::chrono::milliseconds(OffsetMs));
+      Other.pause("vm02");
+      Other.run(1350ms);
+      Other.resume("vm02");
+      Other.run(5s);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(OffsetMs), 6, countEvents(Other, kind::Unreachable));
+    }
+  }
+  if (auto Given = section("given a pause while a peer loses its connection")) {
+    Fleet.pause("vm02");
+    Fleet.breakConnection("vm05", "vm02");
+    Fleet.run(1350ms);
+    Fleet.resume("vm02");
+    Fleet.run(5s);
+    CPPUNIT_ASSERT_EQUAL(0, countEvents(Fleet, kind::Unreachable));
+  }
   if (auto Given = section("given the end of a long pause")) {
     Fleet.at("vm02").Model->onPause(5s);
     // One to each other VM, which may have found this one unreachable.
