--- a/src/yuccaplank/model/membership.cpp
+++ b/src/yuccaplank/model/membership.cpp
@@ -509,8 +509,9 @@
     Predecessor->Probe->Announcement = schema::VM_UNKNOWN;
   }
 
+  // Whether nothing is left to find out about the silence of a VM: it is announced, or its process has ended.
   [[nodiscard]] static bool silenceNoted(const member &Member) {
-    return Member.Probe && Member.Probe->Silent;
+    return Member.Probe && (Member.Probe->Silent || Member.Probe->FailedConnects >= RefusedConnects);
   }
 
   // Probes
