Let failure domains share one dispatcher; run jobs here when the dispatcher was not reached

The setting dispatch_group lets the domains of a region share one dispatcher; a separated domain gets its own, and domains without reachable VMs or servers are left out. Exchanges tell requests that were certainly not delivered, so that a dead dispatcher costs no new job.

--- a/include/yuccaplank/model/membership.hpp
+++ b/include/yuccaplank/model/membership.hpp
@@ -15,6 +15,8 @@
   schema::incarnation Self;
   std::string Domain;
   std::string PeerAddress;
+  /// Failure domains that share one dispatcher, the own one among them; empty for the own one alone.
+  std::vector<std::string> DispatchGroup;
   runtime::duration HeartbeatPeriod = std::chrono::milliseconds(500);
   /// Silence of the ring predecessor after which it is probed.
   runtime::duration SuspicionTimeout = std::chrono::milliseconds(1200);
--- a/include/yuccaplank/node/entry_node.hpp
+++ b/include/yuccaplank/node/entry_node.hpp
@@ -50,12 +50,16 @@
   virtual void startTask(task_order Order, std::function<void(task_report)> OnDone) = 0;
   /// Asks the server to stop a task; the task's order still ends by its callback.
   virtual void stopTask(const std::string &TaskId, const std::string &Address) = 0;
+  /// Tells whether a connection to a server can be established.
+  virtual void checkServer(const std::string &Address, std::function<void(bool Reachable)> OnDone) = 0;
 };
 
 struct entry_node_options {
   schema::incarnation Self;
   std::string Domain;
   std::string PeerAddress;
+  /// Failure domains that share one dispatcher, the own one among them; empty for the own one alone.
+  std::vector<std::string> DispatchGroup;
   model::job_table_options Jobs;
   model::scheduler_options Scheduler;
   model::membership_options Membership;
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -54,6 +54,8 @@
             "seed_peers": seeds,
             "test_hooks": True,
         }
+        if self.fleet.one_dispatcher:
+            settings["dispatch_group"] = self.fleet.domains
         settings.update(self.fleet.extra_settings)
         return settings
 
@@ -66,24 +68,27 @@
         if self.process and self.process.poll() is None:
             os.kill(self.process.pid, number)
 
-    def serving(self):
+    def serving(self, path="/healthz"):
         try:
-            return http("GET", self.callers, "/healthz", timeout=1)[0] == 200
+            return http("GET", self.callers, path, timeout=1)[0] == 200
         except OSError:
             return False
 
+    def preferred(self):
+        return self.serving("/healthz/preferred")
+
 
 class Fleet:
     """Entry VMs, backend servers, and the platform. domains maps each failure domain to its number of VMs."""
 
     def __init__(self, directory, domains, servers, slots=8, speeds="1,2,4", base_port=7100, build="build",
-                 extra_settings=None, connections=60, pool="default"):
+                 extra_settings=None, connections=60, pool="default", one_dispatcher=False):
         self.directory = pathlib.Path(directory)
         self.directory.mkdir(parents=True, exist_ok=True)
         self.build = ROOT / build
         self.servers, self.slots, self.speeds, self.connections = servers, slots, speeds, connections
         self.domains = list(domains)
-        self.pool = pool
+        self.pool, self.one_dispatcher = pool, one_dispatcher
         self.platform_address = f"127.0.0.1:{base_port}"
         self.control_address = f"127.0.0.1:{base_port + 1}"
         self.first_server_port = base_port + 200
@@ -156,8 +161,9 @@
         if status != 200:
             raise RuntimeError(f"apply: {status} {reply}")
 
-    def entries(self):
-        return ",".join(vm.callers for vm in self.vms.values())
+    def entries(self, preferred=False):
+        vms = [vm for vm in self.vms.values() if not preferred or vm.preferred()]
+        return ",".join(vm.callers for vm in vms)
 
     def stop(self):
         for process in self.processes:
--- a/src/yuccaplank/daemon/daemon.cpp
+++ b/src/yuccaplank/daemon/daemon.cpp
@@ -42,6 +42,7 @@
   Options.Domain = Settings.failure_domain();
   Options.PeerAddress = Settings.listen().peers();
   Options.SeedPeers = {Settings.seed_peers().begin(), Settings.seed_peers().end()};
+  Options.DispatchGroup = {Settings.dispatch_group().begin(), Settings.dispatch_group().end()};
   Options.Seed = Self.nonce();
   if (Settings.retention().outcome_s() > 0)
     Options.Jobs.Retention = std::chrono::seconds(Settings.retention().outcome_s());
--- a/src/yuccaplank/daemon/socket_ports.cpp
+++ b/src/yuccaplank/daemon/socket_ports.cpp
@@ -54,6 +54,16 @@
     Client.call(std::move(Call), [](const wire::http_call_result &) {});
   }
 
+  void checkServer(const std::string &Address, std::function<void(bool)> OnDone) override {
+    wire::http_call Call;
+    Call.Address = Address;
+    Call.Path = "/status";
+    Call.Timeout = StopTimeout;
+    Client.call(std::move(Call), [OnDone = std::move(OnDone)](const wire::http_call_result &Result) {
+      OnDone(!Result.Error || Result.Stage == wire::transfer_stage::MaybeWritten);
+    });
+  }
+
 private:
   wire::http_client &Client;
   wire::peer_transport *Transport = nullptr;
--- a/src/yuccaplank/model/membership.cpp
+++ b/src/yuccaplank/model/membership.cpp
@@ -297,7 +297,7 @@
   [[nodiscard]] std::vector<schema::domain_summary> summaries() const override {
     std::vector<schema::domain_summary> Result;
     for (const auto &[Domain, Record] : Summaries)
-      if (Domain != Options.Domain && usable(Record))
+      if (!ownGroup(Domain) && usable(Record))
         Result.push_back(aged(Record));
     return Result;
   }
@@ -788,7 +788,7 @@
     if (OwnSummary && IsDispatcher)
       *Heartbeat.add_domains() = aged(*OwnSummary);
     for (const auto &[Domain, Record] : Summaries)
-      if (usable(Record) && !(IsDispatcher && Domain == Options.Domain))
+      if (usable(Record) && !(IsDispatcher && ownGroup(Domain)))
         *Heartbeat.add_domains() = aged(Record);
   }
 
@@ -829,10 +829,27 @@
       if (precedes(Member.Entry, Best))
         Best = &Member.Entry;
     }
+    shareDispatcher();
     DispatchersValid = true;
     return Dispatchers;
   }
 
+  // The domains of the group get the first of their dispatchers.
+  void shareDispatcher() const {
+    const schema::vm_entry *Shared = nullptr;
+    for (const std::string &Domain : Options.DispatchGroup)
+      if (auto Found = Dispatchers.find(Domain);
+          Found != Dispatchers.end() && precedes(*Found->second, Shared))
+        Shared = Found->second;
+    for (const std::string &Domain : Options.DispatchGroup)
+      Dispatchers[Domain] = Shared;
+  }
+
+  [[nodiscard]] bool ownGroup(const std::string &Domain) const {
+    return Domain == Options.Domain ||
+           std::ranges::find(Options.DispatchGroup, Domain) != Options.DispatchGroup.end();
+  }
+
   void noteDispatchers() {
     if (DispatchersValid && DispatchersNoted)
       return;
--- a/src/yuccaplank/model/scheduler_admission.cpp
+++ b/src/yuccaplank/model/scheduler_admission.cpp
@@ -155,7 +155,8 @@
                                     (0.75 + 0.75 * unit()));
 }
 
-// A refusal costs a message and the repeated submission, so the profile for few messages waits for the deadline.
+// A refusal costs a message and the repeated submission, so the profile for few messages waits for the
+// deadline.
 dispatcher_scheduler::wait_limits
 dispatcher_scheduler::waitLimits(const schema::service_document &Service) const {
   const auto &Limits = Service.limits();
--- a/src/yuccaplank/node/entry_node.cpp
+++ b/src/yuccaplank/node/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "job_runner.hpp"
 #include "job_service.hpp"
 #include "peer_network.hpp"
+#include "server_selection.hpp"
 #include "yuccaplank/model/catalog.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
@@ -62,7 +63,9 @@
              [this](const schema::vm_list &List) { onVmList(List); }),
         Ids(Executor, Peers, *Membership, *Jobs, Options.Self, Options.Domain),
         Service({Executor, Peers, *Membership, *Catalog, *Jobs, *Scheduler, Runner, *Claims, Counters},
-                Options.Self, Options.Domain) {}
+                Options.Self, Options.Domain),
+        Selection(Executor, Ports, *Membership, Options.Domain, Options.DispatchGroup,
+                  [this] { useSelection(); }) {}
 
   // Callers
 
@@ -173,12 +176,14 @@
 
   void onPeerMessage(const schema::incarnation &From, const std::string &Domain,
                      const schema::envelope &Message) override {
+    Peers.Exchanges.connected(From.vm());
     Membership->messageFrom(From, Domain);
     dispatch(From, Message);
     membershipTurn();
   }
 
   void onPeerClosed(const schema::incarnation &Peer) override {
+    Peers.Exchanges.disconnected(Peer.vm());
     Membership->onStreamClosed(Peer);
     // Envelopes in flight may be lost with the connection, and their answers with them.
     Service.onPeerLost(Peer);
@@ -187,6 +192,9 @@
 
   void onPeerConnectFailed(const std::string &Address) override {
     Membership->onConnectFailed(Address);
+    for (const model::member_view &Member : Membership->members())
+      if (Member.Entry.peer_address() == Address)
+        Peers.Exchanges.connectFailed(Member.Entry.self().vm());
     membershipTurn();
   }
 
@@ -230,6 +238,7 @@
     Options.Membership.Self = Options.Self;
     Options.Membership.Domain = Options.Domain;
     Options.Membership.PeerAddress = Options.PeerAddress;
+    Options.Membership.DispatchGroup = Options.DispatchGroup;
     Options.Membership.Seed = Options.Seed;
     Options.Scheduler.Seed = Options.Seed;
     return Options;
@@ -312,6 +321,8 @@
     using kind = model::membership_event::kind;
     runtime::log(runtime::log_level::Info, eventName(Event.Kind),
                  {{"vm", model::incarnationName(Event.Vm)}, {"domain", Event.Domain}});
+    if (Event.Kind == kind::Reachable || Event.Kind == kind::Unreachable)
+      Selection.vmChanged(Event.Domain);
     if (Event.Kind == kind::Unreachable || Event.Kind == kind::Replaced) {
       Service.onPeerLost(Event.Vm);
       if (Event.Kind == kind::Unreachable)
@@ -321,20 +332,17 @@
 
   void onVmList(const schema::vm_list &List) {
     Membership->applyVmList(List);
-    std::vector<schema::backend_entry> Own;
-    std::set<std::string> Domains;
-    for (const schema::backend_entry &Entry : List.backends()) {
-      Domains.insert(Entry.domain());
-      if (Entry.domain() == Options.Domain)
-        Own.push_back(Entry);
-    }
-    Scheduler->setServers(Own);
-    // Each domain enforces its part, so that the sum holds without agreement.
-    Scheduler->setQuotaShare(1.0 / static_cast<double>(std::max<std::size_t>(Domains.size(), 1)));
-    Runner.wake();
+    Selection.setList(List);
     membershipTurn();
   }
 
+  void useSelection() {
+    Scheduler->setServers(Selection.selected());
+    // Each dispatcher enforces its part, so that the sum holds without agreement.
+    Scheduler->setQuotaShare(Selection.share());
+    Runner.wake();
+  }
+
   void housekeeping() {
     Jobs->expire();
     if (Membership->isDispatcher())
@@ -443,6 +451,7 @@
   catalog_sync Sync;
   id_pool Ids;
   job_service Service;
+  server_selection Selection;
   runtime::timer_id MembershipTimer = 0;
   bool Draining = false;
   runtime::time_point DrainEnds{};
--- a/src/yuccaplank/node/exchanges.cpp
+++ b/src/yuccaplank/node/exchanges.cpp
@@ -12,7 +12,8 @@
     if (auto Expired = take(Exchange))
       Expired->OnFailure(exchange_failure::TimedOut);
   });
-  Pending.emplace(Exchange, pending{Peer, std::move(OnAnswer), std::move(OnFailure), Timer});
+  Pending.emplace(Exchange, pending{Peer, std::move(OnAnswer), std::move(OnFailure), Timer,
+                                    Connected.contains(Peer.vm())});
   return Exchange;
 }
 
@@ -26,13 +27,23 @@
 }
 
 void exchanges::failPeer(const schema::incarnation &Peer) {
-  std::vector<std::uint64_t> Lost;
+  failIf([&](const pending &Entry) { return model::sameIncarnation(Entry.Peer, Peer); },
+         exchange_failure::PeerLost);
+}
+
+void exchanges::connectFailed(const std::string &Vm) {
+  failIf([&](const pending &Entry) { return Entry.Peer.vm() == Vm && !Entry.WasConnected; },
+         exchange_failure::NotDelivered);
+}
+
+void exchanges::failIf(const std::function<bool(const pending &)> &Matches, exchange_failure Failure) {
+  std::vector<std::uint64_t> Failed;
   for (const auto &[Exchange, Entry] : Pending)
-    if (model::sameIncarnation(Entry.Peer, Peer))
-      Lost.push_back(Exchange);
-  for (std::uint64_t Exchange : Lost)
+    if (Matches(Entry))
+      Failed.push_back(Exchange);
+  for (std::uint64_t Exchange : Failed)
     if (auto Entry = take(Exchange))
-      Entry->OnFailure(exchange_failure::PeerLost);
+      Entry->OnFailure(Failure);
 }
 
 void exchanges::drop(std::uint64_t Exchange) { take(Exchange); }
--- a/src/yuccaplank/node/exchanges.hpp
+++ b/src/yuccaplank/node/exchanges.hpp
@@ -9,11 +9,18 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace yuccaplank::node {
 
 /// Why an exchange ended without an answer.
-enum class exchange_failure : std::uint8_t { PeerLost, TimedOut };
+enum class exchange_failure : std::uint8_t {
+  /// The request may have reached the peer.
+  PeerLost,
+  /// No connection to the peer could be established, so the request has certainly not reached it.
+  NotDelivered,
+  TimedOut,
+};
 
 /// Matches answers to requests by exchange number and peer, and fails those whose peer is lost.
 class exchanges {
@@ -29,6 +36,12 @@
   /// Delivers an answer; ignored when the exchange is unknown or belongs to another peer.
   void answer(const schema::incarnation &From, std::uint64_t Exchange, const schema::envelope &Message);
   void failPeer(const schema::incarnation &Peer);
+  /// A connect to the VM has failed: requests made while there was no connection to it have not been
+  /// delivered.
+  void connectFailed(const std::string &Vm);
+  /// There is a connection to the VM.
+  void connected(const std::string &Vm) { Connected.insert(Vm); }
+  void disconnected(const std::string &Vm) { Connected.erase(Vm); }
   void drop(std::uint64_t Exchange);
   [[nodiscard]] std::size_t size() const { return Pending.size(); }
 
@@ -38,11 +51,16 @@
     answer_handler OnAnswer;
     failure_handler OnFailure;
     runtime::timer_id Timer = 0;
+    // Whether there was a connection when the request was made.
+    bool WasConnected = false;
   };
+  void failIf(const std::function<bool(const pending &)> &Matches, exchange_failure Failure);
+
   std::optional<pending> take(std::uint64_t Exchange);
 
   runtime::executor &Executor;
   std::unordered_map<std::uint64_t, pending> Pending;
+  std::unordered_set<std::string> Connected;
   std::uint64_t LastExchange = 0;
 };
 
--- a/src/yuccaplank/node/id_pool.cpp
+++ b/src/yuccaplank/node/id_pool.cpp
@@ -48,7 +48,8 @@
       Dispatcher, RequestTimeout,
       [this, Shared, Count](const schema::envelope &Message) {
         const schema::id_block &Reply = Message.id_block();
-        Block = {Reply.authority(), Reply.first(), Reply.first() + Reply.count(), Executor.clock().now()};
+        Block = {Reply.authority(), Reply.domain(), Reply.first(), Reply.first() + Reply.count(),
+                 Executor.clock().now()};
         (*Shared)(takeFromBlock(Count));
       },
       // This VM can be the authority as well; the dispatcher's ids only save a forward.
@@ -70,7 +71,7 @@
 std::vector<std::string> id_pool::takeFromBlock(std::uint32_t Count) {
   std::vector<std::string> Ids;
   while (Ids.size() < Count && Block.Next < Block.End)
-    Ids.push_back(model::issuedId(Domain, Block.Authority, Block.Next++));
+    Ids.push_back(model::issuedId(Block.Domain, Block.Authority, Block.Next++));
   return Ids;
 }
 
--- a/src/yuccaplank/node/id_pool.hpp
+++ b/src/yuccaplank/node/id_pool.hpp
@@ -24,6 +24,7 @@
 private:
   struct block {
     schema::incarnation Authority;
+    std::string Domain;
     std::uint64_t Next = 0;
     std::uint64_t End = 0;
     runtime::time_point Received;
--- a/src/yuccaplank/node/job_service.cpp
+++ b/src/yuccaplank/node/job_service.cpp
@@ -160,9 +160,14 @@
   auto Exchange = P.Peers.Exchanges.open(
       Peer, Remaining + AnswerGrace,
       [this, Handle](const schema::envelope &Message) { deliver(Handle, Message.forward_answer().answer()); },
-      [this, Handle, Id = Request.Id, Vm = Peer.vm()](exchange_failure) {
+      [this, Handle, Request, Deadline, Peer](exchange_failure Failure) {
+        bool AnyAuthority =
+            Request.Id.empty() || model::parseJobId(Request.Id).value().Kind == model::id_kind::CallerKey;
+        if (Failure == exchange_failure::NotDelivered && AnyAuthority)
+          return submitInsteadOf(Request, Deadline, Handle);
         // The job may go on at its authority, so this is no failure of the job.
-        deliver(Handle, makeAnswer(Id, schema::OUTCOME_UNKNOWN, errc::AuthorityUnreachable, Vm));
+        deliver(Handle,
+                makeAnswer(Request.Id, schema::OUTCOME_UNKNOWN, errc::AuthorityUnreachable, Peer.vm()));
       });
   schema::envelope Message;
   schema::forward_job &Forward = *Message.mutable_forward_job();
@@ -174,6 +179,16 @@
   P.Peers.send(Peer.vm(), std::move(Message));
 }
 
+// The dispatcher has not got the submission; this VM can be the authority as well.
+void job_service::submitInsteadOf(const submit_request &Request, runtime::time_point Deadline,
+                                  std::uint64_t Handle) {
+  service_ptr Service;
+  if (auto Refusal = checkDocument(Request, Service))
+    deliver(Handle, *Refusal);
+  else
+    submitHere(Request, std::move(Service), Deadline, Handle);
+}
+
 void job_service::submitHere(submit_request Request, service_ptr Service, runtime::time_point Deadline,
                              std::uint64_t Handle) {
   if (Request.Id.empty())
@@ -304,8 +319,11 @@
         else
           jobEnded(Request.Id.Text, Answer);
       },
-      [this, Id](exchange_failure Failure) {
-        errc Reason = Failure == exchange_failure::PeerLost ? errc::PeerUnreachable : errc::TaskTimeout;
+      [this, Request](exchange_failure Failure) {
+        const std::string &Id = Request.Id.Text;
+        if (Failure == exchange_failure::NotDelivered && Active.contains(Id))
+          return executeHere(Request, false);
+        errc Reason = Failure == exchange_failure::TimedOut ? errc::TaskTimeout : errc::PeerUnreachable;
         jobEnded(Id, makeAnswer(Id, schema::OUTCOME_FAILED, Reason));
       });
   Active[Id] = {0, Exchange, Peer.vm()};
--- a/src/yuccaplank/node/job_service.hpp
+++ b/src/yuccaplank/node/job_service.hpp
@@ -80,6 +80,7 @@
   void route(submit_request Request, service_ptr Service, std::uint64_t Handle);
   void forward(const schema::incarnation &Peer, const submit_request &Request, runtime::time_point Deadline,
                std::uint64_t Handle);
+  void submitInsteadOf(const submit_request &Request, runtime::time_point Deadline, std::uint64_t Handle);
   void submitHere(submit_request Request, service_ptr Service, runtime::time_point Deadline,
                   std::uint64_t Handle);
   void submitKeyed(authority_request Request);
--- a/src/yuccaplank/scenario/script.cpp
+++ b/src/yuccaplank/scenario/script.cpp
@@ -136,6 +136,7 @@
     Options.ServersPerDomain = static_cast<int>(numberField(Lua, 1, "servers", Options.ServersPerDomain));
     Options.Slots = static_cast<int>(numberField(Lua, 1, "slots", Options.Slots));
     Options.Seed = static_cast<std::uint64_t>(numberField(Lua, 1, "seed", 1));
+    Options.OneDispatcher = boolField(Lua, 1, "one_dispatcher", false);
   }
   script_state &State = stateOf(Lua);
   State.World = std::make_unique<world>(Options);
--- a/src/yuccaplank/scenario/world.cpp
+++ b/src/yuccaplank/scenario/world.cpp
@@ -59,6 +59,12 @@
     World.Executor->after(latency(), [this, TaskId] { World.Servers.stop(TaskId); });
   }
 
+  void checkServer(const std::string &Address, std::function<void(bool)> OnDone) override {
+    bool Reachable = World.connected(Vm.Domain, World.Servers.domainOf(Address.substr(0, Address.find(':'))));
+    World.Executor->after(latency(),
+                          Vm.Executor.guard([OnDone = std::move(OnDone), Reachable] { OnDone(Reachable); }));
+  }
+
 private:
   [[nodiscard]] runtime::duration latency() const { return runtime::fromMs(World.Options.LatencyMs); }
   world &World;
@@ -147,6 +153,8 @@
   NodeOptions.Self = Vm->Self;
   NodeOptions.Domain = Vm->Domain;
   NodeOptions.PeerAddress = addressOfVm(Name);
+  if (Options.OneDispatcher)
+    NodeOptions.DispatchGroup = Options.Domains;
   NodeOptions.Seed = Options.Seed * 1000 + LastNonce;
   for (const std::string &Other : Listed)
     if (Other != Name)
--- a/src/yuccaplank/scenario/world.hpp
+++ b/src/yuccaplank/scenario/world.hpp
@@ -23,6 +23,8 @@
   std::vector<double> Speeds{1, 2, 4};
   std::uint64_t Seed = 1;
   double LatencyMs = 0.5;
+  /// One dispatcher for all failure domains.
+  bool OneDispatcher = false;
 };
 
 /// A submission as its caller sees it.
