Tell submissions that reached no authority, so that callers may use another id

Cause: after an authority had died, callers that held its unused ids were answered unknown, although their submissions had never been forwarded. authority_gone and authority_unreachable now mean that this very submission was not delivered, peer_unreachable that it was lost on the way.

--- a/include/yuccaplank/wire/job_codec.hpp
+++ b/include/yuccaplank/wire/job_codec.hpp
@@ -28,6 +28,10 @@
 /// Whole reply with status, body, and Retry-After.
 http_reply answerReply(const schema::job_answer &Answer);
 
+/// Whether an answer says that this very submission has reached no authority: unknown only because an earlier
+/// submission under the same id may have run. A caller that made no earlier one may use another id.
+bool neverDelivered(const schema::job_answer &Answer);
+
 /// Answer with an outcome and a reason.
 schema::job_answer makeAnswer(std::string Id, schema::outcome_kind Outcome, runtime::errc Reason,
                               std::string Subject = {}, std::uint32_t RetryAfterMs = 0);
--- a/scripts/lib/faults.py
+++ b/scripts/lib/faults.py
@@ -20,16 +20,18 @@
 class FaultInjector:
     """Injects faults of each group one after the other, groups at the same time, until told to stop."""
 
-    def __init__(self, system, seed):
+    def __init__(self, system, seed, names):
         self.system = system
         self.stopping = threading.Event()
         self.counts = {}
-        groups = [[self.kill, self.replace, self.terminate, self.pause, self.long_pause],
-                  [self.platform_down, self.platform_slow, self.lose_replies],
-                  [self.break_servers, self.servers_leave],
-                  [self.separate]]
-        self.threads = [threading.Thread(target=self.run, args=(group, random.Random(seed + index)))
-                        for index, group in enumerate(groups)]
+        groups = {"vms": [self.kill, self.replace, self.terminate, self.pause, self.long_pause],
+                  "platform": [self.platform_down, self.platform_slow, self.lose_replies],
+                  "servers": [self.break_servers, self.servers_leave],
+                  "links": [self.separate],
+                  "drain": [self.terminate],
+                  "leave": [self.servers_leave]}
+        self.threads = [threading.Thread(target=self.run, args=(groups[name], random.Random(seed + index)))
+                        for index, name in enumerate(names)]
 
     def start(self):
         for thread in self.threads:
@@ -157,12 +159,16 @@
     parser.add_argument("--rate", type=float, default=150, help="jobs a second")
     parser.add_argument("--base-port", type=int, default=8100)
     parser.add_argument("--build", default="build", help="folder of the programs")
+    parser.add_argument("--groups", default="vms,platform,servers,links",
+                        help="faults to inject at the same time: vms, platform, servers, links, drain, leave")
+    parser.add_argument("--one-dispatcher", action="store_true", help="all failure domains share a dispatcher")
     parser.add_argument("--no-faults", action="store_true", help="only offer the load")
     options = parser.parse_args()
     print(json.dumps({"name": "seed", "value": options.seed, "unit": ""}), flush=True)
     with tempfile.TemporaryDirectory(prefix="yuccaplank-faults-") as directory:
-        system = fleet.Fleet(directory, DOMAINS, SERVERS, base_port=options.base_port, build=options.build)
-        injector = FaultInjector(system, options.seed)
+        system = fleet.Fleet(directory, DOMAINS, SERVERS, base_port=options.base_port, build=options.build,
+                             one_dispatcher=options.one_dispatcher)
+        injector = FaultInjector(system, options.seed, options.groups.split(","))
         try:
             system.start()
             system.apply({"service": "proofs", "team": "engraving", "pool": "default",
--- a/src/yuccaplank/cli/submission.cpp
+++ b/src/yuccaplank/cli/submission.cpp
@@ -54,10 +54,16 @@
         return {statusOf(Refusal.outcome()), Refusal, false};
       }
       submission_result Result = put();
+      bool OwnId = Plan.Key.empty() && Plan.Id.empty();
+      // The VM that issued the id has gone before it got the only submission under it.
+      if (OwnId && !AttemptLost && wire::neverDelivered(Result.Answer) && now() < WaitEnd) {
+        Id.clear();
+        Session.advance();
+        continue;
+      }
       bool Refused = Result.Answer.outcome() == schema::OUTCOME_REFUSED;
       if (!Refused || !waitAfter(Result.Answer))
         return Result;
-      bool OwnId = Plan.Key.empty() && Plan.Id.empty();
       if (OwnId && !AttemptLost && Result.Answer.reason() == errcName(runtime::errc::Draining))
         Id.clear();
     }
--- a/src/yuccaplank/load/load_run.cpp
+++ b/src/yuccaplank/load/load_run.cpp
@@ -38,6 +38,8 @@
   // The job is submitted once more after its first answer.
   bool ResubmitAfterEnd = false;
   bool Answered = false;
+  // The id was submitted once, and no attempt was lost.
+  bool OnlyAttempt = true;
 };
 using job_pointer = std::shared_ptr<active_job>;
 
@@ -211,6 +213,7 @@
 
   void scheduleResubmission(const job_pointer &Job, duration Delay) {
     ++Job->OpenSubmissions;
+    Job->OnlyAttempt = false;
     ++counts().Resubmissions;
     Executor.after(Delay, [this, Job] {
       --Job->OpenSubmissions;
@@ -252,11 +255,22 @@
     if (Answer.value().outcome() == schema::OUTCOME_UNKNOWN ||
         Answer.value().reason() == errcName(runtime::errc::Draining))
       Ids.discard(Submission.Entry);
+    if (Job.OnlyAttempt && wire::neverDelivered(Answer.value()))
+      return renewId(Submission);
     endSubmission(Submission, endOf(Answer.value().outcome()));
   }
 
+  // Submits the job under another id. Under this one nothing may have run, which is checked as for a refusal.
+  void renewId(const submission &Submission) {
+    ++counts().IdsRenewed;
+    Result.Ledger.addEnd(Submission.Job->Id, submission_end::Refused);
+    Active.erase(Submission.Job);
+    begin({Submission.Job->Planned, now()});
+  }
+
   void onLost(submission Submission, wire::transfer_stage Stage) {
     ++counts().LostAttempts;
+    Submission.Job->OnlyAttempt = false;
     if (Stage == wire::transfer_stage::MaybeWritten)
       Result.Ledger.addLostAttempt(Submission.Job->Id);
     Ids.discard(Submission.Entry);
--- a/src/yuccaplank/load/measurements.cpp
+++ b/src/yuccaplank/load/measurements.cpp
@@ -63,6 +63,7 @@
   Count("submissions", Counts.Submissions);
   Count("resubmissions", Counts.Resubmissions);
   Count("lost_attempts", Counts.LostAttempts);
+  Count("ids_renewed", Counts.IdsRenewed);
   Count("cancels", Counts.Cancels);
   Count("jobs_skipped", Counts.Skipped);
   Count("jobs_without_id", Counts.WithoutId);
--- a/src/yuccaplank/load/measurements.hpp
+++ b/src/yuccaplank/load/measurements.hpp
@@ -23,6 +23,8 @@
   std::uint64_t Submissions = 0;
   std::uint64_t Resubmissions = 0;
   std::uint64_t LostAttempts = 0;
+  /// Jobs submitted under another id because the authority of the first was gone before it got them.
+  std::uint64_t IdsRenewed = 0;
   std::uint64_t Cancels = 0;
   std::uint64_t TasksDone = 0;
   /// Arrivals left out because too many jobs were in flight.
--- a/src/yuccaplank/node/job_service.cpp
+++ b/src/yuccaplank/node/job_service.cpp
@@ -166,8 +166,9 @@
         if (Failure == exchange_failure::NotDelivered && AnyAuthority)
           return submitInsteadOf(Request, Deadline, Handle);
         // The job may go on at its authority, so this is no failure of the job.
-        deliver(Handle,
-                makeAnswer(Request.Id, schema::OUTCOME_UNKNOWN, errc::AuthorityUnreachable, Peer.vm()));
+        errc Reason =
+            Failure == exchange_failure::NotDelivered ? errc::AuthorityUnreachable : errc::PeerUnreachable;
+        deliver(Handle, makeAnswer(Request.Id, schema::OUTCOME_UNKNOWN, Reason, Peer.vm()));
       });
   schema::envelope Message;
   schema::forward_job &Forward = *Message.mutable_forward_job();
--- a/src/yuccaplank/wire/job_codec.cpp
+++ b/src/yuccaplank/wire/job_codec.cpp
@@ -247,6 +247,12 @@
   return Reply;
 }
 
+bool neverDelivered(const schema::job_answer &Answer) {
+  return Answer.outcome() == schema::OUTCOME_UNKNOWN &&
+         (Answer.reason() == runtime::errcName(runtime::errc::AuthorityGone) ||
+          Answer.reason() == runtime::errcName(runtime::errc::AuthorityUnreachable));
+}
+
 schema::job_answer makeAnswer(std::string Id, schema::outcome_kind Outcome, errc Reason, std::string Subject,
                               std::uint32_t RetryAfterMs) {
   schema::job_answer Answer;
