Keep outcomes encoded; measure the memory of job records

Cause: a kept answer of 32 tasks took 7,396 B as objects, 3.5 times what the limit of kept bytes counted, so that 48 MB of outcomes would have taken about 170 MB.

--- a/src/yuccaplank/model/job_table.cpp
+++ b/src/yuccaplank/model/job_table.cpp
@@ -12,12 +12,22 @@
 using runtime::errc;
 using runtime::time_point;
 
+// Heap use of a record beside its id and answer: nodes of the maps, strings, and the queue of ended jobs.
+constexpr std::uint64_t RecordOverheadBytes = 320;
+
 struct record {
   std::uint64_t DocumentHash = 0;
   bool Ended = false;
   std::vector<waiter_id> Waiters;
-  schema::job_answer Answer;
+  // Encoded, since the objects of an answer take more than three times its encoded size.
+  std::string Answer;
   std::uint64_t Bytes = 0;
+
+  [[nodiscard]] schema::job_answer decodeAnswer() const {
+    schema::job_answer Decoded;
+    Decoded.ParseFromString(Answer);
+    return Decoded;
+  }
 };
 
 // Sequence numbers below End were issued at Issued or before.
@@ -80,7 +90,7 @@
       return wire::makeAnswer(Id.Text, schema::OUTCOME_REFUSED, errc::NotFound);
     }
     if (Found->second.Ended)
-      return Found->second.Answer;
+      return Found->second.decodeAnswer();
     addWaiter(Found->second, Id.Text, Waiter);
     return wire::makeAnswer(Id.Text, schema::OUTCOME_PENDING, errc::Ok);
   }
@@ -99,8 +109,8 @@
       return {};
     record &Record = Found->second;
     Record.Ended = true;
-    Record.Answer = Answer;
-    Record.Bytes = sizeof(record) + Id.size() + Answer.ByteSizeLong();
+    Record.Answer = Answer.SerializeAsString();
+    Record.Bytes = RecordOverheadBytes + 2 * Id.size() + Record.Answer.size();
     RetainedBytes += Record.Bytes;
     --Running;
     auto Parsed = parseJobId(Id);
@@ -126,7 +136,7 @@
     if (Record.DocumentHash != DocumentHash)
       return {submission_kind::Rejected, wire::makeAnswer(Id.Text, schema::OUTCOME_REFUSED, errc::IdReused)};
     if (Record.Ended)
-      return {submission_kind::Ended, Record.Answer};
+      return {submission_kind::Ended, Record.decodeAnswer()};
     addWaiter(Record, Id.Text, Waiter);
     return {submission_kind::Joined, {}};
   }
