Read the VM list only when it has changed; correct id validity and long change ids

Cause: the list of 1,000 servers is about 200 KB, so reading it every 2 s would cost a dispatcher 100 KB/s of a budget of 12 KB/s. It is now read with If-None-Match. Ids may wait 60 s in the pool of a VM, so valid_s is 540. A change id over 128 characters is answered 422 instead of 503.

--- a/src/yuccaplank/daemon/caller_api.cpp
+++ b/src/yuccaplank/daemon/caller_api.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::uint32_t MaxIdsPerRequest = 1000;
 constexpr std::uint32_t MaxWaitMs = 60'000;
-constexpr int IdValidityS = 600;
+// The authority's validity of 600 s less the time that a block may wait in the pool of another VM.
+constexpr int IdValidityS = 540;
 constexpr std::string_view JobsPath = "/v1/jobs";
 
 std::optional<std::uint32_t> number(std::string_view Text) {
--- a/src/yuccaplank/daemon/operator_api.cpp
+++ b/src/yuccaplank/daemon/operator_api.cpp
@@ -14,6 +14,7 @@
 using nlohmann::ordered_json;
 using runtime::errc;
 
+constexpr std::size_t MaxChangeIdLength = 128;
 constexpr std::string_view ServicesPath = "/v1/services/";
 constexpr auto StateNames = std::to_array<std::string_view>({"unknown", "live", "draining", "unreachable"});
 
@@ -133,6 +134,8 @@
   std::string_view Expected = Request.query("expected");
   Apply.ChangeId = Request.query("change");
   auto Parsed = std::from_chars(Expected.data(), Expected.data() + Expected.size(), Apply.ExpectedRevision);
+  if (Apply.ChangeId.size() > MaxChangeIdLength)
+    return fail(Request, 422, errc::OutOfRange);
   if (Apply.ChangeId.empty() || Expected.empty() || Parsed.ptr != Expected.data() + Expected.size())
     return fail(Request, 422, errc::MissingField);
   Node.apply(std::move(Apply), [this, Token = Request.Token](runtime::result<platform::apply_reply> Result) {
--- a/src/yuccaplank/platform/table.cpp
+++ b/src/yuccaplank/platform/table.cpp
@@ -12,6 +12,7 @@
 using wire::http_call_result;
 
 constexpr int StatusOk = 200;
+constexpr int StatusNotModified = 304;
 constexpr int StatusConflict = 409;
 
 std::string percentEncode(std::string_view Text) {
@@ -65,7 +66,13 @@
         std::move(OnDone));
   }
   void vms(std::function<void(runtime::result<schema::vm_list>)> OnDone) override {
-    get("/v1/vms", readVmList, std::move(OnDone));
+    ++Totals.Reads;
+    wire::http_call Call = makeCall("GET", "/v1/vms");
+    if (!ListTag.empty())
+      Call.Headers = {{"if-none-match", ListTag}};
+    Client.call(std::move(Call), [this, OnDone = std::move(OnDone)](const http_call_result &Result) {
+      OnDone(takeVmList(Result));
+    });
   }
   [[nodiscard]] counters totals() const override { return Totals; }
 
@@ -79,6 +86,20 @@
     return Call;
   }
 
+  // The list of 1,000 servers takes about 200 KB, so it is sent only when it has changed.
+  runtime::result<schema::vm_list> takeVmList(const http_call_result &Result) {
+    if (!Result.Error && Result.Status == StatusNotModified && !ListTag.empty())
+      return VmList;
+    if (Result.Error || Result.Status != StatusOk)
+      return errc::PlatformUnavailable;
+    auto List = readVmList(Result.Body);
+    if (!List)
+      return errc::PlatformUnavailable;
+    ListTag = std::string(Result.header("etag"));
+    VmList = List.value();
+    return VmList;
+  }
+
   template <typename T>
   void get(std::string Path, runtime::result<T> (*Read)(std::string_view),
            std::function<void(runtime::result<T>)> OnDone) {
@@ -100,6 +121,8 @@
   wire::http_client &Client;
   table_options Options;
   counters Totals;
+  schema::vm_list VmList;
+  std::string ListTag;
 };
 
 } // namespace
--- a/src/yuccaplank/standin/platform.cpp
+++ b/src/yuccaplank/standin/platform.cpp
@@ -20,6 +20,7 @@
 using wire::http_reply;
 using wire::http_request;
 
+constexpr int StatusNotModified = 304;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
@@ -142,8 +143,15 @@
       return malformed();
     return okReply(writeChanges(State.changes(Request.query("prefix"), After)));
   }
-  http_reply vms(const http_request & /*Request*/) {
-    return okReply(wire::writeDocument(Vms.visible(Clock.now())));
+  http_reply vms(const http_request &Request) {
+    schema::vm_list List = Vms.visible(Clock.now());
+    std::string Tag = '"' + std::to_string(List.version()) + '"';
+    bool Unchanged = Request.header("if-none-match") == Tag;
+    http_reply Reply = okReply(Unchanged ? "" : wire::writeDocument(List));
+    if (Unchanged)
+      Reply.Status = StatusNotModified;
+    Reply.Headers.push_back({"etag", Tag});
+    return Reply;
   }
 
   http_reply setFaults(const http_request &Request) {
--- a/src/yuccaplank/standin/platform_test.cpp
+++ b/src/yuccaplank/standin/platform_test.cpp
@@ -54,6 +54,11 @@
   if (auto When = section("when the VM list is read")) {
     CPPUNIT_ASSERT_EQUAL(std::string(R"({"version":1,"entry_vms":[{"id":"vm1"}]})"),
                          Handle("GET", "/v1/vms").Reply.Body);
+    // Guards against sending the whole list when nothing has changed.
+    auto Again = requestOf("GET", "/v1/vms");
+    Again.Headers = {{"if-none-match", R"("1")"}};
+    CPPUNIT_ASSERT_EQUAL(304, Platform->handle(Again).Reply.Status);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Platform->handle(Again).Reply.Body);
     CPPUNIT_ASSERT_EQUAL(200, Handle("POST", "/vms", R"({"entry_vms":[{"id":"vm2"}]})").Reply.Status);
     CPPUNIT_ASSERT(Handle("GET", "/v1/vms").Reply.Body.find("vm1") != std::string::npos);
     Clock.advance(2s);
@@ -157,6 +162,8 @@
     Table->changes("a", 7, [&](const auto &Changes) { Log += Changes.has_value() ? "c" : "-"; });
     Table->vms([&](const auto &List) { Log += List.has_value() ? "v" : "-"; });
     testing::runUntil(*Loop, [&] { return Log.size() == 3; });
+    Table->vms([&](const auto &List) { Log += List.has_value() && List.value().version() == 1 ? "v" : "-"; });
+    testing::runUntil(*Loop, [&] { return Log.size() == 4; });
     CPPUNIT_ASSERT(Log.find('-') == std::string::npos);
   }
   if (auto When = section("when the platform loses the reply")) {
--- a/src/yuccaplank/wire/http_client.cpp
+++ b/src/yuccaplank/wire/http_client.cpp
@@ -29,6 +29,9 @@
 // timer that every turn of the loop visits, so pools of replaced VMs must not accumulate.
 constexpr int PoolRetentionFactor = 10;
 
+constexpr int NoContentStatus = 204;
+constexpr int NotModifiedStatus = 304;
+
 class client_impl;
 
 struct connection_pool {
@@ -192,7 +195,9 @@
     for (std::size_t Index = 0; Index < HeaderCount; ++Index)
       Exchange.Result.Headers.push_back(
           {std::string(view(*Headers[Index].name)), std::string(view(Headers[Index].value))});
-    if (AtEnd) {
+    // Replies with these statuses have no body, whatever their headers say.
+    bool Bodiless = Status == NoContentStatus || Status == NotModifiedStatus;
+    if (AtEnd || Bodiless) {
       Exchange.Native = nullptr;
       Exchange.Owner->succeed(Exchange);
       return nullptr;
