--- a/scenarios/backend_servers.lua
+++ b/scenarios/backend_servers.lua
@@ -64,3 +64,13 @@
   run(20000)
   check_promises()
 end)
+
+scenario("one of three servers that fails everything is quarantined too", function()
+  ready{domains = {"d1"}, vms = 1, servers = 3, slots = 8, speeds = {1}}
+  for _ = 1, 20 do submit("d1-1", ids("d1-1")[1], {tasks = 3, ms = 50}) run(100) end
+  server("d1-s1", "fail_all")
+  local before = server_starts("d1-s1")
+  for _ = 1, 60 do submit("d1-1", ids("d1-1")[1], {tasks = 3, ms = 50}) run(100) end
+  check(server_starts("d1-s1") - before <= 10, "lost " .. server_starts("d1-s1") - before)
+  check_promises()
+end)
--- a/src/yuccaplank/model/quarantine.cpp
+++ b/src/yuccaplank/model/quarantine.cpp
@@ -65,7 +65,9 @@
 }
 
 std::size_t quarantineLimit(std::size_t ServerCount) {
-  return static_cast<std::size_t>(static_cast<double>(ServerCount) * MaxQuarantinedShare);
+  auto Share = static_cast<std::size_t>(static_cast<double>(ServerCount) * MaxQuarantinedShare);
+  // A share of few servers rounds down to none, and one that fails everything would then fail most jobs.
+  return ServerCount >= 2 ? std::max<std::size_t>(Share, 1) : 0;
 }
 
 } // namespace yuccaplank::model
