Treat requests that waited for a connection as maybe delivered

A request made before the connection to its peer came up kept the mark of an unconnected VM, although the transport sends waiting requests as soon as the connection is there. If that connection ended and a later connect failed, the request was reported as not delivered, which allows the job to be run here. The daemon fails the requests of a closed connection first, so the fault was seen only at the interface of exchanges: its new test failed before this change and passes with it.

--- a/src/yuccaplank/node/exchanges.cpp
+++ b/src/yuccaplank/node/exchanges.cpp
@@ -46,6 +46,14 @@
       Entry->OnFailure(Failure);
 }
 
+void exchanges::connected(const std::string &Vm) {
+  if (!Connected.insert(Vm).second)
+    return;
+  for (auto &[Exchange, Entry] : Pending)
+    if (Entry.Peer.vm() == Vm)
+      Entry.WasConnected = true;
+}
+
 void exchanges::drop(std::uint64_t Exchange) { take(Exchange); }
 
 std::optional<exchanges::pending> exchanges::take(std::uint64_t Exchange) {
--- a/src/yuccaplank/node/exchanges.hpp
+++ b/src/yuccaplank/node/exchanges.hpp
@@ -36,11 +36,11 @@
   /// Delivers an answer; ignored when the exchange is unknown or belongs to another peer.
   void answer(const schema::incarnation &From, std::uint64_t Exchange, const schema::envelope &Message);
   void failPeer(const schema::incarnation &Peer);
-  /// A connect to the VM has failed: requests made while there was no connection to it have not been
-  /// delivered.
+  /// A connect to the VM has failed: requests have not been delivered if there was no connection to it since
+  /// they were made.
   void connectFailed(const std::string &Vm);
-  /// There is a connection to the VM.
-  void connected(const std::string &Vm) { Connected.insert(Vm); }
+  /// There is a connection to the VM; requests that waited for it may have been written to it.
+  void connected(const std::string &Vm);
   void disconnected(const std::string &Vm) { Connected.erase(Vm); }
   void drop(std::uint64_t Exchange);
   [[nodiscard]] std::size_t size() const { return Pending.size(); }
@@ -51,7 +51,7 @@
     answer_handler OnAnswer;
     failure_handler OnFailure;
     runtime::timer_id Timer = 0;
-    // Whether there was a connection when the request was made.
+    // Whether there was a connection when the request was made or later.
     bool WasConnected = false;
   };
   void failIf(const std::function<bool(const pending &)> &Matches, exchange_failure Failure);
