--- a/src/yuccaplank/daemon/daemon.cpp
+++ b/src/yuccaplank/daemon/daemon.cpp
@@ -125,6 +125,9 @@
     return ExitStatus;
   }
 
+  [[nodiscard]] std::uint16_t callerPort() const override { return CallerServer->port(); }
+  [[nodiscard]] std::uint16_t operatorPort() const override { return OperatorServer->port(); }
+
 private:
   static schema::incarnation makeSelf(runtime::loop &Loop, const schema::daemon_settings &Settings) {
     schema::incarnation Self;
--- a/src/yuccaplank/daemon/daemon.hpp
+++ b/src/yuccaplank/daemon/daemon.hpp
@@ -5,6 +5,7 @@
 #include "yuccaplank/runtime/error.hpp"
 #include "yuccaplank/runtime/loop.hpp"
 
+#include <cstdint>
 #include <memory>
 
 namespace yuccaplank::daemon {
@@ -14,6 +15,9 @@
   virtual ~entry_daemon() = default;
   /// Serves until the shutdown is complete; returns the exit status.
   virtual int run() = 0;
+  /// Ports of the listeners, for settings that leave the choice to the system with port 0.
+  [[nodiscard]] virtual std::uint16_t callerPort() const = 0;
+  [[nodiscard]] virtual std::uint16_t operatorPort() const = 0;
 };
 
 runtime::result<std::unique_ptr<entry_daemon>> makeDaemon(runtime::loop &Loop,
