Share percent-encoding and query parsing in wire/url

The table client and the command line each had a percent-encoder, and the decoder was part of the HTTP server's file. wire/url now holds them with tests of their own.

--- a/src/yuccaplank/cli/job_commands.cpp
+++ b/src/yuccaplank/cli/job_commands.cpp
@@ -3,6 +3,7 @@
 #include "yuccaplank/cli/output.hpp"
 #include "yuccaplank/cli/submission.hpp"
 #include "yuccaplank/wire/job_codec.hpp"
+#include "yuccaplank/wire/url.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -88,8 +89,8 @@
 exit_status runCancel(command_context &Context) {
   entry_session Session = makeSession(Context);
   std::string Id = Context.Invocation.text("ID");
-  entry_reply Reply =
-      Session.send({"DELETE", "/v1/jobs/" + percentEncode(Id), {}, "", Context.Invocation.Global.Timeout});
+  entry_reply Reply = Session.send(
+      {"DELETE", "/v1/jobs/" + wire::percentEncode(Id), {}, "", Context.Invocation.Global.Timeout});
   Reply.MaybeWritten = true;
   schema::job_answer Answer = answerOf(Reply, Id).Answer;
   // A job of which no task had started ends as refused.
--- a/src/yuccaplank/cli/service_change.cpp
+++ b/src/yuccaplank/cli/service_change.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/cli/service_change.hpp"
+#include "yuccaplank/wire/url.hpp"
 
 #include <fmt/format.h>
 
@@ -38,8 +39,8 @@
                            const std::function<void(std::string_view)> &Progress) {
   const runtime::clock &Clock = Session.timing().clock();
   runtime::time_point End = Clock.now() + Plan.Timeout;
-  std::string Path = fmt::format("/v1/services/{}?expected={}&change={}", percentEncode(Plan.Service),
-                                 Plan.ExpectedRevision, percentEncode(Plan.ChangeId));
+  std::string Path = fmt::format("/v1/services/{}?expected={}&change={}", wire::percentEncode(Plan.Service),
+                                 Plan.ExpectedRevision, wire::percentEncode(Plan.ChangeId));
   change_result Change;
   bool WasOpen = false;
   for (runtime::duration Delay = FirstRepeatDelay;; Delay = std::min(Delay * 2, MaxRepeatDelay)) {
@@ -78,7 +79,7 @@
                      runtime::duration Timeout, const std::function<void(std::string_view)> &Progress) {
   const runtime::clock &Clock = Session.timing().clock();
   runtime::time_point End = Clock.now() + Timeout;
-  std::string Path = fmt::format("/v1/services/{}/rollout", percentEncode(Service));
+  std::string Path = fmt::format("/v1/services/{}/rollout", wire::percentEncode(Service));
   rollout Rollout;
   for (;;) {
     runtime::duration Left = std::max(End - Clock.now(), runtime::duration(std::chrono::seconds(1)));
--- a/src/yuccaplank/cli/service_commands.cpp
+++ b/src/yuccaplank/cli/service_commands.cpp
@@ -4,6 +4,7 @@
 #include "yuccaplank/cli/output.hpp"
 #include "yuccaplank/cli/service_change.hpp"
 #include "yuccaplank/wire/service_codec.hpp"
+#include "yuccaplank/wire/url.hpp"
 
 #include <fmt/format.h>
 
@@ -14,7 +15,7 @@
 
 using nlohmann::ordered_json;
 
-std::string servicePath(const std::string &Name) { return "/v1/services/" + percentEncode(Name); }
+std::string servicePath(const std::string &Name) { return "/v1/services/" + wire::percentEncode(Name); }
 
 void printJson(const command_context &Context, const ordered_json &Value) {
   Context.Console.Out(Value.dump(-1, ' ', false, ordered_json::error_handler_t::replace) + "\n");
--- a/src/yuccaplank/cli/session.cpp
+++ b/src/yuccaplank/cli/session.cpp
@@ -1,6 +1,5 @@
 #include "yuccaplank/cli/session.hpp"
 
-#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -55,18 +54,4 @@
   return Requester.exchange(std::move(Call));
 }
 
-std::string percentEncode(std::string_view Text) {
-  std::string Encoded;
-  for (char Character : Text) {
-    bool Plain = (Character >= 'a' && Character <= 'z') || (Character >= 'A' && Character <= 'Z') ||
-                 (Character >= '0' && Character <= '9') ||
-                 std::string_view("-._~").find(Character) != std::string_view::npos;
-    if (Plain)
-      Encoded += Character;
-    else
-      Encoded += fmt::format("%{:02X}", static_cast<unsigned char>(Character));
-  }
-  return Encoded;
-}
-
 } // namespace yuccaplank::cli
--- a/src/yuccaplank/cli/session.hpp
+++ b/src/yuccaplank/cli/session.hpp
@@ -4,7 +4,6 @@
 #include "yuccaplank/cli/requester.hpp"
 
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace yuccaplank::cli {
@@ -65,7 +64,4 @@
   std::string Token;
 };
 
-/// Percent-encodes everything but unreserved characters (RFC 3986).
-std::string percentEncode(std::string_view Text);
-
 } // namespace yuccaplank::cli
--- a/src/yuccaplank/cli/submission.cpp
+++ b/src/yuccaplank/cli/submission.cpp
@@ -1,5 +1,6 @@
 #include "yuccaplank/cli/submission.hpp"
 #include "yuccaplank/wire/job_codec.hpp"
+#include "yuccaplank/wire/url.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -13,7 +14,7 @@
 // One query waits at most this long at the entry VM, so that a lost VM is noticed.
 constexpr runtime::duration QueryWait = std::chrono::seconds(5);
 
-std::string jobPath(const std::string &Id) { return "/v1/jobs/" + percentEncode(Id); }
+std::string jobPath(const std::string &Id) { return "/v1/jobs/" + wire::percentEncode(Id); }
 
 bool mayResubmit(const schema::job_answer &Answer) {
   return Answer.outcome() == schema::OUTCOME_FAILED || Answer.outcome() == schema::OUTCOME_UNKNOWN;
--- a/src/yuccaplank/platform/table.cpp
+++ b/src/yuccaplank/platform/table.cpp
@@ -2,8 +2,7 @@
 
 #include "yuccaplank/platform/table_codec.hpp"
 #include "yuccaplank/wire/settings_reader.hpp"
-
-#include <array>
+#include "yuccaplank/wire/url.hpp"
 
 namespace yuccaplank::platform {
 namespace {
@@ -14,23 +13,8 @@
 constexpr int StatusOk = 200;
 constexpr int StatusConflict = 409;
 
-std::string percentEncode(std::string_view Text) {
-  constexpr std::string_view Plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
-  constexpr std::string_view Digits = "0123456789ABCDEF";
-  constexpr unsigned NibbleBits = 4;
-  std::string Encoded;
-  for (char Letter : Text) {
-    if (Plain.find(Letter) != std::string_view::npos) {
-      Encoded += Letter;
-      continue;
-    }
-    auto Byte = static_cast<unsigned char>(Letter);
-    Encoded += '%';
-    Encoded += Digits[Byte >> NibbleBits];
-    Encoded += Digits[Byte % Digits.size()];
-  }
-  return Encoded;
-}
+// The '/' between the parts of a key stays readable.
+std::string encodeKey(std::string_view Key) { return wire::percentEncode(Key, "/"); }
 
 runtime::result<schema::vm_list> readVmList(std::string_view Text) {
   schema::vm_list List;
@@ -53,15 +37,15 @@
     send(std::move(Call), readTransactionReply, std::move(OnDone));
   }
   void read(std::string Key, std::function<void(runtime::result<table_row>)> OnDone) override {
-    get("/v1/table/row?key=" + percentEncode(Key), readRow, std::move(OnDone));
+    get("/v1/table/row?key=" + encodeKey(Key), readRow, std::move(OnDone));
   }
   void rows(std::string Prefix,
             std::function<void(runtime::result<std::vector<table_row>>)> OnDone) override {
-    get("/v1/table/rows?prefix=" + percentEncode(Prefix), readRows, std::move(OnDone));
+    get("/v1/table/rows?prefix=" + encodeKey(Prefix), readRows, std::move(OnDone));
   }
   void changes(std::string Prefix, std::uint64_t After,
                std::function<void(runtime::result<table_changes>)> OnDone) override {
-    get("/v1/table/changes?prefix=" + percentEncode(Prefix) + "&after=" + std::to_string(After), readChanges,
+    get("/v1/table/changes?prefix=" + encodeKey(Prefix) + "&after=" + std::to_string(After), readChanges,
         std::move(OnDone));
   }
   void vms(std::function<void(runtime::result<schema::vm_list>)> OnDone) override {
