--- a/src/yuccaplank/wire/document_checks.cpp
+++ b/src/yuccaplank/wire/document_checks.cpp
@@ -1,13 +1,12 @@
 #include "yuccaplank/wire/document_checks.hpp"
 
 #include "yuccaplank/wire/service_codec.hpp"
+#include "yuccaplank/wire/socket_address.hpp"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace yuccaplank::wire {
 namespace {
@@ -30,21 +29,8 @@
 const name_characters &charactersOf(name_rule Rule) { return NameRules[static_cast<std::size_t>(Rule)]; }
 
 bool isAddress(std::string_view Text, bool PortZeroAllowed) {
-  std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
-    return false;
-  std::string_view PortText = Text.substr(Colon + 1);
-  std::uint16_t Port = 0;
-  auto [End, Error] = std::from_chars(PortText.data(), PortText.data() + PortText.size(), Port);
-  if (PortText.empty() || Error != std::errc() || End != PortText.data() + PortText.size())
-    return false;
-  if (Port == 0 && !PortZeroAllowed)
-    return false;
-  std::string Ip(Text.substr(0, Colon));
-  in6_addr Parsed{};
-  if (Ip.size() > 2 && Ip.front() == '[' && Ip.back() == ']')
-    return inet_pton(AF_INET6, Ip.substr(1, Ip.size() - 2).c_str(), &Parsed) == 1;
-  return inet_pton(AF_INET, Ip.c_str(), &Parsed) == 1;
+  auto Address = parseSocketAddress(Text);
+  return Address && (PortZeroAllowed || Address.value().port() != 0);
 }
 
 } // namespace
--- a/src/yuccaplank/wire/http_client.cpp
+++ b/src/yuccaplank/wire/http_client.cpp
@@ -3,8 +3,8 @@
 #include <h2o.h>
 }
 
-#include "socket_address.hpp"
 #include "yuccaplank/wire/http_client.hpp"
+#include "yuccaplank/wire/socket_address.hpp"
 
 #include <fmt/format.h>
 
--- a/src/yuccaplank/wire/http_server.cpp
+++ b/src/yuccaplank/wire/http_server.cpp
@@ -5,9 +5,9 @@
 #include <h2o/http2.h>
 }
 
-#include "socket_address.hpp"
 #include "yuccaplank/runtime/log.hpp"
 #include "yuccaplank/wire/http_server.hpp"
+#include "yuccaplank/wire/socket_address.hpp"
 #include "yuccaplank/wire/url.hpp"
 
 #include <sys/epoll.h>
--- a/src/yuccaplank/wire/peer_connection.cpp
+++ b/src/yuccaplank/wire/peer_connection.cpp
@@ -4,7 +4,7 @@
 }
 
 #include "peer_connection.hpp"
-#include "socket_address.hpp"
+#include "yuccaplank/wire/socket_address.hpp"
 
 #include <netinet/tcp.h>
 #include <nghttp2/nghttp2.h>
--- a/src/yuccaplank/wire/peer_link.cpp
+++ b/src/yuccaplank/wire/peer_link.cpp
@@ -4,9 +4,9 @@
 }
 
 #include "peer_connection.hpp"
-#include "socket_address.hpp"
 #include "yuccaplank/runtime/log.hpp"
 #include "yuccaplank/wire/peer_link.hpp"
+#include "yuccaplank/wire/socket_address.hpp"
 
 #include <openssl/rand.h>
 #include <unistd.h>
--- a/src/yuccaplank/wire/socket_address.cpp
+++ b/src/yuccaplank/wire/socket_address.cpp
@@ -1,4 +1,4 @@
-#include "socket_address.hpp"
+#include "yuccaplank/wire/socket_address.hpp"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -9,6 +9,12 @@
 
 namespace yuccaplank::wire {
 
+std::uint16_t socket_address::port() const {
+  if (Bytes.ss_family == AF_INET6)
+    return ntohs(reinterpret_cast<const sockaddr_in6 &>(Bytes).sin6_port);
+  return ntohs(reinterpret_cast<const sockaddr_in &>(Bytes).sin_port);
+}
+
 runtime::result<socket_address> parseSocketAddress(std::string_view Text) {
   auto Malformed = make_error_code(runtime::errc::MalformedDocument);
   std::size_t Colon = Text.rfind(':');
--- a/src/yuccaplank/wire/socket_address.hpp
+++ b/src/yuccaplank/wire/socket_address.hpp
@@ -5,14 +5,18 @@
 
 #include <sys/socket.h>
 
+#include <cstdint>
 #include <string_view>
 
 namespace yuccaplank::wire {
 
+/// Address in the form that the socket functions take.
 struct socket_address {
   sockaddr_storage Bytes{};
   socklen_t Length = 0;
 
+  /// Port in host byte order.
+  [[nodiscard]] std::uint16_t port() const;
   [[nodiscard]] const sockaddr *get() const { return reinterpret_cast<const sockaddr *>(&Bytes); }
   [[nodiscard]] sockaddr *get() { return reinterpret_cast<sockaddr *>(&Bytes); }
 };
