--- a/src/yuccaplank/wire/http_server.cpp
+++ b/src/yuccaplank/wire/http_server.cpp
@@ -166,24 +166,12 @@
   }
 
   runtime::result<void> listen() {
-    auto Address = parseSocketAddress(Options.Address);
-    if (!Address)
-      return Address.error();
-    int Fd = socket(Address.value().Bytes.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (Fd < 0)
-      return systemError();
-    int On = 1;
-    setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-    if (bind(Fd, Address.value().get(), Address.value().Length) != 0 || ::listen(Fd, ListenBacklog) != 0) {
-      std::error_code Error = systemError();
-      close(Fd);
-      return Error;
-    }
-    Listener = h2o_evloop_socket_create(Loop.native(), Fd, H2O_SOCKET_FLAG_DONT_READ);
+    auto Listening = listenOn(Options.Address, ListenBacklog);
+    if (!Listening)
+      return Listening.error();
+    Port = Listening.value().Port;
+    Listener = h2o_evloop_socket_create(Loop.native(), Listening.value().Fd, H2O_SOCKET_FLAG_DONT_READ);
     Listener->data = this;
-    sockaddr_storage Bound{};
-    h2o_socket_getsockname(Listener, reinterpret_cast<sockaddr *>(&Bound));
-    Port = static_cast<std::uint16_t>(h2o_socket_getport(reinterpret_cast<sockaddr *>(&Bound)));
     h2o_socket_read_start(Listener, [](h2o_socket_t *Socket, const char *Error) {
       if (!Error)
         static_cast<server_state *>(Socket->data)->acceptConnections();
--- a/src/yuccaplank/wire/peer_link.cpp
+++ b/src/yuccaplank/wire/peer_link.cpp
@@ -9,10 +9,8 @@
 #include "yuccaplank/wire/socket_address.hpp"
 
 #include <openssl/rand.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <deque>
 #include <map>
 #include <set>
@@ -79,24 +77,11 @@
   }
 
   std::error_code listen() {
-    auto Address = parseSocketAddress(Options.Address);
-    if (!Address)
-      return Address.error();
-    int Fd = socket(Address.value().get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (Fd < 0)
-      return {errno, std::system_category()};
-    int Enable = 1;
-    setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &Enable, sizeof(Enable));
-    if (bind(Fd, Address.value().get(), Address.value().Length) != 0 || ::listen(Fd, ListenBacklog) != 0) {
-      std::error_code Error(errno, std::system_category());
-      ::close(Fd);
-      return Error;
-    }
-    socket_address Bound;
-    Bound.Length = sizeof(Bound.Bytes);
-    getsockname(Fd, Bound.get(), &Bound.Length);
-    Port = static_cast<std::uint16_t>(h2o_socket_getport(Bound.get()));
-    Listener = h2o_evloop_socket_create(Loop.native(), Fd, H2O_SOCKET_FLAG_DONT_READ);
+    auto Listening = listenOn(Options.Address, ListenBacklog);
+    if (!Listening)
+      return Listening.error();
+    Port = Listening.value().Port;
+    Listener = h2o_evloop_socket_create(Loop.native(), Listening.value().Fd, H2O_SOCKET_FLAG_DONT_READ);
     Listener->data = this;
     h2o_socket_read_start(
         Listener, +[](h2o_socket_t *Socket, const char *Error) {
--- a/src/yuccaplank/wire/socket_address.cpp
+++ b/src/yuccaplank/wire/socket_address.cpp
@@ -2,12 +2,19 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <charconv>
 #include <cstring>
 #include <string>
 
 namespace yuccaplank::wire {
+namespace {
+
+std::error_code systemError() { return {errno, std::system_category()}; }
+
+} // namespace
 
 std::uint16_t socket_address::port() const {
   if (Bytes.ss_family == AF_INET6)
@@ -47,4 +54,25 @@
   return Address;
 }
 
+runtime::result<listening_socket> listenOn(std::string_view Address, int Backlog) {
+  auto Parsed = parseSocketAddress(Address);
+  if (!Parsed)
+    return Parsed.error();
+  const socket_address &Wanted = Parsed.value();
+  int Fd = socket(Wanted.Bytes.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Fd < 0)
+    return systemError();
+  int On = 1;
+  setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  if (bind(Fd, Wanted.get(), Wanted.Length) != 0 || listen(Fd, Backlog) != 0) {
+    std::error_code Error = systemError();
+    close(Fd);
+    return Error;
+  }
+  socket_address Bound;
+  Bound.Length = sizeof(Bound.Bytes);
+  getsockname(Fd, Bound.get(), &Bound.Length);
+  return listening_socket{Fd, Bound.port()};
+}
+
 } // namespace yuccaplank::wire
--- a/src/yuccaplank/wire/socket_address.hpp
+++ b/src/yuccaplank/wire/socket_address.hpp
@@ -1,4 +1,4 @@
-// Numeric socket addresses in the form "ip:port", with IPv6 addresses in brackets.
+// Numeric socket addresses in the form "ip:port", with IPv6 addresses in brackets, and listening on them.
 #pragma once
 
 #include "yuccaplank/runtime/error.hpp"
@@ -24,4 +24,15 @@
 /// Parses "127.0.0.1:80" or "[::1]:80"; errc::MalformedDocument for anything else, host names included.
 runtime::result<socket_address> parseSocketAddress(std::string_view Text);
 
+/// A listening TCP socket; the caller closes Fd.
+struct listening_socket {
+  int Fd = -1;
+  /// The port in use, also when the address asked for port 0.
+  std::uint16_t Port = 0;
+};
+
+/// Listens on Address without blocking; errc::MalformedDocument for a malformed address, otherwise the
+/// system's error. Backlog is the number of connections that may wait to be accepted.
+runtime::result<listening_socket> listenOn(std::string_view Address, int Backlog);
+
 } // namespace yuccaplank::wire
