Refuse bracketed IPv4 addresses as usage errors in the CLI

The command line had its own address parser, which accepted [127.0.0.1]:1. The HTTP client refuses that form, so that the command ended with status 4 (refused) instead of 2 (usage). The CLI now uses the parser of the sockets; the new case in the usage test ended with status 4 before.

--- a/src/yuccaplank/cli/arguments.cpp
+++ b/src/yuccaplank/cli/arguments.cpp
@@ -1,13 +1,11 @@
 #include "yuccaplank/cli/arguments.hpp"
 #include "yuccaplank/cli/command.hpp"
+#include "yuccaplank/wire/socket_address.hpp"
 
 #include <boost/algorithm/string.hpp>
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 
-#include <arpa/inet.h>
-#include <array>
-#include <charconv>
 #include <cmath>
 #include <sstream>
 
@@ -108,6 +106,11 @@
   return {};
 }
 
+bool isAddress(std::string_view Text) {
+  auto Address = wire::parseSocketAddress(Text);
+  return Address && Address.value().port() != 0;
+}
+
 std::string checkTarget(const invocation &Invocation) {
   const global_options &Global = Invocation.Global;
   command_target Target = Invocation.Command->Target;
@@ -197,24 +200,6 @@
   return Options.contains(Name) ? Options[Name].as<std::string>() : std::string();
 }
 
-bool isAddress(std::string_view Text) {
-  std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
-    return false;
-  std::string Host(Text.substr(0, Colon));
-  std::string_view Port = Text.substr(Colon + 1);
-  if (Host.starts_with('[') && Host.ends_with(']'))
-    Host = Host.substr(1, Host.size() - 2);
-  else if (Host.find(':') != std::string::npos)
-    return false;
-  std::array<unsigned char, sizeof(in6_addr)> Parsed{};
-  int Family = Host.find(':') == std::string::npos ? AF_INET : AF_INET6;
-  unsigned Number = 0;
-  auto [End, Error] = std::from_chars(Port.data(), Port.data() + Port.size(), Number);
-  bool PortValid = Error == std::errc() && End == Port.data() + Port.size() && Number >= 1 && Number <= 65535;
-  return PortValid && inet_pton(Family, Host.c_str(), Parsed.data()) == 1;
-}
-
 parsed_arguments parseArguments(const std::vector<std::string> &Arguments, const environment &Environment) {
   split_arguments Split = splitArguments(Arguments);
   const command *Command = takeCommand(Split.Rest);
--- a/src/yuccaplank/cli/arguments.hpp
+++ b/src/yuccaplank/cli/arguments.hpp
@@ -10,7 +10,6 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -62,7 +61,4 @@
 /// Text of "--help".
 std::string helpText(const command *Command);
 
-/// Whether Text is "ip:port" or "[ipv6]:port".
-bool isAddress(std::string_view Text);
-
 } // namespace yuccaplank::cli
--- a/src/yuccaplank/cli/arguments_test.cpp
+++ b/src/yuccaplank/cli/arguments_test.cpp
@@ -27,6 +27,7 @@
       {"submit", "job.json", "--entry", "localhost:1"},
       {"submit", "job.json", "--entry", "127.0.0.1:0"},
       {"submit", "job.json", "--entry", "127.0.0.1:1,"},
+      {"submit", "job.json", "--entry", "[127.0.0.1]:1"},
       {"submit", "job.json", "--entry", "127.0.0.1:1", "--unknown"},
       {"submit", "job.json", "--entry", "127.0.0.1:1", "--resub", "1"},
       {"submit", "job.json", "--entry", "127.0.0.1:1", "--resubmit", "x"},
