--- a/src/yuccaplank/load/yuccaplank_load_main.cpp
+++ b/src/yuccaplank/load/yuccaplank_load_main.cpp
@@ -1,12 +1,11 @@
 // Load tool, see options.cpp for its options.
 #include "yuccaplank/load/load_run.hpp"
 #include "yuccaplank/load/workload.hpp"
+#include "yuccaplank/runtime/descriptor_limit.hpp"
 #include "yuccaplank/runtime/loop.hpp"
 
 #include <fmt/format.h>
 
-#include <sys/resource.h>
-
 #include <csignal>
 #include <random>
 
@@ -18,22 +17,14 @@
 // Seeds stay short enough to be typed.
 constexpr std::uint64_t MaxRandomSeed = 1'000'000'000;
 
-// Every job in flight uses a connection.
-void raiseDescriptorLimit() {
-  rlimit Limit{};
-  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
-    return;
-  Limit.rlim_cur = Limit.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &Limit);
-}
-
 void printLines(std::string_view Lines) {
   fmt::print("{}", Lines);
   std::fflush(stdout);
 }
 
 int runLoad(const load::load_options &Options) {
-  raiseDescriptorLimit();
+  // Every job in flight uses a connection.
+  runtime::raiseDescriptorLimit();
   printLines(load::figureLine("seed", static_cast<double>(Options.Seed), "count"));
   printLines(load::figureLine("mean_task_ms", load::workload(Options).meanTaskMs(), "ms"));
   auto Loop = runtime::makeLoop();
--- a/src/yuccaplank/standin/yuccaplank_standin_servers_main.cpp
+++ b/src/yuccaplank/standin/yuccaplank_standin_servers_main.cpp
@@ -1,12 +1,11 @@
 // Stand-in for backend servers, see servers.hpp.
 #include "servers.hpp"
+#include "yuccaplank/runtime/descriptor_limit.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 
-#include <sys/resource.h>
-
 #include <csignal>
 #include <exception>
 #include <sstream>
@@ -26,17 +25,9 @@
   return Parts;
 }
 
-// Each server needs a few descriptors besides its connections.
-void raiseDescriptorLimit() {
-  rlimit Limit{};
-  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
-    return;
-  Limit.rlim_cur = Limit.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &Limit);
-}
-
 int runServers(const standin::servers_options &Options) {
-  raiseDescriptorLimit();
+  // Each server needs a few descriptors besides its connections.
+  runtime::raiseDescriptorLimit();
   auto Loop = runtime::makeLoop();
   auto Servers = standin::makeServers(*Loop, Options);
   if (!Servers) {
