--- /dev/null
+++ b/src/yuccaplank/standin/program.cpp
@@ -0,0 +1,48 @@
+#include "yuccaplank/standin/program.hpp"
+
+#include <fmt/format.h>
+
+#include <csignal>
+#include <exception>
+#include <sstream>
+#include <string>
+
+namespace yuccaplank::standin {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int UsageStatus = 2;
+
+std::string optionsText(const po::options_description &Description) {
+  return (std::ostringstream() << Description).str();
+}
+
+} // namespace
+
+int runProgram(int Count, char **Arguments, const po::options_description &Description,
+               const std::function<int(const po::variables_map &Given)> &Run) {
+  try {
+    po::variables_map Given;
+    po::store(po::parse_command_line(Count, Arguments, Description), Given);
+    po::notify(Given);
+    if (Given.contains("help")) {
+      fmt::print("{}\n", optionsText(Description));
+      return 0;
+    }
+    return Run(Given);
+  } catch (const std::exception &Error) {
+    fmt::print(stderr, "{}\n{}\n", Error.what(), optionsText(Description));
+    return UsageStatus;
+  }
+}
+
+void runUntilSignal(runtime::loop &Loop) {
+  Loop.onSignal([&](int Signal) {
+    if (Signal != SIGHUP)
+      Loop.stop();
+  });
+  Loop.run();
+}
+
+} // namespace yuccaplank::standin
--- /dev/null
+++ b/src/yuccaplank/standin/program.hpp
@@ -0,0 +1,21 @@
+// Command line and run loop shared by the stand-in programs.
+#pragma once
+
+#include "yuccaplank/runtime/loop.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <functional>
+
+namespace yuccaplank::standin {
+
+/// Parses the command line and calls Run with the given options; returns the exit status. "--help" prints the
+/// options. An exception of the parser or of Run is a usage error: its text and the options are printed, and
+/// the status is 2.
+int runProgram(int Count, char **Arguments, const boost::program_options::options_description &Description,
+               const std::function<int(const boost::program_options::variables_map &Given)> &Run);
+
+/// Runs the loop until SIGTERM or SIGINT; SIGHUP is ignored.
+void runUntilSignal(runtime::loop &Loop);
+
+} // namespace yuccaplank::standin
--- a/src/yuccaplank/standin/yuccaplank_standin_platform_main.cpp
+++ b/src/yuccaplank/standin/yuccaplank_standin_platform_main.cpp
@@ -1,23 +1,19 @@
 // Stand-in for the platform, see platform.hpp.
 #include "platform.hpp"
 #include "yuccaplank/runtime/log.hpp"
+#include "yuccaplank/standin/program.hpp"
 #include "yuccaplank/wire/settings_reader.hpp"
 
 #include <boost/program_options.hpp>
-#include <fmt/format.h>
 
-#include <csignal>
-#include <exception>
 #include <fstream>
-#include <sstream>
+#include <iterator>
 
 namespace {
 
 namespace po = boost::program_options;
 using namespace yuccaplank;
 
-constexpr int UsageStatus = 2;
-
 void readVmList(const std::string &File, schema::vm_list &List) {
   std::ifstream Stream(File);
   if (!Stream)
@@ -36,12 +32,8 @@
         {{"address", Options.Listen}, {"reason", Platform.error().message()}});
     return 1;
   }
-  Loop->onSignal([&](int Signal) {
-    if (Signal != SIGHUP)
-      Loop->stop();
-  });
   log(runtime::log_level::Info, "platform_ready", {{"port", std::int64_t{Platform.value()->port()}}});
-  Loop->run();
+  standin::runUntilSignal(*Loop);
   return 0;
 }
 
@@ -58,20 +50,10 @@
   Add("vm-list", po::value(&VmListFile), "JSON file with the VM list that is visible from the start");
   Add("list-lag-ms", po::value(&ListLagMs)->default_value(ListLagMs),
       "time after which a new VM list is visible, in milliseconds");
-  try {
-    po::variables_map Values;
-    po::store(po::parse_command_line(Count, Arguments, Description), Values);
-    po::notify(Values);
-    if (Values.contains("help")) {
-      fmt::print("{}\n", (std::ostringstream() << Description).str());
-      return 0;
-    }
+  return standin::runProgram(Count, Arguments, Description, [&](const po::variables_map &) {
     Options.ListLag = std::chrono::milliseconds(ListLagMs);
     if (!VmListFile.empty())
       readVmList(VmListFile, Options.Vms);
     return runPlatform(Options);
-  } catch (const std::exception &Error) {
-    fmt::print(stderr, "{}\n{}\n", Error.what(), (std::ostringstream() << Description).str());
-    return UsageStatus;
-  }
+  });
 }
--- a/src/yuccaplank/standin/yuccaplank_standin_servers_main.cpp
+++ b/src/yuccaplank/standin/yuccaplank_standin_servers_main.cpp
@@ -2,12 +2,11 @@
 #include "servers.hpp"
 #include "yuccaplank/runtime/descriptor_limit.hpp"
 #include "yuccaplank/runtime/log.hpp"
+#include "yuccaplank/standin/program.hpp"
 
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 
-#include <csignal>
-#include <exception>
 #include <sstream>
 
 namespace {
@@ -15,8 +14,6 @@
 namespace po = boost::program_options;
 using namespace yuccaplank;
 
-constexpr int UsageStatus = 2;
-
 std::vector<std::string> splitList(const std::string &Text) {
   std::vector<std::string> Parts;
   std::istringstream Stream(Text);
@@ -34,24 +31,21 @@
     log(runtime::log_level::Error, "listen_failed", {{"reason", Servers.error().message()}});
     return 1;
   }
-  Loop->onSignal([&](int Signal) {
-    if (Signal != SIGHUP)
-      Loop->stop();
-  });
   log(runtime::log_level::Info, "servers_ready",
       {{"servers", std::int64_t{Options.Count}},
        {"first_port", std::int64_t{Servers.value()->port(0)}},
        {"control_port", std::int64_t{Servers.value()->controlPort()}}});
-  Loop->run();
+  standin::runUntilSignal(*Loop);
   return 0;
 }
 
-} // namespace
-
-int main(int Count, char **Arguments) {
-  standin::servers_options Options;
+// Options whose text is interpreted after parsing.
+struct raw_options {
   std::string Speeds = "1";
   std::string Domains = "d1";
+};
+
+po::options_description describe(standin::servers_options &Options, raw_options &Raw) {
   po::options_description Description("yuccaplank-standin-servers: backend servers for tests");
   auto Add = Description.add_options();
   Add("help", "show this text");
@@ -62,35 +56,37 @@
   Add("slots", po::value(&Options.Slots)->default_value(Options.Slots), "slots of each server");
   Add("connections", po::value(&Options.Connections)->default_value(Options.Connections),
       "connections each server accepts");
-  Add("speeds", po::value(&Speeds)->default_value(Speeds), "speed factors, given to the servers in turn");
-  Add("domains", po::value(&Domains)->default_value(Domains), "failure domains, given in turn");
+  Add("speeds", po::value(&Raw.Speeds)->default_value(Raw.Speeds),
+      "speed factors, given to the servers in turn");
+  Add("domains", po::value(&Raw.Domains)->default_value(Raw.Domains), "failure domains, given in turn");
   Add("pool", po::value(&Options.Pool)->default_value(Options.Pool), "pool of all servers");
   Add("cores", po::value(&Options.Cores)->default_value(Options.Cores), "cores in the VM list");
   Add("memory-mb", po::value(&Options.MemoryMb)->default_value(Options.MemoryMb), "memory in the VM list");
   Add("accelerators", po::value(&Options.Accelerators)->default_value(Options.Accelerators),
       "accelerators in the VM list");
   Add("print-vm-list", "print the servers' part of the VM list as JSON and exit");
-  try {
-    po::variables_map Values;
-    po::store(po::parse_command_line(Count, Arguments, Description), Values);
-    po::notify(Values);
-    Options.Speeds.clear();
-    for (const std::string &Part : splitList(Speeds))
-      Options.Speeds.push_back(std::stod(Part));
-    Options.Domains = splitList(Domains);
-    if (Options.Speeds.empty() || Options.Domains.empty() || Options.Count == 0)
-      throw po::error("count, speeds and domains must not be empty");
-    if (Values.contains("help")) {
-      fmt::print("{}\n", (std::ostringstream() << Description).str());
-      return 0;
-    }
-    if (Values.contains("print-vm-list")) {
-      fmt::print("{}\n", standin::vmListJson(Options));
-      return 0;
-    }
-    return runServers(Options);
-  } catch (const std::exception &Error) {
-    fmt::print(stderr, "{}\n{}\n", Error.what(), (std::ostringstream() << Description).str());
-    return UsageStatus;
-  }
+  return Description;
+}
+
+void interpret(const raw_options &Raw, standin::servers_options &Options) {
+  Options.Speeds.clear();
+  for (const std::string &Part : splitList(Raw.Speeds))
+    Options.Speeds.push_back(std::stod(Part));
+  Options.Domains = splitList(Raw.Domains);
+  if (Options.Speeds.empty() || Options.Domains.empty() || Options.Count == 0)
+    throw po::error("count, speeds and domains must not be empty");
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  standin::servers_options Options;
+  raw_options Raw;
+  return standin::runProgram(Count, Arguments, describe(Options, Raw), [&](const po::variables_map &Given) {
+    interpret(Raw, Options);
+    if (!Given.contains("print-vm-list"))
+      return runServers(Options);
+    fmt::print("{}\n", standin::vmListJson(Options));
+    return 0;
+  });
 }
