--- a/src/yuccaplank/cli/service_commands.cpp
+++ b/src/yuccaplank/cli/service_commands.cpp
@@ -213,6 +213,18 @@
   Context.Console.Out(formatTable(Rows));
 }
 
+// Prints the revisions in the field Key of the reply at Path.
+exit_status printRevisions(command_context &Context, const std::string &Path, const char *Key) {
+  fetched Reply = fetch(Context, Path);
+  if (!Reply.ok())
+    return Reply.Exit;
+  if (Context.Invocation.Global.Json)
+    printJson(Context, Reply.Body);
+  else
+    listRevisions(Context, arrayOf(Reply.Body, Key));
+  return exit_status::Done;
+}
+
 } // namespace
 
 exit_status runServiceApply(command_context &Context) {
@@ -239,14 +251,7 @@
 }
 
 exit_status runServiceList(command_context &Context) {
-  fetched Reply = fetch(Context, "/v1/services");
-  if (!Reply.ok())
-    return Reply.Exit;
-  if (Context.Invocation.Global.Json)
-    printJson(Context, Reply.Body);
-  else
-    listRevisions(Context, arrayOf(Reply.Body, "services"));
-  return exit_status::Done;
+  return printRevisions(Context, "/v1/services", "services");
 }
 
 exit_status runServiceDiff(command_context &Context) {
@@ -266,14 +271,7 @@
 }
 
 exit_status runServiceHistory(command_context &Context) {
-  fetched Reply = fetch(Context, servicePath(Context.Invocation.text("NAME")) + "/history");
-  if (!Reply.ok())
-    return Reply.Exit;
-  if (Context.Invocation.Global.Json)
-    printJson(Context, Reply.Body);
-  else
-    listRevisions(Context, arrayOf(Reply.Body, "revisions"));
-  return exit_status::Done;
+  return printRevisions(Context, servicePath(Context.Invocation.text("NAME")) + "/history", "revisions");
 }
 
 exit_status runServiceRollback(command_context &Context) {
