--- a/src/yuccaplank/standin/platform.cpp
+++ b/src/yuccaplank/standin/platform.cpp
@@ -1,6 +1,8 @@
 #include "platform.hpp"
 
 #include "yuccaplank/platform/table_codec.hpp"
+#include "yuccaplank/standin/enum_names.hpp"
+#include "yuccaplank/standin/replies.hpp"
 #include "yuccaplank/wire/document_writer.hpp"
 #include "yuccaplank/wire/settings_reader.hpp"
 
@@ -33,10 +35,7 @@
 static_assert(ModeNames.size() == static_cast<std::size_t>(platform_mode::Slow) + 1);
 
 std::optional<platform_mode> modeFromName(std::string_view Name) {
-  const auto *Found = std::ranges::find(ModeNames, Name);
-  if (Found == ModeNames.end())
-    return std::nullopt;
-  return static_cast<platform_mode>(Found - ModeNames.begin());
+  return enumFromName<platform_mode>(ModeNames, Name);
 }
 
 http_reply okReply(std::string Body) {
@@ -45,12 +44,7 @@
   return Reply;
 }
 
-http_reply errorReply(int Status, errc Reason) {
-  http_reply Reply;
-  Reply.Status = Status;
-  Reply.Body = json({{"reason", runtime::errcName(Reason)}}).dump();
-  return Reply;
-}
+http_reply errorReply(int Status, errc Reason) { return reasonReply(Status, runtime::errcName(Reason)); }
 
 http_reply malformed() { return errorReply(StatusBadRequest, errc::MalformedDocument); }
 
--- a/src/yuccaplank/standin/servers.hpp
+++ b/src/yuccaplank/standin/servers.hpp
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace yuccaplank::standin {
@@ -47,7 +46,4 @@
 /// `{"backends":[…]}` with the fields of the schema's backend_entry.
 std::string vmListJson(const servers_options &Options);
 
-/// Result of a task: "<task id>:<xxh64 of the payload in hex>".
-std::string taskResult(std::string_view TaskId, std::string_view Payload);
-
 } // namespace yuccaplank::standin
--- a/src/yuccaplank/standin/servers_test.cpp
+++ b/src/yuccaplank/standin/servers_test.cpp
@@ -1,3 +1,4 @@
+#include "backend.hpp"
 #include "servers.hpp"
 #include "yuccaplank/testing/sockets.hpp"
 #include "yuccaplank/testing/story.hpp"
