--- a/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
+++ b/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
@@ -106,45 +106,57 @@
       }
 }
 
+// Times of the burst, in seconds of the run.
+constexpr int BurstFromS = 30;
+constexpr int BurstToS = 35;
+constexpr int BurstRunS = 60;
+// The last seconds are left out of the search for normal ones.
+constexpr int BurstEndS = 55;
+
+// Mean share of the capacity used during the burst, without its first second, which fills the servers.
+double burstGoodput(const feed_result &Result) {
+  double Goodput = 0;
+  for (int Second = BurstFromS + 1; Second < BurstToS; ++Second)
+    Goodput += Result.Goodput[static_cast<std::size_t>(Second)] / (BurstToS - BurstFromS - 1);
+  return Goodput;
+}
+
+// Seconds from the end of the burst until normal service. Normal means no refusal, and a median below the
+// 90th percentile before the burst, in three consecutive seconds; single seconds miss this at steady load as
+// well.
+int secondsToNormal(const feed_result &Result) {
+  constexpr int Consecutive = 3;
+  double NormalP90 = percentile(stretches(Result, -1, 0, BurstFromS), 0.9);
+  int NormalSeconds = 0;
+  for (int Second = BurstToS; Second < BurstEndS; ++Second) {
+    bool Refused = std::ranges::any_of(Result.Jobs, [&](const job_result &Job) {
+      return Job.End != job_result::end::Done && Job.ArrivalMs >= Second * 1000 &&
+             Job.ArrivalMs < (Second + 1) * 1000;
+    });
+    bool Normal = !Refused && percentile(stretches(Result, -1, Second, Second + 1), 0.5) <= NormalP90;
+    NormalSeconds = Normal ? NormalSeconds + 1 : 0;
+    if (NormalSeconds == Consecutive)
+      return Second - Consecutive + 1 - BurstToS;
+  }
+  return BurstEndS - BurstToS;
+}
+
 void burst(const bench_options &Options) {
-  constexpr int FromS = 30;
-  constexpr int ToS = 35;
-  constexpr int EndS = 55;
   for (int Servers : {50, 12}) {
     auto Feed = basics(Options);
     Feed.Servers = Servers;
-    Feed.Seconds = 60;
+    Feed.Seconds = BurstRunS;
     Feed.Admission = true;
     model_feed Run(Feed);
-    Run.Changes = {{FromS, ToS, 10}};
+    Run.Changes = {{BurstFromS, BurstToS, 10}};
     auto Result = Run.run();
     auto Name = fmt::format("burst/servers{}", Servers);
-    auto Values = stretches(Result, -1, FromS, ToS);
+    auto Values = stretches(Result, -1, BurstFromS, BurstToS);
     report(Name + "/admitted_p50", percentile(Values, 0.5), "response/ideal");
     report(Name + "/admitted_p99", percentile(Values, 0.99), "response/ideal");
     report(Name + "/failed", shareOf(Result, job_result::end::Failed), "% of jobs");
-    double Goodput = 0;
-    // The first second fills the servers.
-    for (int Second = FromS + 1; Second < ToS; ++Second)
-      Goodput += Result.Goodput[static_cast<std::size_t>(Second)] / (ToS - FromS - 1);
-    report(Name + "/goodput", 100 * Goodput, "% of capacity");
-    // Normal means no refusal, and a median below the 90th percentile before the burst, in three consecutive
-    // seconds; single seconds miss this at steady load as well.
-    constexpr int Consecutive = 3;
-    double NormalP90 = percentile(stretches(Result, -1, 0, FromS), 0.9);
-    int NormalSeconds = 0;
-    int NormalAfter = EndS - ToS;
-    for (int Second = ToS; Second < EndS && NormalSeconds < Consecutive; ++Second) {
-      bool Refused = std::ranges::any_of(Result.Jobs, [&](const job_result &Job) {
-        return Job.End != job_result::end::Done && Job.ArrivalMs >= Second * 1000 &&
-               Job.ArrivalMs < (Second + 1) * 1000;
-      });
-      bool Normal = !Refused && percentile(stretches(Result, -1, Second, Second + 1), 0.5) <= NormalP90;
-      NormalSeconds = Normal ? NormalSeconds + 1 : 0;
-      if (NormalSeconds == Consecutive)
-        NormalAfter = Second - Consecutive + 1 - ToS;
-    }
-    report(Name + "/normal_after", NormalAfter, "s");
+    report(Name + "/goodput", 100 * burstGoodput(Result), "% of capacity");
+    report(Name + "/normal_after", secondsToNormal(Result), "s");
     std::vector<double> RetryAfter;
     for (const auto &Job : Result.Jobs)
       if (Job.End == job_result::end::Refused)
