Document the remaining public items of runtime, wire and platform

Headers under include/ left several types and functions without a comment; the new ones give errors and lifetimes where the signature does not.

--- a/include/yuccaplank/platform/claims.hpp
+++ b/include/yuccaplank/platform/claims.hpp
@@ -31,6 +31,7 @@
   virtual void find(std::string Key, std::function<void(runtime::result<claim_owner>)> OnDone) = 0;
 };
 
+/// Owner of the claims, and batching.
 struct claims_options {
   claim_owner Self;
   /// Claims that arrive within this time share a transaction.
@@ -38,6 +39,7 @@
   std::size_t MaxBatch = 200;
 };
 
+/// The executor and the table must outlive the result.
 std::unique_ptr<claims> makeClaims(runtime::executor &Executor, table &Table, claims_options Options);
 
 } // namespace yuccaplank::platform
--- a/include/yuccaplank/platform/documents.hpp
+++ b/include/yuccaplank/platform/documents.hpp
@@ -12,6 +12,7 @@
 
 namespace yuccaplank::platform {
 
+/// A change of one service document.
 struct apply_request {
   schema::service_document Document;
   /// Revision that the operator has seen; the apply conflicts when another one is current. 0 for a new
@@ -50,6 +51,7 @@
           std::function<void(runtime::result<std::vector<schema::service_revision>>)> OnDone) = 0;
 };
 
+/// The executor and the table must outlive the result.
 std::unique_ptr<documents> makeDocuments(runtime::executor &Executor, table &Table);
 
 } // namespace yuccaplank::platform
--- a/include/yuccaplank/platform/fake_table.hpp
+++ b/include/yuccaplank/platform/fake_table.hpp
@@ -9,6 +9,7 @@
 
 namespace yuccaplank::platform {
 
+/// How the platform answers requests.
 enum class fake_mode : std::uint8_t {
   Normal,
   /// Requests fail without effect after one round trip.
@@ -45,6 +46,7 @@
   virtual std::unique_ptr<table> makeClient(std::function<bool()> Blocked = {}) = 0;
 };
 
+/// Delays, and the seed of random faults.
 struct fake_platform_options {
   /// One way.
   runtime::duration Delay = std::chrono::milliseconds(1);
@@ -54,6 +56,7 @@
   std::uint64_t Seed = 1;
 };
 
+/// Clients may outlive the returned pointer.
 std::shared_ptr<fake_platform> makeFakePlatform(runtime::executor &Executor,
                                                 fake_platform_options Options = {});
 
--- a/include/yuccaplank/platform/table.hpp
+++ b/include/yuccaplank/platform/table.hpp
@@ -14,6 +14,7 @@
 
 namespace yuccaplank::platform {
 
+/// A row as read.
 struct table_row {
   std::string Key;
   /// Revision of the last write; 0 for an absent row.
@@ -27,11 +28,13 @@
   std::uint64_t Revision = 0;
 };
 
+/// A row to write.
 struct table_put {
   std::string Key;
   std::string Value;
 };
 
+/// Writes all puts when all checks hold, otherwise nothing.
 struct table_transaction {
   std::vector<table_check> Checks;
   std::vector<table_put> Puts;
@@ -45,6 +48,7 @@
   std::vector<table_row> Conflicts;
 };
 
+/// Rows written after a revision, and the current revision of the table.
 struct table_changes {
   std::uint64_t Revision = 0;
   std::vector<table_row> Rows;
@@ -57,11 +61,15 @@
   virtual ~table() = default;
   virtual void commit(table_transaction Transaction,
                       std::function<void(runtime::result<transaction_reply>)> OnDone) = 0;
+  /// A row by its key; its revision is 0 when it is absent.
   virtual void read(std::string Key, std::function<void(runtime::result<table_row>)> OnDone) = 0;
+  /// All rows whose key begins with Prefix.
   virtual void rows(std::string Prefix,
                     std::function<void(runtime::result<std::vector<table_row>>)> OnDone) = 0;
+  /// Rows with the prefix that were written after a revision of the table.
   virtual void changes(std::string Prefix, std::uint64_t After,
                        std::function<void(runtime::result<table_changes>)> OnDone) = 0;
+  /// The VM list as the platform shows it, with its lag.
   virtual void vms(std::function<void(runtime::result<schema::vm_list>)> OnDone) = 0;
   /// Requests sent since the start.
   struct counters {
@@ -71,12 +79,14 @@
   [[nodiscard]] virtual counters totals() const = 0;
 };
 
+/// Address and timeout of a client.
 struct table_options {
   /// "ip:port".
   std::string Address;
   runtime::duration Timeout = std::chrono::milliseconds(1500);
 };
 
+/// Client over HTTP. Errors: errc::PlatformUnavailable.
 std::unique_ptr<table> makeTable(wire::http_client &Client, table_options Options);
 
 } // namespace yuccaplank::platform
--- a/include/yuccaplank/platform/table_state.hpp
+++ b/include/yuccaplank/platform/table_state.hpp
@@ -15,6 +15,7 @@
 /// Rows with revisions. Every committed transaction takes one revision for all of its rows.
 class table_state {
 public:
+  /// Applies the transaction, or reports the rows that fail their checks.
   transaction_reply commit(const table_transaction &Transaction);
   /// Revision 0 for an absent row.
   [[nodiscard]] table_row read(const std::string &Key) const;
@@ -33,6 +34,7 @@
 
 /// JSON copy of a whole table, and its inverse. A table restored from an old copy has an old revision too.
 std::string writeBackup(const table_state &State);
+/// Errors: errc::MalformedDocument.
 runtime::result<table_state> readBackup(std::string_view Text);
 
 /// List whose changes become visible after a lag.
@@ -41,6 +43,7 @@
   explicit lagging_vm_list(runtime::duration Lag) : Lag(Lag) {}
   /// The version is set to the next one.
   void publish(schema::vm_list List, runtime::time_point Now);
+  /// The newest list whose lag has passed.
   [[nodiscard]] schema::vm_list visible(runtime::time_point Now) const;
 
 private:
--- a/include/yuccaplank/runtime/clock.hpp
+++ b/include/yuccaplank/runtime/clock.hpp
@@ -7,18 +7,21 @@
 namespace yuccaplank::runtime {
 
 using duration = std::chrono::nanoseconds;
+/// Names the monotonic clock in the type of its time points, so that they do not mix with other clocks'.
 struct clock_tag {
   using duration = runtime::duration;
   using rep = duration::rep;
   using period = duration::period;
   static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): TrivialClock
 };
+/// Monotonic time.
 using time_point = std::chrono::time_point<clock_tag, duration>;
 
 /// Monotonic time and wall-clock time.
 class clock {
 public:
   virtual ~clock() = default;
+  /// Monotonic; its origin has no meaning.
   [[nodiscard]] virtual time_point now() const = 0;
   /// Milliseconds since the Unix epoch; may jump.
   [[nodiscard]] virtual std::int64_t unixMs() const = 0;
@@ -43,6 +46,7 @@
   time_point Current{};
 };
 
+/// Conversions between durations and milliseconds with fractions.
 inline double toMs(duration Value) { return std::chrono::duration<double, std::milli>(Value).count(); }
 inline duration fromMs(double Milliseconds) {
   return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(Milliseconds));
--- a/include/yuccaplank/runtime/executor.hpp
+++ b/include/yuccaplank/runtime/executor.hpp
@@ -19,6 +19,7 @@
   [[nodiscard]] virtual const runtime::clock &clock() const = 0;
   /// Runs Function after the current one has returned.
   virtual void post(std::function<void()> Function) = 0;
+  /// Runs Function once after Delay, unless cancelled.
   virtual timer_id after(duration Delay, std::function<void()> Function) = 0;
   /// Cancels a timer; unknown or expired ids are ignored.
   virtual void cancel(timer_id Timer) = 0;
--- a/include/yuccaplank/runtime/loop.hpp
+++ b/include/yuccaplank/runtime/loop.hpp
@@ -14,6 +14,7 @@
   virtual st_h2o_evloop_t *native() = 0;
   /// Runs until stop(); may be called again afterwards.
   virtual void run() = 0;
+  /// Ends run() after the current function.
   virtual void stop() = 0;
   /// Calls Handler on the loop for each of the signals SIGTERM, SIGINT and SIGHUP.
   virtual void onSignal(std::function<void(int Signal)> Handler) = 0;
--- a/include/yuccaplank/runtime/mailbox.hpp
+++ b/include/yuccaplank/runtime/mailbox.hpp
@@ -20,6 +20,7 @@
   mailbox &operator=(const mailbox &) = delete;
   ~mailbox() { State->Handler = nullptr; }
 
+  /// Queues a message; dropped when the mailbox is destroyed before the delivery.
   void post(Message Item) {
     State->Queue.push_back(std::move(Item));
     if (State->Queue.size() > 1)
--- a/include/yuccaplank/runtime/random.hpp
+++ b/include/yuccaplank/runtime/random.hpp
@@ -20,6 +20,7 @@
   duration spread(duration Period, double Fraction) {
     return std::chrono::duration_cast<duration>(Period * (1 + Fraction * (2 * uniform() - 1)));
   }
+  /// Uniform over all 64-bit values.
   std::uint64_t next() { return Engine(); }
   pcg64 &engine() { return Engine; }
 
--- a/include/yuccaplank/wire/http_client.hpp
+++ b/include/yuccaplank/wire/http_client.hpp
@@ -21,6 +21,7 @@
   MaybeWritten,
 };
 
+/// A request.
 struct http_call {
   std::string Method = "GET";
   /// "ip:port".
@@ -33,6 +34,7 @@
   runtime::duration Timeout{};
 };
 
+/// A complete reply, or the error and how far the request had got.
 struct http_call_result {
   /// Empty when a complete reply has arrived.
   std::error_code Error;
@@ -42,11 +44,14 @@
   std::vector<http_header> Headers;
   std::string Body;
 
+  /// Value of a header by its lower-case name; empty when absent.
   [[nodiscard]] std::string_view header(std::string_view Name) const;
 };
 
+/// Identifies a call until its callback has run.
 using call_id = std::uint64_t;
 
+/// Limits and times of a client.
 struct http_client_options {
   runtime::duration ConnectTimeout = std::chrono::milliseconds(500);
   /// Idle connections are not used after this time and are closed at most 1 s later. It must be shorter than
@@ -56,6 +61,7 @@
   std::size_t MaxReplyBytes = 16U << 20U;
 };
 
+/// Client for any number of addresses. Runs on one loop.
 class http_client {
 public:
   virtual ~http_client() = default;
@@ -67,6 +73,7 @@
   [[nodiscard]] virtual std::size_t connections(const std::string &Address) const = 0;
 };
 
+/// Client on a loop, which must outlive it.
 std::unique_ptr<http_client> makeHttpClient(runtime::loop &Loop, http_client_options Options = {});
 
 } // namespace yuccaplank::wire
--- a/include/yuccaplank/wire/http_server.hpp
+++ b/include/yuccaplank/wire/http_server.hpp
@@ -17,11 +17,13 @@
 /// Identifies a request that awaits its reply.
 using request_token = std::uint64_t;
 
+/// A header field.
 struct http_header {
   std::string Name;
   std::string Value;
 };
 
+/// A complete request.
 struct http_request {
   request_token Token = 0;
   std::string Method;
@@ -37,6 +39,7 @@
   [[nodiscard]] std::string_view query(std::string_view Name) const;
 };
 
+/// A reply; headers besides the content type and length are optional.
 struct http_reply {
   int Status = 200;
   std::string ContentType = "application/json";
@@ -44,6 +47,7 @@
   std::string Body;
 };
 
+/// Address, limits and certificates of a server.
 struct http_server_options {
   /// "ip:port"; port 0 takes a free port.
   std::string Address;
@@ -61,6 +65,7 @@
 class http_server {
 public:
   virtual ~http_server() = default;
+  /// Sends the reply of a request; at most one per token.
   virtual void reply(request_token Token, http_reply Reply) = 0;
   /// Closes the connection of a request without a reply; OnClosed is not called.
   virtual void drop(request_token Token) = 0;
@@ -70,6 +75,7 @@
   virtual runtime::result<void> reloadCertificates() = 0;
   /// Stops accepting connections; requests in progress are still answered, then connections close.
   virtual void shutdown() = 0;
+  /// Requests that await their reply.
   [[nodiscard]] virtual std::size_t pendingRequests() const = 0;
   /// Open connections, idle ones included.
   [[nodiscard]] virtual std::size_t connections() const = 0;
@@ -82,6 +88,8 @@
   std::function<void(request_token)> OnClosed;
 };
 
+/// Listens at once. Errors: errc::MalformedDocument for a malformed address or unusable certificates,
+/// otherwise the system's error.
 runtime::result<std::unique_ptr<http_server>> makeHttpServer(runtime::loop &Loop, http_server_options Options,
                                                              http_server_handlers Handlers);
 
--- a/include/yuccaplank/wire/job_codec.hpp
+++ b/include/yuccaplank/wire/job_codec.hpp
@@ -17,10 +17,12 @@
 
 /// Reads a job document; checks names, counts and ranges, but not whether the service exists.
 std::vector<document_issue> readJob(std::string_view Text, schema::job &Job);
+/// JSON document of a job.
 std::string writeJob(const schema::job &Job);
 
 /// JSON body of an answer, see docs/API.md.
 std::string writeAnswer(const schema::job_answer &Answer);
+/// Inverse of writeAnswer; errc::MalformedDocument for anything that is not an answer.
 runtime::result<schema::job_answer> readAnswer(std::string_view Text);
 
 /// HTTP status of an answer, by its outcome and reason.
--- a/include/yuccaplank/wire/peer_link.hpp
+++ b/include/yuccaplank/wire/peer_link.hpp
@@ -11,6 +11,7 @@
 
 namespace yuccaplank::wire {
 
+/// Identity, address and limits of a transport.
 struct peer_transport_options {
   /// "ip:port" of the peer listener; port 0 takes a free port.
   std::string Address;
@@ -24,6 +25,7 @@
   runtime::duration ConnectTimeout = std::chrono::milliseconds(500);
 };
 
+/// Handlers run on the loop.
 struct peer_transport_handlers {
   /// An envelope from an authenticated peer.
   std::function<void(const schema::incarnation &From, const std::string &Domain, schema::envelope Message)>
@@ -46,6 +48,7 @@
                                schema::envelope Message) = 0;
   /// Closes the connection to a VM.
   virtual void disconnect(const std::string &Vm) = 0;
+  /// Port of the peer listener.
   [[nodiscard]] virtual std::uint16_t port() const = 0;
   /// Envelopes and bytes sent since the start.
   struct counters {
@@ -59,6 +62,7 @@
   virtual void setBlocked(const std::string &Vm, bool Blocked) = 0;
 };
 
+/// Listens at once. Errors: errc::MalformedDocument for a malformed address, otherwise the system's error.
 runtime::result<std::unique_ptr<peer_transport>>
 makePeerTransport(runtime::loop &Loop, peer_transport_options Options, peer_transport_handlers Handlers);
 
--- a/include/yuccaplank/wire/start_certainty.hpp
+++ b/include/yuccaplank/wire/start_certainty.hpp
@@ -17,6 +17,7 @@
   StartedAndFailed,
 };
 
+/// Verdict on an attempt, with the reason when it is not Completed.
 struct attempt_outcome {
   attempt_verdict Verdict = attempt_verdict::StartedAndFailed;
   runtime::errc Reason = runtime::errc::Ok;
