--- a/src/yuccaplank/daemon/daemon_test.cpp
+++ b/src/yuccaplank/daemon/daemon_test.cpp
@@ -1,4 +1,5 @@
 #include "daemon.hpp"
+#include "yuccaplank/standin/backend.hpp"
 #include "yuccaplank/standin/platform.hpp"
 #include "yuccaplank/standin/servers.hpp"
 #include "yuccaplank/testing/sockets.hpp"
