--- a/src/yuccaplank/node/job_service.hpp
+++ b/src/yuccaplank/node/job_service.hpp
@@ -85,12 +85,18 @@
                   std::uint64_t Handle);
   void submitKeyed(authority_request Request);
   void claimResolved(const std::string &Key, const runtime::result<platform::claim_owner> &Owner);
+  void rememberUnstarted(const std::string &Key);
   void keyOwned(const authority_request &Request, const platform::claim_owner &Owner);
   void submitToTable(const authority_request &Request);
 
   void execute(const authority_request &Request);
   void executeHere(const authority_request &Request, bool MayOverflow);
-  bool executeAtPeer(const authority_request &Request, const schema::incarnation &Peer);
+  void executeAtPeer(const authority_request &Request, const schema::incarnation &Peer);
+  void peerAnswered(const authority_request &Request, const schema::job_answer &Answer);
+  /// Sends a job to a peer; one of the handlers runs.
+  std::uint64_t sendForward(const schema::incarnation &Peer, schema::forward_job Forward,
+                            runtime::time_point Deadline, exchanges::answer_handler OnAnswer,
+                            exchanges::failure_handler OnFailure);
   std::optional<schema::incarnation> ownDispatcher() const;
   std::optional<schema::incarnation> overflowTarget(const authority_request &Request, bool Required);
   void jobEnded(const std::string &Id, schema::job_answer Answer);
