--- a/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
+++ b/src/yuccaplank/bench/yuccaplank_model_bench_main.cpp
@@ -1,15 +1,13 @@
 // Measures the scheduler on generated arrivals; prints one JSON object a line.
 #include "model_feed.hpp"
+#include "queued_tasks.hpp"
 
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
-#include <malloc.h>
 #include <nlohmann/json.hpp>
 
 #include <array>
 #include <iostream>
-#include <random>
-#include <span>
 
 using namespace yuccaplank;
 using namespace yuccaplank::bench;
@@ -232,63 +230,6 @@
       }
 }
 
-/// Time per task and memory with many queued tasks: every end of a task lets the next one start.
-struct queued_result {
-  double BytesPerTask = 0;
-  double UsPerTask = 0;
-};
-
-queued_result runQueued(int Queued, std::uint64_t Seed) {
-  constexpr int TasksPerJob = 50;
-  runtime::manual_clock Clock;
-  model::scheduler_options Scheduler;
-  Scheduler.MaxStretch = 0;
-  Scheduler.MaxBacklogMs = 0;
-  Scheduler.Seed = Seed;
-  pcg32 Random(Seed);
-  auto Instance = model::makeScheduler(Clock, Scheduler);
-  std::vector<schema::backend_entry> Entries(143);
-  for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
-    Entries[Index].set_id(fmt::format("s{}", Index));
-    Entries[Index].set_pool("main");
-    Entries[Index].set_slots(8);
-  }
-  Instance->setServers(Entries);
-  std::vector<schema::service_document> Services(330);
-  std::vector<schema::job> Jobs(static_cast<std::size_t>(Queued + 1200) / TasksPerJob);
-  for (std::size_t Index = 0; Index < Services.size(); ++Index) {
-    Services[Index].set_service(fmt::format("service{}", Index));
-    Services[Index].set_team(fmt::format("team{}", Index));
-    Services[Index].set_pool("main");
-  }
-  for (auto &Job : Jobs)
-    for (int Index = 0; Index < TasksPerJob; ++Index) {
-      auto &Task = *Job.add_tasks();
-      Task.set_name(fmt::format("t{}", Index));
-      Task.set_kind("render");
-      Task.set_declared_ms(std::lognormal_distribution<>(5.4, 0.6)(Random));
-    }
-  auto Before = mallinfo2().uordblks;
-  for (std::size_t Index = 0; Index < Jobs.size(); ++Index)
-    Instance->submit(
-        {Index + 1, &Jobs[Index], &Services[Index % Services.size()], Clock.now() + std::chrono::hours(1)});
-  auto Memory = mallinfo2().uordblks - Before;
-  queued_result Result;
-  Result.BytesPerTask = static_cast<double>(Memory) / Instance->load().QueuedTasks;
-  std::queue<model::task_start> Running;
-  int Steps = std::min(20'000, Queued);
-  auto Start = runtime::systemClock().now();
-  for (int Step = 0; Step < Steps; ++Step) {
-    for (auto &Each : Instance->takeDecisions().Starts)
-      Running.push(std::move(Each));
-    Clock.advance(std::chrono::microseconds(150));
-    Instance->attemptEnded(Running.front().Task, Running.front().Server, model::attempt_end::Completed);
-    Running.pop();
-  }
-  Result.UsPerTask = runtime::toMs(runtime::systemClock().now() - Start) * 1000 / (Steps + 1144);
-  return Result;
-}
-
 void queued(const bench_options &Options) {
   for (int Queued : {1000, 10'000, 49'000}) {
     auto Best = runQueued(Queued, Options.Seed);
