--- a/src/yuccaplank/wire/document_reader.cpp
+++ b/src/yuccaplank/wire/document_reader.cpp
@@ -1,10 +1,11 @@
 #include "yuccaplank/wire/document_reader.hpp"
 
+#include "yuccaplank/wire/expected_values.hpp"
+#include "yuccaplank/wire/line_counter.hpp"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-#include <array>
 #include <cmath>
 #include <limits>
 #include <map>
@@ -23,97 +24,6 @@
 // A hostile document must not make the list of issues large.
 constexpr std::size_t MaxIssues = 100;
 
-// Follows the parser through the text and knows the line of the token it has read last.
-class line_counter {
-public:
-  explicit line_counter(std::string_view Text) : Counted(Text.data()), Consumed(Text.data()) {}
-  void consumed(const char *End) { Consumed = End; }
-  // The parser has read one character beyond a number, which may be a newline; that one does not count.
-  int line() {
-    const char *Last = Consumed > Counted ? Consumed - 1 : Counted;
-    Line += static_cast<int>(std::count(Counted, Last, '\n'));
-    Counted = Last;
-    return Line;
-  }
-
-private:
-  const char *Counted;
-  const char *Consumed;
-  int Line = 1;
-};
-
-// Input iterator that reports its progress to a line counter.
-class counting_iterator {
-public:
-  using iterator_category = std::input_iterator_tag;
-  using value_type = char;
-  using difference_type = std::ptrdiff_t;
-  using pointer = const char *;
-  using reference = const char &;
-
-  counting_iterator(const char *Position, line_counter &Lines) : Position(Position), Lines(&Lines) {}
-  reference operator*() const { return *Position; }
-  counting_iterator &operator++() {
-    ++Position;
-    Lines->consumed(Position);
-    return *this;
-  }
-  friend bool operator==(const counting_iterator &Left, const counting_iterator &Right) {
-    return Left.Position == Right.Position;
-  }
-
-private:
-  const char *Position;
-  line_counter *Lines;
-};
-
-template <typename Integer> std::string integerRange() {
-  return fmt::format("integer from {} to {}", std::numeric_limits<Integer>::min(),
-                     std::numeric_limits<Integer>::max());
-}
-
-// Names of the elements of a descriptor, which Element returns by index.
-template <typename Function> std::string oneOf(int Count, Function Element) {
-  std::string Text;
-  for (int Index = 0; Index < Count; ++Index)
-    Text += (Index > 0 ? ", " : "one of ") + std::string(Element(Index)->name());
-  return Text;
-}
-
-std::string enumNames(const FieldDescriptor &Field) {
-  const auto &Type = *Field.enum_type();
-  return oneOf(Type.value_count(), [&](int Index) { return Type.value(Index); });
-}
-
-std::string fieldNames(const Descriptor &Type) {
-  return oneOf(Type.field_count(), [&](int Index) { return Type.field(Index); });
-}
-
-std::string expectedElement(const FieldDescriptor &Field) {
-  switch (Field.cpp_type()) {
-  case FieldDescriptor::CPPTYPE_INT32:
-    return integerRange<std::int32_t>();
-  case FieldDescriptor::CPPTYPE_INT64:
-    return integerRange<std::int64_t>();
-  case FieldDescriptor::CPPTYPE_UINT32:
-    return integerRange<std::uint32_t>();
-  case FieldDescriptor::CPPTYPE_UINT64:
-    return integerRange<std::uint64_t>();
-  case FieldDescriptor::CPPTYPE_DOUBLE:
-  case FieldDescriptor::CPPTYPE_FLOAT:
-    return "number";
-  case FieldDescriptor::CPPTYPE_BOOL:
-    return "true or false";
-  case FieldDescriptor::CPPTYPE_ENUM:
-    return enumNames(Field);
-  case FieldDescriptor::CPPTYPE_STRING:
-    return "string";
-  case FieldDescriptor::CPPTYPE_MESSAGE:
-    return "object";
-  }
-  return {};
-}
-
 // Sets a field or appends to a repeated one.
 struct field_writer {
   Message &Target;
