--- a/src/yuccaplank/cli/arguments.hpp
+++ b/src/yuccaplank/cli/arguments.hpp
@@ -18,6 +18,7 @@
 /// Value of an environment variable; empty when unset.
 using environment = std::function<std::string(const std::string &Name)>;
 
+/// Options of every command, from the command line or the environment.
 struct global_options {
   /// "ip:port" of entry VMs.
   std::vector<std::string> Entries;
--- a/src/yuccaplank/cli/command.hpp
+++ b/src/yuccaplank/cli/command.hpp
@@ -23,6 +23,7 @@
   std::function<std::string()> MakeChangeId;
 };
 
+/// An entry of the command table.
 struct command {
   /// One or two words, for example "service apply".
   std::string_view Name;
@@ -36,6 +37,7 @@
   exit_status (*Run)(command_context &Context) = nullptr;
 };
 
+/// All commands in the order of the help text.
 std::span<const command> commandTable();
 
 /// Parses and runs a command line.
--- a/src/yuccaplank/cli/console.hpp
+++ b/src/yuccaplank/cli/console.hpp
@@ -9,6 +9,7 @@
 
 namespace yuccaplank::cli {
 
+/// Output, files and questions of a command.
 struct console {
   std::function<void(std::string_view)> Out;
   std::function<void(std::string_view)> Err;
--- a/src/yuccaplank/cli/exit_status.hpp
+++ b/src/yuccaplank/cli/exit_status.hpp
@@ -7,6 +7,7 @@
 
 namespace yuccaplank::cli {
 
+/// Exit statuses, the same for all commands (docs/design.md, section 3).
 enum class exit_status : std::uint8_t {
   Done = 0,
   OtherError = 1,
--- a/src/yuccaplank/cli/requester.hpp
+++ b/src/yuccaplank/cli/requester.hpp
@@ -15,6 +15,7 @@
   std::function<void()> Stop;
 };
 
+/// Blocking exchanges on an executor.
 class requester {
 public:
   requester(runtime::executor &Executor, wire::http_client &Client, event_driver Driver)
@@ -22,6 +23,7 @@
 
   /// Returns when the exchange has ended.
   wire::http_call_result exchange(wire::http_call Call);
+  /// Returns after Delay.
   void pause(runtime::duration Delay);
   [[nodiscard]] const runtime::clock &clock() const { return Executor.clock(); }
 
--- a/src/yuccaplank/cli/service_change.hpp
+++ b/src/yuccaplank/cli/service_change.hpp
@@ -13,6 +13,7 @@
 
 namespace yuccaplank::cli {
 
+/// A document to commit. Timeout covers all repetitions.
 struct change_plan {
   std::string Service;
   /// JSON text of the document.
@@ -22,6 +23,7 @@
   runtime::duration Timeout = std::chrono::seconds(30);
 };
 
+/// What became of a change.
 enum class change_end : std::uint8_t {
   Committed,
   /// Another revision is current; nothing was changed.
@@ -34,6 +36,7 @@
   Open,
 };
 
+/// End of a change, with the reply that decided it.
 struct change_result {
   change_end End = change_end::Open;
   /// Last reply; null when none was received.
@@ -46,6 +49,7 @@
 change_result commitChange(operator_session &Session, const change_plan &Plan,
                            const std::function<void(std::string_view)> &Progress);
 
+/// How far a revision has spread over the VMs.
 struct rollout {
   /// VMs with the revision or a later one.
   std::vector<std::string> Reached;
--- a/src/yuccaplank/cli/session.hpp
+++ b/src/yuccaplank/cli/session.hpp
@@ -17,6 +17,7 @@
   runtime::duration Timeout{};
 };
 
+/// Reply of an entry VM, or why there is none.
 struct entry_reply {
   /// Whether a complete reply has arrived; Error says why not.
   bool Answered = false;
--- a/src/yuccaplank/cli/submission.hpp
+++ b/src/yuccaplank/cli/submission.hpp
@@ -10,6 +10,7 @@
 
 namespace yuccaplank::cli {
 
+/// A job to submit, and when to submit it again.
 struct submission_plan {
   std::string Document;
   /// The job document says that the work may be submitted again under a new id.
@@ -26,6 +27,7 @@
   runtime::duration Timeout = std::chrono::seconds(30);
 };
 
+/// End of a submission with its repetitions.
 struct submission_result {
   exit_status Status = exit_status::OtherError;
   /// The answer received. Without one: refused (connect_failed) when nothing was written, else unknown.
@@ -54,6 +56,7 @@
 job_reply queryJob(entry_session &Session, const std::string &Id, runtime::duration Wait,
                    runtime::duration Timeout);
 
+/// Answer in the reply to a request about the job; made up when the reply has none.
 job_reply answerOf(const entry_reply &Reply, const std::string &Id);
 
 } // namespace yuccaplank::cli
--- a/src/yuccaplank/load/checks.hpp
+++ b/src/yuccaplank/load/checks.hpp
@@ -15,6 +15,7 @@
 
 namespace yuccaplank::load {
 
+/// Breaches of the promises in docs/design.md, section 1.2, that callers can observe.
 enum class breach_kind : std::uint8_t {
   /// A task started more than once.
   DoubleStart,
@@ -27,9 +28,11 @@
   /// No submission of the job was answered.
   NoOutcome,
 };
+/// Indexed by breach_kind.
 inline constexpr std::array<std::string_view, 5> BreachNames = {
     "double_starts", "partial_answers", "wrong_answers", "refused_but_run", "jobs_without_outcome"};
 
+/// One breach, with the details for the report.
 struct breach {
   breach_kind Kind;
   std::string JobId;
@@ -49,13 +52,16 @@
 /// Outcomes of all submissions by job.
 class outcome_ledger {
 public:
+  /// A job is about to be submitted.
   void addJob(const std::string &Id) { Jobs.try_emplace(Id); }
+  /// A submission has ended.
   void addEnd(const std::string &Id, submission_end End);
   /// An attempt of a submission may have reached an entry VM but was not answered.
   void addLostAttempt(const std::string &Id) { Jobs[Id].Lost = true; }
 
   /// Jobs with at least one submission, all of which were refused.
   [[nodiscard]] std::vector<std::string> refusedOnly() const;
+  /// Jobs of which no submission was answered.
   [[nodiscard]] std::vector<breach> withoutOutcome() const;
 
 private:
@@ -69,6 +75,7 @@
 /// Double starts in the reply of GET /summary; nothing when the reply is malformed.
 std::optional<std::vector<breach>> checkSummary(const nlohmann::json &Summary);
 
+/// Result of checkRefused.
 struct refused_check {
   /// False when the reply is malformed.
   bool Valid = false;
--- a/src/yuccaplank/load/id_pool.hpp
+++ b/src/yuccaplank/load/id_pool.hpp
@@ -13,6 +13,7 @@
 
 namespace yuccaplank::load {
 
+/// Blocks of issued ids, one from each entry VM, requested before they run out.
 class id_pool {
 public:
   /// OnIds runs when ids have arrived.
--- a/src/yuccaplank/load/load_run.hpp
+++ b/src/yuccaplank/load/load_run.hpp
@@ -13,6 +13,7 @@
 
 namespace yuccaplank::load {
 
+/// What a run has measured and found.
 struct load_result {
   measurements Measurements;
   outcome_ledger Ledger;
@@ -20,6 +21,7 @@
   std::uint64_t CheckErrors = 0;
 };
 
+/// One run: offers jobs, checks every answer, and ends with checks at the stand-in servers.
 class load_run {
 public:
   virtual ~load_run() = default;
@@ -27,6 +29,7 @@
   virtual void start(std::function<void()> OnDone) = 0;
   /// Offers no further jobs.
   virtual void stopArrivals() = 0;
+  /// Complete once OnDone has run.
   virtual load_result &result() = 0;
 };
 
--- a/src/yuccaplank/load/measurements.hpp
+++ b/src/yuccaplank/load/measurements.hpp
@@ -17,6 +17,7 @@
 /// Nearest-rank percentile; 0 without samples. Sorts the samples.
 double percentile(std::vector<double> &Samples, double Percent);
 
+/// Counts of a run; Jobs is indexed by submission_end, Breaches by breach_kind.
 struct run_counts {
   std::array<std::uint64_t, 5> Jobs{};
   std::array<std::uint64_t, BreachNames.size()> Breaches{};
@@ -31,12 +32,16 @@
   std::uint64_t WithoutId = 0;
 };
 
+/// Counts, times and breaches of a run.
 class measurements {
 public:
   /// First breaches are kept with their details.
   void addBreach(const breach &Breach);
+  /// End of a job, by its first answer.
   void addJob(submission_end End) { ++Counts.Jobs[static_cast<std::size_t>(End)]; }
+  /// Times of a job that was done, in milliseconds.
   void addDone(double ResponseMs, double IdealMs);
+  /// Time from the arrival of a job to its submission, in milliseconds.
   void addSendDelay(double Ms) { SendDelaysMs.push_back(Ms); }
   [[nodiscard]] bool breached() const;
   [[nodiscard]] const std::vector<breach> &firstBreaches() const { return FirstBreaches; }
--- a/src/yuccaplank/load/options.hpp
+++ b/src/yuccaplank/load/options.hpp
@@ -10,8 +10,10 @@
 
 namespace yuccaplank::load {
 
+/// Distribution of the times between arrivals.
 enum class arrival_kind : std::uint8_t { Poisson, Fixed };
 
+/// Options of a run.
 struct load_options {
   /// "ip:port" of entry VMs.
   std::vector<std::string> Entries;
@@ -54,9 +56,11 @@
   std::uint64_t Seed = 1;
 };
 
+/// The help text was asked for.
 struct load_help {
   std::string Text;
 };
+/// The command line is wrong; Message says why.
 struct load_usage_error {
   std::string Message;
 };
--- a/src/yuccaplank/load/workload.hpp
+++ b/src/yuccaplank/load/workload.hpp
@@ -27,8 +27,10 @@
   std::vector<task_kind> Usual;
   std::vector<task_kind> Long;
 };
+/// Kinds whose declared times are wrong by up to DeclaredFactor.
 kind_table makeKinds(double DeclaredFactor);
 
+/// A job with the run times that its tasks ask for.
 struct planned_job {
   schema::job Job;
   /// Longest run time of a task at speed 1, in milliseconds.
@@ -36,6 +38,7 @@
   double TotalMs = 0;
 };
 
+/// Generates jobs; the same seed gives the same jobs.
 class workload {
 public:
   explicit workload(const load_options &Options);
