--- a/src/yuccaplank/daemon/yuccaplankd_main.cpp
+++ b/src/yuccaplank/daemon/yuccaplankd_main.cpp
@@ -1,5 +1,6 @@
 // yuccaplankd: the daemon of an entry VM.
 #include "daemon.hpp"
+#include "yuccaplank/runtime/descriptor_limit.hpp"
 #include "yuccaplank/runtime/log.hpp"
 #include "yuccaplank/wire/settings_reader.hpp"
 
@@ -36,6 +37,8 @@
 
 int serve(const schema::daemon_settings &Settings) {
   std::signal(SIGPIPE, SIG_IGN);
+  // 50 servers with 24 connections each exceed the usual soft limit of 1024.
+  runtime::raiseDescriptorLimit();
   auto Loop = runtime::makeLoop();
   auto Daemon = daemon::makeDaemon(*Loop, Settings);
   if (!Daemon) {
