Take requests for maybe delivered when a connection ended unheard

Cause: a connection may end before a message comes from it, and it may belong to a later run of the VM. A request that had waited for it was then reported as not delivered, which allows the job to run here although the peer may have it. Found by reading; the new section fails before and passes after.

--- a/src/yuccaplank/node/exchanges.cpp
+++ b/src/yuccaplank/node/exchanges.cpp
@@ -47,8 +47,17 @@
 }
 
 void exchanges::connected(const std::string &Vm) {
-  if (!Connected.insert(Vm).second)
-    return;
+  if (Connected.insert(Vm).second)
+    markMaybeDelivered(Vm);
+}
+
+void exchanges::disconnected(const std::string &Vm) {
+  Connected.erase(Vm);
+  // Requests may have been written to a connection that ended without a message, also to a later run of the VM.
+  markMaybeDelivered(Vm);
+}
+
+void exchanges::markMaybeDelivered(const std::string &Vm) {
   for (auto &[Exchange, Entry] : Pending)
     if (Entry.Peer.vm() == Vm)
       Entry.WasConnected = true;
--- a/src/yuccaplank/node/exchanges.hpp
+++ b/src/yuccaplank/node/exchanges.hpp
@@ -41,7 +41,8 @@
   void connectFailed(const std::string &Vm);
   /// There is a connection to the VM; requests that waited for it may have been written to it.
   void connected(const std::string &Vm);
-  void disconnected(const std::string &Vm) { Connected.erase(Vm); }
+  /// A connection to the VM has ended, perhaps before anything was heard on it.
+  void disconnected(const std::string &Vm);
   void drop(std::uint64_t Exchange);
   [[nodiscard]] std::size_t size() const { return Pending.size(); }
 
@@ -56,6 +57,7 @@
   };
   void failIf(const std::function<bool(const pending &)> &Matches, exchange_failure Failure);
 
+  void markMaybeDelivered(const std::string &Vm);
   std::optional<pending> take(std::uint64_t Exchange);
 
   runtime::executor &Executor;
--- a/src/yuccaplank/node/exchanges_test.cpp
+++ b/src/yuccaplank/node/exchanges_test.cpp
@@ -100,6 +100,11 @@
     Exchanges.failPeer(Peer);
     Sent.assertFailed(exchange_failure::PeerLost);
   }
+  if (auto When = section("when a connection ended without a message, perhaps to a later run of the VM")) {
+    Exchanges.disconnected("vm2");
+    Exchanges.connectFailed("vm2");
+    First.assertPending();
+  }
   if (auto When = section("when it is dropped")) {
     Exchanges.drop(First.Number);
     Exchanges.answer(Peer, First.Number, {});
