--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -205,14 +205,21 @@
 def burst_section(options):
     """A tenfold burst: answers of admitted jobs and goodput, then the time to normal."""
     speeds = ",".join(str(speed) for speed in SPEEDS)
-    with running_fleet(DOMAINS, FLEET_SERVERS, speeds=speeds, base_port=options.base_port) as system:
+    for layout in options.layouts.split(","):
+        measure_burst(options, layout, speeds)
+
+
+def measure_burst(options, layout, speeds):
+    one_dispatcher, preferred = LAYOUTS[layout]
+    with running_fleet(DOMAINS, FLEET_SERVERS, speeds=speeds, base_port=options.base_port,
+                       one_dispatcher=one_dispatcher) as system:
         common = ["--tasks", "5-60", "--seed", str(options.seed), "--speed-max", str(max(SPEEDS)), "--ids-block",
-                  "200"]
+                  "200", "--task-spread", str(options.task_spread)]
         mean_ms = load(system, *common, "--rate", "20", "--seconds", "10")["mean_task_ms"]
-        for share, label, seconds in ((7.0, "burst", 15), (0.7, "after_burst", 10)):
+        for share, label, seconds in ((7.0, f"burst_{layout}", 15), (0.7, f"after_burst_{layout}", 10)):
             before = total_metrics(system)
             rate = offered_rate(share, FLEET_SERVERS, mean_ms, 32.5)
-            values = load(system, *common, "--rate", str(rate), "--seconds", str(seconds))
+            values = load(system, *common, "--rate", str(rate), "--seconds", str(seconds), preferred=preferred)
             after = total_metrics(system)
             work = values["tasks_done"] * mean_ms / 1000
             capacity = sum(SPEEDS[index % len(SPEEDS)] for index in range(FLEET_SERVERS)) * SLOTS * seconds
--- a/src/yuccaplank/node/exchanges.cpp
+++ b/src/yuccaplank/node/exchanges.cpp
@@ -53,7 +53,8 @@
 
 void exchanges::disconnected(const std::string &Vm) {
   Connected.erase(Vm);
-  // Requests may have been written to a connection that ended without a message, also to a later run of the VM.
+  // Requests may have been written to a connection that ended without a message, also to a later run of the
+  // VM.
   markMaybeDelivered(Vm);
 }
 
--- a/src/yuccaplank/node/job_execution.cpp
+++ b/src/yuccaplank/node/job_execution.cpp
@@ -10,7 +10,8 @@
 using runtime::errc;
 using wire::makeAnswer;
 
-// Another group must be expected to finish this much earlier to be worth two messages.
+// Another group must be expected to finish this much earlier to be worth two messages, unless less than half of the
+// job could start here.
 constexpr double OverflowMarginMs = 150;
 
 } // namespace
@@ -27,7 +28,7 @@
     executeAtPeer(Request, *Dispatcher);
     return;
   }
-  if (auto Target = overflowTarget(Request, false))
+  if (auto Target = overflowTarget(Request, overflow_cause::Wait))
     executeAtPeer(Request, *Target);
   else
     executeHere(Request, true);
@@ -43,9 +44,9 @@
     Active[Id] = {Key, 0, {}};
     return;
   }
-  bool NoRoom = Refusal->Reason != errc::QuotaExceeded;
-  if (MayOverflow && NoRoom)
-    if (auto Target = overflowTarget(Request, true))
+  auto Cause = Refusal->Reason == errc::NoFitServer ? overflow_cause::NoFit : overflow_cause::NoRoom;
+  if (MayOverflow && Refusal->Reason != errc::QuotaExceeded)
+    if (auto Target = overflowTarget(Request, Cause))
       return executeAtPeer(Request, *Target);
   refuse(Id, *Refusal);
 }
@@ -80,32 +81,34 @@
     jobEnded(Request.Id.Text, Answer);
 }
 
+bool job_service::worthMoving(const authority_request &Request, const model::scheduler_load &Load) const {
+  if (Load.FreeSlots >= static_cast<std::uint32_t>(Request.Job->tasks_size()))
+    return false;
+  const schema::service_document &Service = Request.Service->document();
+  if (Service.placement() != schema::messages)
+    return true;
+  double PredictedMs = P.Scheduler.predictResponseMs(*Request.Job, Service);
+  return PredictedMs > runtime::toMs(Request.Deadline - P.Executor.clock().now());
+}
+
 std::optional<schema::incarnation> job_service::overflowTarget(const authority_request &Request,
-                                                               bool Required) {
+                                                               overflow_cause Cause) {
   model::scheduler_load Load = P.Scheduler.load();
-  auto Tasks = static_cast<std::uint32_t>(Request.Job->tasks_size());
-  if (!Required && Load.FreeSlots >= Tasks)
+  if (Cause == overflow_cause::Wait && !worthMoving(Request, Load))
     return std::nullopt;
-  const schema::service_document &Service = Request.Service->document();
-  if (!Required && Service.placement() == schema::messages) {
-    double Predicted = P.Scheduler.predictResponseMs(*Request.Job, Service);
-    if (Predicted <= runtime::toMs(Request.Deadline - P.Executor.clock().now()))
-      return std::nullopt;
-  }
-  const schema::domain_summary *Best = nullptr;
-  auto Summaries = P.Membership.summaries();
-  for (const schema::domain_summary &Summary : Summaries) {
-    if (!P.Membership.reachable(Summary.dispatcher()))
-      continue;
-    std::uint32_t Debit = Debits[Summary.domain()];
-    bool Room = Summary.free_slots() >= Tasks + Debit;
-    bool Earlier = Summary.backlog_ms() + OverflowMarginMs < Load.BacklogMs;
-    if (!(Required || (Room && Earlier)))
+  auto Tasks = static_cast<std::uint32_t>(Request.Job->tasks_size());
+  std::optional<schema::domain_summary> Best;
+  for (const schema::domain_summary &Summary : P.Membership.summaries()) {
+    // In an overload all groups are full, and asking them costs two messages a job.
+    bool Room = Summary.free_slots() >= Tasks + Debits[Summary.domain()];
+    bool Earlier = Summary.backlog_ms() + OverflowMarginMs < Load.BacklogMs || 2 * Load.FreeSlots < Tasks;
+    bool Suitable = Cause == overflow_cause::NoFit || (Room && (Earlier || Cause == overflow_cause::NoRoom));
+    if (!Suitable || !P.Membership.reachable(Summary.dispatcher()))
       continue;
-    if (Best == nullptr || Summary.backlog_ms() < Best->backlog_ms())
-      Best = &Summary;
+    if (!Best || Summary.backlog_ms() < Best->backlog_ms())
+      Best = Summary;
   }
-  if (Best == nullptr)
+  if (!Best)
     return std::nullopt;
   Debits[Best->domain()] += Tasks;
   return Best->dispatcher();
--- a/src/yuccaplank/node/job_service.hpp
+++ b/src/yuccaplank/node/job_service.hpp
@@ -98,7 +98,17 @@
                             runtime::time_point Deadline, exchanges::answer_handler OnAnswer,
                             exchanges::failure_handler OnFailure);
   std::optional<schema::incarnation> ownDispatcher() const;
-  std::optional<schema::incarnation> overflowTarget(const authority_request &Request, bool Required);
+  /// Why a job may move to another group.
+  enum class overflow_cause : std::uint8_t {
+    /// It would wait here.
+    Wait,
+    /// It was refused here for want of room.
+    NoRoom,
+    /// No server here fits.
+    NoFit,
+  };
+  std::optional<schema::incarnation> overflowTarget(const authority_request &Request, overflow_cause Cause);
+  [[nodiscard]] bool worthMoving(const authority_request &Request, const model::scheduler_load &Load) const;
   void jobEnded(const std::string &Id, schema::job_answer Answer);
   void refuse(const std::string &Id, const model::admission_refusal &Refusal);
   void unknown(const std::string &Id, const schema::incarnation &Authority, std::uint64_t Handle);
