--- a/src/yuccaplank/model/membership.cpp
+++ b/src/yuccaplank/model/membership.cpp
@@ -841,6 +841,8 @@
       if (auto Found = Dispatchers.find(Domain);
           Found != Dispatchers.end() && precedes(*Found->second, Shared))
         Shared = Found->second;
+    if (Shared == nullptr)
+      return;
     for (const std::string &Domain : Options.DispatchGroup)
       Dispatchers[Domain] = Shared;
   }
--- a/src/yuccaplank/node/job_execution.cpp
+++ b/src/yuccaplank/node/job_execution.cpp
@@ -10,8 +10,8 @@
 using runtime::errc;
 using wire::makeAnswer;
 
-// Another group must be expected to finish this much earlier to be worth two messages, unless less than half of the
-// job could start here.
+// Another group must be expected to finish this much earlier to be worth two messages, unless less than half
+// of the job could start here.
 constexpr double OverflowMarginMs = 150;
 
 } // namespace
--- a/src/yuccaplank/wire/settings_reader.cpp
+++ b/src/yuccaplank/wire/settings_reader.cpp
@@ -67,6 +67,14 @@
              fmt::format("one of {}", fmt::join(Strategies.begin(), Strategies.end(), ", ")));
 }
 
+void checkNeighbours(document_checks &Checks, const schema::daemon_settings &Settings) {
+  for (int Index = 0; Index < Settings.seed_peers_size(); ++Index)
+    Checks.requireAddress(fmt::format("seed_peers[{}]", Index), Settings.seed_peers(Index), false);
+  const auto &Group = Settings.dispatch_group();
+  if (!Group.empty() && std::find(Group.begin(), Group.end(), Settings.failure_domain()) == Group.end())
+    Checks.add(errc::MissingField, "dispatch_group", "failure_domain among the domains");
+}
+
 std::vector<document_issue> checkSettings(const schema::daemon_settings &Settings) {
   document_checks Checks;
   Checks.requireName("vm", Settings.vm(), name_rule::Vm);
@@ -78,6 +86,7 @@
   checkTls(Checks, Settings.tls());
   checkLimits(Checks, Settings);
   checkStrategy(Checks, Settings.scheduler().strategy());
+  checkNeighbours(Checks, Settings);
   return Checks.take();
 }
 
--- a/src/yuccaplank/wire/settings_reader_test.cpp
+++ b/src/yuccaplank/wire/settings_reader_test.cpp
@@ -174,6 +174,14 @@
         std::string("line 6: scheduler.strategy: out_of_range, expected one of critical_time, "
                     "fifo, random, round_robin, least_outstanding\n"),
         Issues(Document(Platform + ",\n\"scheduler\": {\"strategy\": \"best\"}")));
+  if (auto When = section("when the dispatch group lacks the own domain"))
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("line 6: dispatch_group: missing_field, expected failure_domain among the "
+                    "domains\n"),
+        Issues(Document(Platform + ",\n\"dispatch_group\": [\"other\"]")));
+  if (auto When = section("when a seed peer is no address"))
+    CPPUNIT_ASSERT(
+        Issues(Document(Platform + ",\n\"seed_peers\": [\"host\"]")).starts_with("line 6: seed_peers[0]"));
 });
 
 } // namespace
