--- a/src/yuccaplank/model/membership.cpp
+++ b/src/yuccaplank/model/membership.cpp
@@ -1,4 +1,6 @@
 #include "yuccaplank/model/membership.hpp"
+#include "dispatcher_map.hpp"
+#include "summary_store.hpp"
 #include "yuccaplank/model/job_id.hpp"
 #include "yuccaplank/runtime/random.hpp"
 
@@ -37,7 +39,6 @@
 // A wake-up later than this means that the own process did not run.
 constexpr duration MaxLateness = 100ms;
 constexpr duration ForgetUnlisted = 60s;
-constexpr duration MaxSummaryAge = 10s;
 constexpr int RotatingEntries = 3;
 constexpr int MaxChangedEntries = 16;
 // Heartbeats that repeat a change, in case one is lost with a stream.
@@ -86,15 +87,11 @@
   [[nodiscard]] const schema::incarnation &incarnation() const { return Entry.self(); }
 };
 
-struct summary_record {
-  schema::domain_summary Summary;
-  time_point MeasuredAt;
-};
-
 class membership_impl final : public membership {
 public:
   membership_impl(const runtime::clock &Clock, membership_options InitialOptions)
-      : Clock(Clock), Options(std::move(InitialOptions)), Random(Options.Seed) {
+      : Clock(Clock), Options(std::move(InitialOptions)), Random(Options.Seed),
+        Dispatchers(Options.Domain, Options.DispatchGroup) {
     *SelfEntry.mutable_self() = Options.Self;
     SelfEntry.set_domain(Options.Domain);
     SelfEntry.set_peer_address(Options.PeerAddress);
@@ -254,11 +251,8 @@
   }
 
   [[nodiscard]] std::optional<schema::incarnation> dispatcher(const std::string &Domain) const override {
-    const auto &Current = dispatchers();
-    auto Found = Current.find(Domain);
-    if (Found == Current.end())
-      return std::nullopt;
-    return Found->second->self();
+    const schema::vm_entry *Found = dispatchers().find(Domain);
+    return Found == nullptr ? std::nullopt : std::optional(Found->self());
   }
 
   [[nodiscard]] bool isDispatcher() const override {
@@ -296,9 +290,9 @@
 
   [[nodiscard]] std::vector<schema::domain_summary> summaries() const override {
     std::vector<schema::domain_summary> Result;
-    for (const auto &[Domain, Record] : Summaries)
-      if (!ownGroup(Domain) && usable(Record))
-        Result.push_back(aged(Record));
+    for (const auto &[Domain, Record] : Summaries.all())
+      if (!Dispatchers.ownGroup(Domain) && usable(Record))
+        Result.push_back(Record.aged(now()));
     return Result;
   }
 
@@ -712,23 +706,13 @@
   }
 
   [[nodiscard]] bool usable(const summary_record &Record) const {
-    return reachable(Record.Summary.dispatcher()) && now() - Record.MeasuredAt <= MaxSummaryAge;
+    return reachable(Record.Summary.dispatcher()) && Record.usable(now());
   }
 
   void applySummary(const schema::domain_summary &Summary) {
-    time_point MeasuredAt = now() - std::chrono::milliseconds(Summary.age_ms());
-    auto Found = Summaries.find(Summary.domain());
-    if (Found != Summaries.end() && MeasuredAt <= Found->second.MeasuredAt)
-      return;
     auto Dispatcher = dispatcher(Summary.domain());
     if (Dispatcher && sameIncarnation(*Dispatcher, Summary.dispatcher()))
-      Summaries[Summary.domain()] = {Summary, MeasuredAt};
-  }
-
-  [[nodiscard]] schema::domain_summary aged(const summary_record &Record) const {
-    schema::domain_summary Summary = Record.Summary;
-    Summary.set_age_ms(static_cast<std::uint32_t>(runtime::toMs(now() - Record.MeasuredAt)));
-    return Summary;
+      Summaries.take(Summary, now());
   }
 
   // Sending
@@ -786,10 +770,10 @@
   void addSummaries(schema::heartbeat &Heartbeat) const {
     bool IsDispatcher = isDispatcher();
     if (OwnSummary && IsDispatcher)
-      *Heartbeat.add_domains() = aged(*OwnSummary);
-    for (const auto &[Domain, Record] : Summaries)
-      if (usable(Record) && !(IsDispatcher && ownGroup(Domain)))
-        *Heartbeat.add_domains() = aged(Record);
+      *Heartbeat.add_domains() = OwnSummary->aged(now());
+    for (const auto &[Domain, Record] : Summaries.all())
+      if (usable(Record) && !(IsDispatcher && Dispatchers.ownGroup(Domain)))
+        *Heartbeat.add_domains() = Record.aged(now());
   }
 
   void sendEverything(const member &To) {
@@ -806,57 +790,24 @@
 
   // Dispatchers
 
-  // Draining VMs come last: they keep the role only when nobody else is left.
-  [[nodiscard]] static bool precedes(const schema::vm_entry &Left, const schema::vm_entry *Right) {
-    if (Right == nullptr)
-      return true;
-    bool LeftDrains = Left.state() == schema::VM_DRAINING;
-    bool RightDrains = Right->state() == schema::VM_DRAINING;
-    if (LeftDrains != RightDrains)
-      return RightDrains;
-    return olderIncarnation(Left.self(), Right->self());
-  }
-
-  [[nodiscard]] const std::map<std::string, const schema::vm_entry *> &dispatchers() const {
+  [[nodiscard]] const dispatcher_map &dispatchers() const {
     if (DispatchersValid)
       return Dispatchers;
     Dispatchers.clear();
-    Dispatchers[Options.Domain] = &SelfEntry;
-    for (const auto &[Vm, Member] : Members) {
-      if (!Member.Reachable)
-        continue;
-      const schema::vm_entry *&Best = Dispatchers[Member.Entry.domain()];
-      if (precedes(Member.Entry, Best))
-        Best = &Member.Entry;
-    }
-    shareDispatcher();
+    Dispatchers.add(SelfEntry);
+    for (const auto &[Vm, Member] : Members)
+      if (Member.Reachable)
+        Dispatchers.add(Member.Entry);
+    Dispatchers.shareInGroup();
     DispatchersValid = true;
     return Dispatchers;
   }
 
-  // The domains of the group get the first of their dispatchers.
-  void shareDispatcher() const {
-    const schema::vm_entry *Shared = nullptr;
-    for (const std::string &Domain : Options.DispatchGroup)
-      if (auto Found = Dispatchers.find(Domain);
-          Found != Dispatchers.end() && precedes(*Found->second, Shared))
-        Shared = Found->second;
-    if (Shared == nullptr)
-      return;
-    for (const std::string &Domain : Options.DispatchGroup)
-      Dispatchers[Domain] = Shared;
-  }
-
-  [[nodiscard]] bool ownGroup(const std::string &Domain) const {
-    return Domain == Options.Domain ||
-           std::ranges::find(Options.DispatchGroup, Domain) != Options.DispatchGroup.end();
-  }
-
   void noteDispatchers() {
     if (DispatchersValid && DispatchersNoted)
       return;
     std::map<std::string, schema::incarnation> Now;
-    for (const auto &[Domain, Entry] : dispatchers())
+    for (const auto &[Domain, Entry] : dispatchers().all())
       Now[Domain] = Entry->self();
     for (const auto &[Domain, Before] : LastDispatchers)
       if (!Now.contains(Domain))
@@ -883,7 +834,7 @@
   schema::vm_entry SelfEntry;
   // By VM id, which is the order of the ring; without this VM.
   std::map<std::string, member> Members;
-  std::map<std::string, summary_record> Summaries;
+  summary_store Summaries;
   std::optional<summary_record> OwnSummary;
   std::uint64_t CatalogVersion = 0;
   std::uint64_t ProbeSequence = 0;
@@ -893,7 +844,7 @@
   std::string WatchedVm;
   time_point WatchedSince;
   std::string RotationVm;
-  mutable std::map<std::string, const schema::vm_entry *> Dispatchers;
+  mutable dispatcher_map Dispatchers;
   mutable bool DispatchersValid = false;
   bool DispatchersNoted = false;
   std::map<std::string, schema::incarnation> LastDispatchers;
