--- a/src/yuccaplank/platform/claims_test.cpp
+++ b/src/yuccaplank/platform/claims_test.cpp
@@ -209,4 +209,44 @@
   }
 });
 
+// Guards against a key that is run again: only the claim that inserted the row, or one whose outcome was
+// open, may start a job.
+const story Inserting("claims: who inserted", [] {
+  claim_setup Setup;
+  auto Inserted = [&](platform::claims &Claims) {
+    std::string Result = "none";
+    Claims.claim("k", [&](const runtime::result<platform::claim_owner> &Owner) {
+      Result = !Owner ? "error" : Owner.value().Inserted ? "inserted" : "found";
+    });
+    Setup.Executor->advance(5s);
+    return Result;
+  };
+  if (auto When = section("when a key is claimed again")) {
+    CPPUNIT_ASSERT_EQUAL(std::string("inserted"), Inserted(*Setup.A));
+    CPPUNIT_ASSERT_EQUAL(std::string("found"), Inserted(*Setup.A));
+    CPPUNIT_ASSERT_EQUAL(std::string("found"), Inserted(*Setup.B));
+  }
+  if (auto When = section("when the reply of the first claim was lost in an outage")) {
+    Setup.Platform->faults().LoseNextReplies = 1;
+    Setup.Executor->after(100ms, [&] { Setup.Platform->faults().Mode = platform::fake_mode::Hang; });
+    CPPUNIT_ASSERT_EQUAL(std::string("error"), Inserted(*Setup.A));
+    Setup.Platform->faults().Mode = platform::fake_mode::Normal;
+    CPPUNIT_ASSERT_EQUAL(std::string("inserted"), Inserted(*Setup.A));
+    CPPUNIT_ASSERT_EQUAL(std::string("found"), Inserted(*Setup.A));
+  }
+  if (auto When = section("when the owner is asked for")) {
+    std::string Owner;
+    auto Find = [&] {
+      Setup.A->find("k", [&](const runtime::result<platform::claim_owner> &Found) {
+        Owner = Found ? Found.value().Authority.vm() : Found.error().message();
+      });
+      Setup.Executor->advance(1s);
+      return Owner;
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("not_found"), Find());
+    Inserted(*Setup.B);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), Find());
+  }
+});
+
 } // namespace
