--- a/src/yuccaplank/platform/claims.cpp
+++ b/src/yuccaplank/platform/claims.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/platform/claims.hpp"
+#include "yuccaplank/model/job_id.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -192,9 +193,7 @@
       return Claim.error();
     claim_owner Owner = Claim.value().Owner;
     auto Node = Unresolved.extract(Row.Key);
-    const schema::incarnation &Self = Options.Self.Authority;
-    bool Mine = Owner.Authority.vm() == Self.vm() && Owner.Authority.nonce() == Self.nonce() &&
-                Owner.Authority.started_ms() == Self.started_ms();
+    bool Mine = model::sameIncarnation(Owner.Authority, Options.Self.Authority);
     std::uint64_t Batch = Claim.value().Batch;
     Owner.Inserted = Mine && (Batch == InFlight->Number || (!Node.empty() && Node.mapped().contains(Batch)));
     return Owner;
