--- /dev/null
+++ b/include/yuccaplank/dispatch/configuration.hpp
@@ -0,0 +1,43 @@
+// What operators have set: queues and pools of backend servers.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yuccaplank::dispatch {
+
+/// A queue of jobs. Requests reach it by host and path.
+struct queue_settings {
+  std::string Name;
+  std::string Host;
+  std::string PathPrefix;
+  /// Pool of the backend servers that run its tasks.
+  std::string Pool;
+  /// 0 is served first.
+  std::uint32_t Priority = 0;
+  /// Runs of a task that may fail before its job has failed.
+  std::uint32_t MaxAttempts = 1;
+  /// The objective of a job is this many times its longest task, and LatencyMs more.
+  double Stretch = 1;
+  std::uint32_t LatencyMs = 0;
+  std::uint32_t TimeoutMs = 0;
+  /// An external service decides which servers may run a step.
+  bool NeedsAdvice = false;
+};
+
+struct request_limits {
+  std::size_t MaxBodyBytes = 256U << 10U;
+};
+
+struct configuration {
+  std::uint64_t Version = 0;
+  std::vector<queue_settings> Queues;
+  request_limits Limits;
+
+  /// Queue with the longest prefix of Path among those of Host; null when there is none.
+  [[nodiscard]] const queue_settings *find(std::string_view Host, std::string_view Path) const;
+};
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -0,0 +1,95 @@
+// All dispatching roles of one entry VM, and its talk with the other VMs.
+#pragma once
+
+#include "yuccaplank/dispatch/configuration.hpp"
+#include "yuccaplank/dispatch/fleet_view.hpp"
+#include "yuccaplank/dispatch/job_coordinator.hpp"
+#include "yuccaplank/dispatch/placement_queue.hpp"
+#include "yuccaplank/dispatch/server_owner.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yuccaplank::dispatch {
+
+struct entry_vm_options {
+  std::string Vm;
+  /// Where other VMs reach this one, "ip:port".
+  std::string Address;
+  std::string Domain;
+  /// Thousandths of a core.
+  std::uint32_t Strength = 1000;
+  runtime::duration HeartbeatInterval = std::chrono::milliseconds(150);
+  /// Interval at which VMs that are out of contact are tried.
+  runtime::duration RetryInterval = std::chrono::milliseconds(1000);
+  /// How long a cancel waits for the other VMs.
+  runtime::duration CancelTimeout = std::chrono::milliseconds(400);
+  fleet_view_options View;
+  placement_options Placement;
+  coordinator_options Coordinator;
+  ledger_options Ledger;
+};
+
+/// Network and surroundings. Messages are delivered in order while a connection lasts.
+class entry_vm_ports {
+public:
+  virtual ~entry_vm_ports() = default;
+  /// An empty Vm addresses whichever VM is at the address.
+  virtual void send(const std::string &Vm, const std::string &Address, schema::dispatch_message Message) = 0;
+  virtual void disconnect(const std::string &Vm) = 0;
+  virtual server_orders &orders() = 0;
+  virtual void answer(std::uint64_t Job, const job_answer &Answer) = 0;
+  /// Another VM has a newer configuration; decoding it is up to the receiver.
+  virtual void configurationOffered(const schema::configuration_copy &Copy) = 0;
+};
+
+/// Numbers for metrics.
+struct entry_vm_state {
+  coordinator_counters Coordinator;
+  ledger_counters Ledger;
+  placement_counters Placement;
+  owner_counts Servers;
+  std::size_t Jobs = 0;
+  std::size_t VmsInContact = 0;
+  bool Placing = false;
+};
+
+class entry_vm {
+public:
+  virtual ~entry_vm() = default;
+
+  /// Version of this VM's registration in the store; without one it owns no servers and places no tasks.
+  virtual void setRegistration(std::uint64_t Version) = 0;
+  /// Older versions than the one in force are ignored; tells whether it is in force now.
+  virtual bool setConfiguration(configuration Configuration, std::string Document) = 0;
+  virtual void setServers(const std::vector<server_entry> &Servers) = 0;
+  /// VMs that are registered in the store, with their addresses.
+  virtual void setRegisteredVms(const std::map<std::string, std::string> &Addresses) = 0;
+  /// Addresses at which VMs may be.
+  virtual void addSeeds(const std::vector<std::string> &Addresses) = 0;
+
+  virtual void onMessage(const std::string &Vm, const std::string &Incarnation,
+                         const schema::dispatch_message &Message) = 0;
+  virtual void onClosed(const std::string &Vm) = 0;
+  virtual void onConnectFailed(const std::string &Address) = 0;
+
+  [[nodiscard]] virtual const configuration *current() const = 0;
+  /// Whether jobs can be served: there is a configuration and a placer, and this VM is not draining.
+  [[nodiscard]] virtual bool ready() const = 0;
+  virtual job_coordinator &coordinator() = 0;
+  /// Cancels a job wherever it is; OnDone tells whether it was found.
+  virtual void cancel(std::uint64_t Job, std::function<void(bool Found)> OnDone) = 0;
+  /// Jobs of a queue that wait on any VM in contact.
+  [[nodiscard]] virtual std::uint32_t waiting(const std::string &Queue) const = 0;
+  /// Others take over this VM's roles; jobs in hand go on.
+  virtual void drain() = 0;
+  [[nodiscard]] virtual entry_vm_state state() const = 0;
+};
+
+std::unique_ptr<entry_vm> makeEntryVm(runtime::executor &Executor, entry_vm_ports &Ports,
+                                      entry_vm_options Options);
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/include/yuccaplank/dispatch/fleet_view.hpp
@@ -0,0 +1,83 @@
+// What this VM knows of the others, and which of them places tasks and owns which backend servers.
+#pragma once
+
+#include "yuccaplank/dispatch/messages.hpp"
+#include "yuccaplank/runtime/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yuccaplank::dispatch {
+
+struct fleet_view_options {
+  /// A VM that has not been heard for this time counts as lost. With the time to stop a run it stays well
+  /// below the 1,300 ms after which a client sends its job again.
+  runtime::duration SilenceLimit = std::chrono::milliseconds(600);
+  /// The same after its connection has broken, which is the usual sign of a dead process.
+  runtime::duration ReconnectTime = std::chrono::milliseconds(250);
+  /// After a start, servers are claimed and tasks placed only when the VMs known then have been heard or this
+  /// time has passed, so that a VM that has just started does not believe itself alone.
+  runtime::duration IntroductionTime = std::chrono::milliseconds(700);
+};
+
+/// A VM that is known from the store, from settings or from another VM.
+struct known_vm {
+  std::string Address;
+  bool Alive = false;
+  /// The connection has broken since the VM was last heard.
+  bool Broken = false;
+  runtime::time_point LastHeard{};
+  schema::vm_status Status;
+};
+
+/// A change of the view that others act on.
+struct view_change {
+  enum class kind : std::uint8_t {
+    /// In contact after having been lost or unknown.
+    Found,
+    /// In contact again after a connection broke; messages may have been lost.
+    Resumed,
+    Lost,
+  } Kind = kind::Found;
+  std::string Vm;
+};
+
+/// Agreement is not needed: two VMs that both own a server are told apart by its fence, and two placers only
+/// cause refused starts.
+class fleet_view {
+public:
+  virtual ~fleet_view() = default;
+  /// The own status, as sent to others.
+  virtual void setSelf(const schema::vm_status &Status) = 0;
+  /// A VM may be at this address.
+  virtual void learn(const std::string &Vm, const std::string &Address) = 0;
+  /// The VM has been removed for good.
+  virtual void forget(const std::string &Vm) = 0;
+  virtual std::vector<view_change> heard(const schema::vm_status &Status) = 0;
+  /// The connection to the VM has broken.
+  virtual void broken(const std::string &Vm) = 0;
+  /// The VM is certainly out of reach.
+  virtual std::vector<view_change> lost(const std::string &Vm) = 0;
+  /// Applies the silence limit.
+  virtual std::vector<view_change> tick() = 0;
+
+  [[nodiscard]] virtual const std::map<std::string, known_vm> &others() const = 0;
+  /// Whether the VM is in contact; the own one always is.
+  [[nodiscard]] virtual bool alive(const std::string &Vm) const = 0;
+  /// Whether enough is known to claim servers and to place tasks.
+  [[nodiscard]] virtual bool introduced() const = 0;
+  /// The registered VM that has been serving longest; empty when there is none.
+  [[nodiscard]] virtual std::string placer() const = 0;
+  /// The VM that should own the servers of a rack: one of the rack's failure domain if any lives there, each
+  /// in proportion to its strength; empty when there is none.
+  [[nodiscard]] virtual std::string ownerOf(const std::string &Rack, const std::string &Domain) const = 0;
+  /// Highest term that any VM has told.
+  [[nodiscard]] virtual std::uint32_t highestTerm() const = 0;
+};
+
+std::unique_ptr<fleet_view> makeFleetView(const runtime::clock &Clock, fleet_view_options Options = {});
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/include/yuccaplank/dispatch/messages.hpp
@@ -0,0 +1,39 @@
+// Messages of the dispatching roles and how they are sent.
+#pragma once
+
+#include "dispatch.pb.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace yuccaplank::dispatch {
+
+/// One task of one job.
+struct task_key {
+  std::uint64_t Job = 0;
+  std::uint32_t Index = 0;
+  auto operator<=>(const task_key &) const = default;
+};
+
+/// One start of one task.
+struct run_key {
+  task_key Task;
+  std::uint32_t Run = 0;
+  auto operator<=>(const run_key &) const = default;
+};
+
+inline run_key keyOf(const schema::task_run &Run) { return {{Run.job(), Run.index()}, Run.run()}; }
+schema::task_run toMessage(const run_key &Run);
+
+/// "16 hexadecimal digits/index#run", for logs.
+std::string format(const run_key &Run);
+/// 16 hexadecimal digits.
+std::string formatJob(std::uint64_t Job);
+
+/// Queues a message for a VM, the own one included. Messages to one VM arrive in order or the session with it
+/// ends.
+using send_function = std::function<void(const std::string &Vm, schema::dispatch_message Message)>;
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/include/yuccaplank/dispatch/server_owner.hpp
@@ -0,0 +1,58 @@
+// The owner role: the backend servers that this VM orders, and its talk with placers and coordinators about
+// them.
+#pragma once
+
+#include "yuccaplank/dispatch/server_ledger.hpp"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yuccaplank::dispatch {
+
+class owner_ports {
+public:
+  virtual ~owner_ports() = default;
+  virtual server_orders &orders() = 0;
+  virtual void send(const std::string &Vm, schema::dispatch_message Message) = 0;
+  virtual void broadcast(const schema::dispatch_message &Message) = 0;
+  /// Whether this VM should own the servers of a rack.
+  [[nodiscard]] virtual bool shouldOwn(const std::string &Rack, const std::string &Domain) const = 0;
+  [[nodiscard]] virtual bool reachable(const std::string &Vm) const = 0;
+  /// See ledger_ports.
+  virtual std::uint64_t fencingToken(bool WasFenced) = 0;
+};
+
+struct owner_counts {
+  std::size_t Listed = 0;
+  std::size_t Owned = 0;
+  std::size_t Usable = 0;
+  std::size_t Runs = 0;
+};
+
+class server_owner {
+public:
+  virtual ~server_owner() = default;
+  /// The servers that the platform lists now.
+  virtual void setServers(const std::vector<server_entry> &Servers) = 0;
+  /// The view of the other VMs has changed: claims what this VM should own now.
+  virtual void reviewOwnership() = 0;
+  virtual void onStart(const std::string &Coordinator, const schema::start_task &Request) = 0;
+  virtual void onStop(const std::string &Coordinator, const schema::stop_task &Request) = 0;
+  virtual void onSubscribe(const std::string &Placer, const schema::subscribe_servers &Request) = 0;
+  virtual void onAdopted(const std::string &Coordinator, const schema::adopt_reply &Reply) = 0;
+  /// Another VM has taken over a server.
+  virtual void onTakenOver(const std::string &NewOwner, const std::string &Server) = 0;
+  virtual void onResume(const std::string &Coordinator, const schema::resume_session &Session) = 0;
+  virtual void onVmLost(const std::string &Vm) = 0;
+  /// Called every 50 ms.
+  virtual void tick() = 0;
+  [[nodiscard]] virtual owner_counts counts() const = 0;
+  [[nodiscard]] virtual const ledger_counters &counters() const = 0;
+};
+
+std::unique_ptr<server_owner> makeServerOwner(runtime::executor &Executor, owner_ports &Ports,
+                                              ledger_options Options = {});
+
+} // namespace yuccaplank::dispatch
--- a/include/yuccaplank/node/entry_node.hpp
+++ b/include/yuccaplank/node/entry_node.hpp
@@ -9,9 +9,9 @@
 #include "yuccaplank/model/job_table.hpp"
 #include "yuccaplank/model/membership.hpp"
 #include "yuccaplank/model/scheduler.hpp"
-#include "yuccaplank/platform/claims.hpp"
-#include "yuccaplank/platform/documents.hpp"
 #include "yuccaplank/runtime/executor.hpp"
+#include "yuccaplank/storage/claims.hpp"
+#include "yuccaplank/storage/documents.hpp"
 #include "yuccaplank/wire/start_certainty.hpp"
 
 #include <functional>
@@ -114,8 +114,8 @@
   virtual void callerGone(std::uint64_t Handle) = 0;
 
   // Operators.
-  virtual void apply(platform::apply_request Request,
-                     std::function<void(runtime::result<platform::apply_reply>)> OnDone) = 0;
+  virtual void apply(storage::apply_request Request,
+                     std::function<void(runtime::result<storage::apply_reply>)> OnDone) = 0;
   [[nodiscard]] virtual std::vector<std::shared_ptr<const schema::service_revision>> services() const = 0;
   virtual void
   history(std::string Service,
@@ -162,7 +162,7 @@
   [[nodiscard]] virtual std::size_t jobsInProgress() const = 0;
 };
 
-std::unique_ptr<entry_node> makeEntryNode(runtime::executor &Executor, ports &Ports, platform::table &Table,
+std::unique_ptr<entry_node> makeEntryNode(runtime::executor &Executor, ports &Ports, storage::table &Table,
                                           entry_node_options Options);
 
 } // namespace yuccaplank::node
--- a/include/yuccaplank/platform/documents.hpp
+++ b/include/yuccaplank/platform/documents.hpp
@@ -1,57 +1,63 @@
-// Service documents in the table: reading, applying by compare-and-set, history.
+// Documents that the platform's operators, backend servers and callers write, decoded into the product's
+// types.
 #pragma once
 
-#include "service.pb.h"
-#include "yuccaplank/platform/table.hpp"
-#include "yuccaplank/runtime/executor.hpp"
+#include "yuccaplank/dispatch/configuration.hpp"
+#include "yuccaplank/dispatch/server_ledger.hpp"
+#include "yuccaplank/runtime/error.hpp"
 
-#include <functional>
-#include <memory>
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace yuccaplank::platform {
 
-/// A change of one service document.
-struct apply_request {
-  schema::service_document Document;
-  /// Revision that the operator has seen; the apply conflicts when another one is current. 0 for a new
-  /// service.
-  std::uint64_t ExpectedRevision = 0;
-  /// Chosen by the operator's client, 1 to 128 characters; the same id is never applied twice.
-  std::string ChangeId;
-  /// Highest revision of the service that this VM knows; the new one is higher.
-  std::uint64_t KnownRevision = 0;
+/// Operators' configuration. Errors: errc::MalformedDocument.
+runtime::result<dispatch::configuration> decodeConfiguration(std::string_view Text);
+
+/// Version of a configuration without decoding the rest; 0 when there is none.
+std::uint64_t configurationVersion(std::string_view Text);
+
+/// A backend server's report about itself. Errors: errc::MalformedDocument for a report that names no usable
+/// server.
+runtime::result<dispatch::server_entry> decodeServer(const std::string &Id, std::string_view Text);
+
+/// One step of a submitted job.
+struct step_document {
+  std::uint32_t TaskCount = 0;
+  schema::task_size TaskSize;
+  std::uint32_t EstimateMs = 0;
+  /// Earlier steps that must have ended.
+  std::size_t Dependencies = 0;
+  bool Gang = false;
+  bool LongRunning = false;
+  bool FillsUnusedCapacity = false;
+  /// Label that a server must have.
+  std::string RequiredLabel;
+  /// Tasks of the step that may run on one server; 0 means any number.
+  std::uint32_t MaxPerServer = 0;
 };
 
-/// Result of an apply whose outcome is known.
-struct apply_reply {
-  /// False when another revision was current.
-  bool Committed = false;
-  /// The committed revision, or the current one on a conflict.
-  schema::service_revision Current;
+struct job_document {
+  std::string Specification;
+  std::vector<step_document> Steps;
+  /// The answer is sent when the job has ended, and nobody asks later.
+  bool BestEffort = false;
+  /// Runs of the whole job at set times; 0 means one run now.
+  std::uint32_t Repetitions = 0;
 };
 
-/// Keys: "service/<name>" holds the current revision, "history/<name>/<revision, 20 digits>" all of them, and
-/// "change/<name>/<change id>" the revision that a change committed.
-class documents {
-public:
-  virtual ~documents() = default;
-  /// errc::PlatformUnavailable means that the outcome stays open; repeating with the same change id settles
-  /// it. A change that was applied before, and may have been replaced since, is reported as committed.
-  /// ExpectedRevision is compared with the higher of the table's revision and KnownRevision.
-  virtual void apply(apply_request Request, std::function<void(runtime::result<apply_reply>)> OnDone) = 0;
-  /// Documents changed after a table revision; all documents when the table's revision is lower than that,
-  /// as after a restore from an old copy.
-  virtual void changes(std::uint64_t After,
-                       std::function<void(runtime::result<schema::catalog_snapshot>)> OnDone) = 0;
-  /// All revisions of a service, oldest first.
-  virtual void
-  history(std::string Service,
-          std::function<void(runtime::result<std::vector<schema::service_revision>>)> OnDone) = 0;
-};
+/// Errors: errc::MalformedDocument.
+runtime::result<job_document> decodeJob(std::string_view Text);
+
+/// 16 hexadecimal digits; nothing for anything else.
+std::optional<std::uint64_t> parseJobId(std::string_view Text);
 
-/// The executor and the table must outlive the result.
-std::unique_ptr<documents> makeDocuments(runtime::executor &Executor, table &Table);
+/// Body of the answer about a job in a state ("completed", "failed", "running", …).
+std::string encodeState(std::string_view State);
+/// Body of the answer about a queue.
+std::string encodeWaiting(std::uint32_t Waiting);
 
 } // namespace yuccaplank::platform
--- a/include/yuccaplank/runtime/log.hpp
+++ b/include/yuccaplank/runtime/log.hpp
@@ -1,4 +1,4 @@
-// Structured log: one JSON object a line on standard error.
+// Structured log: one JSON object a line, on standard error unless told otherwise.
 #pragma once
 
 #include <cstdint>
@@ -22,6 +22,10 @@
 /// next line written for the event then carries the number suppressed.
 void log(log_level Level, std::string_view Event, std::initializer_list<log_field> Fields = {});
 
+/// Writes to standard output from now on, without ever waiting for a reader of a pipe; lines that do not fit
+/// are counted.
+void logToStandardOutput();
+
 /// Lines below Level are dropped; the default is Info.
 void setLogLevel(log_level Level);
 
--- a/include/yuccaplank/platform/claims.hpp
+++ b/include/yuccaplank/storage/claims.hpp
@@ -2,14 +2,14 @@
 #pragma once
 
 #include "peer.pb.h"
-#include "yuccaplank/platform/table.hpp"
 #include "yuccaplank/runtime/executor.hpp"
+#include "yuccaplank/storage/table.hpp"
 
 #include <functional>
 #include <memory>
 #include <string>
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 
 /// Result of a claim: the incarnation that owns the key, and its domain.
 struct claim_owner {
@@ -42,4 +42,4 @@
 /// The executor and the table must outlive the result.
 std::unique_ptr<claims> makeClaims(runtime::executor &Executor, table &Table, claims_options Options);
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/include/yuccaplank/platform/fake_table.hpp
+++ b/include/yuccaplank/storage/fake_table.hpp
@@ -1,13 +1,13 @@
 // Platform in memory for tests and scenarios, with switchable faults. Time passes on the executor's timers.
 #pragma once
 
-#include "yuccaplank/platform/table_state.hpp"
 #include "yuccaplank/runtime/executor.hpp"
+#include "yuccaplank/storage/table_state.hpp"
 
 #include <functional>
 #include <memory>
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 
 /// How the platform answers requests.
 enum class fake_mode : std::uint8_t {
@@ -60,4 +60,4 @@
 std::shared_ptr<fake_platform> makeFakePlatform(runtime::executor &Executor,
                                                 fake_platform_options Options = {});
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/include/yuccaplank/platform/table.hpp
+++ b/include/yuccaplank/storage/table.hpp
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 
 /// A row as read.
 struct table_row {
@@ -89,4 +89,4 @@
 /// Client over HTTP. Errors: errc::PlatformUnavailable.
 std::unique_ptr<table> makeTable(wire::http_client &Client, table_options Options);
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/include/yuccaplank/platform/table_state.hpp
+++ b/include/yuccaplank/storage/table_state.hpp
@@ -1,8 +1,8 @@
 // State behind the stand-ins of the platform: the transactional table and the lagging VM list. No I/O.
 #pragma once
 
-#include "yuccaplank/platform/table.hpp"
 #include "yuccaplank/runtime/clock.hpp"
+#include "yuccaplank/storage/table.hpp"
 
 #include <deque>
 #include <map>
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 
 /// Rows with revisions. Every committed transaction takes one revision for all of its rows.
 class table_state {
@@ -57,4 +57,4 @@
   std::deque<entry> Entries;
 };
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/include/yuccaplank/wire/http_server.hpp
+++ b/include/yuccaplank/wire/http_server.hpp
@@ -27,6 +27,8 @@
 struct http_request {
   request_token Token = 0;
   std::string Method;
+  /// Host that the request is for, with the port if the client sent one.
+  std::string Host;
   /// Path without the query, percent-decoded.
   std::string Path;
   std::vector<std::pair<std::string, std::string>> Query;
--- a/src/yuccaplank/daemon/daemon.cpp
+++ b/src/yuccaplank/daemon/daemon.cpp
@@ -5,8 +5,8 @@
 #include "operator_api.hpp"
 #include "socket_ports.hpp"
 #include "yuccaplank/model/job_id.hpp"
-#include "yuccaplank/platform/table.hpp"
 #include "yuccaplank/runtime/log.hpp"
+#include "yuccaplank/storage/table.hpp"
 #include "yuccaplank/wire/job_codec.hpp"
 
 #include <boost/outcome/try.hpp>
@@ -86,7 +86,7 @@
   daemon_impl(runtime::loop &Loop, const schema::daemon_settings &Settings)
       : Loop(Loop), Settings(Settings), Self(makeSelf(Loop, Settings)),
         Client(makeLinkFilter(Loop, wire::makeHttpClient(Loop, clientOptions(Settings)))),
-        Table(platform::makeTable(*Client, {Settings.platform()})), Ports(makeSocketPorts(*Client)),
+        Table(storage::makeTable(*Client, {Settings.platform()})), Ports(makeSocketPorts(*Client)),
         Node(node::makeEntryNode(Loop, *Ports, *Table, nodeOptions(Settings, Self))),
         Metrics(makeMetrics({*Node, *Table, Transport})),
         Callers(
@@ -227,7 +227,7 @@
   schema::daemon_settings Settings;
   schema::incarnation Self;
   std::unique_ptr<link_filter> Client;
-  std::unique_ptr<platform::table> Table;
+  std::unique_ptr<storage::table> Table;
   std::unique_ptr<socket_ports> Ports;
   std::unique_ptr<node::entry_node> Node;
   std::unique_ptr<wire::peer_transport> Transport;
--- a/src/yuccaplank/daemon/metrics.hpp
+++ b/src/yuccaplank/daemon/metrics.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "yuccaplank/node/entry_node.hpp"
-#include "yuccaplank/platform/table.hpp"
+#include "yuccaplank/storage/table.hpp"
 #include "yuccaplank/wire/peer_link.hpp"
 
 #include <memory>
@@ -21,7 +21,7 @@
 
 struct metrics_sources {
   const node::entry_node &Node;
-  const platform::table &Table;
+  const storage::table &Table;
   /// Null until the transport exists.
   const std::unique_ptr<wire::peer_transport> &Transport;
 };
--- a/src/yuccaplank/daemon/operator_api.cpp
+++ b/src/yuccaplank/daemon/operator_api.cpp
@@ -123,7 +123,7 @@
 }
 
 void operator_api::apply(const wire::http_request &Request, const std::string &Name) {
-  platform::apply_request Apply;
+  storage::apply_request Apply;
   auto Issues = wire::readService(Request.Body, Apply.Document);
   if (Issues.empty() && Apply.Document.service() != Name)
     Issues.push_back({errc::OutOfRange, "service", 1, "the name in the path, " + Name});
@@ -138,7 +138,7 @@
     return fail(Request, 422, errc::OutOfRange);
   if (Apply.ChangeId.empty() || Expected.empty() || Parsed.ptr != Expected.data() + Expected.size())
     return fail(Request, 422, errc::MissingField);
-  Node.apply(std::move(Apply), [this, Token = Request.Token](runtime::result<platform::apply_reply> Result) {
+  Node.apply(std::move(Apply), [this, Token = Request.Token](runtime::result<storage::apply_reply> Result) {
     if (!Result) {
       ordered_json Body{{"reason", Result.error().message()}, {"retry_after_ms", 1000}};
       return send(Token, 503, Body.dump());
--- /dev/null
+++ b/src/yuccaplank/dispatch/messages.cpp
@@ -0,0 +1,21 @@
+#include "yuccaplank/dispatch/messages.hpp"
+
+#include <fmt/format.h>
+
+namespace yuccaplank::dispatch {
+
+schema::task_run toMessage(const run_key &Run) {
+  schema::task_run Message;
+  Message.set_job(Run.Task.Job);
+  Message.set_index(Run.Task.Index);
+  Message.set_run(Run.Run);
+  return Message;
+}
+
+std::string formatJob(std::uint64_t Job) { return fmt::format("{:016x}", Job); }
+
+std::string format(const run_key &Run) {
+  return fmt::format("{:016x}/{}#{}", Run.Task.Job, Run.Task.Index, Run.Run);
+}
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/src/yuccaplank/dispatch/server_health.hpp
@@ -0,0 +1,73 @@
+// Speed of one backend server, and its quarantine after failures.
+#pragma once
+
+#include "yuccaplank/runtime/clock.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <optional>
+
+namespace yuccaplank::dispatch {
+
+/// Learns from the ends of runs. A server on which several runs in a row end without a result gets no work
+/// for a time that doubles, and afterwards one run at a time until one is done.
+class server_health {
+public:
+  server_health(std::uint32_t FailuresToQuarantine, runtime::duration First, runtime::duration Longest)
+      : FailuresToQuarantine(FailuresToQuarantine), First(First), Longest(Longest) {}
+
+  /// Natural logarithm of run time divided by declared time.
+  [[nodiscard]] double slowness() const { return Slowness; }
+  [[nodiscard]] bool usable() const { return !QuarantinedUntil; }
+  [[nodiscard]] bool onProbation() const { return Probation; }
+  [[nodiscard]] std::uint32_t quarantines() const { return Quarantines; }
+
+  void onDone(double TookMs, std::uint32_t DeclaredMs) {
+    Failures = 0;
+    Quarantines = 0;
+    Probation = false;
+    if (DeclaredMs == 0)
+      return;
+    ++Observations;
+    double Weight = std::max(1.0 / (Observations + PriorWeight), SmallestWeight);
+    Slowness += Weight * (std::log(std::max(TookMs, 1.0) / DeclaredMs) - Slowness);
+  }
+
+  /// Whether the server is quarantined because of this failure.
+  bool onFailure(runtime::time_point Now) {
+    ++Failures;
+    if (QuarantinedUntil || (!Probation && Failures < FailuresToQuarantine))
+      return false;
+    QuarantinedUntil = Now + std::min(First * (1U << std::min(Quarantines, 4U)), Longest);
+    ++Quarantines;
+    Probation = true;
+    return true;
+  }
+
+  /// Ends a quarantine whose time is over; tells whether it did.
+  bool quarantineOver(runtime::time_point Now) {
+    if (!QuarantinedUntil || Now < *QuarantinedUntil)
+      return false;
+    QuarantinedUntil.reset();
+    return true;
+  }
+
+private:
+  // Observations that the assumption of an ordinary speed is worth.
+  static constexpr double PriorWeight = 1;
+  // Forgets a server's former speed within about ten runs.
+  static constexpr double SmallestWeight = 0.1;
+
+  std::uint32_t FailuresToQuarantine;
+  runtime::duration First;
+  runtime::duration Longest;
+  double Slowness = 0;
+  double Observations = 0;
+  std::uint32_t Failures = 0;
+  std::uint32_t Quarantines = 0;
+  bool Probation = false;
+  std::optional<runtime::time_point> QuarantinedUntil;
+};
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -0,0 +1,697 @@
+#include "yuccaplank/dispatch/server_ledger.hpp"
+#include "server_health.hpp"
+#include "yuccaplank/runtime/log.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace yuccaplank::dispatch {
+namespace {
+
+using runtime::duration;
+using runtime::log;
+using runtime::log_level;
+using runtime::time_point;
+
+enum class ownership : std::uint8_t {
+  /// Another VM's, or nobody's.
+  None,
+  /// The fence is being raised.
+  Claiming,
+  /// Waiting for coordinators to claim what runs there.
+  Adopting,
+  Owned,
+};
+
+enum class run_phase : std::uint8_t {
+  /// The start order has no answer yet.
+  Starting,
+  Running,
+  /// The stop order has no answer yet.
+  Stopping,
+  /// Void at the server: either its end will be listed or it never ran.
+  Voided,
+};
+
+struct server_run {
+  std::string Coordinator;
+  schema::task_size Size;
+  std::uint32_t EstimateMs = 0;
+  run_phase Phase = run_phase::Starting;
+  time_point StartedAt;
+  // When the server had certainly dealt with the run's latest order; a list made after this that lacks the
+  // run proves that it does not run.
+  std::optional<time_point> SettledAt;
+  // Found at a take-over and claimed by no coordinator yet; its size is not known.
+  bool Unclaimed = false;
+  // Whether the start may still be carried out, however late.
+  bool StartOpen = true;
+  std::string StopReason;
+};
+
+void add(schema::task_size &Sum, const schema::task_size &Size) {
+  Sum.set_cpu(Sum.cpu() + Size.cpu());
+  Sum.set_memory_mb(Sum.memory_mb() + Size.memory_mb());
+  Sum.set_accelerators(Sum.accelerators() + Size.accelerators());
+}
+
+bool fits(const schema::task_size &Used, const schema::task_size &Size, const schema::task_size &Capacity) {
+  return Used.cpu() + Size.cpu() <= Capacity.cpu() &&
+         Used.memory_mb() + Size.memory_mb() <= Capacity.memory_mb() &&
+         Used.accelerators() + Size.accelerators() <= Capacity.accelerators();
+}
+
+class server_ledger_impl final : public server_ledger {
+public:
+  server_ledger_impl(runtime::executor &Executor, ledger_ports &Ports, server_entry EntryIn,
+                     ledger_options Options)
+      : Executor(Executor), Ports(Ports), Entry(std::move(EntryIn)), Options(Options),
+        Health(Options.FailuresToQuarantine, Options.FirstQuarantine, Options.LongestQuarantine) {}
+  server_ledger_impl(const server_ledger_impl &) = delete;
+  server_ledger_impl &operator=(const server_ledger_impl &) = delete;
+  ~server_ledger_impl() override = default;
+
+  void claim() override {
+    if (Ownership != ownership::None || (FencedAt && now() - *FencedAt < Options.ReclaimDelay))
+      return;
+    Ownership = ownership::Claiming;
+    sendClaim(FencedAt.has_value());
+  }
+
+  void release() override {
+    if (Ownership == ownership::None)
+      return;
+    Ownership = ownership::None;
+    ++Epoch;
+    yieldRuns();
+    Runs.clear();
+    HoldPending = false;
+    Ports.roomChanged(Entry.Target.Id);
+  }
+
+  void update(const server_entry &Updated) override {
+    bool Returned = std::exchange(Delisted, false);
+    bool Changed = Returned || Updated.Draining != Entry.Draining ||
+                   Updated.Capacity.cpu() != Entry.Capacity.cpu() ||
+                   Updated.Target.Address != Entry.Target.Address;
+    Entry = Updated;
+    if (Changed)
+      Ports.roomChanged(Entry.Target.Id);
+  }
+
+  void delist() override {
+    if (std::exchange(Delisted, true))
+      return;
+    Ports.roomChanged(Entry.Target.Id);
+  }
+
+  [[nodiscard]] bool finished() const override { return Delisted && Runs.empty(); }
+
+  void start(const std::string &Coordinator, const schema::start_task &Request) override {
+    run_key Run = keyOf(Request.task());
+    if (const char *Refusal = refusalOf(Request)) {
+      refuse(Coordinator, Run, Refusal);
+      return;
+    }
+    server_run &Started = Runs[Run];
+    Started.Coordinator = Coordinator;
+    Started.Size = Request.size();
+    Started.EstimateMs = Request.estimate_ms();
+    Started.StartedAt = now();
+    ++Ports.counters().Started;
+    start_order Order{Run, Request.specification(), Token, extendLease()};
+    Ports.orders().start(
+        Entry.Target, std::move(Order),
+        guarded<order_reply>([this, Run](const order_reply &Reply) { onStartReply(Run, Reply); }));
+    keepHolding();
+  }
+
+  void stop(const std::string &Coordinator, const run_key &Run) override {
+    auto Found = Runs.find(Run);
+    if (Found != Runs.end() && Found->second.Coordinator == Coordinator)
+      stopRun(Run, Found->second, "asked");
+  }
+
+  void adopt(const std::string &Coordinator, const schema::adopt_reply &Reply) override {
+    if (Ownership != ownership::Adopting)
+      return;
+    for (const schema::adopted_run &Adopted : Reply.runs()) {
+      auto Found = Runs.find(keyOf(Adopted.task()));
+      if (Found == Runs.end() || !Found->second.Unclaimed)
+        continue;
+      server_run &Run = Found->second;
+      Run.Unclaimed = false;
+      Run.Coordinator = Coordinator;
+      Run.Size = Adopted.size();
+      Run.EstimateMs = Adopted.estimate_ms();
+      Run.StartedAt = now() - std::chrono::milliseconds(Adopted.age_ms());
+    }
+    if (std::ranges::none_of(Runs, [](const auto &Each) { return Each.second.Unclaimed; }))
+      endAdoption();
+  }
+
+  void stopRunsOf(const std::string &Coordinator) override {
+    for (auto &[Run, State] : Runs)
+      if (State.Coordinator == Coordinator)
+        stopRun(Run, State, "coordinator_lost");
+  }
+
+  void resume(const std::string &Coordinator, const schema::resume_session &Session) override {
+    std::set<run_key> Counted;
+    for (const schema::counted_run &Run : Session.runs())
+      Counted.insert(keyOf(Run.task()));
+    for (auto &[Run, State] : Runs)
+      if (State.Coordinator == Coordinator && !Counted.contains(Run))
+        stopRun(Run, State, "not_counted_on");
+  }
+
+  [[nodiscard]] bool holds(const run_key &Run) const override { return Runs.contains(Run); }
+  [[nodiscard]] bool owned() const override { return Ownership == ownership::Owned; }
+  [[nodiscard]] bool unowned() const override { return Ownership == ownership::None; }
+
+  [[nodiscard]] schema::server_state state() const override {
+    schema::server_state State;
+    State.set_server(Entry.Target.Id);
+    State.set_domain(Entry.Domain);
+    State.set_pool(Entry.Pool);
+    *State.mutable_capacity() = Entry.Capacity;
+    *State.mutable_used() = used();
+    State.set_slowness(static_cast<float>(Health.slowness()));
+    State.set_usable(usable());
+    State.set_removed(Ownership == ownership::None);
+    State.set_task_limit(Health.onProbation() ? 1 : 0);
+    State.set_tasks(static_cast<std::uint32_t>(Runs.size()));
+    return State;
+  }
+
+  void tick() override {
+    if (Ownership == ownership::None)
+      return;
+    time_point Now = now();
+    endLapsedRuns(Now);
+    stopOverdueRuns(Now);
+    if (Health.quarantineOver(Now))
+      Ports.roomChanged(Entry.Target.Id);
+  }
+
+private:
+  [[nodiscard]] time_point now() const { return Executor.clock().now(); }
+
+  // Callbacks of calls made before the server was released are dropped.
+  template <typename Reply> std::function<void(Reply)> guarded(std::function<void(const Reply &)> Function) {
+    return [Weak = std::weak_ptr<int>(Alive), this, At = Epoch,
+            Function = std::move(Function)](const Reply &Value) {
+      if (!Weak.expired() && At == Epoch)
+        Function(Value);
+    };
+  }
+
+  void later(duration Delay, std::function<void()> Function) {
+    Executor.after(Delay,
+                   [Weak = std::weak_ptr<int>(Alive), this, At = Epoch, Function = std::move(Function)] {
+                     if (!Weak.expired() && At == Epoch)
+                       Function();
+                   });
+  }
+
+  [[nodiscard]] bool usable() const {
+    return Ownership == ownership::Owned && !Delisted && !Entry.Draining && Answering && Health.usable();
+  }
+
+  [[nodiscard]] schema::task_size used() const {
+    schema::task_size Used;
+    for (const auto &[Run, State] : Runs)
+      add(Used, State.Size);
+    return Used;
+  }
+
+  const char *refusalOf(const schema::start_task &Request) const {
+    if (!usable())
+      return "server_unusable";
+    if (!fits(used(), Request.size(), Entry.Capacity))
+      return "no_room";
+    if (Health.onProbation() && !Runs.empty())
+      return "on_probation";
+    run_key Run = keyOf(Request.task());
+    bool Present = std::ranges::any_of(Runs, [&](const auto &Each) { return Each.first.Task == Run.Task; });
+    return Present ? "task_already_here" : nullptr;
+  }
+
+  void refuse(const std::string &Coordinator, const run_key &Run, std::string_view Reason) {
+    ++Ports.counters().Refused;
+    log(log_level::Info, "start_refused",
+        {{"run", format(Run)}, {"server", Entry.Target.Id}, {"reason", std::string(Reason)}});
+    report(Coordinator, Run, schema::RUN_NOT_STARTED, Reason);
+  }
+
+  void report(const std::string &Coordinator, const run_key &Run, schema::run_event Event,
+              std::string_view Reason) {
+    if (Coordinator.empty())
+      return;
+    schema::dispatch_message Message;
+    schema::task_event &Body = *Message.mutable_event();
+    *Body.mutable_task() = toMessage(Run);
+    Body.set_event(Event);
+    Body.set_server(Entry.Target.Id);
+    Body.set_reason(std::string(Reason));
+    Ports.send(Coordinator, std::move(Message));
+  }
+
+  // Removes a run of which is certain that it does not run.
+  void endRun(const run_key &Run, schema::run_event Event, std::string_view Reason) {
+    auto Found = Runs.find(Run);
+    if (Found == Runs.end())
+      return;
+    std::string Coordinator = Found->second.Coordinator;
+    Runs.erase(Found);
+    if (Event != schema::RUN_DONE)
+      log(log_level::Info, "run_ended",
+          {{"run", format(Run)},
+           {"server", Entry.Target.Id},
+           {"event", schema::run_event_Name(Event)},
+           {"reason", std::string(Reason)}});
+    report(Coordinator, Run, Event, Reason);
+    Ports.roomChanged(Entry.Target.Id);
+  }
+
+  // Clock of the server and leases.
+
+  void noteClock(const std::optional<std::int64_t> &ClockMs) {
+    if (!ClockMs)
+      return;
+    ServerClockMs = *ClockMs;
+    ServerClockAt = now();
+  }
+
+  // Lease end for an order sent now, on the server's clock.
+  std::int64_t extendLease() {
+    auto Guard =
+        std::chrono::duration_cast<duration>(Options.Lease * (1 + Options.ClockDrift)) + Options.ClockError;
+    LeaseOverAt = std::max(LeaseOverAt, now() + Guard);
+    auto End = std::chrono::duration_cast<std::chrono::milliseconds>(now() - ServerClockAt + Options.Lease);
+    return ServerClockMs + End.count();
+  }
+
+  // Take-over.
+
+  void sendClaim(bool WasFenced) {
+    Token = Ports.fencingToken(WasFenced);
+    hold_order Order;
+    Order.FencingToken = Token;
+    Ports.orders().hold(Entry.Target, Order,
+                        guarded<hold_reply>([this](const hold_reply &Reply) { onClaimReply(Reply); }));
+  }
+
+  void onClaimReply(const hold_reply &Reply) {
+    if (Reply.Outcome == order_outcome::Fenced) {
+      log(log_level::Info, "claim_fenced",
+          {{"server", Entry.Target.Id}, {"token", static_cast<std::int64_t>(Token)}});
+      later(Options.RepeatDelay, [this] { sendClaim(true); });
+      return;
+    }
+    if (Reply.Outcome != order_outcome::Accepted) {
+      log(log_level::Warning, "claim_unanswered",
+          {{"server", Entry.Target.Id}, {"outcome", std::string(orderOutcomeName(Reply.Outcome))}});
+      later(Options.RepeatDelay * 3, [this] { sendClaim(false); });
+      return;
+    }
+    log(log_level::Info, "server_claimed",
+        {{"server", Entry.Target.Id},
+         {"token", static_cast<std::int64_t>(Token)},
+         {"running", static_cast<std::int64_t>(Reply.Running.size())},
+         {"ended", static_cast<std::int64_t>(Reply.Ended.size())}});
+    noteClock(Reply.ClockMs);
+    Born = Reply.Born;
+    Answering = true;
+    Observed = 0;
+    AcknowledgedEnds = 0;
+    for (const listed_end &End : Reply.Ended)
+      Observed = std::max(Observed, End.Number);
+    beginAdoption(Reply);
+  }
+
+  void beginAdoption(const hold_reply &Reply) {
+    Ownership = ownership::Adopting;
+    schema::dispatch_message Message;
+    schema::adopt_request &Request = *Message.mutable_adopt();
+    Request.set_server(Entry.Target.Id);
+    for (const run_key &Run : Reply.Running) {
+      *Request.add_running() = toMessage(Run);
+      server_run &Found = Runs[Run];
+      Found.Unclaimed = true;
+      Found.Phase = run_phase::Running;
+      Found.StartOpen = false;
+      Found.StartedAt = now();
+      Found.SettledAt = now();
+    }
+    for (const listed_end &End : Reply.Ended)
+      addEnd(Request, End);
+    Ports.broadcast(Message);
+    if (Runs.empty()) {
+      endAdoption();
+      return;
+    }
+    later(Options.AdoptionTime, [this] { endAdoption(); });
+  }
+
+  static void addEnd(schema::adopt_request &Request, const listed_end &End) {
+    schema::task_event &Event = *Request.add_ended();
+    *Event.mutable_task() = toMessage(End.Run);
+    Event.set_event(eventOf(End.End));
+    Event.set_reason(std::string(runEndName(End.End)));
+  }
+
+  void endAdoption() {
+    if (Ownership != ownership::Adopting)
+      return;
+    Ownership = ownership::Owned;
+    for (auto &[Run, State] : Runs)
+      if (State.Unclaimed) {
+        // Its size is not known, so nothing else fits until it has ended.
+        State.Size = Entry.Capacity;
+        stopRun(Run, State, "unclaimed");
+      }
+    keepHolding();
+    Ports.roomChanged(Entry.Target.Id);
+  }
+
+  void yieldRuns() {
+    std::set<std::string> Coordinators;
+    for (const auto &[Run, State] : Runs)
+      if (!State.Coordinator.empty())
+        Coordinators.insert(State.Coordinator);
+    schema::dispatch_message Message;
+    Message.mutable_yield()->set_server(Entry.Target.Id);
+    for (const std::string &Coordinator : Coordinators)
+      Ports.send(Coordinator, Message);
+  }
+
+  void loseOwnership() {
+    FencedAt = now();
+    log(log_level::Warning, "server_fenced_off",
+        {{"server", Entry.Target.Id}, {"token", static_cast<std::int64_t>(Token)}});
+    release();
+  }
+
+  // Starts.
+
+  void onStartReply(const run_key &Run, const order_reply &Reply) {
+    noteClock(Reply.ClockMs);
+    auto Found = Runs.find(Run);
+    if (Reply.Outcome == order_outcome::Fenced) {
+      loseOwnership();
+      return;
+    }
+    if (Found == Runs.end())
+      return;
+    server_run &State = Found->second;
+    if (Reply.Outcome == order_outcome::Accepted) {
+      State.StartOpen = false;
+      State.SettledAt = now();
+      if (State.Phase == run_phase::Starting)
+        State.Phase = run_phase::Running;
+      return;
+    }
+    if (Reply.Outcome == order_outcome::NoAnswer) {
+      ++Ports.counters().NoAnswers;
+      stopRun(Run, State, "start_unanswered");
+      return;
+    }
+    if (Reply.Outcome == order_outcome::OtherIncarnation)
+      onNewIncarnation(0);
+    noteRefusal(Reply.Outcome);
+    endRun(Run, schema::RUN_NOT_STARTED, orderOutcomeName(Reply.Outcome));
+  }
+
+  void noteRefusal(order_outcome Outcome) {
+    if (Outcome == order_outcome::Unhealthy || Outcome == order_outcome::NotSent)
+      Health.onFailure(now());
+  }
+
+  // Stops. They are repeated until answered, since a start without an answer may be carried out much later.
+
+  void stopRun(const run_key &Run, server_run &State, const char *Reason) {
+    if (State.Phase == run_phase::Stopping || State.Phase == run_phase::Voided)
+      return;
+    State.Phase = run_phase::Stopping;
+    State.StopReason = Reason;
+    State.SettledAt.reset();
+    log(log_level::Info, "run_stop",
+        {{"run", format(Run)}, {"server", Entry.Target.Id}, {"reason", std::string(Reason)}});
+    sendStop(Run);
+  }
+
+  void sendStop(const run_key &Run) {
+    ++Ports.counters().Stops;
+    Ports.orders().stop(Entry.Target, Run, Token, guarded<order_reply>([this, Run](const order_reply &Reply) {
+                          onStopReply(Run, Reply);
+                        }));
+    keepHolding();
+  }
+
+  void onStopReply(const run_key &Run, const order_reply &Reply) {
+    noteClock(Reply.ClockMs);
+    if (Reply.Outcome == order_outcome::Fenced) {
+      loseOwnership();
+      return;
+    }
+    auto Found = Runs.find(Run);
+    if (Found == Runs.end())
+      return;
+    if (Reply.Outcome == order_outcome::Accepted || Reply.Outcome == order_outcome::Superseded) {
+      Found->second.Phase = run_phase::Voided;
+      Found->second.StartOpen = false;
+      Found->second.SettledAt = now();
+      keepHolding();
+      return;
+    }
+    if (Reply.Outcome == order_outcome::OtherIncarnation) {
+      onNewIncarnation(0);
+      return;
+    }
+    ++Ports.counters().NoAnswers;
+    later(Options.RepeatDelay, [this, Run] {
+      if (Runs.contains(Run))
+        sendStop(Run);
+    });
+  }
+
+  // Holds: renew the lease, learn of ends, acknowledge them.
+
+  void keepHolding() {
+    if (HoldPending || Ownership != ownership::Owned)
+      return;
+    if (Runs.empty() && AcknowledgedEnds >= Observed)
+      return;
+    HoldPending = true;
+    ++Ports.counters().Holds;
+    hold_order Order;
+    Order.FencingToken = Token;
+    Order.Observed = Observed;
+    if (!Runs.empty()) {
+      Order.Wait = Options.HoldWait;
+      // A server that does not answer gets no longer lease, so that its runs have an end that can be
+      // computed.
+      if (Answering)
+        Order.LeaseEndMs = extendLease();
+    }
+    Ports.orders().hold(Entry.Target, Order,
+                        guarded<hold_reply>([this, Sent = now(), Order](const hold_reply &Reply) {
+                          onHoldReply(Sent, Order, Reply);
+                        }));
+  }
+
+  void onHoldReply(time_point Sent, const hold_order &Order, const hold_reply &Reply) {
+    HoldPending = false;
+    if (Reply.Outcome == order_outcome::Fenced) {
+      loseOwnership();
+      return;
+    }
+    if (Reply.Outcome == order_outcome::OtherIncarnation) {
+      onNewIncarnation(0);
+      return;
+    }
+    if (Reply.Outcome != order_outcome::Accepted) {
+      onHoldFailed(Reply.Outcome);
+      return;
+    }
+    noteClock(Reply.ClockMs);
+    setAnswering(true);
+    if (Reply.Born != Born) {
+      onNewIncarnation(Reply.Born);
+      return;
+    }
+    AcknowledgedEnds = std::max(AcknowledgedEnds, Order.Observed);
+    for (const listed_end &End : Reply.Ended)
+      onEnd(End);
+    endMissingRuns(Sent, Reply.Running);
+    keepHolding();
+  }
+
+  void onHoldFailed(order_outcome Outcome) {
+    ++Ports.counters().NoAnswers;
+    if (Answering)
+      log(log_level::Warning, "server_silent",
+          {{"server", Entry.Target.Id},
+           {"outcome", std::string(orderOutcomeName(Outcome))},
+           {"runs", static_cast<std::int64_t>(Runs.size())},
+           {"lease_left_ms", runtime::toMs(LeaseOverAt - now())}});
+    setAnswering(false);
+    HoldPending = true;
+    later(Options.RepeatDelay, [this] {
+      HoldPending = false;
+      probeWhileSilent();
+    });
+  }
+
+  // A silent server is asked again also when nothing runs there, since only an answer makes it usable.
+  void probeWhileSilent() {
+    if (!Runs.empty() || Delisted || Ownership != ownership::Owned) {
+      keepHolding();
+      return;
+    }
+    HoldPending = true;
+    hold_order Order;
+    Order.FencingToken = Token;
+    Order.Observed = Observed;
+    Ports.orders().hold(Entry.Target, Order,
+                        guarded<hold_reply>([this, Sent = now(), Order](const hold_reply &Reply) {
+                          onHoldReply(Sent, Order, Reply);
+                        }));
+  }
+
+  void setAnswering(bool IsAnswering) {
+    if (std::exchange(Answering, IsAnswering) != IsAnswering)
+      Ports.roomChanged(Entry.Target.Id);
+  }
+
+  static schema::run_event eventOf(run_end End) {
+    if (End == run_end::Done)
+      return schema::RUN_DONE;
+    return End == run_end::Failed ? schema::RUN_FAILED : schema::RUN_GONE;
+  }
+
+  void onEnd(const listed_end &End) {
+    if (End.Number <= Observed)
+      return;
+    Observed = End.Number;
+    auto Found = Runs.find(End.Run);
+    if (Found == Runs.end())
+      return;
+    noteHealth(End.End, Found->second);
+    std::string Reason =
+        Found->second.StopReason.empty() ? std::string(runEndName(End.End)) : Found->second.StopReason;
+    endRun(End.Run, eventOf(End.End), Reason);
+  }
+
+  void noteHealth(run_end End, const server_run &Run) {
+    if (End == run_end::Done) {
+      ++Ports.counters().Done;
+      Health.onDone(runtime::toMs(now() - Run.StartedAt), Run.EstimateMs);
+    } else if (End == run_end::Failed) {
+      ++Ports.counters().Failed;
+      if (Health.onFailure(now()))
+        logQuarantine("failures");
+    } else {
+      ++Ports.counters().Gone;
+    }
+  }
+
+  void logQuarantine(const char *Reason) {
+    log(log_level::Warning, "server_quarantined",
+        {{"server", Entry.Target.Id},
+         {"reason", std::string(Reason)},
+         {"times", std::int64_t{Health.quarantines()}}});
+  }
+
+  void endMissingRuns(time_point Sent, const std::vector<run_key> &Running) {
+    std::set<run_key> Listed(Running.begin(), Running.end());
+    std::vector<run_key> Missing;
+    for (const auto &[Run, State] : Runs)
+      if (State.SettledAt && *State.SettledAt <= Sent && !Listed.contains(Run))
+        Missing.push_back(Run);
+    for (const run_key &Run : Missing)
+      endRun(Run, schema::RUN_GONE, "not_listed");
+  }
+
+  // Nothing of before runs on a new incarnation, and it has seen no fencing token and no order.
+  void onNewIncarnation(std::int64_t NewBorn) {
+    log(log_level::Warning, "server_reborn",
+        {{"server", Entry.Target.Id}, {"born", NewBorn}, {"runs", static_cast<std::int64_t>(Runs.size())}});
+    std::vector<run_key> Lost;
+    for (const auto &[Run, State] : Runs)
+      Lost.push_back(Run);
+    for (const run_key &Run : Lost)
+      endRun(Run, schema::RUN_GONE, "server_reborn");
+    ++Epoch;
+    HoldPending = false;
+    Ownership = ownership::Claiming;
+    sendClaim(false);
+    Ports.roomChanged(Entry.Target.Id);
+  }
+
+  // Ends of time.
+
+  void endLapsedRuns(time_point Now) {
+    if ((Answering && !Delisted) || Now < LeaseOverAt)
+      return;
+    std::vector<run_key> Lapsed;
+    for (const auto &[Run, State] : Runs)
+      if (!State.StartOpen || Delisted)
+        Lapsed.push_back(Run);
+    for (const run_key &Run : Lapsed)
+      endRun(Run, schema::RUN_GONE, "lease_over");
+  }
+
+  void stopOverdueRuns(time_point Now) {
+    for (auto &[Run, State] : Runs) {
+      if (State.Phase != run_phase::Running || State.Unclaimed)
+        continue;
+      double Expected = State.EstimateMs * std::exp(std::max(0.0, Health.slowness()));
+      duration Limit = runtime::fromMs(Expected * Options.OverdueFactor) + Options.OverdueMargin;
+      if (Now - State.StartedAt < Limit)
+        continue;
+      ++Ports.counters().Overdue;
+      if (Health.onFailure(Now))
+        logQuarantine("overdue");
+      stopRun(Run, State, "overdue");
+      Ports.roomChanged(Entry.Target.Id);
+    }
+  }
+
+  runtime::executor &Executor;
+  ledger_ports &Ports;
+  server_entry Entry;
+  ledger_options Options;
+  server_health Health;
+  ownership Ownership = ownership::None;
+  std::uint64_t Token = 0;
+  std::map<run_key, server_run> Runs;
+  std::int64_t Born = 0;
+  std::uint64_t Observed = 0;
+  // Ends up to this one are known to be acknowledged at the server.
+  std::uint64_t AcknowledgedEnds = 0;
+  std::int64_t ServerClockMs = 0;
+  time_point ServerClockAt{};
+  // When no run can be alive any more unless the lease is extended again.
+  time_point LeaseOverAt{};
+  // When another VM was last found to own the server.
+  std::optional<time_point> FencedAt;
+  bool HoldPending = false;
+  bool Answering = true;
+  bool Delisted = false;
+  std::uint64_t Epoch = 0;
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+};
+
+} // namespace
+
+std::unique_ptr<server_ledger> makeServerLedger(runtime::executor &Executor, ledger_ports &Ports,
+                                                server_entry Entry, ledger_options Options) {
+  return std::make_unique<server_ledger_impl>(Executor, Ports, std::move(Entry), Options);
+}
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -0,0 +1,248 @@
+#include "yuccaplank/dispatch/server_owner.hpp"
+#include "yuccaplank/runtime/log.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace yuccaplank::dispatch {
+namespace {
+
+// Ends that are remembered for coordinators whose session broke before they heard of them.
+constexpr std::size_t RememberedEnds = 512;
+
+struct owned_server {
+  server_entry Entry;
+  std::unique_ptr<server_ledger> Ledger;
+};
+
+class server_owner_impl final : public server_owner, ledger_ports {
+public:
+  server_owner_impl(runtime::executor &Executor, owner_ports &Ports, ledger_options Options)
+      : Executor(Executor), Ports(Ports), Options(Options) {}
+  server_owner_impl(const server_owner_impl &) = delete;
+  server_owner_impl &operator=(const server_owner_impl &) = delete;
+  ~server_owner_impl() override = default;
+
+  void setServers(const std::vector<server_entry> &Listed) override {
+    std::set<std::string> Names;
+    for (const server_entry &Entry : Listed) {
+      Names.insert(Entry.Target.Id);
+      owned_server &Server = Servers[Entry.Target.Id];
+      Server.Entry = Entry;
+      if (Server.Ledger)
+        Server.Ledger->update(Entry);
+      else
+        Server.Ledger = makeServerLedger(Executor, *this, Entry, Options);
+    }
+    for (auto &[Id, Server] : Servers)
+      if (!Names.contains(Id))
+        Server.Ledger->delist();
+    dropFinished();
+    reviewOwnership();
+  }
+
+  void reviewOwnership() override {
+    for (auto &[Id, Server] : Servers)
+      if (Server.Ledger->unowned() && Ports.shouldOwn(Server.Entry.Rack, Server.Entry.Domain))
+        Server.Ledger->claim();
+  }
+
+  void onStart(const std::string &Coordinator, const schema::start_task &Request) override {
+    auto Session = Sessions.find(Coordinator);
+    if (Session != Sessions.end() && Request.session() < Session->second)
+      return;
+    Handled[Request.placer()][Request.server()].push_back(Request.grant());
+    roomChanged(Request.server());
+    auto Found = Servers.find(Request.server());
+    if (Found == Servers.end() || !Ports.reachable(Coordinator)) {
+      refuse(Coordinator, Request);
+      return;
+    }
+    Found->second.Ledger->start(Coordinator, Request);
+  }
+
+  void onStop(const std::string &Coordinator, const schema::stop_task &Request) override {
+    run_key Run = keyOf(Request.task());
+    for (auto &[Id, Server] : Servers)
+      if (Server.Ledger->holds(Run))
+        Server.Ledger->stop(Coordinator, Run);
+  }
+
+  void onSubscribe(const std::string &Placer, const schema::subscribe_servers &Request) override {
+    if (Request.end()) {
+      Subscribers.erase(Placer);
+      return;
+    }
+    Subscribers.insert(Placer);
+    for (auto &[Id, Server] : Servers)
+      if (!Server.Ledger->unowned())
+        roomChanged(Id);
+  }
+
+  void onAdopted(const std::string &Coordinator, const schema::adopt_reply &Reply) override {
+    auto Found = Servers.find(Reply.server());
+    if (Found != Servers.end())
+      Found->second.Ledger->adopt(Coordinator, Reply);
+  }
+
+  void onTakenOver(const std::string &NewOwner, const std::string &Server) override {
+    auto Found = Servers.find(Server);
+    if (Found == Servers.end() || Found->second.Ledger->unowned())
+      return;
+    runtime::log(runtime::log_level::Info, "server_taken_over", {{"server", Server}, {"owner", NewOwner}});
+    Found->second.Ledger->release();
+  }
+
+  void onResume(const std::string &Coordinator, const schema::resume_session &Session) override {
+    Sessions[Coordinator] = Session.session();
+    for (auto &[Id, Server] : Servers)
+      Server.Ledger->resume(Coordinator, Session);
+    for (const schema::counted_run &Run : Session.runs())
+      answerCountedRun(Coordinator, Run);
+  }
+
+  void onVmLost(const std::string &Vm) override {
+    Subscribers.erase(Vm);
+    Handled.erase(Vm);
+    for (auto &[Id, Server] : Servers)
+      Server.Ledger->stopRunsOf(Vm);
+  }
+
+  void tick() override {
+    for (auto &[Id, Server] : Servers)
+      Server.Ledger->tick();
+    dropFinished();
+    reviewOwnership();
+  }
+
+  [[nodiscard]] owner_counts counts() const override {
+    owner_counts Counts;
+    Counts.Listed = Servers.size();
+    for (const auto &[Id, Server] : Servers) {
+      schema::server_state State = Server.Ledger->state();
+      Counts.Owned += Server.Ledger->owned() ? 1 : 0;
+      Counts.Usable += State.usable() ? 1 : 0;
+      Counts.Runs += State.tasks();
+    }
+    return Counts;
+  }
+  [[nodiscard]] const ledger_counters &counters() const override { return Counters; }
+
+private:
+  server_orders &orders() override { return Ports.orders(); }
+  void broadcast(const schema::dispatch_message &Message) override { Ports.broadcast(Message); }
+  std::uint64_t fencingToken(bool WasFenced) override { return Ports.fencingToken(WasFenced); }
+  ledger_counters &counters() override { return Counters; }
+
+  void send(const std::string &Vm, schema::dispatch_message Message) override {
+    if (Message.has_event())
+      remember(Message.event());
+    Ports.send(Vm, std::move(Message));
+  }
+
+  // States of one turn are sent together, each server once.
+  void roomChanged(const std::string &Server) override {
+    Changed.insert(Server);
+    if (Changed.size() == 1)
+      Executor.post([Weak = std::weak_ptr<int>(Alive), this] {
+        if (!Weak.expired())
+          sendStates();
+      });
+  }
+
+  void sendStates() {
+    std::set<std::string> Names;
+    Names.swap(Changed);
+    for (const std::string &Name : Names) {
+      auto Found = Servers.find(Name);
+      schema::server_state State;
+      State.set_server(Name);
+      State.set_removed(true);
+      if (Found != Servers.end())
+        State = Found->second.Ledger->state();
+      for (const std::string &Placer : Subscribers)
+        sendState(Placer, State);
+    }
+    Handled.clear();
+  }
+
+  void sendState(const std::string &Placer, const schema::server_state &State) {
+    schema::dispatch_message Message;
+    *Message.mutable_server() = State;
+    for (std::uint64_t Grant : Handled[Placer][State.server()])
+      Message.mutable_server()->add_handled(Grant);
+    Ports.send(Placer, std::move(Message));
+  }
+
+  void refuse(const std::string &Coordinator, const schema::start_task &Request) {
+    schema::dispatch_message Message;
+    schema::task_event &Event = *Message.mutable_event();
+    *Event.mutable_task() = Request.task();
+    Event.set_event(schema::RUN_NOT_STARTED);
+    Event.set_server(Request.server());
+    Event.set_reason("server_not_owned");
+    Ports.send(Coordinator, std::move(Message));
+  }
+
+  void answerCountedRun(const std::string &Coordinator, const schema::counted_run &Counted) {
+    run_key Run = keyOf(Counted.task());
+    auto Found = Servers.find(Counted.server());
+    bool Owned = Found != Servers.end() && Found->second.Ledger->owned();
+    if (Owned && Found->second.Ledger->holds(Run))
+      return;
+    schema::dispatch_message Message;
+    auto Ended = std::ranges::find_if(Ends, [&](const auto &End) { return keyOf(End.task()) == Run; });
+    if (Ended != Ends.end()) {
+      *Message.mutable_event() = *Ended;
+    } else if (Owned) {
+      // Neither running nor ended here: the start never arrived.
+      schema::task_event &Event = *Message.mutable_event();
+      *Event.mutable_task() = Counted.task();
+      Event.set_event(schema::RUN_GONE);
+      Event.set_server(Counted.server());
+      Event.set_reason("not_received");
+    } else {
+      Message.mutable_yield()->set_server(Counted.server());
+    }
+    Ports.send(Coordinator, std::move(Message));
+  }
+
+  void remember(const schema::task_event &Event) {
+    Ends.push_back(Event);
+    if (Ends.size() > RememberedEnds)
+      Ends.pop_front();
+  }
+
+  void dropFinished() {
+    std::erase_if(Servers, [this](const auto &Entry) {
+      bool Finished = Entry.second.Ledger->finished();
+      if (Finished && !Entry.second.Ledger->unowned())
+        roomChanged(Entry.first);
+      return Finished;
+    });
+  }
+
+  runtime::executor &Executor;
+  owner_ports &Ports;
+  ledger_options Options;
+  ledger_counters Counters;
+  std::map<std::string, owned_server> Servers;
+  std::set<std::string> Subscribers;
+  std::set<std::string> Changed;
+  // Grants whose fate the next state of their server contains, by placer and server.
+  std::map<std::string, std::map<std::string, std::vector<std::uint64_t>>> Handled;
+  std::map<std::string, std::uint32_t> Sessions;
+  std::deque<schema::task_event> Ends;
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+};
+
+} // namespace
+
+std::unique_ptr<server_owner> makeServerOwner(runtime::executor &Executor, owner_ports &Ports,
+                                              ledger_options Options) {
+  return std::make_unique<server_owner_impl>(Executor, Ports, Options);
+}
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/src/yuccaplank/entry/directory.cpp
@@ -0,0 +1,188 @@
+#include "directory.hpp"
+#include "table_watch.hpp"
+#include "yuccaplank/platform/documents.hpp"
+#include "yuccaplank/runtime/log.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <set>
+
+namespace yuccaplank::entry {
+namespace {
+
+using runtime::log;
+using runtime::log_level;
+
+// Table of this product in the platform's store; one row for each VM that runs.
+constexpr const char *VmTable = "yuccaplank_vms";
+
+class directory_impl final : public directory {
+public:
+  directory_impl(runtime::executor &Executor, platform::store_client &Store, dispatch::entry_vm &Vm,
+                 directory_options OptionsIn)
+      : Executor(Executor), Store(Store), Vm(Vm), Options(std::move(OptionsIn)) {
+    table_watch_options Watch;
+    Watch.Table = platform::OperatorTable;
+    Configuration = makeTableWatch(Executor, Store, Watch, [this] { readConfiguration(); });
+    Watch.Table = platform::ServerTable;
+    // Servers write their entries all the time; one that begins to leave has to be noticed within 2 s.
+    Watch.Interval = std::chrono::milliseconds(500);
+    Servers = makeTableWatch(Executor, Store, Watch, [this] { readServers(); });
+    Watch.Table = VmTable;
+    // New VMs also make themselves known to those that they know.
+    Watch.Wait = std::chrono::seconds(4);
+    Vms = makeTableWatch(Executor, Store, Watch, [this] { readVms(); });
+    registerVm();
+  }
+  directory_impl(const directory_impl &) = delete;
+  directory_impl &operator=(const directory_impl &) = delete;
+  ~directory_impl() override = default;
+
+  void unregister(std::function<void()> OnDone) override {
+    Leaving = true;
+    if (Registration == 0) {
+      OnDone();
+      return;
+    }
+    Store.remove(VmTable, Options.Vm, Registration, [OnDone = std::move(OnDone)](const auto &) { OnDone(); });
+  }
+
+private:
+  void readConfiguration() {
+    auto Found = Configuration->rows().find(platform::ConfigurationKey);
+    if (Found != Configuration->rows().end())
+      applyConfiguration(Vm, Found->second.Value);
+  }
+
+  void readServers() {
+    runtime::time_point Now = Executor.clock().now();
+    std::set<std::string> Listed;
+    for (const auto &[Id, Row] : Servers->rows()) {
+      known_server &Known = Entries[Id];
+      Listed.insert(Id);
+      Known.MissingSince.reset();
+      if (Known.Version != Row.Version)
+        readServer(Id, Row, Known);
+    }
+    for (auto &[Id, Known] : Entries)
+      if (!Listed.contains(Id) && !Known.MissingSince)
+        Known.MissingSince = Now;
+    publishServers();
+  }
+
+  struct known_server {
+    std::uint64_t Version = 0;
+    std::optional<dispatch::server_entry> Entry;
+    std::optional<runtime::time_point> MissingSince;
+  };
+
+  // An entry that cannot be read names no server; the server of an earlier entry under the same key is gone.
+  void readServer(const std::string &Id, const platform::store_row &Row, known_server &Known) {
+    Known.Version = Row.Version;
+    auto Decoded = platform::decodeServer(Id, Row.Value);
+    Known.Entry.reset();
+    if (Decoded) {
+      if (Decoded.value().Draining)
+        log(log_level::Info, "server_draining", {{"server", Id}});
+      Known.Entry = Decoded.value();
+    } else {
+      log(log_level::Warning, "server_entry_unreadable",
+          {{"server", Id}, {"reason", Decoded.error().message()}});
+    }
+  }
+
+  void publishServers() {
+    runtime::time_point Now = Executor.clock().now();
+    bool StoreWasAway =
+        Now - Servers->regainedAt() < Options.RegisterAgainTime && Servers->regainedAt() > StartedAt;
+    bool Kept = false;
+    std::vector<dispatch::server_entry> List;
+    for (auto Iterator = Entries.begin(); Iterator != Entries.end();) {
+      const known_server &Known = Iterator->second;
+      bool Keep =
+          !Known.MissingSince || (StoreWasAway && Now - *Known.MissingSince < Options.RegisterAgainTime);
+      Kept |= Keep && Known.MissingSince.has_value();
+      if (Keep && Known.Entry)
+        List.push_back(*Known.Entry);
+      Iterator = Keep ? std::next(Iterator) : Entries.erase(Iterator);
+    }
+    Vm.setServers(List);
+    if (Kept && !PublishTimer)
+      PublishTimer = Executor.after(Options.RetryDelay, [Weak = std::weak_ptr<int>(Alive), this] {
+        if (Weak.expired())
+          return;
+        PublishTimer = 0;
+        publishServers();
+      });
+  }
+
+  void readVms() {
+    std::map<std::string, std::string> Addresses;
+    for (const auto &[Name, Row] : Vms->rows()) {
+      auto Document = nlohmann::json::parse(Row.Value, nullptr, false);
+      if (Name != Options.Vm && Document.is_object() && Document.contains("address") &&
+          Document["address"].is_string())
+        Addresses[Name] = Document["address"].get<std::string>();
+    }
+    Vm.setRegisteredVms(Addresses);
+  }
+
+  // The version of the row is unique and rises, which makes it the low part of this incarnation's fencing
+  // tokens.
+  void registerVm() {
+    nlohmann::json Row{{"address", Options.PeerAddress}, {"domain", Options.Domain}};
+    Store.put(VmTable, Options.Vm, Row.dump(), [Weak = std::weak_ptr<int>(Alive), this](const auto &Version) {
+      if (!Weak.expired())
+        onRegistered(Version);
+    });
+  }
+
+  void onRegistered(const runtime::result<std::uint64_t> &Version) {
+    if (Leaving)
+      return;
+    if (Version) {
+      Registration = Version.value();
+      log(log_level::Info, "vm_registered", {{"registration", static_cast<std::int64_t>(Registration)}});
+      Vm.setRegistration(Registration);
+      return;
+    }
+    log(log_level::Warning, "registration_failed", {{"reason", Version.error().message()}});
+    Executor.after(Options.RetryDelay, [Weak = std::weak_ptr<int>(Alive), this] {
+      if (!Weak.expired() && !Leaving)
+        registerVm();
+    });
+  }
+
+  runtime::executor &Executor;
+  platform::store_client &Store;
+  dispatch::entry_vm &Vm;
+  directory_options Options;
+  runtime::time_point StartedAt = Executor.clock().now();
+  std::unique_ptr<table_watch> Configuration;
+  std::unique_ptr<table_watch> Servers;
+  std::unique_ptr<table_watch> Vms;
+  std::map<std::string, known_server> Entries;
+  runtime::timer_id PublishTimer = 0;
+  std::uint64_t Registration = 0;
+  bool Leaving = false;
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+};
+
+} // namespace
+
+std::unique_ptr<directory> makeDirectory(runtime::executor &Executor, platform::store_client &Store,
+                                         dispatch::entry_vm &Vm, directory_options Options) {
+  return std::make_unique<directory_impl>(Executor, Store, Vm, std::move(Options));
+}
+
+bool applyConfiguration(dispatch::entry_vm &Vm, const std::string &Document) {
+  auto Decoded = platform::decodeConfiguration(Document);
+  if (!Decoded) {
+    log(log_level::Error, "configuration_unreadable", {{"reason", Decoded.error().message()}});
+    return false;
+  }
+  return Vm.setConfiguration(std::move(Decoded.value()), Document);
+}
+
+} // namespace yuccaplank::entry
--- /dev/null
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -0,0 +1,275 @@
+#include "frontend.hpp"
+#include "yuccaplank/platform/documents.hpp"
+#include "yuccaplank/runtime/log.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace yuccaplank::entry {
+namespace {
+
+using dispatch::job_answer;
+using dispatch::job_outcome;
+using dispatch::queue_settings;
+using runtime::log;
+using runtime::log_level;
+using wire::http_reply;
+using wire::http_request;
+using wire::request_token;
+
+constexpr const char *DeadlineHeader = "deadline-milliseconds";
+constexpr std::uint32_t MaxTasks = 10'000;
+
+struct submitted_job {
+  std::set<request_token> Callers;
+};
+
+struct remembered_answer {
+  std::uint64_t Job = 0;
+  runtime::time_point Until;
+};
+
+// Why a job is refused although it is well-formed; null when it is served.
+const char *unservedKind(const platform::job_document &Job, const queue_settings &Queue) {
+  if (!Job.BestEffort)
+    return "job_to_be_kept";
+  if (Job.Repetitions > 0)
+    return "repetitions";
+  if (Job.Steps.size() != 1)
+    return "several_steps";
+  if (Queue.NeedsAdvice)
+    return "advice";
+  const platform::step_document &Step = Job.Steps.front();
+  if (Step.Gang)
+    return "gang";
+  if (Step.LongRunning)
+    return "long_running";
+  if (Step.FillsUnusedCapacity)
+    return "fills_unused_capacity";
+  if (!Step.RequiredLabel.empty())
+    return "required_label";
+  return Step.MaxPerServer > 0 ? "max_per_server" : nullptr;
+}
+
+const char *malformation(const platform::job_document &Job) {
+  if (Job.Steps.empty())
+    return "no_steps";
+  for (const platform::step_document &Step : Job.Steps)
+    if (Step.TaskCount == 0 || Step.TaskCount > MaxTasks)
+      return "task_count";
+  return nullptr;
+}
+
+http_reply makeReply(int Status, std::string Body) {
+  http_reply Reply;
+  Reply.Status = Status;
+  Reply.Body = std::move(Body);
+  return Reply;
+}
+
+http_reply refusal(int Status, std::uint32_t RetryAfterMs) {
+  http_reply Reply = makeReply(Status, "{}");
+  std::uint32_t Seconds = std::max<std::uint32_t>(1, (RetryAfterMs + 999) / 1000);
+  Reply.Headers.push_back({"retry-after", std::to_string(Seconds)});
+  return Reply;
+}
+
+// 502 and 504 make the caller send the job again; by then nothing of it runs any more.
+http_reply replyTo(const job_answer &Answer) {
+  switch (Answer.Outcome) {
+  case job_outcome::Completed:
+    return makeReply(200, platform::encodeState("completed"));
+  case job_outcome::Failed:
+    return makeReply(200, platform::encodeState("failed"));
+  case job_outcome::Cancelled:
+    return makeReply(200, platform::encodeState("cancelled"));
+  case job_outcome::TimedOut:
+    return makeReply(504, "{}");
+  case job_outcome::Refused:
+    break;
+  }
+  return refusal(503, Answer.RetryAfterMs);
+}
+
+class frontend_impl final : public frontend {
+public:
+  frontend_impl(runtime::executor &Executor, dispatch::entry_vm &Vm, reply_function Reply,
+                frontend_options Options)
+      : Executor(Executor), Vm(Vm), Reply(std::move(Reply)), Options(Options) {}
+
+  void onRequest(http_request Request) override {
+    const dispatch::configuration *Configuration = Vm.current();
+    if (!Configuration) {
+      refuse(Request, 503, "no_configuration");
+      return;
+    }
+    std::string_view Host = Request.Host;
+    Host = Host.substr(0, Host.find(':'));
+    const queue_settings *Queue = Configuration->find(Host, Request.Path);
+    if (!Queue) {
+      refuse(Request, 404, "unknown_queue");
+      return;
+    }
+    std::string_view Id = std::string_view(Request.Path).substr(Queue->PathPrefix.size());
+    if (Id.empty() && Request.Method == "GET") {
+      Reply(Request.Token, makeReply(200, platform::encodeWaiting(Vm.waiting(Queue->Name))));
+      return;
+    }
+    auto Job = platform::parseJobId(Id);
+    if (!Job) {
+      refuse(Request, 404, "malformed_id");
+      return;
+    }
+    dispatchMethod(Request, *Queue, *Job);
+  }
+
+  void onClosed(request_token Token) override {
+    auto Found = JobsOfCallers.find(Token);
+    if (Found == JobsOfCallers.end())
+      return;
+    std::uint64_t Job = Found->second;
+    JobsOfCallers.erase(Found);
+    submitted_job &Submitted = Jobs.at(Job);
+    Submitted.Callers.erase(Token);
+    if (Submitted.Callers.empty())
+      Vm.coordinator().cancel(Job, "caller_left");
+  }
+
+  void answer(std::uint64_t Job, const job_answer &Answer) override {
+    auto Found = Jobs.find(Job);
+    if (Found == Jobs.end())
+      return;
+    submitted_job Submitted = std::move(Found->second);
+    Jobs.erase(Found);
+    for (request_token Token : Submitted.Callers) {
+      JobsOfCallers.erase(Token);
+      Reply(Token, replyTo(Answer));
+    }
+    remember(Job, Answer);
+  }
+
+  [[nodiscard]] std::size_t pending() const override { return JobsOfCallers.size(); }
+
+private:
+  void dispatchMethod(const http_request &Request, const queue_settings &Queue, std::uint64_t Job) {
+    if (Request.Method == "POST")
+      submit(Request, Queue, Job);
+    else if (Request.Method == "GET")
+      tellState(Request, Job);
+    else if (Request.Method == "DELETE")
+      cancel(Request, Job);
+    else
+      refuse(Request, 405, "method");
+  }
+
+  void submit(const http_request &Request, const queue_settings &Queue, std::uint64_t Id) {
+    if (Request.Body.size() > Vm.current()->Limits.MaxBodyBytes) {
+      refuse(Request, 413, "body_too_large");
+      return;
+    }
+    auto Decoded = platform::decodeJob(Request.Body);
+    const char *Malformed = Decoded ? malformation(Decoded.value()) : "not_a_job";
+    if (Malformed) {
+      refuse(Request, 400, Malformed);
+      return;
+    }
+    if (const char *Unserved = unservedKind(Decoded.value(), Queue)) {
+      refuse(Request, 503, Unserved);
+      return;
+    }
+    if (auto Found = Answers.find(Id); Found != Answers.end()) {
+      Reply(Request.Token, replyTo(Found->second));
+      return;
+    }
+    Jobs[Id].Callers.insert(Request.Token);
+    JobsOfCallers[Request.Token] = Id;
+    if (!Vm.coordinator().contains(Id))
+      Vm.coordinator().submit(Queue, toRequest(Decoded.value(), Id, deadlineOf(Request)));
+  }
+
+  static dispatch::job_request toRequest(platform::job_document &Document, std::uint64_t Id,
+                                         runtime::duration Deadline) {
+    dispatch::job_request Job;
+    const platform::step_document &Step = Document.Steps.front();
+    Job.Job = Id;
+    Job.Specification = std::move(Document.Specification);
+    Job.TaskCount = Step.TaskCount;
+    Job.TaskSize = Step.TaskSize;
+    Job.EstimateMs = Step.EstimateMs;
+    Job.Deadline = Deadline;
+    return Job;
+  }
+
+  [[nodiscard]] runtime::duration deadlineOf(const http_request &Request) const {
+    std::string_view Text = Request.header(DeadlineHeader);
+    std::uint32_t Milliseconds = 0;
+    auto [Stop, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
+    if (Error != std::errc() || Stop != Text.data() + Text.size() || Milliseconds == 0)
+      return Options.DefaultDeadline;
+    return std::chrono::milliseconds(Milliseconds);
+  }
+
+  void tellState(const http_request &Request, std::uint64_t Job) {
+    if (Vm.coordinator().contains(Job)) {
+      bool Queued = Vm.coordinator().state(Job) == dispatch::job_state::Queued;
+      Reply(Request.Token, makeReply(200, platform::encodeState(Queued ? "queued" : "running")));
+      return;
+    }
+    auto Found = Answers.find(Job);
+    if (Found == Answers.end())
+      Reply(Request.Token, makeReply(410, "{}"));
+    else
+      Reply(Request.Token, replyTo(Found->second));
+  }
+
+  void cancel(const http_request &Request, std::uint64_t Job) {
+    Vm.cancel(Job, [this, Token = Request.Token, Job](bool Found) {
+      log(log_level::Info, "cancel_answered", {{"job", dispatch::formatJob(Job)}, {"found", Found}});
+      Reply(Token, makeReply(Found ? 200 : 410, Found ? platform::encodeState("cancelled") : "{}"));
+    });
+  }
+
+  void refuse(const http_request &Request, int Status, const char *Reason) {
+    log(log_level::Info, "request_refused",
+        {{"path", Request.Path},
+         {"method", Request.Method},
+         {"status", std::int64_t{Status}},
+         {"reason", std::string(Reason)},
+         {"configuration", static_cast<std::int64_t>(Vm.current() ? Vm.current()->Version : 0)}});
+    Reply(Request.Token, Status == 503 ? refusal(Status, 1000) : makeReply(Status, "{}"));
+  }
+
+  // Only answers after which the job must not run again.
+  void remember(std::uint64_t Job, const job_answer &Answer) {
+    runtime::time_point Now = Executor.clock().now();
+    while (!AnswerOrder.empty() && AnswerOrder.front().Until <= Now) {
+      Answers.erase(AnswerOrder.front().Job);
+      AnswerOrder.pop_front();
+    }
+    if (Answer.Outcome != job_outcome::Completed && Answer.Outcome != job_outcome::Failed)
+      return;
+    Answers[Job] = Answer;
+    AnswerOrder.push_back({Job, Now + Options.AnswerRetention});
+  }
+
+  runtime::executor &Executor;
+  dispatch::entry_vm &Vm;
+  reply_function Reply;
+  frontend_options Options;
+  std::map<std::uint64_t, submitted_job> Jobs;
+  std::map<request_token, std::uint64_t> JobsOfCallers;
+  std::map<std::uint64_t, job_answer> Answers;
+  std::deque<remembered_answer> AnswerOrder;
+};
+
+} // namespace
+
+std::unique_ptr<frontend> makeFrontend(runtime::executor &Executor, dispatch::entry_vm &Vm,
+                                       reply_function Reply, frontend_options Options) {
+  return std::make_unique<frontend_impl>(Executor, Vm, std::move(Reply), Options);
+}
+
+} // namespace yuccaplank::entry
--- /dev/null
+++ b/src/yuccaplank/entry/vm_metrics.cpp
@@ -0,0 +1,107 @@
+#include "vm_metrics.hpp"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <vector>
+
+namespace yuccaplank::entry {
+namespace {
+
+using dispatch::entry_vm_state;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+struct metric_entry {
+  const char *Name;
+  const char *Help;
+  MetricType Type;
+  double (*Value)(const entry_vm_state &);
+};
+
+template <typename Number> double toDouble(Number Value) { return static_cast<double>(Value); }
+
+constexpr auto Metrics = std::to_array<metric_entry>({
+    {"yuccaplank_jobs_submitted_total", "Jobs taken from callers.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Coordinator.Submitted); }},
+    {"yuccaplank_jobs_completed_total", "Jobs answered as completed.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Coordinator.Completed); }},
+    {"yuccaplank_jobs_failed_total", "Jobs answered as failed.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Coordinator.Failed); }},
+    {"yuccaplank_jobs_refused_total", "Jobs refused of which nothing ran.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Coordinator.Refused); }},
+    {"yuccaplank_jobs_timed_out_total", "Jobs that ended at their deadline.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Coordinator.TimedOut); }},
+    {"yuccaplank_jobs_cancelled_total", "Jobs whose caller left or cancelled.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Coordinator.Cancelled); }},
+    {"yuccaplank_tasks_placed_again_total", "Tasks that waited for a server once more.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Coordinator.TasksPlacedAgain); }},
+    {"yuccaplank_runs_orphaned_total", "Runs whose owner was lost.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Coordinator.Orphaned); }},
+    {"yuccaplank_runs_adopted_total", "Runs that went on under a new owner.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Coordinator.Adopted); }},
+    {"yuccaplank_starts_total", "Start orders sent to servers.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Ledger.Started); }},
+    {"yuccaplank_starts_refused_total", "Starts refused by the owner.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Ledger.Refused); }},
+    {"yuccaplank_runs_done_total", "Runs that ended well.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Ledger.Done); }},
+    {"yuccaplank_runs_failed_total", "Runs that ended as failed.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Ledger.Failed); }},
+    {"yuccaplank_runs_gone_total", "Runs stopped or lapsed.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Ledger.Gone); }},
+    {"yuccaplank_runs_overdue_total", "Runs stopped because they took too long.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Ledger.Overdue); }},
+    {"yuccaplank_stops_total", "Stop orders sent to servers.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Ledger.Stops); }},
+    {"yuccaplank_holds_total", "Renewals of leases sent to servers.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Ledger.Holds); }},
+    {"yuccaplank_orders_unanswered_total", "Orders without an answer in time.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Ledger.NoAnswers); }},
+    {"yuccaplank_grants_total", "Servers granted to tasks by this VM as placer.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Placement.Granted); }},
+    {"yuccaplank_grants_expired_total", "Grants of which nothing was heard.", MetricType::Counter,
+     [](const entry_vm_state &State) { return toDouble(State.Placement.GrantsExpired); }},
+    {"yuccaplank_placements_rejected_total", "Jobs for which no server was found in time.",
+     MetricType::Counter, [](const entry_vm_state &State) { return toDouble(State.Placement.Rejected); }},
+    {"yuccaplank_tasks_waiting", "Tasks that wait at this VM as placer.", MetricType::Gauge,
+     [](const entry_vm_state &State) { return toDouble(State.Placement.WaitingTasks); }},
+    {"yuccaplank_jobs", "Jobs in progress of callers of this VM.", MetricType::Gauge,
+     [](const entry_vm_state &State) { return toDouble(State.Jobs); }},
+    {"yuccaplank_servers_owned", "Servers that this VM orders.", MetricType::Gauge,
+     [](const entry_vm_state &State) { return toDouble(State.Servers.Owned); }},
+    {"yuccaplank_servers_usable", "Owned servers that take work.", MetricType::Gauge,
+     [](const entry_vm_state &State) { return toDouble(State.Servers.Usable); }},
+    {"yuccaplank_runs", "Runs on the owned servers.", MetricType::Gauge,
+     [](const entry_vm_state &State) { return toDouble(State.Servers.Runs); }},
+    {"yuccaplank_vms_in_contact", "Other entry VMs in contact.", MetricType::Gauge,
+     [](const entry_vm_state &State) { return toDouble(State.VmsInContact); }},
+    {"yuccaplank_placing", "Whether this VM places tasks.", MetricType::Gauge,
+     [](const entry_vm_state &State) { return State.Placing ? 1.0 : 0.0; }},
+});
+
+MetricFamily makeFamily(const char *Name, const char *Help, MetricType Type, double Value) {
+  MetricFamily Family{Name, Help, Type, {}};
+  prometheus::ClientMetric Metric;
+  if (Type == MetricType::Counter)
+    Metric.counter.value = Value;
+  else
+    Metric.gauge.value = Value;
+  Family.metric.push_back(Metric);
+  return Family;
+}
+
+} // namespace
+
+std::string formatMetrics(const entry_vm_state &State, std::size_t PendingCallers) {
+  std::vector<MetricFamily> Families;
+  Families.reserve(Metrics.size() + 1);
+  for (const metric_entry &Entry : Metrics)
+    Families.push_back(makeFamily(Entry.Name, Entry.Help, Entry.Type, Entry.Value(State)));
+  Families.push_back(makeFamily("yuccaplank_callers_waiting", "Callers that wait for an answer.",
+                                MetricType::Gauge, toDouble(PendingCallers)));
+  return prometheus::TextSerializer().Serialize(Families);
+}
+
+} // namespace yuccaplank::entry
--- a/src/yuccaplank/node/catalog_sync.cpp
+++ b/src/yuccaplank/node/catalog_sync.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 catalog_sync::catalog_sync(runtime::executor &Executor, peer_network &Peers, model::membership &Membership,
-                           model::catalog &Catalog, platform::table &Table, platform::documents &Documents,
+                           model::catalog &Catalog, storage::table &Table, storage::documents &Documents,
                            std::vector<std::string> SeedPeers, std::uint64_t Seed,
                            std::function<void(const schema::vm_list &)> OnVmList)
     : Executor(Executor), Peers(Peers), Membership(Membership), Catalog(Catalog), Table(Table),
@@ -38,20 +38,20 @@
   askPeers();
 }
 
-void catalog_sync::apply(platform::apply_request Request,
-                         std::function<void(runtime::result<platform::apply_reply>)> OnDone) {
+void catalog_sync::apply(storage::apply_request Request,
+                         std::function<void(runtime::result<storage::apply_reply>)> OnDone) {
   std::string Service = Request.Document.service();
   auto Known = Catalog.find(Service);
   Request.KnownRevision = Known ? Known->revision() : 0;
   Documents.apply(std::move(Request),
-                  [this, Service, OnDone = std::move(OnDone)](runtime::result<platform::apply_reply> Reply) {
+                  [this, Service, OnDone = std::move(OnDone)](runtime::result<storage::apply_reply> Reply) {
                     if (Reply)
                       applied(Service, Reply.value());
                     OnDone(std::move(Reply));
                   });
 }
 
-void catalog_sync::applied(const std::string &Service, platform::apply_reply &Reply) {
+void catalog_sync::applied(const std::string &Service, storage::apply_reply &Reply) {
   if (Reply.Current.revision() > 0 && Catalog.merge(Reply.Current)) {
     updateDigest();
     schema::envelope Message;
--- a/src/yuccaplank/node/catalog_sync.hpp
+++ b/src/yuccaplank/node/catalog_sync.hpp
@@ -3,8 +3,8 @@
 
 #include "peer_network.hpp"
 #include "yuccaplank/model/catalog.hpp"
-#include "yuccaplank/platform/documents.hpp"
 #include "yuccaplank/runtime/random.hpp"
+#include "yuccaplank/storage/documents.hpp"
 
 #include <functional>
 #include <memory>
@@ -16,14 +16,14 @@
 class catalog_sync {
 public:
   catalog_sync(runtime::executor &Executor, peer_network &Peers, model::membership &Membership,
-               model::catalog &Catalog, platform::table &Table, platform::documents &Documents,
+               model::catalog &Catalog, storage::table &Table, storage::documents &Documents,
                std::vector<std::string> SeedPeers, std::uint64_t Seed,
                std::function<void(const schema::vm_list &)> OnVmList);
 
   void start();
   /// Commits a document and pushes it to all VMs.
-  void apply(platform::apply_request Request,
-             std::function<void(runtime::result<platform::apply_reply>)> OnDone);
+  void apply(storage::apply_request Request,
+             std::function<void(runtime::result<storage::apply_reply>)> OnDone);
   void onUpdate(const schema::catalog_update &Update);
   void onPull(const schema::incarnation &From);
   void onVmList(const schema::vm_list &List);
@@ -32,7 +32,7 @@
   [[nodiscard]] const schema::vm_list &vmList() const { return VmList; }
 
 private:
-  void applied(const std::string &Service, platform::apply_reply &Reply);
+  void applied(const std::string &Service, storage::apply_reply &Reply);
   void pollDocuments();
   void pollVms();
   void askPeers();
@@ -47,8 +47,8 @@
   peer_network &Peers;
   model::membership &Membership;
   model::catalog &Catalog;
-  platform::table &Table;
-  platform::documents &Documents;
+  storage::table &Table;
+  storage::documents &Documents;
   std::vector<std::string> SeedPeers;
   std::function<void(const schema::vm_list &)> OnList;
   schema::vm_list VmList;
--- a/src/yuccaplank/node/entry_node.cpp
+++ b/src/yuccaplank/node/entry_node.cpp
@@ -49,7 +49,7 @@
 
 class entry_node_impl final : public entry_node {
 public:
-  entry_node_impl(runtime::executor &Executor, ports &Ports, platform::table &Table,
+  entry_node_impl(runtime::executor &Executor, ports &Ports, storage::table &Table,
                   entry_node_options GivenOptions)
       : Executor(Executor), Ports(Ports), Options(withSelf(std::move(GivenOptions))),
         Membership(model::makeMembership(Executor.clock(), Options.Membership)),
@@ -57,8 +57,8 @@
         Jobs(model::makeJobTable(Executor.clock(), Options.Domain, Options.Self, Options.Jobs)),
         Scheduler(model::makeScheduler(Executor.clock(), Options.Scheduler)),
         Peers(Executor, Ports, *Membership, Options.Self, Counters),
-        Runner(Executor, Ports, *Scheduler, Counters), Documents(platform::makeDocuments(Executor, Table)),
-        Claims(platform::makeClaims(Executor, Table, {{Options.Self, Options.Domain, false}})),
+        Runner(Executor, Ports, *Scheduler, Counters), Documents(storage::makeDocuments(Executor, Table)),
+        Claims(storage::makeClaims(Executor, Table, {{Options.Self, Options.Domain, false}})),
         Sync(Executor, Peers, *Membership, *Catalog, Table, *Documents, Options.SeedPeers, Options.Seed,
              [this](const schema::vm_list &List) { onVmList(List); }),
         Ids(Executor, Peers, *Membership, *Jobs, Options.Self, Options.Domain),
@@ -99,8 +99,8 @@
 
   // Operators
 
-  void apply(platform::apply_request Request,
-             std::function<void(runtime::result<platform::apply_reply>)> OnDone) override {
+  void apply(storage::apply_request Request,
+             std::function<void(runtime::result<storage::apply_reply>)> OnDone) override {
     Sync.apply(std::move(Request), std::move(OnDone));
   }
   [[nodiscard]] std::vector<std::shared_ptr<const schema::service_revision>> services() const override {
@@ -446,8 +446,8 @@
   std::unique_ptr<model::scheduler> Scheduler;
   peer_network Peers;
   job_runner Runner;
-  std::unique_ptr<platform::documents> Documents;
-  std::unique_ptr<platform::claims> Claims;
+  std::unique_ptr<storage::documents> Documents;
+  std::unique_ptr<storage::claims> Claims;
   catalog_sync Sync;
   id_pool Ids;
   job_service Service;
@@ -459,7 +459,7 @@
 
 } // namespace
 
-std::unique_ptr<entry_node> makeEntryNode(runtime::executor &Executor, ports &Ports, platform::table &Table,
+std::unique_ptr<entry_node> makeEntryNode(runtime::executor &Executor, ports &Ports, storage::table &Table,
                                           entry_node_options Options) {
   return std::make_unique<entry_node_impl>(Executor, Ports, Table, std::move(Options));
 }
--- a/src/yuccaplank/node/job_peers.cpp
+++ b/src/yuccaplank/node/job_peers.cpp
@@ -136,7 +136,7 @@
     return;
   }
   P.Claims.find(Id.Key,
-                [this, Question = std::move(Question)](const runtime::result<platform::claim_owner> &Owner) {
+                [this, Question = std::move(Question)](const runtime::result<storage::claim_owner> &Owner) {
                   if (Owner) {
                     askPeer(Owner.value().Authority, Question);
                     return;
--- a/src/yuccaplank/node/job_service.cpp
+++ b/src/yuccaplank/node/job_service.cpp
@@ -202,10 +202,10 @@
   Waiting.push_back(std::move(Request));
   if (Waiting.size() == 1)
     P.Claims.claim(
-        Key, [this, Key](const runtime::result<platform::claim_owner> &Owner) { claimResolved(Key, Owner); });
+        Key, [this, Key](const runtime::result<storage::claim_owner> &Owner) { claimResolved(Key, Owner); });
 }
 
-void job_service::claimResolved(const std::string &Key, const runtime::result<platform::claim_owner> &Owner) {
+void job_service::claimResolved(const std::string &Key, const runtime::result<storage::claim_owner> &Owner) {
   auto Waiting = std::move(Claiming.extract(Key).mapped());
   bool Mine = Owner && model::sameIncarnation(Owner.value().Authority, Self);
   if (Mine && Owner.value().Inserted)
@@ -224,7 +224,7 @@
     UnstartedKeys.insert(Key);
 }
 
-void job_service::keyOwned(const authority_request &Request, const platform::claim_owner &Owner) {
+void job_service::keyOwned(const authority_request &Request, const storage::claim_owner &Owner) {
   if (!model::sameIncarnation(Owner.Authority, Self)) {
     if (P.Membership.reachable(Owner.Authority)) {
       submit_request Forward{Request.Id.Text, *Request.Job, Request.RespondAsync};
--- a/src/yuccaplank/node/job_service.hpp
+++ b/src/yuccaplank/node/job_service.hpp
@@ -5,7 +5,7 @@
 #include "peer_network.hpp"
 #include "yuccaplank/model/catalog.hpp"
 #include "yuccaplank/model/job_table.hpp"
-#include "yuccaplank/platform/claims.hpp"
+#include "yuccaplank/storage/claims.hpp"
 
 #include <functional>
 #include <map>
@@ -28,7 +28,7 @@
     model::job_table &Jobs;
     model::scheduler &Scheduler;
     job_runner &Runner;
-    platform::claims &Claims;
+    storage::claims &Claims;
     node_counters &Counters;
   };
   job_service(parts Parts, schema::incarnation Self, std::string Domain);
@@ -84,9 +84,9 @@
   void submitHere(submit_request Request, service_ptr Service, runtime::time_point Deadline,
                   std::uint64_t Handle);
   void submitKeyed(authority_request Request);
-  void claimResolved(const std::string &Key, const runtime::result<platform::claim_owner> &Owner);
+  void claimResolved(const std::string &Key, const runtime::result<storage::claim_owner> &Owner);
   void rememberUnstarted(const std::string &Key);
-  void keyOwned(const authority_request &Request, const platform::claim_owner &Owner);
+  void keyOwned(const authority_request &Request, const storage::claim_owner &Owner);
   void submitToTable(const authority_request &Request);
 
   void execute(const authority_request &Request);
--- a/src/yuccaplank/platform/documents.cpp
+++ b/src/yuccaplank/platform/documents.cpp
@@ -1,207 +1,141 @@
 #include "yuccaplank/platform/documents.hpp"
+#include "json_reader.hpp"
 
-#include "yuccaplank/wire/document_writer.hpp"
-#include "yuccaplank/wire/settings_reader.hpp"
-
-#include <fmt/format.h>
-
-#include <algorithm>
+#include <charconv>
 
 namespace yuccaplank::platform {
 namespace {
 
 using runtime::errc;
 
-using apply_callback = std::function<void(runtime::result<apply_reply>)>;
-
-constexpr std::size_t MaxChangeIdLength = 128;
-// A lost reply or a lost race needs one more commit; further ones in a row mean an outage.
-constexpr int MaxCommits = 3;
+void readSize(const json &Value, const std::string &Path, schema::task_size &Size,
+              std::vector<field_issue> &Issues) {
+  object_reader Reader(Value, Path, Issues);
+  std::uint32_t Cpu = 0;
+  std::uint32_t MemoryMb = 0;
+  std::uint32_t Accelerators = 0;
+  Reader.optionalInteger("cpu", Cpu);
+  Reader.optionalInteger("memory_limit_mb", MemoryMb);
+  Reader.optionalInteger("gpu", Accelerators);
+  Size.set_cpu(Cpu);
+  Size.set_memory_mb(MemoryMb);
+  Size.set_accelerators(Accelerators);
+}
 
-std::string serviceKey(const std::string &Service) { return "service/" + Service; }
-std::string historyPrefix(const std::string &Service) { return "history/" + Service + "/"; }
+dispatch::queue_settings readQueue(const json &Value, const std::string &Path,
+                                   std::vector<field_issue> &Issues) {
+  dispatch::queue_settings Queue;
+  object_reader Reader(Value, Path, Issues);
+  Reader.text("name", Queue.Name);
+  Reader.text("host", Queue.Host);
+  Reader.text("path_prefix", Queue.PathPrefix);
+  Reader.text("service", Queue.Pool);
+  Reader.optionalInteger("priority", Queue.Priority);
+  Reader.optionalInteger("max_attempts", Queue.MaxAttempts);
+  Reader.optionalNumber("stretch", Queue.Stretch);
+  Reader.optionalInteger("target_latency_ms", Queue.LatencyMs);
+  Reader.optionalInteger("timeout_ms", Queue.TimeoutMs);
+  Queue.NeedsAdvice = Value.is_object() && Value.contains("advice") && !Value.at("advice").is_null();
+  return Queue;
+}
 
-runtime::result<schema::service_revision> readRevision(const table_row &Row) {
-  schema::service_revision Revision;
-  if (!wire::readDocument(Row.Value, Revision).empty())
-    return errc::Internal;
-  return Revision;
+step_document readStep(const json &Value, const std::string &Path, std::vector<field_issue> &Issues) {
+  step_document Step;
+  object_reader Reader(Value, Path, Issues);
+  Reader.integer("count", Step.TaskCount);
+  readSize(Value, Path, Step.TaskSize, Issues);
+  Reader.optionalInteger("estimated_ms", Step.EstimateMs);
+  Step.Dependencies = Reader.child("after", false, true).size();
+  Reader.optionalFlag("gang", Step.Gang);
+  Reader.optionalFlag("long_running", Step.LongRunning);
+  Reader.optionalFlag("fills", Step.FillsUnusedCapacity);
+  Reader.optionalText("requirements", Step.RequiredLabel);
+  Reader.optionalInteger("anti_affinity", Step.MaxPerServer);
+  return Step;
 }
 
-// One apply from its first read to its reply. Keeps itself alive by the table's callbacks.
-//
-// The transaction checks the service's row and that the change is new. It can therefore be repeated after a
-// lost reply: it takes effect at most once, even if the lost request arrives late.
-class apply_attempt : public std::enable_shared_from_this<apply_attempt> {
-  template <typename Reply> auto onReply(void (apply_attempt::*Member)(runtime::result<Reply>)) {
-    return [Self = shared_from_this(), Member](runtime::result<Reply> Result) {
-      if (!*Self->Closed)
-        (*Self.*Member)(std::move(Result));
-    };
-  }
-
-public:
-  apply_attempt(const runtime::clock &Clock, table &Table, std::shared_ptr<const bool> Closed,
-                apply_request Request, apply_callback OnDone)
-      : Clock(Clock), Table(Table), Closed(std::move(Closed)), Request(std::move(Request)),
-        OnDone(std::move(OnDone)),
-        ChangeKey("change/" + this->Request.Document.service() + "/" + this->Request.ChangeId) {}
-
-  // The service's row is read before the change's row. When the change is then still absent and the service
-  // has moved on, an earlier request of this change can no longer take effect. In the other order it could do
-  // so between the two reads and would be taken for a conflicting change.
-  void start() { Table.read(serviceKey(Request.Document.service()), onReply(&apply_attempt::onServiceRead)); }
-
-private:
-  void onServiceRead(runtime::result<table_row> Result) {
-    if (!Result)
-      return OnDone(errc::PlatformUnavailable);
-    Row = std::move(Result.value());
-    Table.read(ChangeKey, onReply(&apply_attempt::onChangeRead));
-  }
-
-  void onChangeRead(runtime::result<table_row> Result) {
-    if (!Result)
-      return OnDone(errc::PlatformUnavailable);
-    if (Result.value().Revision != 0)
-      return finish(true, Result.value());
-    schema::service_revision Current;
-    if (Row.Revision != 0) {
-      auto Read = readRevision(Row);
-      if (!Read)
-        return OnDone(Read.error());
-      Current = std::move(Read.value());
-    }
-    std::uint64_t Highest = std::max(Current.revision(), Request.KnownRevision);
-    if (Request.ExpectedRevision != Highest)
-      return OnDone(apply_reply{false, std::move(Current)});
-    if (Commits >= MaxCommits)
-      return OnDone(errc::PlatformUnavailable);
-    commit(Row.Revision, Highest + 1);
-  }
-
-  void commit(std::uint64_t RowRevision, std::uint64_t NewRevision) {
-    ++Commits;
-    const std::string &Service = Request.Document.service();
-    Proposed.set_revision(NewRevision);
-    Proposed.set_change_id(Request.ChangeId);
-    Proposed.set_committed_ms(Clock.unixMs());
-    *Proposed.mutable_document() = Request.Document;
-    std::string Value = wire::writeDocument(Proposed);
-    table_transaction Transaction;
-    Transaction.Checks = {{serviceKey(Service), RowRevision}, {ChangeKey, 0}};
-    Transaction.Puts = {{serviceKey(Service), Value},
-                        {fmt::format("{}{:020}", historyPrefix(Service), NewRevision), Value},
-                        {ChangeKey, Value}};
-    Table.commit(std::move(Transaction), onReply(&apply_attempt::onCommitted));
-  }
-
-  void onCommitted(runtime::result<transaction_reply> Result) {
-    if (!Result)
-      return start();
-    if (Result.value().Committed)
-      return OnDone(apply_reply{true, Proposed});
-    const auto &Conflicts = Result.value().Conflicts;
-    auto Find = [&](const std::string &Key) {
-      return std::find_if(Conflicts.begin(), Conflicts.end(),
-                          [&](const table_row &Row) { return Row.Key == Key; });
-    };
-    if (auto Change = Find(ChangeKey); Change != Conflicts.end())
-      return finish(true, *Change);
-    if (auto Service = Find(serviceKey(Request.Document.service())); Service != Conflicts.end())
-      return finish(false, *Service);
-    OnDone(errc::PlatformUnavailable);
-  }
-
-  void finish(bool Committed, const table_row &Row) {
-    auto Revision = readRevision(Row);
-    if (!Revision)
-      return OnDone(Revision.error());
-    OnDone(apply_reply{Committed, std::move(Revision.value())});
-  }
-
-  const runtime::clock &Clock;
-  table &Table;
-  std::shared_ptr<const bool> Closed;
-  apply_request Request;
-  apply_callback OnDone;
-  std::string ChangeKey;
-  // The service's row as read last.
-  table_row Row;
-  schema::service_revision Proposed;
-  int Commits = 0;
-};
-
-class documents_impl final : public documents {
-public:
-  documents_impl(const runtime::clock &Clock, table &Table) : Clock(Clock), Table(Table) {}
-  documents_impl(const documents_impl &) = delete;
-  documents_impl &operator=(const documents_impl &) = delete;
-  ~documents_impl() override { *Closed = true; }
-
-  void apply(apply_request Request, apply_callback OnDone) override {
-    if (Request.ChangeId.empty() || Request.ChangeId.size() > MaxChangeIdLength ||
-        Request.Document.service().empty())
-      return OnDone(errc::MissingField);
-    std::make_shared<apply_attempt>(Clock, Table, Closed, std::move(Request), std::move(OnDone))->start();
-  }
-
-  void changes(std::uint64_t After,
-               std::function<void(runtime::result<schema::catalog_snapshot>)> OnDone) override {
-    Table.changes("service/", After,
-                  [this, Closed = Closed, After,
-                   OnDone = std::move(OnDone)](const runtime::result<table_changes> &Result) {
-                    if (*Closed)
-                      return;
-                    if (Result && Result.value().Revision < After)
-                      return changes(0, OnDone);
-                    OnDone(readSnapshot(Result));
-                  });
-  }
-
-  void history(std::string Service,
-               std::function<void(runtime::result<std::vector<schema::service_revision>>)> OnDone) override {
-    Table.rows(historyPrefix(Service), [Closed = Closed, OnDone = std::move(OnDone)](
-                                           const runtime::result<std::vector<table_row>> &Result) {
-      if (!*Closed)
-        OnDone(readHistory(Result));
-    });
-  }
-
-private:
-  // A row that cannot be read must not hide the others.
-  static runtime::result<schema::catalog_snapshot>
-  readSnapshot(const runtime::result<table_changes> &Result) {
-    if (!Result)
-      return errc::PlatformUnavailable;
-    schema::catalog_snapshot Snapshot;
-    Snapshot.set_table_revision(Result.value().Revision);
-    for (const table_row &Row : Result.value().Rows)
-      if (auto Revision = readRevision(Row))
-        *Snapshot.add_services() = std::move(Revision.value());
-    return Snapshot;
-  }
-
-  static runtime::result<std::vector<schema::service_revision>>
-  readHistory(const runtime::result<std::vector<table_row>> &Result) {
-    if (!Result)
-      return errc::PlatformUnavailable;
-    std::vector<schema::service_revision> Revisions;
-    for (const table_row &Row : Result.value())
-      if (auto Revision = readRevision(Row))
-        Revisions.push_back(std::move(Revision.value()));
-    return Revisions;
-  }
-
-  const runtime::clock &Clock;
-  table &Table;
-  std::shared_ptr<bool> Closed = std::make_shared<bool>(false);
-};
+// Labels hold the server's kind and its rack; a rack is written "rNUMBER-NUMBER".
+bool isRack(std::string_view Label) {
+  return Label.size() >= 4 && Label[0] == 'r' && Label.find('-') != std::string_view::npos;
+}
 
 } // namespace
 
-std::unique_ptr<documents> makeDocuments(runtime::executor &Executor, table &Table) {
-  return std::make_unique<documents_impl>(Executor.clock(), Table);
+runtime::result<dispatch::configuration> decodeConfiguration(std::string_view Text) {
+  json Document = parseJson(Text);
+  std::vector<field_issue> Issues;
+  dispatch::configuration Configuration;
+  object_reader Reader(Document, "", Issues);
+  Reader.integer("version", Configuration.Version);
+  std::size_t Index = 0;
+  for (const json &Route : Reader.child("routes", true, true))
+    Configuration.Queues.push_back(readQueue(Route, "routes[" + std::to_string(Index++) + "]", Issues));
+  object_reader Limits(Reader.child("limits", false, false), "limits", Issues);
+  Limits.optionalInteger("max_body_bytes", Configuration.Limits.MaxBodyBytes);
+  if (!Issues.empty())
+    return make_error_code(errc::MalformedDocument);
+  return Configuration;
+}
+
+std::uint64_t configurationVersion(std::string_view Text) {
+  json Document = parseJson(Text);
+  std::vector<field_issue> Issues;
+  std::uint64_t Version = 0;
+  object_reader(Document, "", Issues).integer("version", Version);
+  return Version;
 }
 
+runtime::result<dispatch::server_entry> decodeServer(const std::string &Id, std::string_view Text) {
+  json Document = parseJson(Text);
+  std::vector<field_issue> Issues;
+  dispatch::server_entry Entry;
+  Entry.Target.Id = Id;
+  std::string State;
+  object_reader Reader(Document, "", Issues);
+  Reader.text("service", Entry.Pool);
+  Reader.text("address", Entry.Target.Address);
+  Reader.text("zone", Entry.Domain);
+  Reader.text("state", State);
+  readSize(Reader.child("capacity", true, false), "capacity", Entry.Capacity, Issues);
+  for (const json &Label : Reader.child("labels", false, true))
+    if (Label.is_string() && isRack(Label.get<std::string>()))
+      Entry.Rack = Label.get<std::string>();
+  if (Entry.Rack.empty())
+    Entry.Rack = Id;
+  Entry.Draining = State == "draining";
+  if (!Issues.empty() || (State != "ready" && State != "draining"))
+    return make_error_code(errc::MalformedDocument);
+  return Entry;
+}
+
+runtime::result<job_document> decodeJob(std::string_view Text) {
+  json Document = parseJson(Text);
+  std::vector<field_issue> Issues;
+  job_document Job;
+  object_reader Reader(Document, "", Issues);
+  Reader.optionalText("specification", Job.Specification);
+  std::size_t Index = 0;
+  for (const json &Step : Reader.child("steps", true, true))
+    Job.Steps.push_back(readStep(Step, "steps[" + std::to_string(Index++) + "]", Issues));
+  Reader.optionalFlag("best_effort", Job.BestEffort);
+  Reader.optionalInteger("repetitions", Job.Repetitions);
+  if (!Issues.empty())
+    return make_error_code(errc::MalformedDocument);
+  return Job;
+}
+
+std::optional<std::uint64_t> parseJobId(std::string_view Text) {
+  constexpr std::size_t Digits = 16;
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Error] = std::from_chars(Text.data(), End, Value, 16);
+  if (Text.size() != Digits || Error != std::errc() || Stop != End)
+    return std::nullopt;
+  return Value;
+}
+
+std::string encodeState(std::string_view State) { return json{{"state", State}}.dump(); }
+
+std::string encodeWaiting(std::uint32_t Waiting) { return json{{"waiting_count", Waiting}}.dump(); }
+
 } // namespace yuccaplank::platform
--- /dev/null
+++ b/src/yuccaplank/platform/json_reader.hpp
@@ -0,0 +1,120 @@
+// Typed access to fields of the platform's JSON documents.
+#pragma once
+
+#include "yuccaplank/runtime/error.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace yuccaplank::platform {
+
+using json = nlohmann::json;
+
+/// Parses a document; a discarded value when it is not JSON.
+inline json parseJson(std::string_view Text) { return json::parse(Text, nullptr, false); }
+
+/// A field that is missing or has another type.
+struct field_issue {
+  runtime::errc Reason = runtime::errc::MissingField;
+  std::string Path;
+};
+
+/// Reads fields of one object and collects what is wrong. Numbers must fit into their target.
+class object_reader {
+public:
+  object_reader(const json &Object, std::string Path, std::vector<field_issue> &Issues)
+      : Object(Object), Path(std::move(Path)), Issues(Issues) {
+    if (!Object.is_object())
+      add(runtime::errc::WrongType, "");
+  }
+
+  /// Required fields.
+  void text(const char *Name, std::string &Value) { read(Name, Value, true, &json::is_string); }
+  void number(const char *Name, double &Value) { read(Name, Value, true, &json::is_number); }
+  template <typename Integer> void integer(const char *Name, Integer &Value) {
+    readInteger(Name, Value, true);
+  }
+
+  /// Fields that keep their default when absent.
+  void optionalText(const char *Name, std::string &Value) { read(Name, Value, false, &json::is_string); }
+  void optionalNumber(const char *Name, double &Value) { read(Name, Value, false, &json::is_number); }
+  void optionalFlag(const char *Name, bool &Value) { read(Name, Value, false, &json::is_boolean); }
+  template <typename Integer> void optionalInteger(const char *Name, Integer &Value) {
+    readInteger(Name, Value, false);
+  }
+
+  /// An object or list within; an empty one, with an issue when required, in place of anything else.
+  [[nodiscard]] const json &child(const char *Name, bool Required, bool IsList) {
+    static const json EmptyObject = json::object();
+    static const json EmptyList = json::array();
+    const json &Empty = IsList ? EmptyList : EmptyObject;
+    const json *Found = find(Name);
+    if (!Found) {
+      if (Required)
+        add(runtime::errc::MissingField, Name);
+      return Empty;
+    }
+    if (IsList ? Found->is_array() : Found->is_object())
+      return *Found;
+    add(runtime::errc::WrongType, Name);
+    return Empty;
+  }
+
+  [[nodiscard]] std::string pathOf(std::string_view Name) const {
+    return Path.empty() ? std::string(Name) : Path + "." + std::string(Name);
+  }
+
+private:
+  [[nodiscard]] const json *find(const char *Name) const {
+    if (!Object.is_object())
+      return nullptr;
+    auto Found = Object.find(Name);
+    return Found == Object.end() || Found->is_null() ? nullptr : &*Found;
+  }
+
+  template <typename Value>
+  void read(const char *Name, Value &Target, bool Required, bool (json::*HasType)() const noexcept) {
+    const json *Found = find(Name);
+    if (!Found) {
+      if (Required)
+        add(runtime::errc::MissingField, Name);
+      return;
+    }
+    if ((Found->*HasType)())
+      Target = Found->get<Value>();
+    else
+      add(runtime::errc::WrongType, Name);
+  }
+
+  template <typename Integer> void readInteger(const char *Name, Integer &Target, bool Required) {
+    double Value = 0;
+    const json *Found = find(Name);
+    if (!Found) {
+      if (Required)
+        add(runtime::errc::MissingField, Name);
+      return;
+    }
+    if (!Found->is_number()) {
+      add(runtime::errc::WrongType, Name);
+      return;
+    }
+    Value = Found->get<double>();
+    if (Value < 0 || Value > static_cast<double>(std::numeric_limits<Integer>::max())) {
+      add(runtime::errc::OutOfRange, Name);
+      return;
+    }
+    Target = Found->is_number_integer() ? Found->get<Integer>() : static_cast<Integer>(Value);
+  }
+
+  void add(runtime::errc Reason, std::string_view Name) { Issues.push_back({Reason, pathOf(Name)}); }
+
+  const json &Object;
+  std::string Path;
+  std::vector<field_issue> &Issues;
+};
+
+} // namespace yuccaplank::platform
--- /dev/null
+++ b/src/yuccaplank/platform/server_client.cpp
@@ -0,0 +1,224 @@
+#include "yuccaplank/platform/server_client.hpp"
+#include "json_reader.hpp"
+#include "yuccaplank/platform/documents.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <charconv>
+
+namespace yuccaplank::platform {
+namespace {
+
+using dispatch::hold_reply;
+using dispatch::order_outcome;
+using dispatch::order_reply;
+using dispatch::run_end;
+
+struct reason_entry {
+  std::string_view Reason;
+  order_outcome Outcome;
+};
+constexpr auto Reasons = std::to_array<reason_entry>({
+    {"fence", order_outcome::Fenced},
+    {"old", order_outcome::Superseded},
+    {"late", order_outcome::LeaseOver},
+    {"room", order_outcome::NoRoom},
+});
+
+struct end_entry {
+  std::string_view Name;
+  run_end End;
+};
+constexpr auto Ends = std::to_array<end_entry>({
+    {"done", run_end::Done},
+    {"failed", run_end::Failed},
+    {"stopped", run_end::Stopped},
+    {"lapsed", run_end::Lapsed},
+    {"broken", run_end::Broken},
+    {"alone", run_end::Alone},
+});
+
+order_outcome outcomeOfConflict(const json &Body) {
+  if (Body.is_object() && Body.contains("reason") && Body["reason"].is_string())
+    for (const reason_entry &Entry : Reasons)
+      if (Entry.Reason == Body["reason"].get_ref<const std::string &>())
+        return Entry.Outcome;
+  return order_outcome::Malformed;
+}
+
+order_outcome outcomeOf(const wire::http_call_result &Result, const json &Body) {
+  if (Result.Error)
+    return Result.Stage == wire::transfer_stage::NothingWritten ? order_outcome::NotSent
+                                                                : order_outcome::NoAnswer;
+  switch (Result.Status) {
+  case 200:
+    return order_outcome::Accepted;
+  case 409:
+    return outcomeOfConflict(Body);
+  case 421:
+    return order_outcome::OtherIncarnation;
+  case 429:
+  case 503:
+    return order_outcome::Unhealthy;
+  case 400:
+    return order_outcome::Malformed;
+  default:
+    // Nothing is known of what such a reply means for the order.
+    return order_outcome::NoAnswer;
+  }
+}
+
+std::optional<std::int64_t> clockOf(const json &Body) {
+  if (!Body.is_object() || !Body.contains("clock_ms") || !Body["clock_ms"].is_number())
+    return std::nullopt;
+  return static_cast<std::int64_t>(Body["clock_ms"].get<double>());
+}
+
+// [task, run, saved, percent, …]
+std::optional<dispatch::run_key> readRunning(const json &Row) {
+  if (!Row.is_array() || Row.size() < 2 || !Row[0].is_string() || !Row[1].is_number_unsigned())
+    return std::nullopt;
+  auto Task = parseTaskName(Row[0].get_ref<const std::string &>());
+  if (!Task)
+    return std::nullopt;
+  return dispatch::run_key{*Task, Row[1].get<std::uint32_t>()};
+}
+
+// [number, task, run, how, saved]
+std::optional<dispatch::listed_end> readEnd(const json &Row) {
+  if (!Row.is_array() || Row.size() < 4 || !Row[0].is_number_unsigned() || !Row[1].is_string() ||
+      !Row[2].is_number_unsigned() || !Row[3].is_string())
+    return std::nullopt;
+  auto Task = parseTaskName(Row[1].get_ref<const std::string &>());
+  if (!Task)
+    return std::nullopt;
+  for (const end_entry &Entry : Ends)
+    if (Entry.Name == Row[3].get_ref<const std::string &>())
+      return dispatch::listed_end{
+          Row[0].get<std::uint64_t>(), {*Task, Row[2].get<std::uint32_t>()}, Entry.End};
+  return std::nullopt;
+}
+
+template <typename Row>
+bool readRows(const json &Body, const char *Name, std::optional<Row> (*Read)(const json &),
+              std::vector<Row> &Rows) {
+  auto Found = Body.find(Name);
+  if (Found == Body.end() || !Found->is_array())
+    return false;
+  for (const json &Value : *Found) {
+    auto Decoded = Read(Value);
+    if (!Decoded)
+      return false;
+    Rows.push_back(*Decoded);
+  }
+  return true;
+}
+
+class server_client final : public dispatch::server_orders {
+public:
+  server_client(wire::http_client &Client, server_client_options Options)
+      : Client(Client), Options(Options) {}
+
+  void start(const dispatch::server_target &Server, dispatch::start_order Order,
+             std::function<void(order_reply)> OnDone) override {
+    json Body{{"task", taskName(Order.Run.Task)},
+              {"run", Order.Run.Run},
+              {"specification", Order.Specification},
+              {"deadline_ms", Order.LeaseEndMs},
+              {"fencing_token", Order.FencingToken}};
+    callForOrder(Server, "/yuccaplank/run-start", Body, std::move(OnDone));
+  }
+
+  void stop(const dispatch::server_target &Server, const dispatch::run_key &Run, std::uint64_t FencingToken,
+            std::function<void(order_reply)> OnDone) override {
+    json Body{{"task", taskName(Run.Task)}, {"run", Run.Run}, {"fencing_token", FencingToken}};
+    callForOrder(Server, "/yuccaplank/run-stop", Body, std::move(OnDone));
+  }
+
+  void hold(const dispatch::server_target &Server, const dispatch::hold_order &Order,
+            std::function<void(hold_reply)> OnDone) override {
+    json Body{{"fencing_token", Order.FencingToken}, {"observed", Order.Observed}};
+    if (Order.LeaseEndMs)
+      Body["deadline_ms"] = *Order.LeaseEndMs;
+    if (Order.Wait > runtime::duration::zero())
+      Body["wait_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(Order.Wait).count();
+    Client.call(makeCall(Server, "/yuccaplank/hold", Body, Order.Wait),
+                [OnDone = std::move(OnDone)](const wire::http_call_result &Result) {
+                  OnDone(decodeHoldReply(Result));
+                });
+  }
+
+private:
+  void callForOrder(const dispatch::server_target &Server, const char *Path, const json &Body,
+                    std::function<void(order_reply)> OnDone) {
+    Client.call(makeCall(Server, Path, Body, {}),
+                [OnDone = std::move(OnDone)](const wire::http_call_result &Result) {
+                  OnDone(decodeOrderReply(Result));
+                });
+  }
+
+  [[nodiscard]] wire::http_call makeCall(const dispatch::server_target &Server, const char *Path,
+                                         const json &Body, runtime::duration Wait) const {
+    wire::http_call Call;
+    Call.Method = "POST";
+    Call.Address = Server.Address;
+    Call.Path = Path;
+    Call.Headers = {{"content-type", "application/json"}, {"Expected-Instance", Server.Id}};
+    Call.Body = Body.dump();
+    Call.Timeout = Wait + Options.ReplyTimeout;
+    return Call;
+  }
+
+  wire::http_client &Client;
+  server_client_options Options;
+};
+
+} // namespace
+
+order_reply decodeOrderReply(const wire::http_call_result &Result) {
+  json Body = parseJson(Result.Body);
+  return {outcomeOf(Result, Body), clockOf(Body)};
+}
+
+hold_reply decodeHoldReply(const wire::http_call_result &Result) {
+  json Body = parseJson(Result.Body);
+  hold_reply Reply;
+  Reply.Outcome = outcomeOf(Result, Body);
+  Reply.ClockMs = clockOf(Body);
+  if (Reply.Outcome != order_outcome::Accepted)
+    return Reply;
+  bool Complete = Body.is_object() && readRows(Body, "running_tasks", &readRunning, Reply.Running) &&
+                  readRows(Body, "finished", &readEnd, Reply.Ended);
+  // A list that cannot be read must not pass for an empty one.
+  if (!Complete)
+    return {};
+  if (Body.contains("born") && Body["born"].is_number())
+    Reply.Born = static_cast<std::int64_t>(Body["born"].get<double>());
+  return Reply;
+}
+
+std::string taskName(const dispatch::task_key &Task) {
+  return fmt::format("{:016x}.0.0.{}", Task.Job, Task.Index);
+}
+
+std::optional<dispatch::task_key> parseTaskName(std::string_view Name) {
+  constexpr std::size_t IdDigits = 16;
+  constexpr std::string_view Middle = ".0.0.";
+  if (Name.size() <= IdDigits + Middle.size() || Name.substr(IdDigits, Middle.size()) != Middle)
+    return std::nullopt;
+  auto Job = parseJobId(Name.substr(0, IdDigits));
+  std::string_view Index = Name.substr(IdDigits + Middle.size());
+  std::uint32_t Value = 0;
+  auto [Stop, Error] = std::from_chars(Index.data(), Index.data() + Index.size(), Value);
+  if (!Job || Error != std::errc() || Stop != Index.data() + Index.size())
+    return std::nullopt;
+  return dispatch::task_key{*Job, Value};
+}
+
+std::unique_ptr<dispatch::server_orders> makeServerClient(wire::http_client &Client,
+                                                          server_client_options Options) {
+  return std::make_unique<server_client>(Client, Options);
+}
+
+} // namespace yuccaplank::platform
--- /dev/null
+++ b/src/yuccaplank/platform/settings.cpp
@@ -0,0 +1,51 @@
+#include "yuccaplank/platform/settings.hpp"
+#include "json_reader.hpp"
+
+namespace yuccaplank::platform {
+namespace {
+
+void readListeners(object_reader &Reader, settings &Settings, std::vector<field_issue> &Issues) {
+  object_reader Listeners(Reader.child("listen_addresses", true, false), "listen_addresses", Issues);
+  Listeners.text("frontend", Settings.CallerAddress);
+  Listeners.text("ready", Settings.ReadyAddress);
+  Listeners.text("control_plane", Settings.PeerAddress);
+}
+
+void readSeeds(object_reader &Reader, settings &Settings, std::vector<field_issue> &Issues) {
+  for (const json &Seed : Reader.child("seeds", false, true)) {
+    if (Seed.is_string())
+      Settings.Seeds.push_back(Seed.get<std::string>());
+    else
+      Issues.push_back({runtime::errc::WrongType, "seeds"});
+  }
+}
+
+} // namespace
+
+std::vector<settings_issue> readSettings(std::string_view Text, settings &Settings) {
+  json Document = parseJson(Text);
+  if (!Document.is_object())
+    return {{runtime::errc::MalformedDocument, ""}};
+  std::vector<field_issue> Issues;
+  object_reader Reader(Document, "", Issues);
+  Reader.text("node", Settings.Vm);
+  Reader.text("zone", Settings.Domain);
+  Reader.text("ip", Settings.Ip);
+  readListeners(Reader, Settings, Issues);
+  readSeeds(Reader, Settings, Issues);
+  object_reader Store(Reader.child("platform", true, false), "platform", Issues);
+  Store.text("address", Settings.StoreAddress);
+  object_reader Limits(Reader.child("limits", false, false), "limits", Issues);
+  Limits.optionalNumber("cpu_share", Settings.CpuShare);
+  Limits.optionalInteger("memory_mb", Settings.MemoryMb);
+  object_reader Bounds(Reader.child("bounds", false, false), "bounds", Issues);
+  Bounds.optionalNumber("grace_period_s", Settings.GracePeriodS);
+  Reader.optionalText("orders", Settings.OrderForm);
+  std::vector<settings_issue> Result;
+  Result.reserve(Issues.size());
+  for (const field_issue &Issue : Issues)
+    Result.push_back({Issue.Reason, Issue.Path});
+  return Result;
+}
+
+} // namespace yuccaplank::platform
--- a/src/yuccaplank/runtime/log.cpp
+++ b/src/yuccaplank/runtime/log.cpp
@@ -4,8 +4,11 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <array>
-#include <cstdio>
 #include <map>
 
 namespace yuccaplank::runtime {
@@ -20,6 +23,9 @@
   std::int64_t Suppressed = 0;
 };
 
+int OutputFd = STDERR_FILENO;
+// Lines that the reader of a full pipe has not made room for.
+std::int64_t DroppedLines = 0;
 log_level MinimumLevel = log_level::Info;
 std::map<std::string, event_rate, std::less<>> Rates;
 
@@ -40,8 +46,22 @@
   return std::exchange(Rate.Suppressed, 0);
 }
 
+void writeLine(std::string Line) {
+  Line += '\n';
+  if (::write(OutputFd, Line.data(), Line.size()) < 0)
+    ++DroppedLines;
+}
+
 } // namespace
 
+void logToStandardOutput() {
+  OutputFd = STDOUT_FILENO;
+  struct stat Status {};
+  if (fstat(OutputFd, &Status) == 0 && S_ISFIFO(Status.st_mode))
+    fcntl(OutputFd, F_SETFL,
+          fcntl(OutputFd, F_GETFL) | O_NONBLOCK); // NOLINT(cppcoreguidelines-pro-type-vararg)
+}
+
 void setLogLevel(log_level Level) { MinimumLevel = Level; }
 
 void log(log_level Level, std::string_view Event, std::initializer_list<log_field> Fields) {
@@ -59,7 +79,9 @@
     std::visit([&](const auto &Value) { Line[std::string(Field.Key)] = Value; }, Field.Value);
   if (Suppressed > 0)
     Line["suppressed"] = Suppressed;
-  fmt::print(stderr, "{}\n", Line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+  if (DroppedLines > 0)
+    Line["dropped_lines"] = std::exchange(DroppedLines, 0);
+  writeLine(Line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
 }
 
 } // namespace yuccaplank::runtime
--- a/src/yuccaplank/scenario/script.cpp
+++ b/src/yuccaplank/scenario/script.cpp
@@ -224,9 +224,9 @@
 int luaPlatform(lua_State *Lua) {
   constexpr std::array<const char *, 6> Names{"normal", "down", "hang", "slow", "lose_replies", nullptr};
   int Mode = luaL_checkoption(Lua, 1, "normal", Names.data());
-  platform::fake_faults Faults;
+  storage::fake_faults Faults;
   if (Mode <= 2)
-    Faults.Mode = static_cast<platform::fake_mode>(Mode);
+    Faults.Mode = static_cast<storage::fake_mode>(Mode);
   if (Mode == 3)
     Faults.ExtraDelay = SlowPlatformDelay;
   if (Mode == 4)
--- a/src/yuccaplank/scenario/world.cpp
+++ b/src/yuccaplank/scenario/world.cpp
@@ -23,7 +23,7 @@
   std::string Domain;
   schema::incarnation Self;
   vm_executor Executor;
-  std::unique_ptr<platform::table> Table;
+  std::unique_ptr<storage::table> Table;
   std::unique_ptr<node::ports> Ports;
   std::unique_ptr<node::entry_node> Node;
 };
@@ -74,21 +74,20 @@
 template <typename Reply> using callback = std::function<void(runtime::result<Reply>)>;
 
 // Client of the platform whose callbacks obey the state of the VM.
-class guarded_table final : public platform::table {
+class guarded_table final : public storage::table {
 public:
-  guarded_table(vm_executor &Executor, std::unique_ptr<platform::table> Table)
+  guarded_table(vm_executor &Executor, std::unique_ptr<storage::table> Table)
       : Executor(Executor), Table(std::move(Table)) {}
-  void commit(platform::table_transaction Transaction,
-              callback<platform::transaction_reply> OnDone) override {
+  void commit(storage::table_transaction Transaction, callback<storage::transaction_reply> OnDone) override {
     Table->commit(std::move(Transaction), guard(std::move(OnDone)));
   }
-  void read(std::string Key, callback<platform::table_row> OnDone) override {
+  void read(std::string Key, callback<storage::table_row> OnDone) override {
     Table->read(std::move(Key), guard(std::move(OnDone)));
   }
-  void rows(std::string Prefix, callback<std::vector<platform::table_row>> OnDone) override {
+  void rows(std::string Prefix, callback<std::vector<storage::table_row>> OnDone) override {
     Table->rows(std::move(Prefix), guard(std::move(OnDone)));
   }
-  void changes(std::string Prefix, std::uint64_t After, callback<platform::table_changes> OnDone) override {
+  void changes(std::string Prefix, std::uint64_t After, callback<storage::table_changes> OnDone) override {
     Table->changes(std::move(Prefix), After, guard(std::move(OnDone)));
   }
   void vms(callback<schema::vm_list> OnDone) override { Table->vms(guard(std::move(OnDone))); }
@@ -101,11 +100,11 @@
     };
   }
   vm_executor &Executor;
-  std::unique_ptr<platform::table> Table;
+  std::unique_ptr<storage::table> Table;
 };
 
 world::world(const world_options &Options)
-    : Options(Options), Platform(platform::makeFakePlatform(*Executor, {.Seed = Options.Seed})) {
+    : Options(Options), Platform(storage::makeFakePlatform(*Executor, {.Seed = Options.Seed})) {
   int Number = 0;
   for (const std::string &Domain : Options.Domains) {
     for (int Index = 1; Index <= Options.ServersPerDomain; ++Index) {
@@ -131,7 +130,7 @@
 world::~world() = default;
 
 void world::restore() {
-  if (auto Copy = platform::readBackup(Backup))
+  if (auto Copy = storage::readBackup(Backup))
     Platform->state() = Copy.value();
 }
 
@@ -278,8 +277,8 @@
                          std::uint64_t Expected, const std::string &ChangeId) {
   Applies.emplace_back();
   std::size_t Index = Applies.size() - 1;
-  platform::apply_request Request{Document, Expected, ChangeId, 0};
-  node(Vm).apply(std::move(Request), [this, Index](runtime::result<platform::apply_reply> Reply) {
+  storage::apply_request Request{Document, Expected, ChangeId, 0};
+  node(Vm).apply(std::move(Request), [this, Index](runtime::result<storage::apply_reply> Reply) {
     apply_record &Record = Applies[Index];
     Record.Answered = true;
     if (!Reply) {
--- a/src/yuccaplank/scenario/world.hpp
+++ b/src/yuccaplank/scenario/world.hpp
@@ -5,7 +5,7 @@
 #include "backend_fakes.hpp"
 #include "vm_executor.hpp"
 #include "yuccaplank/node/entry_node.hpp"
-#include "yuccaplank/platform/fake_table.hpp"
+#include "yuccaplank/storage/fake_table.hpp"
 
 #include <map>
 #include <memory>
@@ -84,8 +84,8 @@
   [[nodiscard]] std::vector<std::string> breaches() const;
 
   runtime::manual_executor &executor() { return *Executor; }
-  platform::fake_platform &platformFake() { return *Platform; }
-  void backup() { Backup = platform::writeBackup(Platform->state()); }
+  storage::fake_platform &platformFake() { return *Platform; }
+  void backup() { Backup = storage::writeBackup(Platform->state()); }
   void restore();
   backend_fakes Servers{*Executor};
   std::vector<submission_record> Submissions;
@@ -104,7 +104,7 @@
   node::answer_function recorder(std::size_t Index);
 
   world_options Options;
-  std::shared_ptr<platform::fake_platform> Platform;
+  std::shared_ptr<storage::fake_platform> Platform;
   std::string Backup;
   std::map<std::string, std::unique_ptr<vm>> Vms;
   // Ended VMs are kept, since callbacks of the fakes may still name them.
--- a/src/yuccaplank/standin/platform.cpp
+++ b/src/yuccaplank/standin/platform.cpp
@@ -1,8 +1,8 @@
 #include "platform.hpp"
 
-#include "yuccaplank/platform/table_codec.hpp"
 #include "yuccaplank/standin/enum_names.hpp"
 #include "yuccaplank/standin/replies.hpp"
+#include "yuccaplank/storage/table_codec.hpp"
 #include "yuccaplank/wire/document_writer.hpp"
 #include "yuccaplank/wire/settings_reader.hpp"
 
@@ -114,7 +114,7 @@
   }
 
   http_reply transaction(const http_request &Request) {
-    auto Transaction = platform::readTransaction(Request.Body);
+    auto Transaction = storage::readTransaction(Request.Body);
     if (!Transaction)
       return malformed();
     auto Result = State.commit(Transaction.value());
@@ -173,7 +173,7 @@
   }
   http_reply backup(const http_request & /*Request*/) { return okReply(writeBackup(State)); }
   http_reply restore(const http_request &Request) {
-    auto Restored = platform::readBackup(Request.Body);
+    auto Restored = storage::readBackup(Request.Body);
     if (!Restored)
       return malformed();
     State = std::move(Restored.value());
@@ -181,8 +181,8 @@
   }
 
   const runtime::clock &Clock;
-  platform::table_state State;
-  platform::lagging_vm_list Vms;
+  storage::table_state State;
+  storage::lagging_vm_list Vms;
   platform_faults Faults;
   rate_meter Reads;
   rate_meter Writes;
--- a/src/yuccaplank/standin/platform.hpp
+++ b/src/yuccaplank/standin/platform.hpp
@@ -1,8 +1,8 @@
 // Stand-in for the platform: table and VM list over HTTP, with switchable faults.
 #pragma once
 
-#include "yuccaplank/platform/table_state.hpp"
 #include "yuccaplank/runtime/loop.hpp"
+#include "yuccaplank/storage/table_state.hpp"
 #include "yuccaplank/wire/http_server.hpp"
 
 #include <array>
--- a/src/yuccaplank/standin/platform_test.cpp
+++ b/src/yuccaplank/standin/platform_test.cpp
@@ -1,6 +1,6 @@
 #include "yuccaplank/standin/platform.hpp"
 
-#include "yuccaplank/platform/table.hpp"
+#include "yuccaplank/storage/table.hpp"
 #include "yuccaplank/testing/sockets.hpp"
 #include "yuccaplank/testing/story.hpp"
 
@@ -125,13 +125,13 @@
   auto Server = standin::makePlatformServer(*Loop, {});
   CPPUNIT_ASSERT(Server.has_value());
   auto Http = wire::makeHttpClient(*Loop);
-  platform::table_options Options;
+  storage::table_options Options;
   Options.Address = fmt::format("127.0.0.1:{}", Server.value()->port());
-  auto Table = platform::makeTable(*Http, Options);
-  std::optional<runtime::result<platform::transaction_reply>> Reply;
-  auto Commit = [&](platform::table_transaction Transaction) {
+  auto Table = storage::makeTable(*Http, Options);
+  std::optional<runtime::result<storage::transaction_reply>> Reply;
+  auto Commit = [&](storage::table_transaction Transaction) {
     Table->commit(std::move(Transaction),
-                  [&](runtime::result<platform::transaction_reply> Result) { Reply = std::move(Result); });
+                  [&](runtime::result<storage::transaction_reply> Result) { Reply = std::move(Result); });
     testing::runUntil(*Loop, [&] { return Reply.has_value(); });
   };
 
@@ -141,7 +141,7 @@
     CPPUNIT_ASSERT(Reply->has_value() && Reply->value().Committed);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Reply->value().Revision);
     std::string Row;
-    Table->read(Key, [&](const runtime::result<platform::table_row> &Result) {
+    Table->read(Key, [&](const runtime::result<storage::table_row> &Result) {
       Row = Result
                 ? fmt::format("{}={}@{}", Result.value().Key, Result.value().Value, Result.value().Revision)
                 : Result.error().message();
--- a/src/yuccaplank/platform/claims.cpp
+++ b/src/yuccaplank/storage/claims.cpp
@@ -1,4 +1,4 @@
-#include "yuccaplank/platform/claims.hpp"
+#include "yuccaplank/storage/claims.hpp"
 #include "yuccaplank/model/job_id.hpp"
 
 #include <nlohmann/json.hpp>
@@ -9,7 +9,7 @@
 #include <set>
 #include <vector>
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 namespace {
 
 using nlohmann::json;
@@ -269,4 +269,4 @@
   return std::make_unique<claims_impl>(Executor, Table, std::move(Options));
 }
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/src/yuccaplank/platform/claims_test.cpp
+++ b/src/yuccaplank/storage/claims_test.cpp
@@ -1,6 +1,6 @@
-#include "yuccaplank/platform/claims.hpp"
+#include "yuccaplank/storage/claims.hpp"
 
-#include "yuccaplank/platform/fake_table.hpp"
+#include "yuccaplank/storage/fake_table.hpp"
 #include "yuccaplank/testing/story.hpp"
 
 #include <fmt/format.h>
@@ -14,8 +14,8 @@
 
 namespace {
 
-platform::claims_options optionsOf(const std::string &Vm) {
-  platform::claims_options Options;
+storage::claims_options optionsOf(const std::string &Vm) {
+  storage::claims_options Options;
   Options.Self.Authority.set_vm(Vm);
   Options.Self.Authority.set_started_ms(1000);
   Options.Self.Authority.set_nonce(7);
@@ -26,16 +26,16 @@
 // Two VMs that claim keys on one platform, with what their claims led to.
 struct claim_setup {
   std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
-  std::shared_ptr<platform::fake_platform> Platform = platform::makeFakePlatform(*Executor);
-  std::unique_ptr<platform::table> TableA = Platform->makeClient();
-  std::unique_ptr<platform::table> TableB = Platform->makeClient();
-  std::unique_ptr<platform::claims> A = platform::makeClaims(*Executor, *TableA, optionsOf("a"));
-  std::unique_ptr<platform::claims> B = platform::makeClaims(*Executor, *TableB, optionsOf("b"));
+  std::shared_ptr<storage::fake_platform> Platform = storage::makeFakePlatform(*Executor);
+  std::unique_ptr<storage::table> TableA = Platform->makeClient();
+  std::unique_ptr<storage::table> TableB = Platform->makeClient();
+  std::unique_ptr<storage::claims> A = storage::makeClaims(*Executor, *TableA, optionsOf("a"));
+  std::unique_ptr<storage::claims> B = storage::makeClaims(*Executor, *TableB, optionsOf("b"));
   // Owners in the order of their arrival; errors by name.
   std::string Log;
 
-  void claim(platform::claims &Claims, const std::string &Key) {
-    Claims.claim("proofs/" + Key, [this, Key](runtime::result<platform::claim_owner> Owner) {
+  void claim(storage::claims &Claims, const std::string &Key) {
+    Claims.claim("proofs/" + Key, [this, Key](runtime::result<storage::claim_owner> Owner) {
       Log += fmt::format("{}:{} ", Key,
                          Owner ? Owner.value().Authority.vm() : std::string(Owner.error().message()));
     });
@@ -171,11 +171,11 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Setup.writes());
   }
   if (auto When = section("when the platform is down")) {
-    Faults.Mode = platform::fake_mode::Down;
+    Faults.Mode = storage::fake_mode::Down;
     Setup.claim(*Setup.A, "k1");
     Setup.Executor->advance(1s);
     CPPUNIT_ASSERT_EQUAL(std::string("k1:platform_unavailable "), Setup.Log);
-    Faults.Mode = platform::fake_mode::Normal;
+    Faults.Mode = storage::fake_mode::Normal;
     Setup.claim(*Setup.A, "k1");
     Setup.Executor->advance(1s);
     CPPUNIT_ASSERT_EQUAL(std::string("k1:platform_unavailable k1:a "), Setup.Log);
@@ -184,10 +184,10 @@
     Faults.LoseNextReplies = 1;
     Setup.claim(*Setup.A, "k1");
     Setup.Executor->advance(100ms);
-    Faults.Mode = platform::fake_mode::Hang;
+    Faults.Mode = storage::fake_mode::Hang;
     Setup.Executor->advance(4s);
     CPPUNIT_ASSERT_EQUAL(std::string("k1:platform_unavailable "), Setup.Log);
-    Faults.Mode = platform::fake_mode::Normal;
+    Faults.Mode = storage::fake_mode::Normal;
     Setup.claim(*Setup.B, "k1");
     Setup.claim(*Setup.A, "k1");
     Setup.Executor->advance(4s);
@@ -213,9 +213,9 @@
 // open, may start a job.
 const story Inserting("claims: who inserted", [] {
   claim_setup Setup;
-  auto Inserted = [&](platform::claims &Claims) {
+  auto Inserted = [&](storage::claims &Claims) {
     std::string Result = "none";
-    Claims.claim("k", [&](const runtime::result<platform::claim_owner> &Owner) {
+    Claims.claim("k", [&](const runtime::result<storage::claim_owner> &Owner) {
       Result = !Owner ? "error" : Owner.value().Inserted ? "inserted" : "found";
     });
     Setup.Executor->advance(5s);
@@ -228,16 +228,16 @@
   }
   if (auto When = section("when the reply of the first claim was lost in an outage")) {
     Setup.Platform->faults().LoseNextReplies = 1;
-    Setup.Executor->after(100ms, [&] { Setup.Platform->faults().Mode = platform::fake_mode::Hang; });
+    Setup.Executor->after(100ms, [&] { Setup.Platform->faults().Mode = storage::fake_mode::Hang; });
     CPPUNIT_ASSERT_EQUAL(std::string("error"), Inserted(*Setup.A));
-    Setup.Platform->faults().Mode = platform::fake_mode::Normal;
+    Setup.Platform->faults().Mode = storage::fake_mode::Normal;
     CPPUNIT_ASSERT_EQUAL(std::string("inserted"), Inserted(*Setup.A));
     CPPUNIT_ASSERT_EQUAL(std::string("found"), Inserted(*Setup.A));
   }
   if (auto When = section("when the owner is asked for")) {
     std::string Owner;
     auto Find = [&] {
-      Setup.A->find("k", [&](const runtime::result<platform::claim_owner> &Found) {
+      Setup.A->find("k", [&](const runtime::result<storage::claim_owner> &Found) {
         Owner = Found ? Found.value().Authority.vm() : Found.error().message();
       });
       Setup.Executor->advance(1s);
--- a/src/yuccaplank/platform/documents_test.cpp
+++ b/src/yuccaplank/storage/documents_test.cpp
@@ -1,6 +1,6 @@
-#include "yuccaplank/platform/documents.hpp"
+#include "yuccaplank/storage/documents.hpp"
 
-#include "yuccaplank/platform/fake_table.hpp"
+#include "yuccaplank/storage/fake_table.hpp"
 #include "yuccaplank/testing/story.hpp"
 #include "yuccaplank/wire/settings_reader.hpp"
 
@@ -18,9 +18,9 @@
 
 namespace {
 
-platform::apply_request requestOf(const std::string &ChangeId, std::uint64_t Expected, std::uint64_t Known,
-                                  std::uint32_t Weight) {
-  platform::apply_request Request;
+storage::apply_request requestOf(const std::string &ChangeId, std::uint64_t Expected, std::uint64_t Known,
+                                 std::uint32_t Weight) {
+  storage::apply_request Request;
   Request.Document.set_service("proofs");
   Request.Document.set_weight(Weight);
   Request.ExpectedRevision = Expected;
@@ -31,15 +31,15 @@
 
 struct documents_setup {
   std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
-  std::shared_ptr<platform::fake_platform> Platform = platform::makeFakePlatform(*Executor);
-  std::unique_ptr<platform::table> Table = Platform->makeClient();
-  std::unique_ptr<platform::documents> Documents = platform::makeDocuments(*Executor, *Table);
+  std::shared_ptr<storage::fake_platform> Platform = storage::makeFakePlatform(*Executor);
+  std::unique_ptr<storage::table> Table = Platform->makeClient();
+  std::unique_ptr<storage::documents> Documents = storage::makeDocuments(*Executor, *Table);
   // Outcomes in the order of their arrival: "<change>:<committed or conflict>@<revision>/<weight>".
   std::string Log;
 
   void apply(const std::string &ChangeId, std::uint64_t Expected, std::uint64_t Known, std::uint32_t Weight) {
     Documents->apply(requestOf(ChangeId, Expected, Known, Weight),
-                     [this, ChangeId](const runtime::result<platform::apply_reply> &Reply) {
+                     [this, ChangeId](const runtime::result<storage::apply_reply> &Reply) {
                        if (!Reply) {
                          Log += fmt::format("{}:{} ", ChangeId, Reply.error().message());
                          return;
@@ -174,9 +174,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string("1:c1 2:c2 3:c3 "), Setup.history());
   }
   if (auto When = section("when the platform is down and comes back")) {
-    Faults.Mode = platform::fake_mode::Down;
+    Faults.Mode = storage::fake_mode::Down;
     Setup.applyAndWait("c2", 1, 1, 20);
-    Faults.Mode = platform::fake_mode::Normal;
+    Faults.Mode = storage::fake_mode::Normal;
     Setup.applyAndWait("c2", 1, 1, 20);
     CPPUNIT_ASSERT_EQUAL(std::string("c2:platform_unavailable c2:committed@2/20 "), Setup.Log);
   }
@@ -184,10 +184,10 @@
     Faults.LoseNextReplies = 1;
     Setup.apply("c2", 1, 1, 20);
     Setup.Executor->advance(100ms);
-    Faults.Mode = platform::fake_mode::Hang;
+    Faults.Mode = storage::fake_mode::Hang;
     Setup.Executor->advance(10s);
     CPPUNIT_ASSERT_EQUAL(std::string("c2:platform_unavailable "), Setup.Log);
-    Faults.Mode = platform::fake_mode::Normal;
+    Faults.Mode = storage::fake_mode::Normal;
     Setup.applyAndWait("c2", 1, 1, 20);
     CPPUNIT_ASSERT_EQUAL(std::string("c2:platform_unavailable c2:committed@2/20 "), Setup.Log);
     CPPUNIT_ASSERT_EQUAL(std::string("1:c1 2:c2 "), Setup.history());
@@ -199,8 +199,8 @@
 struct operator_client {
   documents_setup &Setup;
   std::string Name;
-  std::unique_ptr<platform::table> Table;
-  std::unique_ptr<platform::documents> Documents;
+  std::unique_ptr<storage::table> Table;
+  std::unique_ptr<storage::documents> Documents;
   std::uint64_t Seen = 0;
   int Change = 0;
   std::set<std::string> Committed;
@@ -208,12 +208,12 @@
 
   operator_client(documents_setup &Setup, std::string Name)
       : Setup(Setup), Name(std::move(Name)), Table(Setup.Platform->makeClient()),
-        Documents(platform::makeDocuments(*Setup.Executor, *Table)) {}
+        Documents(storage::makeDocuments(*Setup.Executor, *Table)) {}
 
   void applyNext() {
     std::string Id = fmt::format("{}{}", Name, Change);
     Documents->apply(requestOf(Id, Seen, 0, 1),
-                     [this, Id](const runtime::result<platform::apply_reply> &Reply) {
+                     [this, Id](const runtime::result<storage::apply_reply> &Reply) {
                        if (Reply) {
                          Seen = Reply.value().Current.revision();
                          (Reply.value().Committed ? Committed : Refused).insert(Id);
@@ -241,7 +241,7 @@
     Faults.LoseRepliesPercent = Random(4) * 15;
     Faults.LoseNextRequests = Random(8) == 0 ? 1 : 0;
     Faults.ExtraDelay = Random(4) == 0 ? std::chrono::milliseconds(1450 + Random(120)) : 0ms;
-    Faults.Mode = static_cast<platform::fake_mode>(Random(10) == 0 ? Random(3) : 0);
+    Faults.Mode = static_cast<storage::fake_mode>(Random(10) == 0 ? Random(3) : 0);
     Setup.Executor->advance(std::chrono::milliseconds(Random(200)));
   }
   Faults = {};
@@ -269,7 +269,7 @@
 const story Restored("documents: platform restored from an old copy", [] {
   documents_setup Setup;
   Setup.applyAndWait("c1", 0, 0, 10);
-  platform::table_state Copy = Setup.Platform->state();
+  storage::table_state Copy = Setup.Platform->state();
   Setup.applyAndWait("c2", 1, 1, 20);
   Setup.applyAndWait("c3", 2, 2, 30);
   Setup.Platform->state() = Copy;
@@ -320,7 +320,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("@3 proofs:2"), Read(0));
   }
   if (auto When = section("when the platform is down")) {
-    Setup.Platform->faults().Mode = platform::fake_mode::Down;
+    Setup.Platform->faults().Mode = storage::fake_mode::Down;
     CPPUNIT_ASSERT_EQUAL(std::string("platform_unavailable"), Read(0));
   }
   if (auto When = section("when the reader is gone before the reply")) {
--- a/src/yuccaplank/platform/fake_table.cpp
+++ b/src/yuccaplank/storage/fake_table.cpp
@@ -1,10 +1,10 @@
-#include "yuccaplank/platform/fake_table.hpp"
+#include "yuccaplank/storage/fake_table.hpp"
 
 #include <pcg_random.hpp>
 
 #include <utility>
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 namespace {
 
 using runtime::errc;
@@ -156,4 +156,4 @@
   return std::make_shared<fake_platform_impl>(Executor, Options);
 }
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/src/yuccaplank/platform/fake_table_test.cpp
+++ b/src/yuccaplank/storage/fake_table_test.cpp
@@ -1,4 +1,4 @@
-#include "yuccaplank/platform/fake_table.hpp"
+#include "yuccaplank/storage/fake_table.hpp"
 
 #include "yuccaplank/testing/story.hpp"
 
@@ -14,12 +14,12 @@
 // Guards against a fake that calls back twice or never, or whose faults differ from the protocol's.
 const story Faults("fake platform: faults", [] {
   auto Executor = runtime::makeManualExecutor();
-  auto Platform = platform::makeFakePlatform(*Executor);
+  auto Platform = storage::makeFakePlatform(*Executor);
   bool Blocked = false;
   auto Client = Platform->makeClient([&] { return Blocked; });
   std::string Log;
   auto Commit = [&] {
-    Client->commit({{}, {{"a", "1"}}}, [&](const runtime::result<platform::transaction_reply> &Reply) {
+    Client->commit({{}, {{"a", "1"}}}, [&](const runtime::result<storage::transaction_reply> &Reply) {
       Log += fmt::format("{}@{} ", Reply ? "done" : Reply.error().message(),
                          runtime::toMs(Executor->clock().now().time_since_epoch()));
     });
@@ -32,13 +32,13 @@
     CPPUNIT_ASSERT(Written());
   }
   if (auto When = section("when the platform is down")) {
-    Platform->faults().Mode = platform::fake_mode::Down;
+    Platform->faults().Mode = storage::fake_mode::Down;
     Commit();
     CPPUNIT_ASSERT_EQUAL(std::string("platform_unavailable@2 "), Log);
     CPPUNIT_ASSERT(!Written());
   }
   if (auto When = section("when the platform hangs")) {
-    Platform->faults().Mode = platform::fake_mode::Hang;
+    Platform->faults().Mode = storage::fake_mode::Hang;
     Commit();
     CPPUNIT_ASSERT_EQUAL(std::string("platform_unavailable@1500 "), Log);
     CPPUNIT_ASSERT(!Written());
--- a/src/yuccaplank/platform/table.cpp
+++ b/src/yuccaplank/storage/table.cpp
@@ -1,10 +1,10 @@
-#include "yuccaplank/platform/table.hpp"
+#include "yuccaplank/storage/table.hpp"
 
-#include "yuccaplank/platform/table_codec.hpp"
+#include "yuccaplank/storage/table_codec.hpp"
 #include "yuccaplank/wire/settings_reader.hpp"
 #include "yuccaplank/wire/url.hpp"
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 namespace {
 
 using runtime::errc;
@@ -115,4 +115,4 @@
   return std::make_unique<table_impl>(Client, std::move(Options));
 }
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/src/yuccaplank/platform/table_codec.cpp
+++ b/src/yuccaplank/storage/table_codec.cpp
@@ -1,8 +1,8 @@
-#include "yuccaplank/platform/table_codec.hpp"
+#include "yuccaplank/storage/table_codec.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 namespace {
 
 using nlohmann::json;
@@ -111,4 +111,4 @@
   });
 }
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/src/yuccaplank/platform/table_codec.hpp
+++ b/src/yuccaplank/storage/table_codec.hpp
@@ -2,12 +2,12 @@
 // stand-in.
 #pragma once
 
-#include "yuccaplank/platform/table.hpp"
+#include "yuccaplank/storage/table.hpp"
 
 #include <string>
 #include <string_view>
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 
 /// Readers return errc::MalformedDocument.
 std::string writeTransaction(const table_transaction &Transaction);
@@ -26,4 +26,4 @@
 std::string writeChanges(const table_changes &Changes);
 runtime::result<table_changes> readChanges(std::string_view Text);
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/src/yuccaplank/platform/table_state.cpp
+++ b/src/yuccaplank/storage/table_state.cpp
@@ -1,8 +1,8 @@
-#include "yuccaplank/platform/table_state.hpp"
+#include "yuccaplank/storage/table_state.hpp"
 
-#include "yuccaplank/platform/table_codec.hpp"
+#include "yuccaplank/storage/table_codec.hpp"
 
-namespace yuccaplank::platform {
+namespace yuccaplank::storage {
 
 transaction_reply table_state::commit(const table_transaction &Transaction) {
   transaction_reply Reply;
@@ -67,4 +67,4 @@
   return List;
 }
 
-} // namespace yuccaplank::platform
+} // namespace yuccaplank::storage
--- a/src/yuccaplank/platform/table_state_test.cpp
+++ b/src/yuccaplank/storage/table_state_test.cpp
@@ -1,4 +1,4 @@
-#include "yuccaplank/platform/table_state.hpp"
+#include "yuccaplank/storage/table_state.hpp"
 
 #include "yuccaplank/testing/story.hpp"
 
@@ -11,7 +11,7 @@
 
 // Guards against a stand-in that is kinder than the protocol, which would hide faults of its clients.
 const story Transactions("table state: transactions", [] {
-  platform::table_state State;
+  storage::table_state State;
   CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, State.commit({{{"a", 0}}, {{"a", "1"}, {"b", "1"}}}).Revision);
   if (auto When = section("when one of several checks fails")) {
     auto Reply = State.commit({{{"a", 1}, {"b", 0}, {"c", 0}}, {{"a", "2"}, {"c", "2"}}});
@@ -33,18 +33,18 @@
   if (auto When = section("when an old copy is restored")) {
     std::string Copy = writeBackup(State);
     State.commit({{}, {{"a", "2"}}});
-    auto Restored = platform::readBackup(Copy);
+    auto Restored = storage::readBackup(Copy);
     CPPUNIT_ASSERT(Restored.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("1"), Restored.value().read("a").Value);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Restored.value().changes("", 0).Revision);
-    CPPUNIT_ASSERT(!platform::readBackup("{}").has_value());
+    CPPUNIT_ASSERT(!storage::readBackup("{}").has_value());
   }
 });
 
 // Guards against VM lists that skip the lag or vanish while a newer one is on its way.
 const story Lag("lagging VM list", [] {
   runtime::manual_clock Clock;
-  platform::lagging_vm_list Lists(2s);
+  storage::lagging_vm_list Lists(2s);
   auto Publish = [&](const std::string &Vm) {
     schema::vm_list List;
     List.add_entry_vms()->set_id(Vm);
--- a/src/yuccaplank/wire/http_server.cpp
+++ b/src/yuccaplank/wire/http_server.cpp
@@ -452,6 +452,7 @@
     http_request Value;
     Value.Token = Request.Token;
     Value.Method = view(Native.method);
+    Value.Host = view(Native.authority);
     std::string_view Path = view(Native.path);
     Value.Path = percentDecode(Path.substr(0, Native.query_at), false);
     if (Native.query_at < Path.size())
