Tell claims apart by their tokens; find the faults with a simulated fleet

Cause of the broken TWICE (two runs of a task) after restarts: a claim, a yield or a start that was under way could be older than what its receiver acted on.

--- a/include/yuccaplank/dispatch/entry_vm.hpp
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -84,6 +84,8 @@
   virtual void cancel(std::uint64_t Job, std::function<void(bool Found)> OnDone) = 0;
   /// Jobs of a queue that wait on any VM in contact.
   [[nodiscard]] virtual std::uint32_t waiting(const std::string &Queue) const = 0;
+  /// The process did not run for so long that others may have taken over its roles.
+  virtual void onPause() = 0;
   /// Others take over this VM's roles; jobs in hand go on.
   virtual void drain() = 0;
   [[nodiscard]] virtual entry_vm_state state() const = 0;
--- a/include/yuccaplank/dispatch/fleet_view.hpp
+++ b/include/yuccaplank/dispatch/fleet_view.hpp
@@ -18,8 +18,8 @@
   runtime::duration SilenceLimit = std::chrono::milliseconds(600);
   /// The same after its connection has broken, which is the usual sign of a dead process.
   runtime::duration ReconnectTime = std::chrono::milliseconds(250);
-  /// After a start, servers are claimed and tasks placed only when the VMs known then have been heard or this
-  /// time has passed, so that a VM that has just started does not believe itself alone.
+  /// After a start, servers are claimed and tasks placed only when each VM known then has been heard or found
+  /// out of reach, or this time has passed, so that a VM that has just started does not believe itself alone.
   runtime::duration IntroductionTime = std::chrono::milliseconds(700);
 };
 
@@ -29,6 +29,8 @@
   bool Alive = false;
   /// The connection has broken since the VM was last heard.
   bool Broken = false;
+  /// Heard, or found out of reach, since the introduction began.
+  bool Tried = false;
   runtime::time_point LastHeard{};
   schema::vm_status Status;
 };
@@ -59,6 +61,8 @@
   virtual std::vector<view_change> heard(const schema::vm_status &Status) = 0;
   /// The connection to the VM has broken.
   virtual void broken(const std::string &Vm) = 0;
+  /// No connection to an address could be made.
+  virtual void unreachable(const std::string &Address) = 0;
   /// The VM is certainly out of reach.
   virtual std::vector<view_change> lost(const std::string &Vm) = 0;
   /// Applies the silence limit.
@@ -67,6 +71,8 @@
   [[nodiscard]] virtual const std::map<std::string, known_vm> &others() const = 0;
   /// Whether the VM is in contact; the own one always is.
   [[nodiscard]] virtual bool alive(const std::string &Vm) const = 0;
+  /// What was known is old, as after a start.
+  virtual void introduceAgain() = 0;
   /// Whether enough is known to claim servers and to place tasks.
   [[nodiscard]] virtual bool introduced() const = 0;
   /// The registered VM that has been serving longest; empty when there is none.
--- a/include/yuccaplank/dispatch/placement_queue.hpp
+++ b/include/yuccaplank/dispatch/placement_queue.hpp
@@ -14,6 +14,8 @@
   /// A grant of which neither its coordinator nor the server's owner has told anything is taken back after
   /// this time.
   runtime::duration GrantTimeout = std::chrono::milliseconds(400);
+  /// A coordinator that could not reach an owner gets none of its servers for this time.
+  runtime::duration UnreachableTime = std::chrono::milliseconds(300);
   /// Share of its time after which a job that has no server yet is refused, so that its caller can do
   /// something else.
   double MaxWaitShare = 0.4;
@@ -38,7 +40,7 @@
   /// Tasks of a coordinator wait; replaces what was known of the named tasks.
   virtual void place(const std::string &Coordinator, const schema::place_job &Job) = 0;
   virtual void withdraw(const std::string &Coordinator, const schema::withdraw_job &Withdrawal) = 0;
-  virtual void decline(const schema::decline_grant &Declined) = 0;
+  virtual void decline(const std::string &Coordinator, const schema::decline_grant &Declined) = 0;
   virtual void updateServer(const std::string &Owner, const schema::server_state &State) = 0;
   /// The VM is gone: its tasks do not wait any more and its servers are unknown.
   virtual void dropVm(const std::string &Vm) = 0;
--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -37,6 +37,8 @@
   runtime::duration ReclaimDelay = std::chrono::seconds(2);
   /// Pause before an order that got no answer is repeated.
   runtime::duration RepeatDelay = std::chrono::milliseconds(100);
+  /// An order without an answer may be carried out this much later.
+  runtime::duration LateOrderTime = std::chrono::seconds(13);
   /// A run that takes this many times its expected time is stopped; declared times are off by up to 3 times.
   double OverdueFactor = 5;
   runtime::duration OverdueMargin = std::chrono::milliseconds(200);
@@ -68,8 +70,8 @@
   virtual void broadcast(const schema::dispatch_message &Message) = 0;
   /// The room of the server has changed; state() tells it.
   virtual void roomChanged(const std::string &Server) = 0;
-  /// Token for a claim; rises with each call after a claim was fenced.
-  virtual std::uint64_t fencingToken(bool WasFenced) = 0;
+  /// Token for a claim, higher than Above.
+  virtual std::uint64_t fencingToken(std::uint64_t Above) = 0;
   virtual ledger_counters &counters() = 0;
 };
 
@@ -81,7 +83,9 @@
   /// Takes the server over: raises the fence, looks at what runs, lets coordinators claim their runs, stops
   /// the rest.
   virtual void claim() = 0;
-  /// Another VM takes the server over; its runs go on.
+  /// Another VM has claimed the server; its runs go on. Ignored when the own claim is the later one.
+  virtual void onClaimedElsewhere(std::uint64_t ItsToken) = 0;
+  /// Gives up the server; its runs go on if their coordinators hear of a new owner in time.
   virtual void release() = 0;
   /// What the platform says of the server has changed.
   virtual void update(const server_entry &Entry) = 0;
@@ -92,12 +96,16 @@
   virtual void start(const std::string &Coordinator, const schema::start_task &Request) = 0;
   virtual void stop(const std::string &Coordinator, const run_key &Run) = 0;
   virtual void adopt(const std::string &Coordinator, const schema::adopt_reply &Reply) = 0;
+  /// While runs found at a take-over wait for their coordinators: asks this one again; false otherwise.
+  virtual bool tellAdoption(const std::string &Coordinator) = 0;
   /// The coordinator has died or lost contact: its runs are stopped.
   virtual void stopRunsOf(const std::string &Coordinator) = 0;
   /// Stops the coordinator's runs that it does not count on; those counted on that are not here are reported
   /// gone by the caller.
   virtual void resume(const std::string &Coordinator, const schema::resume_session &Session) = 0;
   [[nodiscard]] virtual bool holds(const run_key &Run) const = 0;
+  /// Highest fencing token of any VM's claim that is known; 0 before the first.
+  [[nodiscard]] virtual std::uint64_t token() const = 0;
   /// Whether all runs on the server are known here.
   [[nodiscard]] virtual bool owned() const = 0;
   /// Whether another VM owns the server, or nobody.
--- a/include/yuccaplank/dispatch/server_owner.hpp
+++ b/include/yuccaplank/dispatch/server_owner.hpp
@@ -21,7 +21,7 @@
   [[nodiscard]] virtual bool shouldOwn(const std::string &Rack, const std::string &Domain) const = 0;
   [[nodiscard]] virtual bool reachable(const std::string &Vm) const = 0;
   /// See ledger_ports.
-  virtual std::uint64_t fencingToken(bool WasFenced) = 0;
+  virtual std::uint64_t fencingToken(std::uint64_t Above) = 0;
 };
 
 struct owner_counts {
@@ -42,10 +42,15 @@
   virtual void onStop(const std::string &Coordinator, const schema::stop_task &Request) = 0;
   virtual void onSubscribe(const std::string &Placer, const schema::subscribe_servers &Request) = 0;
   virtual void onAdopted(const std::string &Coordinator, const schema::adopt_reply &Reply) = 0;
-  /// Another VM has taken over a server.
-  virtual void onTakenOver(const std::string &NewOwner, const std::string &Server) = 0;
+  /// Another VM has claimed a server or owns it.
+  virtual void onClaimedElsewhere(const std::string &NewOwner, const std::string &Server,
+                                  std::uint64_t Token) = 0;
+  /// Tells a VM with which contact begins which servers this one owns.
+  virtual void tellOwned(const std::string &Vm) = 0;
   virtual void onResume(const std::string &Coordinator, const schema::resume_session &Session) = 0;
   virtual void onVmLost(const std::string &Vm) = 0;
+  /// This VM was paused for so long that others may have taken over its servers.
+  virtual void onPause() = 0;
   /// Called every 50 ms.
   virtual void tick() = 0;
   [[nodiscard]] virtual owner_counts counts() const = 0;
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -106,6 +106,7 @@
   }
 
   void onConnectFailed(const std::string &Address) override {
+    View->unreachable(Address);
     std::vector<std::string> Unreachable;
     for (const auto &[Vm, Known] : View->others())
       if (Known.Address == Address && Known.Alive && Known.Broken)
@@ -151,6 +152,15 @@
     return Sum;
   }
 
+  void onPause() override {
+    for (const auto &[Vm, Known] : View->others())
+      apply(View->lost(Vm));
+    View->introduceAgain();
+    Owner->onPause();
+    tryOthers();
+    reviewRoles();
+  }
+
   void drain() override {
     Self.set_draining(true);
     statusChanged();
@@ -199,15 +209,19 @@
   }
 
   // The term is the high part, so that a VM of an older registration can take over without the store.
-  std::uint64_t fencingToken(bool WasFenced) override {
+  std::uint64_t fencingToken(std::uint64_t Above) override {
     constexpr unsigned RegistrationBits = 32;
-    if (WasFenced) {
-      Self.set_term(View->highestTerm() + 1);
+    auto TokenOf = [&](std::uint32_t Term) {
+      return (std::uint64_t{Term} << RegistrationBits) | Self.registration();
+    };
+    std::uint32_t Term = View->highestTerm();
+    if (TokenOf(Term) <= Above)
+      Term = std::max(Term, static_cast<std::uint32_t>(Above >> RegistrationBits)) + 1;
+    if (Term != Self.term()) {
+      Self.set_term(Term);
       statusChanged();
-    } else {
-      Self.set_term(View->highestTerm());
     }
-    return (std::uint64_t{Self.term()} << RegistrationBits) | Self.registration();
+    return TokenOf(Term);
   }
 
   // Messages.
@@ -226,11 +240,13 @@
       Queue->withdraw(From, Message.withdraw());
       break;
     case schema::dispatch_message::kDecline:
-      Queue->decline(Message.decline());
+      Queue->decline(From, Message.decline());
       scheduleSoon();
       break;
     case schema::dispatch_message::kServer:
-      Queue->updateServer(From, Message.server());
+      // What a VM has sent before it was lost must not bring its servers back.
+      if (View->alive(From))
+        Queue->updateServer(From, Message.server());
       scheduleSoon();
       break;
     case schema::dispatch_message::kGrant:
@@ -247,7 +263,7 @@
       break;
     case schema::dispatch_message::kAdopt:
       if (From != Options.Vm)
-        Owner->onTakenOver(From, Message.adopt().server());
+        Owner->onClaimedElsewhere(From, Message.adopt().server(), Message.adopt().token());
       Jobs->onAdopt(From, Message.adopt());
       break;
     case schema::dispatch_message::kStart:
@@ -275,6 +291,10 @@
       if (!Current || Message.configuration().version() > Current->Version)
         Ports.configurationOffered(Message.configuration());
       break;
+    case schema::dispatch_message::kOwned:
+      for (const schema::owned_server &Owned : Message.owned().servers())
+        Owner->onClaimedElsewhere(From, Owned.server(), Owned.token());
+      break;
     case schema::dispatch_message::BODY_NOT_SET:
       break;
     }
@@ -356,6 +376,7 @@
 
   void begin(const std::string &Vm) {
     resume(Vm, false);
+    Owner->tellOwned(Vm);
     OfferedVersions.erase(Vm);
     if (Placing)
       subscribe(Vm, false);
--- a/src/yuccaplank/dispatch/fleet_view.cpp
+++ b/src/yuccaplank/dispatch/fleet_view.cpp
@@ -51,6 +51,7 @@
     known_vm &Vm = Others[Status.vm()];
     Vm.Address = Status.address();
     Vm.LastHeard = Clock.now();
+    Vm.Tried = true;
     Vm.Status = Status;
     Term = std::max(Term, Status.term());
     bool WasBroken = std::exchange(Vm.Broken, false);
@@ -100,11 +101,23 @@
     return Found != Others.end() && Found->second.Alive;
   }
 
+  void introduceAgain() override {
+    StartedAt = Clock.now();
+    for (auto &[Name, Vm] : Others)
+      Vm.Tried = false;
+  }
+
+  void unreachable(const std::string &Address) override {
+    for (auto &[Name, Vm] : Others)
+      if (Vm.Address == Address && !Vm.Alive)
+        Vm.Tried = true;
+  }
+
   [[nodiscard]] bool introduced() const override {
     if (Clock.now() - StartedAt >= Options.IntroductionTime)
       return true;
     return !Others.empty() &&
-           std::ranges::all_of(Others, [](const auto &Entry) { return Entry.second.Alive; });
+           std::ranges::all_of(Others, [](const auto &Entry) { return Entry.second.Tried; });
   }
 
   [[nodiscard]] std::string placer() const override {
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -32,6 +32,8 @@
   std::uint32_t Failures = 0;
   std::string Owner;
   std::string Server;
+  // Fencing token under which the owner held the server when the run was ordered.
+  std::uint64_t Token = 0;
   time_point OrderedAt;
   runtime::timer_id OrphanTimer = 0;
 };
@@ -116,6 +118,7 @@
     Task->Phase = task_phase::Ordered;
     Task->Owner = Grant.owner();
     Task->Server = Grant.server();
+    Task->Token = Grant.token();
     Task->OrderedAt = now();
     Job->Started = true;
     sendStart(Placer, *Job, Run, Grant);
@@ -153,14 +156,17 @@
     schema::dispatch_message Message;
     schema::adopt_reply &Reply = *Message.mutable_adopted();
     Reply.set_server(Request.server());
-    for (const run_key &Run :
-         runsWhere([&](const task_state &Task) { return Task.Server == Request.server(); })) {
+    // A run that was ordered under this claim or a later one is not concerned.
+    auto Concerned = [&](const task_state &Task) {
+      return Task.Server == Request.server() && Request.token() > Task.Token;
+    };
+    for (const run_key &Run : runsWhere(Concerned)) {
       coordinated_job *Job = jobOf(Run);
       task_state *Task = Job ? taskOf(*Job, Run) : nullptr;
       if (!Task)
         continue;
       if (Running.contains(Run))
-        claimRun(*Job, *Task, Run, Owner, Reply);
+        claimRun(*Job, *Task, Run, Owner, Request.token(), Reply);
       else
         endUnadopted(*Job, *Task, Run, Ended.contains(Run) ? Ended.at(Run) : nullptr);
     }
@@ -170,7 +176,9 @@
   }
 
   void onYield(const std::string &Owner, const schema::yield_server &Yield) override {
-    orphan([&](const task_state &Task) { return Task.Owner == Owner && Task.Server == Yield.server(); });
+    orphan([&](const task_state &Task) {
+      return Task.Owner == Owner && Task.Server == Yield.server() && Yield.token() >= Task.Token;
+    });
   }
 
   void onPlacerChanged() override {
@@ -289,6 +297,8 @@
     schema::dispatch_message Message;
     Message.mutable_decline()->set_id(Grant.id());
     Message.mutable_decline()->set_server(Grant.server());
+    if (!Ports.reachable(Grant.owner()))
+      Message.mutable_decline()->set_unreachable_owner(Grant.owner());
     Ports.send(Placer, std::move(Message));
   }
 
@@ -304,6 +314,7 @@
     *Start.mutable_size() = Job.Request.TaskSize;
     Start.set_estimate_ms(Job.Request.EstimateMs);
     Start.set_session(Ports.session(Grant.owner()));
+    Start.set_token(Grant.token());
     Ports.send(Grant.owner(), std::move(Message));
   }
 
@@ -357,10 +368,11 @@
   }
 
   void claimRun(coordinated_job &Job, task_state &Task, const run_key &Run, const std::string &Owner,
-                schema::adopt_reply &Reply) {
+                std::uint64_t Token, schema::adopt_reply &Reply) {
     cancelTimer(Task.OrphanTimer);
     Task.Phase = task_phase::Ordered;
     Task.Owner = Owner;
+    Task.Token = Token;
     ++Counters.Adopted;
     schema::adopted_run &Adopted = *Reply.add_runs();
     *Adopted.mutable_task() = toMessage(Run);
@@ -406,7 +418,10 @@
   // Ends of jobs.
 
   void onDeadline(std::uint64_t Id) {
-    coordinated_job &Job = Jobs.at(Id);
+    auto Found = Jobs.find(Id);
+    if (Found == Jobs.end())
+      return;
+    coordinated_job &Job = Found->second;
     Job.DeadlineTimer = 0;
     if (Job.Started)
       finish(Job, {job_outcome::TimedOut, "deadline", 0});
@@ -415,7 +430,10 @@
   }
 
   void refuseWithoutPlacer(std::uint64_t Id) {
-    coordinated_job &Job = Jobs.at(Id);
+    auto Found = Jobs.find(Id);
+    if (Found == Jobs.end())
+      return;
+    coordinated_job &Job = Found->second;
     Job.PlacerTimer = 0;
     finish(Job, {job_outcome::Refused, "no_placer",
                  static_cast<std::uint32_t>(runtime::toMs(Options.PlacerWait))});
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -98,7 +98,11 @@
       Jobs.erase(Found);
   }
 
-  void decline(const schema::decline_grant &Declined) override { forgetGrant(Declined.id()); }
+  void decline(const std::string &Coordinator, const schema::decline_grant &Declined) override {
+    forgetGrant(Declined.id());
+    if (!Declined.unreachable_owner().empty())
+      Unreachable[{Coordinator, Declined.unreachable_owner()}] = Clock.now() + Options.UnreachableTime;
+  }
 
   void updateServer(const std::string &Owner, const schema::server_state &State) override {
     for (std::uint64_t Grant : State.handled())
@@ -109,6 +113,8 @@
         Servers.erase(Found);
       return;
     }
+    if (Found != Servers.end() && Found->second.Owner != Owner && Found->second.State.token() > State.token())
+      return;
     known_server &Server = Servers[State.server()];
     Server.Owner = Owner;
     Server.State = State;
@@ -129,6 +135,7 @@
   void schedule() override {
     time_point Now = Clock.now();
     expireGrants(Now);
+    std::erase_if(Unreachable, [&](const auto &Entry) { return Entry.second <= Now; });
     for (waiting_job *Job : ordered(Now))
       if (!rejectIfHopeless(*Job, Now))
         grantTasks(*Job, Now);
@@ -219,7 +226,7 @@
 
   void grantTasks(waiting_job &Job, time_point Now) {
     while (!Job.Tasks.empty()) {
-      const std::string *Server = bestServer(Job.Request);
+      const std::string *Server = bestServer(Job.Coordinator, Job.Request);
       if (!Server)
         return;
       auto [Index, Run] = *Job.Tasks.begin();
@@ -245,11 +252,12 @@
 
   // The fastest server that has room; among equally fast ones the one that the task leaves with the least
   // room.
-  const std::string *bestServer(const schema::place_job &Request) {
+  const std::string *bestServer(const std::string &Coordinator, const schema::place_job &Request) {
     const std::string *Best = nullptr;
     std::pair<int, std::int64_t> BestRank;
     for (const auto &[Id, Server] : Servers) {
-      if (Server.State.pool() != Request.pool() || !admits(Server))
+      if (Server.State.pool() != Request.pool() || !admits(Server) ||
+          Unreachable.contains({Coordinator, Server.Owner}))
         continue;
       room Free = freeRoom(Server);
       if (!Free.fits(Request.size()))
@@ -279,6 +287,7 @@
     *Grant.mutable_task() = toMessage(Run);
     Grant.set_server(ServerId);
     Grant.set_owner(Server.Owner);
+    Grant.set_token(Server.State.token());
     Send(Job.Coordinator, std::move(Message));
   }
 
@@ -316,6 +325,8 @@
   std::map<job_key, waiting_job> Jobs;
   std::map<std::string, known_server> Servers;
   std::unordered_map<std::uint64_t, outstanding_grant> Grants;
+  // Pairs of a coordinator and an owner that it cannot reach, until a time.
+  std::map<std::pair<std::string, std::string>, time_point> Unreachable;
   // Grants of an earlier incarnation on this VM have other numbers.
   std::uint64_t LastGrant = static_cast<std::uint64_t>(Clock.unixMs()) << 20U;
   placement_counters Counters;
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -78,7 +78,14 @@
     if (Ownership != ownership::None || (FencedAt && now() - *FencedAt < Options.ReclaimDelay))
       return;
     Ownership = ownership::Claiming;
-    sendClaim(FencedAt.has_value());
+    sendClaim();
+  }
+
+  void onClaimedElsewhere(std::uint64_t ItsToken) override {
+    if (ItsToken < Token)
+      return;
+    HighestToken = std::max(HighestToken, ItsToken);
+    release();
   }
 
   void release() override {
@@ -153,6 +160,13 @@
       endAdoption();
   }
 
+  bool tellAdoption(const std::string &Coordinator) override {
+    if (Ownership != ownership::Adopting)
+      return false;
+    Ports.send(Coordinator, Adoption);
+    return true;
+  }
+
   void stopRunsOf(const std::string &Coordinator) override {
     for (auto &[Run, State] : Runs)
       if (State.Coordinator == Coordinator)
@@ -163,12 +177,18 @@
     std::set<run_key> Counted;
     for (const schema::counted_run &Run : Session.runs())
       Counted.insert(keyOf(Run.task()));
-    for (auto &[Run, State] : Runs)
-      if (State.Coordinator == Coordinator && !Counted.contains(Run))
+    for (auto &[Run, State] : Runs) {
+      bool IsCounted = Counted.contains(Run);
+      // The end of a run that was found at a take-over is told to the coordinator that asks for it late.
+      if (State.Coordinator.empty() && IsCounted && Ownership == ownership::Owned)
+        State.Coordinator = Coordinator;
+      if (State.Coordinator == Coordinator && !IsCounted)
         stopRun(Run, State, "not_counted_on");
+    }
   }
 
   [[nodiscard]] bool holds(const run_key &Run) const override { return Runs.contains(Run); }
+  [[nodiscard]] std::uint64_t token() const override { return std::max(Token, HighestToken); }
   [[nodiscard]] bool owned() const override { return Ownership == ownership::Owned; }
   [[nodiscard]] bool unowned() const override { return Ownership == ownership::None; }
 
@@ -184,13 +204,15 @@
     State.set_removed(Ownership == ownership::None);
     State.set_task_limit(Health.onProbation() ? 1 : 0);
     State.set_tasks(static_cast<std::uint32_t>(Runs.size()));
+    State.set_token(Token);
     return State;
   }
 
   void tick() override {
+    time_point Now = now();
+    std::erase_if(OpenStarts, [&](const auto &Each) { return Now - Each.second > Options.LateOrderTime; });
     if (Ownership == ownership::None)
       return;
-    time_point Now = now();
     endLapsedRuns(Now);
     stopOverdueRuns(Now);
     if (Health.quarantineOver(Now))
@@ -231,6 +253,8 @@
   const char *refusalOf(const schema::start_task &Request) const {
     if (!usable())
       return "server_unusable";
+    if (Request.token() != Token)
+      return "granted_under_another_token";
     if (!fits(used(), Request.size(), Entry.Capacity))
       return "no_room";
     if (Health.onProbation() && !Runs.empty())
@@ -297,8 +321,9 @@
 
   // Take-over.
 
-  void sendClaim(bool WasFenced) {
-    Token = Ports.fencingToken(WasFenced);
+  void sendClaim() {
+    // Each claim has a token of its own, so that orders under an earlier claim can be told apart.
+    Token = Ports.fencingToken(std::max(HighestToken, Token));
     hold_order Order;
     Order.FencingToken = Token;
     Ports.orders().hold(Entry.Target, Order,
@@ -309,13 +334,14 @@
     if (Reply.Outcome == order_outcome::Fenced) {
       log(log_level::Info, "claim_fenced",
           {{"server", Entry.Target.Id}, {"token", static_cast<std::int64_t>(Token)}});
-      later(Options.RepeatDelay, [this] { sendClaim(true); });
+      HighestToken = Token;
+      later(Options.RepeatDelay, [this] { sendClaim(); });
       return;
     }
     if (Reply.Outcome != order_outcome::Accepted) {
       log(log_level::Warning, "claim_unanswered",
           {{"server", Entry.Target.Id}, {"outcome", std::string(orderOutcomeName(Reply.Outcome))}});
-      later(Options.RepeatDelay * 3, [this] { sendClaim(false); });
+      later(Options.RepeatDelay * 3, [this] { sendClaim(); });
       return;
     }
     log(log_level::Info, "server_claimed",
@@ -335,9 +361,10 @@
 
   void beginAdoption(const hold_reply &Reply) {
     Ownership = ownership::Adopting;
-    schema::dispatch_message Message;
-    schema::adopt_request &Request = *Message.mutable_adopt();
+    Adoption.Clear();
+    schema::adopt_request &Request = *Adoption.mutable_adopt();
     Request.set_server(Entry.Target.Id);
+    Request.set_token(Token);
     for (const run_key &Run : Reply.Running) {
       *Request.add_running() = toMessage(Run);
       server_run &Found = Runs[Run];
@@ -349,7 +376,7 @@
     }
     for (const listed_end &End : Reply.Ended)
       addEnd(Request, End);
-    Ports.broadcast(Message);
+    Ports.broadcast(Adoption);
     if (Runs.empty()) {
       endAdoption();
       return;
@@ -385,12 +412,14 @@
         Coordinators.insert(State.Coordinator);
     schema::dispatch_message Message;
     Message.mutable_yield()->set_server(Entry.Target.Id);
+    Message.mutable_yield()->set_token(Token);
     for (const std::string &Coordinator : Coordinators)
       Ports.send(Coordinator, Message);
   }
 
   void loseOwnership() {
     FencedAt = now();
+    HighestToken = std::max(HighestToken, Token);
     log(log_level::Warning, "server_fenced_off",
         {{"server", Entry.Target.Id}, {"token", static_cast<std::int64_t>(Token)}});
     release();
@@ -417,11 +446,15 @@
     }
     if (Reply.Outcome == order_outcome::NoAnswer) {
       ++Ports.counters().NoAnswers;
+      OpenStarts[Run] = now();
       stopRun(Run, State, "start_unanswered");
       return;
     }
-    if (Reply.Outcome == order_outcome::OtherIncarnation)
-      onNewIncarnation(0);
+    if (Reply.Outcome == order_outcome::OtherIncarnation) {
+      endRun(Run, schema::RUN_NOT_STARTED, orderOutcomeName(Reply.Outcome));
+      onReplaced();
+      return;
+    }
     noteRefusal(Reply.Outcome);
     endRun(Run, schema::RUN_NOT_STARTED, orderOutcomeName(Reply.Outcome));
   }
@@ -469,7 +502,7 @@
       return;
     }
     if (Reply.Outcome == order_outcome::OtherIncarnation) {
-      onNewIncarnation(0);
+      onReplaced();
       return;
     }
     ++Ports.counters().NoAnswers;
@@ -486,8 +519,6 @@
       return;
     if (Runs.empty() && AcknowledgedEnds >= Observed)
       return;
-    HoldPending = true;
-    ++Ports.counters().Holds;
     hold_order Order;
     Order.FencingToken = Token;
     Order.Observed = Observed;
@@ -498,6 +529,12 @@
       if (Answering)
         Order.LeaseEndMs = extendLease();
     }
+    sendHold(Order);
+  }
+
+  void sendHold(const hold_order &Order) {
+    HoldPending = true;
+    ++Ports.counters().Holds;
     Ports.orders().hold(Entry.Target, Order,
                         guarded<hold_reply>([this, Sent = now(), Order](const hold_reply &Reply) {
                           onHoldReply(Sent, Order, Reply);
@@ -511,7 +548,7 @@
       return;
     }
     if (Reply.Outcome == order_outcome::OtherIncarnation) {
-      onNewIncarnation(0);
+      onReplaced();
       return;
     }
     if (Reply.Outcome != order_outcome::Accepted) {
@@ -520,14 +557,14 @@
     }
     noteClock(Reply.ClockMs);
     setAnswering(true);
-    if (Reply.Born != Born) {
-      onNewIncarnation(Reply.Born);
-      return;
-    }
-    AcknowledgedEnds = std::max(AcknowledgedEnds, Order.Observed);
+    if (Reply.Born != Born)
+      onNewIncarnation(Reply);
+    else
+      AcknowledgedEnds = std::max(AcknowledgedEnds, Order.Observed);
     for (const listed_end &End : Reply.Ended)
       onEnd(End);
     endMissingRuns(Sent, Reply.Running);
+    stopUnknownRuns(Reply.Running);
     keepHolding();
   }
 
@@ -553,14 +590,7 @@
       keepHolding();
       return;
     }
-    HoldPending = true;
-    hold_order Order;
-    Order.FencingToken = Token;
-    Order.Observed = Observed;
-    Ports.orders().hold(Entry.Target, Order,
-                        guarded<hold_reply>([this, Sent = now(), Order](const hold_reply &Reply) {
-                          onHoldReply(Sent, Order, Reply);
-                        }));
+    sendHold({Token, std::nullopt, Observed, {}});
   }
 
   void setAnswering(bool IsAnswering) {
@@ -617,22 +647,53 @@
       endRun(Run, schema::RUN_GONE, "not_listed");
   }
 
-  // Nothing of before runs on a new incarnation, and it has seen no fencing token and no order.
-  void onNewIncarnation(std::int64_t NewBorn) {
+  // What the former incarnation ran is gone with it; orders that were under way may have been carried out by
+  // the new one, which knows neither fencing tokens nor stops.
+  void onNewIncarnation(const hold_reply &Reply) {
     log(log_level::Warning, "server_reborn",
-        {{"server", Entry.Target.Id}, {"born", NewBorn}, {"runs", static_cast<std::int64_t>(Runs.size())}});
+        {{"server", Entry.Target.Id},
+         {"born", Reply.Born},
+         {"runs", static_cast<std::int64_t>(Runs.size())},
+         {"running", static_cast<std::int64_t>(Reply.Running.size())}});
+    Born = Reply.Born;
+    Observed = 0;
+    AcknowledgedEnds = 0;
+    for (const auto &[Run, Ordered] : OpenStarts)
+      if (now() - Ordered < Options.LateOrderTime && !Runs.contains(Run))
+        stopUnknownRun(Run);
+  }
+
+  // Another server is at the address: this one has ended.
+  void onReplaced() {
+    log(log_level::Warning, "server_replaced",
+        {{"server", Entry.Target.Id}, {"runs", static_cast<std::int64_t>(Runs.size())}});
     std::vector<run_key> Lost;
     for (const auto &[Run, State] : Runs)
       Lost.push_back(Run);
     for (const run_key &Run : Lost)
-      endRun(Run, schema::RUN_GONE, "server_reborn");
-    ++Epoch;
-    HoldPending = false;
-    Ownership = ownership::Claiming;
-    sendClaim(false);
+      endRun(Run, schema::RUN_GONE, "server_replaced");
+    delist();
+  }
+
+  // A run that nobody here has ordered under the current token, for example by an order of a former owner
+  // that was carried out late by a new incarnation. Its size is not known, so nothing else fits until it has
+  // ended.
+  void stopUnknownRun(const run_key &Run) {
+    server_run &Unknown = Runs[Run];
+    Unknown.Size = Entry.Capacity;
+    Unknown.Phase = run_phase::Running;
+    Unknown.StartOpen = false;
+    Unknown.StartedAt = now();
+    stopRun(Run, Unknown, "unknown");
     Ports.roomChanged(Entry.Target.Id);
   }
 
+  void stopUnknownRuns(const std::vector<run_key> &Running) {
+    for (const run_key &Run : Running)
+      if (!Runs.contains(Run))
+        stopUnknownRun(Run);
+  }
+
   // Ends of time.
 
   void endLapsedRuns(time_point Now) {
@@ -669,7 +730,13 @@
   server_health Health;
   ownership Ownership = ownership::None;
   std::uint64_t Token = 0;
+  // Of other VMs' claims, as far as known.
+  std::uint64_t HighestToken = 0;
+  // Asks coordinators for the runs found at the latest claim.
+  schema::dispatch_message Adoption;
   std::map<run_key, server_run> Runs;
+  // Starts of late that were never answered and may still be carried out by a new incarnation.
+  std::map<run_key, time_point> OpenStarts;
   std::int64_t Born = 0;
   std::uint64_t Observed = 0;
   // Ends up to this one are known to be acknowledged at the server.
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -87,12 +87,33 @@
       Found->second.Ledger->adopt(Coordinator, Reply);
   }
 
-  void onTakenOver(const std::string &NewOwner, const std::string &Server) override {
+  void onClaimedElsewhere(const std::string &NewOwner, const std::string &Server,
+                          std::uint64_t Token) override {
     auto Found = Servers.find(Server);
-    if (Found == Servers.end() || Found->second.Ledger->unowned())
+    if (Found == Servers.end())
       return;
-    runtime::log(runtime::log_level::Info, "server_taken_over", {{"server", Server}, {"owner", NewOwner}});
-    Found->second.Ledger->release();
+    server_ledger &Ledger = *Found->second.Ledger;
+    bool WasUnowned = Ledger.unowned();
+    Ledger.onClaimedElsewhere(Token);
+    if (!WasUnowned && Ledger.unowned())
+      runtime::log(runtime::log_level::Info, "server_taken_over", {{"server", Server}, {"owner", NewOwner}});
+  }
+
+  void tellOwned(const std::string &Vm) override {
+    schema::dispatch_message Message;
+    for (const auto &[Id, Server] : Servers)
+      if (!Server.Ledger->unowned()) {
+        schema::owned_server &Owned = *Message.mutable_owned()->add_servers();
+        Owned.set_server(Id);
+        Owned.set_token(Server.Ledger->token());
+      }
+    if (Message.has_owned())
+      Ports.send(Vm, std::move(Message));
+  }
+
+  void onPause() override {
+    for (auto &[Id, Server] : Servers)
+      Server.Ledger->release();
   }
 
   void onResume(const std::string &Coordinator, const schema::resume_session &Session) override {
@@ -133,7 +154,7 @@
 private:
   server_orders &orders() override { return Ports.orders(); }
   void broadcast(const schema::dispatch_message &Message) override { Ports.broadcast(Message); }
-  std::uint64_t fencingToken(bool WasFenced) override { return Ports.fencingToken(WasFenced); }
+  std::uint64_t fencingToken(std::uint64_t Above) override { return Ports.fencingToken(Above); }
   ledger_counters &counters() override { return Counters; }
 
   void send(const std::string &Vm, schema::dispatch_message Message) override {
@@ -189,14 +210,14 @@
   void answerCountedRun(const std::string &Coordinator, const schema::counted_run &Counted) {
     run_key Run = keyOf(Counted.task());
     auto Found = Servers.find(Counted.server());
-    bool Owned = Found != Servers.end() && Found->second.Ledger->owned();
-    if (Owned && Found->second.Ledger->holds(Run))
+    server_ledger *Ledger = Found == Servers.end() ? nullptr : Found->second.Ledger.get();
+    if (Ledger && (Ledger->holds(Run) || Ledger->tellAdoption(Coordinator)))
       return;
     schema::dispatch_message Message;
     auto Ended = std::ranges::find_if(Ends, [&](const auto &End) { return keyOf(End.task()) == Run; });
     if (Ended != Ends.end()) {
       *Message.mutable_event() = *Ended;
-    } else if (Owned) {
+    } else if (Ledger && Ledger->owned()) {
       // Neither running nor ended here: the start never arrived.
       schema::task_event &Event = *Message.mutable_event();
       *Event.mutable_task() = Counted.task();
@@ -204,7 +225,10 @@
       Event.set_server(Counted.server());
       Event.set_reason("not_received");
     } else {
+      // Whatever was ordered under an earlier claim is out of this VM's hands, until it claims the server
+      // anew.
       Message.mutable_yield()->set_server(Counted.server());
+      Message.mutable_yield()->set_token(UINT64_MAX);
     }
     Ports.send(Coordinator, std::move(Message));
   }
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -23,6 +23,8 @@
 constexpr auto RotationTime = std::chrono::milliseconds(2300);
 // Kept of the grace period for closing connections.
 constexpr auto ExitMargin = std::chrono::milliseconds(500);
+// After a longer pause the leases given have ended and other VMs are about to take over.
+constexpr auto PauseLimit = std::chrono::milliseconds(450);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
 // Servers keep idle connections longer than this; a new connection costs more than an idle one.
 constexpr auto ServerIdleTime = std::chrono::seconds(10);
@@ -66,8 +68,9 @@
 
   int run() override {
     Loop.onSignal([this](int Signal) { onSignal(Signal); });
-    Loop.onPause(std::chrono::milliseconds(300), [](runtime::duration Pause) {
+    Loop.onPause(PauseLimit, [this](runtime::duration Pause) {
       log(log_level::Warning, "paused", {{"pause_ms", runtime::toMs(Pause)}});
+      Vm->onPause();
     });
     Loop.run();
     log(log_level::Info, "stopped", {{"abandoned", static_cast<std::int64_t>(Frontend->pending())}});
--- /dev/null
+++ b/src/yuccaplank/simulation/network.hpp
@@ -0,0 +1,70 @@
+// Connections between simulated VMs: ordered, stalled by cuts, broken by resets and deaths.
+#pragma once
+
+#include "yuccaplank/dispatch/messages.hpp"
+#include "yuccaplank/runtime/executor.hpp"
+#include "yuccaplank/runtime/random.hpp"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace yuccaplank::simulation {
+
+/// Ends of a VM; called at delivery.
+struct network_end {
+  std::function<void(const std::string &From, const std::string &Incarnation,
+                     const schema::dispatch_message &)>
+      OnMessage;
+  std::function<void(const std::string &Vm)> OnClosed;
+  std::function<void(const std::string &Address)> OnConnectFailed;
+  std::string Incarnation;
+};
+
+/// VMs are named by their address.
+class network {
+public:
+  network(runtime::executor &Executor, runtime::random &Random) : Executor(Executor), Random(Random) {}
+
+  /// A process begins; connections of a former one at the same address are found broken.
+  void attach(const std::string &Vm, network_end End);
+  /// The process ends; with Silent nothing tells the others, as at a loss of power.
+  void detach(const std::string &Vm, bool Silent);
+  void send(const std::string &From, const std::string &To, const schema::dispatch_message &Message);
+  void disconnect(const std::string &From, const std::string &To);
+  /// A cut stalls what is under way; it arrives when the cut ends, unless the connection has been closed by
+  /// then.
+  void setCut(const std::string &From, const std::string &To, bool IsCut);
+  [[nodiscard]] bool cut(const std::string &From, const std::string &To) const {
+    return Cuts.contains({From, To});
+  }
+  /// Delay of one way.
+  runtime::duration delay();
+
+private:
+  using direction = std::pair<std::string, std::string>;
+  struct connection {
+    std::uint64_t Id = 0;
+    std::map<direction, runtime::time_point> LastDelivery;
+    std::map<direction, std::vector<std::function<void()>>> Stalled;
+  };
+  static direction pairOf(const std::string &One, const std::string &Other) {
+    return One < Other ? direction{One, Other} : direction{Other, One};
+  }
+  connection *find(const std::string &One, const std::string &Other);
+  void deliver(const std::string &From, const std::string &To, std::function<void()> Function);
+  void arrive(const std::string &From, const std::string &To, std::uint64_t Connection,
+              const std::function<void()> &Function);
+  void tellClosed(const std::string &Vm, const std::string &Other, std::uint64_t Connection);
+
+  runtime::executor &Executor;
+  runtime::random &Random;
+  std::map<std::string, network_end> Ends;
+  std::set<std::string> Dark;
+  std::map<direction, connection> Connections;
+  std::set<direction> Cuts;
+  std::uint64_t LastConnection = 0;
+};
+
+} // namespace yuccaplank::simulation
--- /dev/null
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -0,0 +1,87 @@
+// Backend servers of a simulation: reachable or not, answering or not, and checked at every start.
+#pragma once
+
+#include "network.hpp"
+#include "yuccaplank/dispatch/server_ledger.hpp"
+#include "yuccaplank/standin/task_server.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace yuccaplank::simulation {
+
+/// Cores and times are written into the specification: "cpu milliseconds".
+std::string encodeWork(const standin::run_work &Work);
+
+class simulated_servers {
+public:
+  struct options {
+    double LateOrders = 0;
+    double LostAnswers = 0;
+  };
+  /// OnStart runs after each start that a server has carried out.
+  simulated_servers(runtime::executor &Executor, network &Network, runtime::random &Random, options Options,
+                    std::function<void(const std::string &Server, const dispatch::run_key &Run)> OnStart)
+      : Executor(Executor), Network(Network), Random(Random), Options(Options), OnStart(std::move(OnStart)) {}
+
+  void add(const dispatch::server_entry &Entry, double ClockRate, double Slowness);
+  /// Entries of the servers that are up or whose loss the platform has not noticed.
+  [[nodiscard]] std::vector<dispatch::server_entry> entries() const;
+  /// Orders as sent by a VM. Callbacks run on the VM's executor.
+  std::unique_ptr<dispatch::server_orders> ordersOf(const std::string &Vm, runtime::executor &VmExecutor);
+
+  void crash(const std::string &Server);
+  void start(const std::string &Server);
+  void setCut(const std::string &Server, bool IsCut);
+  void setFailing(const std::string &Server, bool IsFailing) { Servers.at(Server).Failing = IsFailing; }
+  void setHanging(const std::string &Server, bool IsHanging) { Servers.at(Server).Hanging = IsHanging; }
+
+  /// Servers that are up and on which a run of the task works now.
+  [[nodiscard]] std::vector<std::string> running(const dispatch::task_key &Task);
+  [[nodiscard]] std::uint32_t usedCpu(const std::string &Server);
+  [[nodiscard]] std::uint32_t capacityCpu(const std::string &Server) const {
+    return Servers.at(Server).Entry.Capacity.cpu();
+  }
+  [[nodiscard]] std::vector<dispatch::run_key> allRunning();
+  [[nodiscard]] std::vector<std::string> names() const;
+
+private:
+  struct waiting_hold {
+    std::uint64_t Id = 0;
+    dispatch::hold_order Order;
+    std::function<void(dispatch::hold_reply)> Reply;
+  };
+  struct simulated_server {
+    dispatch::server_entry Entry;
+    std::unique_ptr<standin::task_server> State;
+    double ClockRate = 1;
+    double Slowness = 1;
+    bool Cut = false;
+    bool Failing = false;
+    bool Hanging = false;
+    std::vector<waiting_hold> Holds;
+    std::uint64_t Life = 0;
+  };
+  class orders;
+
+  standin::run_work workOf(const simulated_server &Server, const std::string &Specification) const;
+  void serveHold(const std::string &Name, const dispatch::hold_order &Order,
+                 std::function<void(dispatch::hold_reply)> Reply);
+  void answerHolds(const std::string &Name);
+  void watch(const std::string &Name);
+
+  runtime::executor &Executor;
+  network &Network;
+  runtime::random &Random;
+  options Options;
+  std::function<void(const std::string &, const dispatch::run_key &)> OnStart;
+  std::map<std::string, simulated_server> Servers;
+  std::uint64_t LastHold = 0;
+};
+
+} // namespace yuccaplank::simulation
--- /dev/null
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -0,0 +1,68 @@
+// yuccaplank-simulate: plays random days of a simulated fleet and checks the promises.
+#include "fleet_simulation.hpp"
+#include "yuccaplank/runtime/log.hpp"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <iostream>
+
+namespace options = boost::program_options;
+using namespace yuccaplank;
+
+int main(int Count, char **Arguments) {
+  simulation::simulation_options Day;
+  std::uint64_t Days = 100;
+  options::options_description Described("yuccaplank-simulate [options]");
+  Described.add_options()("help,h", "show this text")                                          //
+      ("seed", options::value(&Day.Seed)->default_value(Day.Seed), "seed of the first day")    //
+      ("days", options::value(&Days)->default_value(Days), "days, each with the next seed")    //
+      ("seconds", options::value(&Day.Seconds)->default_value(Day.Seconds), "length of a day") //
+      ("faults", options::value(&Day.FaultsPerSecond)->default_value(Day.FaultsPerSecond),
+       "faults a second")                                                                             //
+      ("jobs", options::value(&Day.JobsPerSecond)->default_value(Day.JobsPerSecond), "jobs a second") //
+      ("vms", options::value(&Day.Vms)->default_value(Day.Vms), "entry VMs")                          //
+      ("domains", options::value(&Day.Domains)->default_value(Day.Domains), "failure domains")        //
+      ("servers", options::value(&Day.Servers)->default_value(Day.Servers), "backend servers")        //
+      ("late-orders", options::value(&Day.LateOrders)->default_value(Day.LateOrders),
+       "share carried out late") //
+      ("lost-answers", options::value(&Day.LostAnswers)->default_value(Day.LostAnswers),
+       "share without answer") //
+      ("trace", "print what happens");
+  options::variables_map Given;
+  try {
+    options::store(options::parse_command_line(Count, Arguments, Described), Given);
+    options::notify(Given);
+  } catch (const options::error &Error) {
+    fmt::print(stderr, "{}\n", Error.what());
+    return 2;
+  }
+  if (Given.count("help") > 0) {
+    std::cout << Described;
+    return 0;
+  }
+  Day.Trace = Given.count("trace") > 0;
+  runtime::setLogLevel(Day.Trace ? runtime::log_level::Info : runtime::log_level::Error);
+  simulation::simulation_result Sum;
+  std::uint64_t Broken = 0;
+  for (std::uint64_t Index = 0; Index < Days; ++Index, ++Day.Seed) {
+    auto Result = simulation::simulateFleet(Day);
+    for (const std::string &Breach : Result.Breaches)
+      fmt::print("seed {}: {}\n", Day.Seed, Breach);
+    Broken += Result.Breaches.empty() ? 0 : 1;
+    Sum.Jobs += Result.Jobs;
+    Sum.Completed += Result.Completed;
+    Sum.Refused += Result.Refused;
+    Sum.Resent += Result.Resent;
+    Sum.Starts += Result.Starts;
+    Sum.Faults += Result.Faults;
+    Sum.CalmJobs += Result.CalmJobs;
+    Sum.CalmCompleted += Result.CalmCompleted;
+  }
+  fmt::print("{} days, {} with breaches; {} jobs, {} completed, {} refused, {} resent, {} starts, {} faults; "
+             "after the "
+             "faults {} of {} completed\n",
+             Days, Broken, Sum.Jobs, Sum.Completed, Sum.Refused, Sum.Resent, Sum.Starts, Sum.Faults,
+             Sum.CalmCompleted, Sum.CalmJobs);
+  return Broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/yuccaplank/standin/task_server.cpp
@@ -0,0 +1,138 @@
+#include "task_server.hpp"
+
+#include <algorithm>
+
+namespace yuccaplank::standin {
+
+using dispatch::order_outcome;
+using dispatch::run_end;
+using runtime::time_point;
+
+namespace {
+
+// Ends that one reply holds at most.
+constexpr std::size_t MaxListedEnds = 500;
+
+} // namespace
+
+std::int64_t task_server::clockMs(time_point Now) const {
+  return static_cast<std::int64_t>(runtime::toMs(Now.time_since_epoch()) * Options.ClockRate);
+}
+
+time_point task_server::fromClock(std::int64_t ClockMs) const {
+  return time_point(runtime::fromMs(static_cast<double>(ClockMs) / Options.ClockRate));
+}
+
+bool task_server::fenced(std::uint64_t FencingToken) {
+  if (FencingToken < HighestToken)
+    return true;
+  HighestToken = FencingToken;
+  return false;
+}
+
+void task_server::extendLease(time_point Now, std::int64_t LeaseEndMs) {
+  auto Longest = Now + std::chrono::duration_cast<runtime::duration>(Options.MaxLease / Options.ClockRate);
+  LeaseEnd = std::max(LeaseEnd, std::min(fromClock(LeaseEndMs), Longest));
+}
+
+order_outcome task_server::start(time_point Now, const dispatch::start_order &Order, const run_work &Work) {
+  advance(Now);
+  if (fenced(Order.FencingToken))
+    return order_outcome::Fenced;
+  if (Order.LeaseEndMs <= clockMs(Now))
+    return order_outcome::LeaseOver;
+  extendLease(Now, Order.LeaseEndMs);
+  auto Highest = Used.find(Order.Run.Task);
+  if (Highest != Used.end() && Order.Run.Run <= Highest->second)
+    return order_outcome::Superseded;
+  auto Present = Runs.find(Order.Run.Task);
+  if (Present != Runs.end())
+    return Present->second.Run == Order.Run.Run ? order_outcome::Accepted : order_outcome::Superseded;
+  Runs[Order.Run.Task] = {Order.Run.Run, Work, Now + Work.Time, std::nullopt};
+  return order_outcome::Accepted;
+}
+
+order_outcome task_server::stop(time_point Now, const dispatch::run_key &Run, std::uint64_t FencingToken) {
+  advance(Now);
+  if (fenced(FencingToken))
+    return order_outcome::Fenced;
+  std::uint32_t &Highest = Used[Run.Task];
+  Highest = std::max(Highest, Run.Run);
+  auto Present = Runs.find(Run.Task);
+  if (Present != Runs.end() && Present->second.Run <= Run.Run && !Present->second.StoppedAt)
+    Present->second.StoppedAt = Now + Options.StopTime;
+  return order_outcome::Accepted;
+}
+
+dispatch::hold_reply task_server::hold(time_point Now, const dispatch::hold_order &Order) {
+  advance(Now);
+  dispatch::hold_reply Reply;
+  Reply.ClockMs = clockMs(Now);
+  Reply.Born = Born;
+  if (fenced(Order.FencingToken)) {
+    Reply.Outcome = order_outcome::Fenced;
+    return Reply;
+  }
+  Reply.Outcome = order_outcome::Accepted;
+  if (Order.LeaseEndMs)
+    extendLease(Now, *Order.LeaseEndMs);
+  while (!Ends.empty() && Ends.front().Number <= Order.Observed)
+    Ends.pop_front();
+  for (const dispatch::listed_end &End : Ends)
+    if (Reply.Ended.size() < MaxListedEnds)
+      Reply.Ended.push_back(End);
+  Reply.Running = running();
+  return Reply;
+}
+
+void task_server::end(std::map<dispatch::task_key, running_task>::iterator Task, run_end End) {
+  std::uint32_t &Highest = Used[Task->first];
+  Highest = std::max(Highest, Task->second.Run);
+  Ends.push_back({++LastEnd, {Task->first, Task->second.Run}, End});
+  Runs.erase(Task);
+}
+
+void task_server::advance(time_point Now) {
+  // In the order of time, so that what would have been done before the lease ended is done.
+  for (auto Due = nextEvent(); Due && *Due <= Now; Due = nextEvent()) {
+    for (auto Task = Runs.begin(); Task != Runs.end();) {
+      auto Current = Task++;
+      const running_task &Run = Current->second;
+      if (Run.DoneAt <= *Due)
+        end(Current, Run.Work.Fails ? run_end::Failed : run_end::Done);
+      else if (Run.StoppedAt && *Run.StoppedAt <= *Due)
+        end(Current, run_end::Stopped);
+      else if (LeaseEnd <= *Due)
+        end(Current, run_end::Lapsed);
+    }
+  }
+}
+
+std::optional<time_point> task_server::nextEvent() const {
+  if (Runs.empty())
+    return std::nullopt;
+  time_point Next = LeaseEnd;
+  for (const auto &[Task, Run] : Runs) {
+    Next = std::min(Next, Run.DoneAt);
+    if (Run.StoppedAt)
+      Next = std::min(Next, *Run.StoppedAt);
+  }
+  return Next;
+}
+
+std::uint32_t task_server::usedCpu() const {
+  std::uint32_t Sum = 0;
+  for (const auto &[Task, Run] : Runs)
+    Sum += Run.Work.Cpu;
+  return Sum;
+}
+
+std::vector<dispatch::run_key> task_server::running() const {
+  std::vector<dispatch::run_key> Result;
+  Result.reserve(Runs.size());
+  for (const auto &[Task, Run] : Runs)
+    Result.push_back({Task, Run.Run});
+  return Result;
+}
+
+} // namespace yuccaplank::standin
