Keep long tasks for servers that suffice, finish begun jobs first; answer for single runs at a resumed session

Cause: with the fastest free server for each task, a third of the long jobs in a burst began on servers on which they could not meet their objective, and begun jobs waited behind new ones.

--- a/include/yuccaplank/dispatch/placement_queue.hpp
+++ b/include/yuccaplank/dispatch/placement_queue.hpp
@@ -21,6 +21,8 @@
   double MaxWaitShare = 0.4;
   /// Servers whose run times differ by less than this factor (natural logarithm) count as equally fast.
   double SlownessStep = 0.15;
+  /// Factor on a task's expected time when judging whether a server suffices for the objective.
+  double EstimateMargin = 1.2;
 };
 
 /// Counts since the start, and lengths.
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <set>
 
 namespace yuccaplank::dispatch {
@@ -176,6 +177,12 @@
   }
 
   void onYield(const std::string &Owner, const schema::yield_server &Yield) override {
+    if (Yield.has_run()) {
+      run_key Run = keyOf(Yield.run());
+      orphan([&](const task_state &Task) { return Task.Owner == Owner && Task.Server == Yield.server(); },
+             Run);
+      return;
+    }
     orphan([&](const task_state &Task) {
       return Task.Owner == Owner && Task.Server == Yield.server() && Yield.token() >= Task.Token;
     });
@@ -389,8 +396,10 @@
     applyEvent(Job, Task, Run, Event ? *Event : Gone);
   }
 
-  template <typename Predicate> void orphan(Predicate Matches) {
+  template <typename Predicate> void orphan(Predicate Matches, std::optional<run_key> Only = std::nullopt) {
     for (const run_key &Run : runsWhere(Matches)) {
+      if (Only && Run != *Only)
+        continue;
       task_state &Task = *taskOf(*jobOf(Run), Run);
       if (Task.Phase == task_phase::Orphaned)
         continue;
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -166,6 +166,9 @@
     std::ranges::sort(Order, [](const auto &Left, const auto &Right) {
       if (Left.first != Right.first)
         return Left.first < Right.first;
+      // A job that has begun holds the room of its finished tasks for nothing until its last task ends.
+      if (Left.second->Started != Right.second->Started)
+        return Left.second->Started;
       if (Left.second->Request.priority() != Right.second->Request.priority())
         return Left.second->Request.priority() < Right.second->Request.priority();
       return Left.second->Arrived < Right.second->Arrived;
@@ -226,7 +229,7 @@
 
   void grantTasks(waiting_job &Job, time_point Now) {
     while (!Job.Tasks.empty()) {
-      const std::string *Server = bestServer(Job.Coordinator, Job.Request);
+      const std::string *Server = bestServer(Job, Now);
       if (!Server)
         return;
       auto [Index, Run] = *Job.Tasks.begin();
@@ -250,27 +253,45 @@
     return Server.State.task_limit() == 0 || Tasks < Server.State.task_limit();
   }
 
-  // The fastest server that has room; among equally fast ones the one that the task leaves with the least
-  // room.
-  const std::string *bestServer(const std::string &Coordinator, const schema::place_job &Request) {
+  // Lower ranks are better: servers that suffice for the objective before those that do not, faster ones
+  // before slower ones, and among equally fast ones the one that the task leaves with the least room.
+  struct server_rank {
+    bool Avoided = false;
+    bool TooSlow = false;
+    int Slowness = 0;
+    std::int64_t FreeCpu = 0;
+    auto operator<=>(const server_rank &) const = default;
+  };
+
+  [[nodiscard]] bool suffices(const known_server &Server, const waiting_job &Job, time_point Now) const {
+    double TookMs = Job.Request.estimate_ms() * std::exp(Server.State.slowness()) * Options.EstimateMargin;
+    return Now + runtime::fromMs(TookMs) <= Job.Objective;
+  }
+
+  // The best server that has room. While a server that suffices may still become free in time, one that does
+  // not is left to other jobs.
+  const std::string *bestServer(const waiting_job &Job, time_point Now) {
     const std::string *Best = nullptr;
-    std::pair<int, std::int64_t> BestRank;
+    server_rank BestRank;
+    bool AnySuffices = false;
     for (const auto &[Id, Server] : Servers) {
-      if (Server.State.pool() != Request.pool() || !admits(Server) ||
-          Unreachable.contains({Coordinator, Server.Owner}))
+      if (Server.State.pool() != Job.Request.pool() || !admits(Server) ||
+          Unreachable.contains({Job.Coordinator, Server.Owner}))
         continue;
+      bool Suffices = suffices(Server, Job, Now);
+      AnySuffices |= Suffices;
       room Free = freeRoom(Server);
-      if (!Free.fits(Request.size()))
+      if (!Free.fits(Job.Request.size()))
         continue;
-      bool Avoided = std::ranges::find(Request.avoid(), Id) != Request.avoid().end();
+      bool Avoided = std::ranges::find(Job.Request.avoid(), Id) != Job.Request.avoid().end();
       int Step = static_cast<int>(std::floor(Server.State.slowness() / Options.SlownessStep));
-      std::pair<int, std::int64_t> Rank{Avoided ? AvoidedStep : Step, Free.Cpu};
+      server_rank Rank{Avoided, !Suffices, Step, Free.Cpu};
       if (!Best || Rank < BestRank) {
         Best = &Id;
         BestRank = Rank;
       }
     }
-    return Best;
+    return Best && BestRank.TooSlow && AnySuffices ? nullptr : Best;
   }
 
   void grantTask(waiting_job &Job, const run_key &Run, const std::string &ServerId, time_point Now) {
@@ -314,8 +335,6 @@
     Grants.erase(Found);
   }
 
-  // Lower than any rank of a server that the job need not avoid.
-  static constexpr int AvoidedStep = 1000;
   // Time until the jobs that hold the room now have mostly ended.
   static constexpr std::uint32_t RetryAfterMs = 1000;
 
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -228,7 +228,7 @@
       // Whatever was ordered under an earlier claim is out of this VM's hands, until it claims the server
       // anew.
       Message.mutable_yield()->set_server(Counted.server());
-      Message.mutable_yield()->set_token(UINT64_MAX);
+      *Message.mutable_yield()->mutable_run() = Counted.task();
     }
     Ports.send(Coordinator, std::move(Message));
   }
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <random>
 
 namespace yuccaplank::simulation {
 namespace {
@@ -59,6 +61,10 @@
 };
 
 struct simulated_job {
+  const job_kind *Kind = nullptr;
+  duration Objective{};
+  double Worth = 0;
+  time_point FirstSent{};
   dispatch::job_request Request;
   bool CallerWaits = true;
   bool Answered = false;
@@ -87,7 +93,7 @@
     Executor->advance(std::chrono::seconds(2));
     TrafficEnd = Executor->clock().now() + fromMs(Options.Seconds * 1000);
     FaultsEnd = Executor->clock().now() + fromMs(Options.Seconds * 1000 * FaultyShare);
-    scheduleJob();
+    scheduleTraffic();
     if (Options.FaultsPerSecond > 0)
       scheduleFault();
     Executor->advance(fromMs(Options.Seconds * 1000));
@@ -169,16 +175,24 @@
     return End;
   }
 
-  void registerVm(vm_life &Life, std::uint64_t Registration) {
-    dispatch::configuration Configuration;
-    Configuration.Version = 1;
+  static dispatch::queue_settings makeQueue(const std::string &Name, std::uint32_t Priority) {
     dispatch::queue_settings Queue;
-    Queue.Name = QueueName;
+    Queue.Name = Name;
+    Queue.PathPrefix = Name;
     Queue.Pool = Pool;
+    Queue.Priority = Priority;
     Queue.MaxAttempts = 3;
     Queue.Stretch = 1.6;
     Queue.LatencyMs = 60;
-    Configuration.Queues.push_back(Queue);
+    return Queue;
+  }
+
+  void registerVm(vm_life &Life, std::uint64_t Registration) {
+    dispatch::configuration Configuration;
+    Configuration.Version = 1;
+    Configuration.Queues.push_back(makeQueue(QueueName, 0));
+    for (const job_kind &Kind : Options.Kinds)
+      Configuration.Queues.push_back(makeQueue(Kind.Queue, Kind.Priority));
     Life.Vm->setConfiguration(Configuration, "");
     Life.Vm->setRegistration(Registration);
     std::map<std::string, std::string> Others;
@@ -191,6 +205,94 @@
 
   // Callers.
 
+  void scheduleTraffic() {
+    TrafficBegin = Executor->clock().now();
+    if (Options.Kinds.empty())
+      scheduleJob();
+    for (const job_kind &Kind : Options.Kinds)
+      scheduleKind(Kind);
+    if (Options.SlowShare > 0) {
+      Executor->after(fromMs(Options.Seconds * 1000 / 3), [this] { setSlow(Options.SlowFactor); });
+      Executor->after(fromMs(Options.Seconds * 2000 / 3), [this] { setSlow(1); });
+    }
+  }
+
+  void setSlow(double Factor) {
+    auto Names = Servers.names();
+    auto Count = static_cast<std::size_t>(Options.SlowShare * static_cast<double>(Names.size()));
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Servers.setSlow(Names[Index * Names.size() / Count], Factor);
+  }
+
+  [[nodiscard]] double burstFactor(const job_kind &Kind) const {
+    double Second = runtime::toMs(Executor->clock().now() - TrafficBegin) / 1000;
+    double Factor = 1;
+    for (const load_burst &Burst : Options.Bursts)
+      if ((Burst.Queue.empty() || Burst.Queue == Kind.Queue) && Second >= Burst.AtSecond &&
+          Second < Burst.AtSecond + Burst.Seconds)
+        Factor *= Burst.Factor;
+    return Factor;
+  }
+
+  // Poisson arrivals.
+  void scheduleKind(const job_kind &Kind) {
+    double MeanMs = 1000 / (Kind.JobsPerSecond * burstFactor(Kind));
+    Executor->after(fromMs(-MeanMs * std::log(1 - Random.uniform())), [this, &Kind] {
+      if (Executor->clock().now() >= TrafficEnd)
+        return;
+      submitOfKind(Kind);
+      scheduleKind(Kind);
+    });
+  }
+
+  double spread(double Sigma) {
+    return std::exp(std::normal_distribution<double>(0, Sigma)(Random.engine()));
+  }
+
+  void submitOfKind(const job_kind &Kind) {
+    std::uint64_t Id = Random.next();
+    simulated_job &Job = Jobs[Id];
+    Job.Kind = &Kind;
+    Job.FirstSent = Executor->clock().now();
+    double Ms = Kind.TaskMs * spread(SizeSpread);
+    Job.Request.Job = Id;
+    Job.Request.TaskCount =
+        std::max(1U, static_cast<std::uint32_t>(std::lround(Kind.Tasks * spread(SizeSpread))));
+    Job.Request.TaskSize.set_cpu(static_cast<std::uint32_t>(std::min(Kind.TaskCpu * spread(0.2), 41000.0)));
+    Job.Request.TaskSize.set_memory_mb(64);
+    Job.Request.EstimateMs = static_cast<std::uint32_t>(Ms * spread(EstimateSpread)) + 1;
+    Job.Request.Specification = encodeWork({Job.Request.TaskSize.cpu(), fromMs(Ms), false});
+    Job.Request.Deadline = fromMs(1800 + 3500 * Random.uniform());
+    Job.Objective = fromMs(1.6 * Ms + 60);
+    double Work =
+        Job.Request.TaskCount * Ms * Job.Request.TaskSize.cpu() / (Kind.Tasks * Kind.TaskMs * Kind.TaskCpu);
+    Job.Worth = Kind.Worth * std::min(4.0, 0.3 + 0.7 * Work);
+    ++Result.Jobs;
+    simulation_result::credit &Credit = Result.Credit[Kind.Queue];
+    Credit.Owed += Job.Worth;
+    ++Credit.Jobs;
+    attempt(Id);
+    Executor->after(Job.Request.Deadline + std::chrono::seconds(4), [this, Id] { leave(Id); });
+  }
+
+  void noteCredit(const simulated_job &Job, bool Completed) {
+    if (!Job.Kind)
+      return;
+    simulation_result::credit &Credit = Result.Credit[Job.Kind->Queue];
+    duration Took = Executor->clock().now() - Job.FirstSent + 2 * fromMs(CallerDelayMs);
+    if (!Completed) {
+      ++Credit.Refused;
+    } else if (Took <= Job.Objective) {
+      Credit.Earned += Job.Worth;
+      ++Credit.InTime;
+    } else if (Took <= 3 * Job.Objective) {
+      Credit.Earned += Job.Worth * LateShare;
+      ++Credit.Late;
+    } else {
+      ++Credit.TooLate;
+    }
+  }
+
   void scheduleJob() {
     Executor->after(fromMs(2000 / Options.JobsPerSecond * Random.uniform()), [this] {
       if (Executor->clock().now() >= TrafficEnd)
@@ -217,7 +319,7 @@
     ++Result.Jobs;
     Result.CalmJobs += Job.Calm ? 1 : 0;
     attempt(Id);
-    if (Random.uniform() < LeavingShare)
+    if (Random.uniform() < Options.LeavingShare)
       Executor->after(fromMs(400 * Random.uniform()), [this, Id] { leave(Id); });
     Executor->after(Job.Request.Deadline + std::chrono::seconds(4), [this, Id] { leave(Id); });
   }
@@ -245,7 +347,9 @@
         if (Submitted.Attempt != Attempt || !Submitted.CallerWaits)
           return;
         if (!Life->Vm->coordinator().contains(Id))
-          Life->Vm->coordinator().submit(Life->Vm->current()->Queues.front(), Submitted.Request);
+          Life->Vm->coordinator().submit(
+              *Life->Vm->current()->find("", Submitted.Kind ? Submitted.Kind->Queue : QueueName),
+              Submitted.Request);
       })();
     });
   }
@@ -266,6 +370,7 @@
       return;
     }
     Job.Answered = true;
+    noteCredit(Job, Answer.Outcome == job_outcome::Completed);
     if (Answer.Outcome == job_outcome::Completed) {
       ++Result.Completed;
       Result.CalmCompleted += Job.Calm ? 1 : 0;
@@ -444,7 +549,9 @@
     Executor->after(faultTime(), [this, Name] { Servers.setHanging(Name, false); });
   }
 
-  static constexpr double LeavingShare = 0.05;
+  static constexpr double SizeSpread = 0.4;
+  static constexpr double EstimateSpread = 0.4;
+  static constexpr double LateShare = 0.2;
   static constexpr auto Faults = std::to_array<void (fleet::*)()>(
       {&fleet::killVm, &fleet::powerOff, &fleet::pauseVm, &fleet::cutOneWay, &fleet::cutPair,
        &fleet::cutDomain, &fleet::resetConnection, &fleet::cutServer, &fleet::crashServer, &fleet::failServer,
@@ -460,6 +567,7 @@
   std::vector<std::unique_ptr<vm_life>> Ended;
   std::map<std::uint64_t, simulated_job> Jobs;
   std::uint64_t LastRegistration = 0;
+  time_point TrafficBegin{};
   time_point TrafficEnd{};
   time_point FaultsEnd{};
   simulation_result Result;
@@ -467,6 +575,12 @@
 
 } // namespace
 
+std::vector<job_kind> siteKinds() {
+  return {{"short", 0, 34.4, 8, 60, 27000, 0.0291},
+          {"long", 2, 6.25, 4, 900, 27000, 0.16},
+          {"middle", 1, 100, 2, 200, 27000, 0.01}};
+}
+
 simulation_result simulateFleet(const simulation_options &Options) { return fleet(Options).run(); }
 
 } // namespace yuccaplank::simulation
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -31,7 +31,7 @@
   if (std::sscanf(Specification.c_str(), "%u %lf", &Cpu, &Ms) !=
       2) // NOLINT(cert-err34-c): written by encodeWork
     return {};
-  standin::run_work Work{Cpu, runtime::fromMs(Ms * Server.Slowness), Server.Failing};
+  standin::run_work Work{Cpu, runtime::fromMs(Ms * Server.Slowness * Server.Slowdown), Server.Failing};
   if (Server.Hanging)
     Work.Time = Hanging;
   return Work;
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -39,6 +39,7 @@
   void start(const std::string &Server);
   void setCut(const std::string &Server, bool IsCut);
   void setFailing(const std::string &Server, bool IsFailing) { Servers.at(Server).Failing = IsFailing; }
+  void setSlow(const std::string &Server, double Factor) { Servers.at(Server).Slowdown = Factor; }
   void setHanging(const std::string &Server, bool IsHanging) { Servers.at(Server).Hanging = IsHanging; }
 
   /// Servers that are up and on which a run of the task works now.
@@ -61,6 +62,7 @@
     std::unique_ptr<standin::task_server> State;
     double ClockRate = 1;
     double Slowness = 1;
+    double Slowdown = 1;
     bool Cut = false;
     bool Failing = false;
     bool Hanging = false;
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -27,7 +27,11 @@
       ("late-orders", options::value(&Day.LateOrders)->default_value(Day.LateOrders),
        "share carried out late") //
       ("lost-answers", options::value(&Day.LostAnswers)->default_value(Day.LostAnswers),
-       "share without answer") //
+       "share without answer")                                                                          //
+      ("load", options::value<double>(), "share of the users' ordinary load, with their kinds of jobs") //
+      ("burst", options::value<double>(), "factor of a burst of all kinds in the middle of the day")    //
+      ("long-burst", options::value<double>(), "factor of a burst of the longest kind")                 //
+      ("slow", options::value(&Day.SlowShare), "share of servers that are slow for a third of the day") //
       ("trace", "print what happens");
   options::variables_map Given;
   try {
@@ -41,6 +45,15 @@
     std::cout << Described;
     return 0;
   }
+  if (Given.count("load") > 0) {
+    Day.Kinds = simulation::siteKinds();
+    for (simulation::job_kind &Kind : Day.Kinds)
+      Kind.JobsPerSecond *= Given["load"].as<double>();
+  }
+  if (Given.count("burst") > 0)
+    Day.Bursts.push_back({"", Day.Seconds * 0.4, Day.Seconds * 0.2, Given["burst"].as<double>()});
+  if (Given.count("long-burst") > 0)
+    Day.Bursts.push_back({"long", Day.Seconds * 0.4, Day.Seconds * 0.2, Given["long-burst"].as<double>()});
   Day.Trace = Given.count("trace") > 0;
   runtime::setLogLevel(Day.Trace ? runtime::log_level::Info : runtime::log_level::Error);
   simulation::simulation_result Sum;
@@ -50,6 +63,16 @@
     for (const std::string &Breach : Result.Breaches)
       fmt::print("seed {}: {}\n", Day.Seed, Breach);
     Broken += Result.Breaches.empty() ? 0 : 1;
+    for (const auto &[Queue, Credit] : Result.Credit) {
+      auto &Total = Sum.Credit[Queue];
+      Total.Earned += Credit.Earned;
+      Total.Owed += Credit.Owed;
+      Total.Jobs += Credit.Jobs;
+      Total.InTime += Credit.InTime;
+      Total.Late += Credit.Late;
+      Total.Refused += Credit.Refused;
+      Total.TooLate += Credit.TooLate;
+    }
     Sum.Jobs += Result.Jobs;
     Sum.Completed += Result.Completed;
     Sum.Refused += Result.Refused;
@@ -64,5 +87,16 @@
              "faults {} of {} completed\n",
              Days, Broken, Sum.Jobs, Sum.Completed, Sum.Refused, Sum.Resent, Sum.Starts, Sum.Faults,
              Sum.CalmCompleted, Sum.CalmJobs);
+  double Earned = 0;
+  double Owed = 0;
+  for (const auto &[Queue, Credit] : Sum.Credit) {
+    fmt::print("{:8} {} jobs: {} in time, {} late, {} too late, {} refused; credit {:.3f}\n", Queue,
+               Credit.Jobs, Credit.InTime, Credit.Late, Credit.TooLate, Credit.Refused,
+               Credit.Earned / Credit.Owed);
+    Earned += Credit.Earned;
+    Owed += Credit.Owed;
+  }
+  if (Owed > 0)
+    fmt::print("credit {:.4f}\n", Earned / Owed);
   return Broken == 0 ? 0 : 1;
 }
