--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -30,6 +30,8 @@
   runtime::duration Lease = std::chrono::milliseconds(500);
   /// Waiting time of a hold; with the reply time it stays below half of the lease.
   runtime::duration HoldWait = std::chrono::milliseconds(150);
+  /// Holds without a reply, one after the other, after which a server counts as silent.
+  std::uint32_t HoldsToSilence = 2;
   /// Drift of a server's clock, and the error of the estimate of that clock.
   double ClockDrift = 0.02;
   runtime::duration ClockError = std::chrono::milliseconds(60);
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -561,6 +561,7 @@
       return;
     }
     noteClock(Reply.ClockMs);
+    UnansweredHolds = 0;
     setAnswering(true);
     if (Reply.Born != Born)
       onNewIncarnation(Reply);
@@ -575,6 +576,11 @@
 
   void onHoldFailed(order_outcome Outcome) {
     ++Ports.counters().NoAnswers;
+    // One reply that is lost or late says little of the server.
+    if (Answering && ++UnansweredHolds < Options.HoldsToSilence) {
+      keepHolding();
+      return;
+    }
     if (Answering)
       log(log_level::Warning, "server_silent",
           {{"server", Entry.Target.Id},
@@ -754,6 +760,7 @@
   // When another VM was last found to own the server.
   std::optional<time_point> FencedAt;
   bool HoldPending = false;
+  std::uint32_t UnansweredHolds = 0;
   bool Answering = true;
   bool Delisted = false;
   std::uint64_t Epoch = 0;
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -177,6 +177,9 @@
   Owner.answerStart(order_outcome::Accepted);
   auto Silent = hold_reply{};
   Owner.answerHold(Silent);
+  // One lost reply says little.
+  CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+  Owner.answerHold(Silent);
   CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
   if (auto Then = section("its lease is not extended any more, and its runs are gone when it is over")) {
     Owner.Executor->advance(milliseconds(150));
--- /dev/null
+++ b/src/yuccaplank/platform/server_client_test.cpp
@@ -0,0 +1,81 @@
+#include "yuccaplank/platform/server_client.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+#include <cppunit/TestAssert.h>
+
+#include <array>
+
+using namespace yuccaplank;
+using namespace yuccaplank::platform;
+using dispatch::order_outcome;
+using testing::section;
+using testing::story;
+
+namespace {
+
+wire::http_call_result reply(int Status, std::string Body) {
+  wire::http_call_result Result;
+  Result.Status = Status;
+  Result.Body = std::move(Body);
+  return Result;
+}
+
+struct expected_outcome {
+  int Status;
+  const char *Body;
+  order_outcome Outcome;
+};
+constexpr auto Outcomes = std::to_array<expected_outcome>({
+    {200, R"({"clock_ms":482113})", order_outcome::Accepted},
+    {409, R"({"clock_ms":482113,"reason":"fence"})", order_outcome::Fenced},
+    {409, R"({"clock_ms":482113,"reason":"old"})", order_outcome::Superseded},
+    {409, R"({"clock_ms":482113,"reason":"late"})", order_outcome::LeaseOver},
+    {409, R"({"clock_ms":482113,"reason":"room"})", order_outcome::NoRoom},
+    {400, "", order_outcome::Malformed},
+    {421, "", order_outcome::OtherIncarnation},
+    {429, "", order_outcome::Unhealthy},
+    {503, "", order_outcome::Unhealthy},
+    {500, "", order_outcome::NoAnswer},
+});
+
+// Guards against an order that may have been carried out and is taken for one that was not.
+const story Orders("platform servers: replies to orders", [] {
+  for (const expected_outcome &Expected : Outcomes)
+    CPPUNIT_ASSERT(decodeOrderReply(reply(Expected.Status, Expected.Body)).Outcome == Expected.Outcome);
+  CPPUNIT_ASSERT(decodeOrderReply(reply(200, R"({"clock_ms":5})")).ClockMs == 5);
+  wire::http_call_result Failed;
+  Failed.Error = make_error_code(runtime::errc::ConnectionLost);
+  Failed.Stage = wire::transfer_stage::MaybeWritten;
+  CPPUNIT_ASSERT(decodeOrderReply(Failed).Outcome == order_outcome::NoAnswer);
+  Failed.Stage = wire::transfer_stage::NothingWritten;
+  CPPUNIT_ASSERT(decodeOrderReply(Failed).Outcome == order_outcome::NotSent);
+});
+
+// Guards against a list that cannot be read and is taken for an empty one, after which its runs would count
+// as gone.
+const story Lists("platform servers: lists of runs", [] {
+  auto Read = decodeHoldReply(reply(200, R"({"clock_ms":482113,"born":17,
+    "running_tasks":[["5c0e7a21d94b36f8.0.0.17",2,"",41,5]],"finished":[[58,"5c0e7a21d94b36f8.0.0.9",1,"lapsed",""]]})"));
+  CPPUNIT_ASSERT(Read.Outcome == order_outcome::Accepted);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{17}, Read.Born);
+  CPPUNIT_ASSERT((Read.Running.at(0) == dispatch::run_key{{0x5c0e7a21d94b36f8, 17}, 2}));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, Read.Ended.at(0).Number);
+  CPPUNIT_ASSERT(Read.Ended.at(0).End == dispatch::run_end::Lapsed);
+  for (const char *Body : {"", "{}", R"({"running_tasks":[]})", R"({"running_tasks":{},"finished":[]})",
+                           R"({"running_tasks":[["x",1]],"finished":[]})",
+                           R"({"running_tasks":[],"finished":[[1,"5c0e7a21d94b36f8.0.0.9",1,"other",""]]})",
+                           R"({"running_tasks":[["5c0e7a21d94b36f8.0.0.17","2"]],"finished":[]})"})
+    CPPUNIT_ASSERT(decodeHoldReply(reply(200, Body)).Outcome == order_outcome::NoAnswer);
+});
+
+// Guards against ends of one task that are taken for another's.
+const story Names("platform servers: names of tasks", [] {
+  dispatch::task_key Task{0xc0e7a21d94b36f8, 17};
+  CPPUNIT_ASSERT_EQUAL(std::string("0c0e7a21d94b36f8.0.0.17"), taskName(Task));
+  CPPUNIT_ASSERT(parseTaskName(taskName(Task)) == Task);
+  for (const char *Name : {"", "0c0e7a21d94b36f8.0.0.", "0c0e7a21d94b36f8.0.1.17", "0c0e7a21d94b36f8.1.0.17",
+                           "c0e7a21d94b36f8.0.0.17", "0c0e7a21d94b36f8.0.0.1x"})
+    CPPUNIT_ASSERT(!parseTaskName(Name));
+});
+
+} // namespace
