--- a/src/yuccaplank/platform/json_reader.hpp
+++ b/src/yuccaplank/platform/json_reader.hpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/src/yuccaplank/platform/server_client.cpp
+++ b/src/yuccaplank/platform/server_client.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <charconv>
+#include <limits>
 
 namespace yuccaplank::platform {
 namespace {
@@ -69,10 +70,27 @@
   }
 }
 
+// Milliseconds; nothing for a number beyond the range in which the platform counts exactly.
+std::optional<std::int64_t> toInteger(const json &Number) {
+  constexpr double MaxExact = 9007199254740992.0;
+  double Value = Number.get<double>();
+  if (!(Value >= 0 && Value <= MaxExact))
+    return std::nullopt;
+  return static_cast<std::int64_t>(Value);
+}
+
+// Runs are numbered from 1; nothing for a number that does not fit.
+std::optional<std::uint32_t> toRun(const json &Number) {
+  auto Value = Number.get<std::uint64_t>();
+  if (Value == 0 || Value > std::numeric_limits<std::uint32_t>::max())
+    return std::nullopt;
+  return static_cast<std::uint32_t>(Value);
+}
+
 std::optional<std::int64_t> clockOf(const json &Body) {
   if (!Body.is_object() || !Body.contains("clock_ms") || !Body["clock_ms"].is_number())
     return std::nullopt;
-  return static_cast<std::int64_t>(Body["clock_ms"].get<double>());
+  return toInteger(Body["clock_ms"]);
 }
 
 // [task, run, saved, percent, …]
@@ -80,9 +98,10 @@
   if (!Row.is_array() || Row.size() < 2 || !Row[0].is_string() || !Row[1].is_number_unsigned())
     return std::nullopt;
   auto Task = parseTaskName(Row[0].get_ref<const std::string &>());
-  if (!Task)
+  auto Run = toRun(Row[1]);
+  if (!Task || !Run)
     return std::nullopt;
-  return dispatch::run_key{*Task, Row[1].get<std::uint32_t>()};
+  return dispatch::run_key{*Task, *Run};
 }
 
 // [number, task, run, how, saved]
@@ -91,12 +110,12 @@
       !Row[2].is_number_unsigned() || !Row[3].is_string())
     return std::nullopt;
   auto Task = parseTaskName(Row[1].get_ref<const std::string &>());
-  if (!Task)
+  auto Run = toRun(Row[2]);
+  if (!Task || !Run)
     return std::nullopt;
   for (const end_entry &Entry : Ends)
     if (Entry.Name == Row[3].get_ref<const std::string &>())
-      return dispatch::listed_end{
-          Row[0].get<std::uint64_t>(), {*Task, Row[2].get<std::uint32_t>()}, Entry.End};
+      return dispatch::listed_end{Row[0].get<std::uint64_t>(), {*Task, *Run}, Entry.End};
   return std::nullopt;
 }
 
@@ -194,7 +213,7 @@
   if (!Complete)
     return {};
   if (Body.contains("born") && Body["born"].is_number())
-    Reply.Born = static_cast<std::int64_t>(Body["born"].get<double>());
+    Reply.Born = toInteger(Body["born"]).value_or(0);
   return Reply;
 }
 
