--- /dev/null
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -0,0 +1,157 @@
+#include "frontend.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+#include <cppunit/TestAssert.h>
+
+#include <map>
+
+using namespace yuccaplank;
+using namespace yuccaplank::entry;
+using std::chrono::milliseconds;
+using testing::section;
+using testing::story;
+
+namespace {
+
+constexpr const char *Body =
+    R"({"specification":"x","best_effort":true,"steps":[{"count":1,"cpu":1000,"estimated_ms":100}]})";
+
+struct no_orders final : dispatch::server_orders {
+  void start(const dispatch::server_target &, dispatch::start_order,
+             std::function<void(dispatch::order_reply)>) override {}
+  void stop(const dispatch::server_target &, const dispatch::run_key &, std::uint64_t,
+            std::function<void(dispatch::order_reply)>) override {}
+  void hold(const dispatch::server_target &, const dispatch::hold_order &,
+            std::function<void(dispatch::hold_reply)>) override {}
+};
+
+// An entry VM without others and without servers.
+struct vm final : dispatch::entry_vm_ports {
+  std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
+  no_orders Orders;
+  std::map<wire::request_token, wire::http_reply> Replies;
+  std::unique_ptr<dispatch::entry_vm> Entry;
+  std::unique_ptr<frontend> Frontend;
+  wire::request_token LastToken = 0;
+
+  vm() {
+    dispatch::entry_vm_options Options;
+    Options.Vm = "vm";
+    Options.Address = "vm:1";
+    Entry = dispatch::makeEntryVm(*Executor, *this, Options);
+    Frontend = makeFrontend(*Executor, *Entry, [this](wire::request_token Token, wire::http_reply Reply) {
+      Replies.emplace(Token, std::move(Reply));
+    });
+  }
+
+  void send(const std::string &, const std::string &, schema::dispatch_message) override {}
+  void disconnect(const std::string &) override {}
+  dispatch::server_orders &orders() override { return Orders; }
+  void answer(std::uint64_t Job, const dispatch::job_answer &Answer) override {
+    Frontend->answer(Job, Answer);
+  }
+  void termRaised(std::uint32_t) override {}
+  void configurationOffered(const schema::configuration_copy &) override {}
+
+  void configure(std::uint64_t Version = 1) const {
+    dispatch::configuration Configuration;
+    Configuration.Version = Version;
+    dispatch::queue_settings Queue;
+    Queue.Name = "queue";
+    Queue.Host = "host.example";
+    Queue.PathPrefix = "/p/";
+    Queue.Pool = "pool";
+    Configuration.Queues.push_back(Queue);
+    Configuration.Limits.MaxBodyBytes = 1000;
+    Entry->setConfiguration(Configuration, "");
+    Entry->setRegistration(1);
+    Executor->advance(milliseconds(750));
+  }
+
+  wire::request_token request(const std::string &Method, const std::string &Path,
+                              const std::string &Text = "") {
+    wire::http_request Request;
+    Request.Token = ++LastToken;
+    Request.Method = Method;
+    Request.Host = "host.example:80";
+    Request.Path = Path;
+    Request.Body = Text;
+    Request.Headers = {{"deadline-milliseconds", "2000"}};
+    Frontend->onRequest(Request);
+    return LastToken;
+  }
+  [[nodiscard]] int statusOf(wire::request_token Token) const {
+    auto Found = Replies.find(Token);
+    return Found == Replies.end() ? 0 : Found->second.Status;
+  }
+};
+
+const std::string JobPath = "/p/5c0e7a21d94b36f8";
+
+// Guards against requests that are run, lost or answered wrongly although they cannot be served.
+const story Refusals("frontend: refusals", [] {
+  vm Vm;
+  if (auto When = section("before there is a configuration, 503 with a time to come back")) {
+    auto Token = Vm.request("POST", JobPath, Body);
+    CPPUNIT_ASSERT_EQUAL(503, Vm.statusOf(Token));
+    CPPUNIT_ASSERT_EQUAL(std::string("retry-after"), Vm.Replies.at(Token).Headers.at(0).Name);
+  }
+  if (auto When = section("given a configuration")) {
+    Vm.configure();
+    CPPUNIT_ASSERT_EQUAL(404, Vm.statusOf(Vm.request("POST", "/other/5c0e7a21d94b36f8", Body)));
+    CPPUNIT_ASSERT_EQUAL(404, Vm.statusOf(Vm.request("POST", "/p/xyz", Body)));
+    CPPUNIT_ASSERT_EQUAL(405, Vm.statusOf(Vm.request("PATCH", JobPath, Body)));
+    CPPUNIT_ASSERT_EQUAL(413, Vm.statusOf(Vm.request("POST", JobPath, std::string(1001, ' '))));
+    for (const char *Malformed :
+         {"", "{}", "[]", R"({"steps":[]})", R"({"best_effort":true,"steps":[{"count":0}]})"})
+      CPPUNIT_ASSERT_EQUAL(400, Vm.statusOf(Vm.request("POST", JobPath, Malformed)));
+    for (const char *Unserved :
+         {R"({"steps":[{"count":1}]})", R"({"best_effort":true,"steps":[{"count":1},{"count":1}]})",
+          R"({"best_effort":true,"steps":[{"count":1,"gang":true}]})",
+          R"({"best_effort":true,"repetitions":2,"steps":[{"count":1}]})"})
+      CPPUNIT_ASSERT_EQUAL(503, Vm.statusOf(Vm.request("POST", JobPath, Unserved)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Vm.Entry->coordinator().size());
+  }
+});
+
+// Guards against a second job from one that was sent twice, and against jobs that go on without a caller.
+const story Callers("frontend: callers of one job", [] {
+  vm Vm;
+  Vm.configure();
+  auto First = Vm.request("POST", JobPath, Body);
+  auto Second = Vm.request("POST", JobPath, Body);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Entry->coordinator().size());
+  CPPUNIT_ASSERT_EQUAL(std::string(R"({"waiting_count":1})"), Vm.Replies.at(Vm.request("GET", "/p/")).Body);
+  CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"queued"})"), Vm.Replies.at(Vm.request("GET", JobPath)).Body);
+  if (auto When = section("when one leaves, the job goes on for the other")) {
+    Vm.Frontend->onClosed(First);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Entry->coordinator().size());
+    if (auto Then = section("until that one leaves too")) {
+      Vm.Frontend->onClosed(Second);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Vm.Entry->coordinator().size());
+    }
+  }
+  if (auto When = section("when it is cancelled, all get an answer")) {
+    CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(Vm.request("DELETE", JobPath)));
+    CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(First));
+    CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(Second));
+    CPPUNIT_ASSERT_EQUAL(410, Vm.statusOf(Vm.request("GET", JobPath)));
+    CPPUNIT_ASSERT_EQUAL(410, Vm.statusOf(Vm.request("DELETE", JobPath)));
+  }
+  if (auto When = section("when it has completed, a caller that sends it again gets the same answer")) {
+    Vm.Frontend->answer(0x5c0e7a21d94b36f8, {});
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"completed"})"), Vm.Replies.at(First).Body);
+    auto Again = Vm.request("POST", JobPath, Body);
+    CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(Again));
+  }
+});
+
+// Guards against an older configuration that replaces a newer one.
+const story Versions("frontend: configurations", [] {
+  vm Vm;
+  Vm.configure(5);
+  Vm.Entry->setConfiguration({}, "");
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, Vm.Entry->current()->Version);
+});
+
+} // namespace
--- /dev/null
+++ b/src/yuccaplank/entry/table_watch_test.cpp
@@ -0,0 +1,106 @@
+#include "table_watch.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+#include <cppunit/TestAssert.h>
+
+#include <deque>
+
+using namespace yuccaplank;
+using namespace yuccaplank::entry;
+using platform::store_page;
+using platform::store_row;
+using runtime::errc;
+using runtime::result;
+using std::chrono::milliseconds;
+using testing::section;
+using testing::story;
+
+namespace {
+
+// A store that answers when the test says so.
+struct store final : platform::store_client {
+  using handler = std::function<void(result<store_page>)>;
+  std::deque<std::pair<std::string, handler>> Reads;
+  std::deque<std::pair<std::uint64_t, handler>> Feeds;
+
+  void rows(const std::string &, const std::string &From, handler OnDone) override {
+    Reads.emplace_back(From, std::move(OnDone));
+  }
+  void changes(const std::string &, std::uint64_t After, runtime::duration, handler OnDone) override {
+    Feeds.emplace_back(After, std::move(OnDone));
+  }
+  void put(const std::string &, const std::string &, const std::string &,
+           std::function<void(result<std::uint64_t>)>) override {}
+  void remove(const std::string &, const std::string &, std::uint64_t,
+              std::function<void(result<std::uint64_t>)>) override {}
+
+  void answerRead(const result<store_page> &Page) {
+    auto Read = std::move(Reads.front());
+    Reads.pop_front();
+    Read.second(Page);
+  }
+  void answerFeed(const result<store_page> &Page) {
+    auto Feed = std::move(Feeds.front());
+    Feeds.pop_front();
+    Feed.second(Page);
+  }
+};
+
+store_page page(std::vector<store_row> Rows, std::uint64_t Version, bool HasMore = false) {
+  return {std::move(Rows), Version, HasMore};
+}
+
+// Guards against rows that are missed, that come back, or that fall back to an older version.
+const story Watch("table watch", [] {
+  auto Executor = runtime::makeManualExecutor();
+  store Store;
+  int Changes = 0;
+  auto Watch = makeTableWatch(*Executor, Store, {}, [&] { ++Changes; });
+  auto Value = [&](const std::string &Key) {
+    auto Found = Watch->rows().find(Key);
+    return Found == Watch->rows().end() ? std::string("none") : Found->second.Value;
+  };
+  if (auto When =
+          section("a table of two pages is read whole, and changes since the first page are asked for")) {
+    Store.answerRead(page({{"a", "1", 3}}, 10, true));
+    CPPUNIT_ASSERT_EQUAL(0, Changes);
+    CPPUNIT_ASSERT_EQUAL(std::string("a\x01"), Store.Reads.front().first);
+    Store.answerRead(page({{"b", "2", 4}}, 12));
+    CPPUNIT_ASSERT_EQUAL(1, Changes);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, Store.Feeds.front().first);
+  }
+  if (auto When = section("given a table that was read")) {
+    Store.answerRead(page({{"a", "1", 3}, {"b", "2", 4}}, 10));
+    if (auto Then = section("changes and removals are applied")) {
+      Store.answerFeed(page({{"a", "new", 11}, {"b", "", 12, true}}, 12));
+      CPPUNIT_ASSERT_EQUAL(std::string("new"), Value("a"));
+      CPPUNIT_ASSERT_EQUAL(std::string("none"), Value("b"));
+      Executor->advance(milliseconds(20));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, Store.Feeds.front().first);
+    }
+    if (auto Then = section("an older version of a row is ignored")) {
+      Store.answerFeed(page({{"a", "old", 2}}, 11));
+      CPPUNIT_ASSERT_EQUAL(std::string("1"), Value("a"));
+    }
+    if (auto Then = section(
+            "a failed call is repeated from the same version, and the return of the store is noted")) {
+      Store.answerFeed(make_error_code(errc::PlatformUnavailable));
+      CPPUNIT_ASSERT(!Watch->current());
+      CPPUNIT_ASSERT(Store.Feeds.empty());
+      Executor->advance(milliseconds(150));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, Store.Feeds.front().first);
+      Store.answerFeed(page({}, 10));
+      CPPUNIT_ASSERT(Watch->current());
+      CPPUNIT_ASSERT(Watch->regainedAt() == Executor->clock().now());
+    }
+    if (auto Then = section("when the history is gone, the table is read anew")) {
+      Store.answerFeed(make_error_code(errc::NotFound));
+      CPPUNIT_ASSERT_EQUAL(std::string("1"), Value("a"));
+      Store.answerRead(page({{"b", "3", 20}}, 21));
+      CPPUNIT_ASSERT_EQUAL(std::string("none"), Value("a"));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{21}, Store.Feeds.front().first);
+    }
+  }
+});
+
+} // namespace
