--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -37,9 +37,11 @@
   runtime::duration ClockError = std::chrono::milliseconds(60);
   /// Runs that nobody has claimed this long after a take-over are stopped.
   runtime::duration AdoptionTime = std::chrono::milliseconds(250);
-  /// Pause after another VM has fenced this one off, so that two VMs that do not see each other do not take
-  /// turns.
+  /// Pause before another claim after another VM has fenced this one off, so that two VMs that do not see
+  /// each other do not take turns; a shorter one when that VM is in contact, since both then come to the same
+  /// view.
   runtime::duration ReclaimDelay = std::chrono::seconds(2);
+  runtime::duration ReclaimDelayInContact = std::chrono::milliseconds(150);
   /// Pause before a claim that was fenced is made again under a higher token.
   runtime::duration FencedDelay = std::chrono::milliseconds(10);
   /// Pause before an order that got no answer is repeated.
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -160,9 +160,12 @@
   }
 
   void onPause() override {
+    // Before anybody counts as lost: a VM that believes itself alone would claim everything.
+    View->introduceAgain();
+    Self.set_pauses(Self.pauses() + 1);
+    View->setSelf(Self);
     for (const auto &[Vm, Known] : View->others())
       apply(View->lost(Vm));
-    View->introduceAgain();
     Owner->onPause();
     tryOthers();
     reviewRoles();
--- a/src/yuccaplank/dispatch/fleet_view.cpp
+++ b/src/yuccaplank/dispatch/fleet_view.cpp
@@ -123,7 +123,8 @@
   [[nodiscard]] std::string placer() const override {
     const schema::vm_status *Best = nullptr;
     visitLeaders([&](const schema::vm_status &Status) {
-      if (!Best || Status.registration() < Best->registration())
+      auto RankOf = [](const schema::vm_status &Vm) { return std::pair(Vm.pauses(), Vm.registration()); };
+      if (!Best || RankOf(Status) < RankOf(*Best))
         Best = &Status;
     });
     return Best ? Best->vm() : std::string();
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -77,7 +77,7 @@
   ~server_ledger_impl() override = default;
 
   void claim() override {
-    if (Ownership != ownership::None || (FencedAt && now() - *FencedAt < Options.ReclaimDelay))
+    if (Ownership != ownership::None || now() < ReclaimAfter)
       return;
     Ownership = ownership::Claiming;
     sendClaim();
@@ -87,6 +87,7 @@
     if (ItsToken < Token)
       return;
     HighestToken = std::max(HighestToken, ItsToken);
+    ReclaimAfter = now() + Options.ReclaimDelayInContact;
     release();
   }
 
@@ -423,7 +424,7 @@
   }
 
   void loseOwnership() {
-    FencedAt = now();
+    ReclaimAfter = now() + Options.ReclaimDelay;
     HighestToken = std::max(HighestToken, Token);
     log(log_level::Warning, "server_fenced_off",
         {{"server", Entry.Target.Id}, {"token", static_cast<std::int64_t>(Token)}});
@@ -757,8 +758,8 @@
   time_point ServerClockAt{};
   // When no run can be alive any more unless the lease is extended again.
   time_point LeaseOverAt{};
-  // When another VM was last found to own the server.
-  std::optional<time_point> FencedAt;
+  // When this VM may claim the server again.
+  time_point ReclaimAfter{};
   bool HoldPending = false;
   std::uint32_t UnansweredHolds = 0;
   bool Answering = true;
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -6,7 +6,6 @@
 #include <charconv>
 #include <deque>
 #include <map>
-#include <set>
 
 namespace yuccaplank::entry {
 namespace {
@@ -24,7 +23,8 @@
 constexpr std::uint32_t MaxTasks = 10'000;
 
 struct submitted_job {
-  std::set<request_token> Callers;
+  // When the request of each arrived.
+  std::map<request_token, runtime::time_point> Callers;
 };
 
 struct remembered_answer {
@@ -96,9 +96,9 @@
 
 class frontend_impl final : public frontend {
 public:
-  frontend_impl(runtime::executor &Executor, dispatch::entry_vm &Vm, reply_function Reply,
+  frontend_impl(runtime::executor &Executor, dispatch::entry_vm &Vm, frontend_handlers Handlers,
                 frontend_options Options)
-      : Executor(Executor), Vm(Vm), Reply(std::move(Reply)), Options(Options) {}
+      : Executor(Executor), Vm(Vm), Handlers(std::move(Handlers)), Options(Options) {}
 
   void onRequest(http_request Request) override {
     const dispatch::configuration *Configuration = Vm.current();
@@ -115,7 +115,7 @@
     }
     std::string_view Id = std::string_view(Request.Path).substr(Queue->PathPrefix.size());
     if (Id.empty() && Request.Method == "GET") {
-      Reply(Request.Token, makeReply(200, platform::encodeWaiting(Vm.waiting(Queue->Name))));
+      Handlers.Reply(Request.Token, makeReply(200, platform::encodeWaiting(Vm.waiting(Queue->Name))));
       return;
     }
     auto Job = platform::parseJobId(Id);
@@ -144,9 +144,11 @@
       return;
     submitted_job Submitted = std::move(Found->second);
     Jobs.erase(Found);
-    for (request_token Token : Submitted.Callers) {
+    for (const auto &[Token, Arrived] : Submitted.Callers) {
       JobsOfCallers.erase(Token);
-      Reply(Token, replyTo(Answer));
+      if (Handlers.OnAnswered)
+        Handlers.OnAnswered(Answer.Outcome, Executor.clock().now() - Arrived);
+      Handlers.Reply(Token, replyTo(Answer));
     }
     remember(Job, Answer);
   }
@@ -181,10 +183,10 @@
       return;
     }
     if (auto Found = Answers.find(Id); Found != Answers.end()) {
-      Reply(Request.Token, replyTo(Found->second));
+      Handlers.Reply(Request.Token, replyTo(Found->second));
       return;
     }
-    Jobs[Id].Callers.insert(Request.Token);
+    Jobs[Id].Callers.emplace(Request.Token, Executor.clock().now());
     JobsOfCallers[Request.Token] = Id;
     if (!Vm.coordinator().contains(Id))
       Vm.coordinator().submit(Queue, toRequest(Decoded.value(), Id, deadlineOf(Request)));
@@ -215,20 +217,20 @@
   void tellState(const http_request &Request, std::uint64_t Job) {
     if (Vm.coordinator().contains(Job)) {
       bool Queued = Vm.coordinator().state(Job) == dispatch::job_state::Queued;
-      Reply(Request.Token, makeReply(200, platform::encodeState(Queued ? "queued" : "running")));
+      Handlers.Reply(Request.Token, makeReply(200, platform::encodeState(Queued ? "queued" : "running")));
       return;
     }
     auto Found = Answers.find(Job);
     if (Found == Answers.end())
-      Reply(Request.Token, makeReply(410, "{}"));
+      Handlers.Reply(Request.Token, makeReply(410, "{}"));
     else
-      Reply(Request.Token, replyTo(Found->second));
+      Handlers.Reply(Request.Token, replyTo(Found->second));
   }
 
   void cancel(const http_request &Request, std::uint64_t Job) {
     Vm.cancel(Job, [this, Token = Request.Token, Job](bool Found) {
       log(log_level::Info, "cancel_answered", {{"job", dispatch::formatJob(Job)}, {"found", Found}});
-      Reply(Token, makeReply(Found ? 200 : 410, Found ? platform::encodeState("cancelled") : "{}"));
+      Handlers.Reply(Token, makeReply(Found ? 200 : 410, Found ? platform::encodeState("cancelled") : "{}"));
     });
   }
 
@@ -239,7 +241,7 @@
          {"status", std::int64_t{Status}},
          {"reason", std::string(Reason)},
          {"configuration", static_cast<std::int64_t>(Vm.current() ? Vm.current()->Version : 0)}});
-    Reply(Request.Token, Status == 503 ? refusal(Status, 1000) : makeReply(Status, "{}"));
+    Handlers.Reply(Request.Token, Status == 503 ? refusal(Status, 1000) : makeReply(Status, "{}"));
   }
 
   // Only answers after which the job must not run again.
@@ -257,7 +259,7 @@
 
   runtime::executor &Executor;
   dispatch::entry_vm &Vm;
-  reply_function Reply;
+  frontend_handlers Handlers;
   frontend_options Options;
   std::map<std::uint64_t, submitted_job> Jobs;
   std::map<request_token, std::uint64_t> JobsOfCallers;
@@ -268,8 +270,8 @@
 } // namespace
 
 std::unique_ptr<frontend> makeFrontend(runtime::executor &Executor, dispatch::entry_vm &Vm,
-                                       reply_function Reply, frontend_options Options) {
-  return std::make_unique<frontend_impl>(Executor, Vm, std::move(Reply), Options);
+                                       frontend_handlers Handlers, frontend_options Options) {
+  return std::make_unique<frontend_impl>(Executor, Vm, std::move(Handlers), Options);
 }
 
 } // namespace yuccaplank::entry
--- a/src/yuccaplank/entry/frontend.hpp
+++ b/src/yuccaplank/entry/frontend.hpp
@@ -27,9 +27,13 @@
   [[nodiscard]] virtual std::size_t pending() const = 0;
 };
 
-using reply_function = std::function<void(wire::request_token, wire::http_reply)>;
+struct frontend_handlers {
+  std::function<void(wire::request_token, wire::http_reply)> Reply;
+  /// For each caller whose job has its answer; optional.
+  std::function<void(dispatch::job_outcome, runtime::duration Took)> OnAnswered;
+};
 
 std::unique_ptr<frontend> makeFrontend(runtime::executor &Executor, dispatch::entry_vm &Vm,
-                                       reply_function Reply, frontend_options Options = {});
+                                       frontend_handlers Handlers, frontend_options Options = {});
 
 } // namespace yuccaplank::entry
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -33,15 +33,19 @@
   std::unique_ptr<dispatch::entry_vm> Entry;
   std::unique_ptr<frontend> Frontend;
   wire::request_token LastToken = 0;
+  int Answered = 0;
 
   vm() {
     dispatch::entry_vm_options Options;
     Options.Vm = "vm";
     Options.Address = "vm:1";
     Entry = dispatch::makeEntryVm(*Executor, *this, Options);
-    Frontend = makeFrontend(*Executor, *Entry, [this](wire::request_token Token, wire::http_reply Reply) {
+    frontend_handlers Handlers;
+    Handlers.Reply = [this](wire::request_token Token, wire::http_reply Reply) {
       Replies.emplace(Token, std::move(Reply));
-    });
+    };
+    Handlers.OnAnswered = [this](dispatch::job_outcome, runtime::duration) { ++Answered; };
+    Frontend = makeFrontend(*Executor, *Entry, std::move(Handlers));
   }
 
   void send(const std::string &, const std::string &, schema::dispatch_message) override {}
@@ -135,6 +139,7 @@
     CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(Vm.request("DELETE", JobPath)));
     CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(First));
     CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(Second));
+    CPPUNIT_ASSERT_EQUAL(2, Vm.Answered);
     CPPUNIT_ASSERT_EQUAL(410, Vm.statusOf(Vm.request("GET", JobPath)));
     CPPUNIT_ASSERT_EQUAL(410, Vm.statusOf(Vm.request("DELETE", JobPath)));
   }
--- a/src/yuccaplank/entry/vm_metrics.cpp
+++ b/src/yuccaplank/entry/vm_metrics.cpp
@@ -1,6 +1,7 @@
 #include "vm_metrics.hpp"
 
-#include <prometheus/metric_family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
 #include <array>
@@ -92,16 +93,46 @@
   return Family;
 }
 
+constexpr auto Outcomes = std::to_array({dispatch::job_outcome::Completed, dispatch::job_outcome::Failed,
+                                         dispatch::job_outcome::Refused, dispatch::job_outcome::TimedOut,
+                                         dispatch::job_outcome::Cancelled});
+const prometheus::Histogram::BucketBoundaries AnswerBuckets{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5,
+                                                            0.75, 1,     1.5,  2,   3,    5,    10};
+
+class vm_metrics_impl final : public vm_metrics {
+public:
+  vm_metrics_impl()
+      : AnswerSeconds(prometheus::BuildHistogram()
+                          .Name("yuccaplank_answer_seconds")
+                          .Help("Time from a caller's request to its answer.")
+                          .Register(Registry)) {
+    for (dispatch::job_outcome Outcome : Outcomes)
+      Histograms.push_back(
+          &AnswerSeconds.Add({{"outcome", std::string(jobOutcomeName(Outcome))}}, AnswerBuckets));
+  }
+
+  void observeAnswer(dispatch::job_outcome Outcome, runtime::duration Took) override {
+    Histograms.at(static_cast<std::size_t>(Outcome))->Observe(runtime::toMs(Took) / MsPerSecond);
+  }
+
+  std::string text(const entry_vm_state &State, std::size_t PendingCallers) override {
+    std::vector<MetricFamily> Families = Registry.Collect();
+    for (const metric_entry &Entry : Metrics)
+      Families.push_back(makeFamily(Entry.Name, Entry.Help, Entry.Type, Entry.Value(State)));
+    Families.push_back(makeFamily("yuccaplank_callers_waiting", "Callers that wait for an answer.",
+                                  MetricType::Gauge, toDouble(PendingCallers)));
+    return prometheus::TextSerializer().Serialize(Families);
+  }
+
+private:
+  static constexpr double MsPerSecond = 1000;
+  prometheus::Registry Registry;
+  prometheus::Family<prometheus::Histogram> &AnswerSeconds;
+  std::vector<prometheus::Histogram *> Histograms;
+};
+
 } // namespace
 
-std::string formatMetrics(const entry_vm_state &State, std::size_t PendingCallers) {
-  std::vector<MetricFamily> Families;
-  Families.reserve(Metrics.size() + 1);
-  for (const metric_entry &Entry : Metrics)
-    Families.push_back(makeFamily(Entry.Name, Entry.Help, Entry.Type, Entry.Value(State)));
-  Families.push_back(makeFamily("yuccaplank_callers_waiting", "Callers that wait for an answer.",
-                                MetricType::Gauge, toDouble(PendingCallers)));
-  return prometheus::TextSerializer().Serialize(Families);
-}
+std::unique_ptr<vm_metrics> makeVmMetrics() { return std::make_unique<vm_metrics_impl>(); }
 
 } // namespace yuccaplank::entry
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -56,9 +56,14 @@
     Orders = platform::makeServerClient(*Client);
     Store = platform::makeStoreClient(*Client, {Settings.StoreAddress});
     Vm = dispatch::makeEntryVm(Loop, *this, vmOptions());
-    Frontend = makeFrontend(Loop, *Vm, [this](wire::request_token Token, wire::http_reply Reply) {
+    frontend_handlers CallerSide;
+    CallerSide.Reply = [this](wire::request_token Token, wire::http_reply Reply) {
       Callers->reply(Token, std::move(Reply));
-    });
+    };
+    CallerSide.OnAnswered = [this](dispatch::job_outcome Outcome, runtime::duration Took) {
+      Metrics->observeAnswer(Outcome, Took);
+    };
+    Frontend = makeFrontend(Loop, *Vm, std::move(CallerSide));
     if (auto Listening = listen(); !Listening)
       return Listening;
     Vm->addSeeds(Settings.Seeds);
@@ -174,7 +179,7 @@
   void onMetricsRequest(const wire::http_request &Request) {
     wire::http_reply Reply;
     Reply.ContentType = "text/plain; version=0.0.4";
-    Reply.Body = formatMetrics(Vm->state(), Frontend->pending());
+    Reply.Body = Metrics->text(Vm->state(), Frontend->pending());
     MetricsServer->reply(Request.Token, std::move(Reply));
   }
 
@@ -234,6 +239,7 @@
   std::unique_ptr<wire::http_server> Ready;
   std::unique_ptr<wire::http_server> MetricsServer;
   std::unique_ptr<dispatch::entry_vm> Vm;
+  std::unique_ptr<vm_metrics> Metrics = makeVmMetrics();
   std::unique_ptr<frontend> Frontend;
   std::unique_ptr<directory> Directory;
   runtime::time_point DrainStarted{};
