--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -478,7 +478,9 @@
   }
 
   void logAnswer(const coordinated_job &Job, const job_answer &Answer) const {
-    log(log_level::Info, "job_answered",
+    // An event of their own, so that the limit on lines for each event leaves room for the failures.
+    const char *Event = Answer.Outcome == job_outcome::Completed ? "job_completed" : "job_not_completed";
+    log(log_level::Info, Event,
         {{"job", formatJob(Job.Request.Job)},
          {"queue", Job.Queue.Name},
          {"outcome", std::string(jobOutcomeName(Answer.Outcome))},
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -298,7 +298,7 @@
       log(log_level::Info, "run_ended",
           {{"run", format(Run)},
            {"server", Entry.Target.Id},
-           {"event", schema::run_event_Name(Event)},
+           {"end", schema::run_event_Name(Event)},
            {"reason", std::string(Reason)}});
     report(Coordinator, Run, Event, Reason);
     Ports.roomChanged(Entry.Target.Id);
