--- a/include/yuccaplank/platform/documents.hpp
+++ b/include/yuccaplank/platform/documents.hpp
@@ -52,11 +52,16 @@
 /// Errors: errc::MalformedDocument.
 runtime::result<job_document> decodeJob(std::string_view Text);
 
+/// Header, in lower case, in which a caller tells how many milliseconds it waits for the answer.
+inline constexpr const char *DeadlineHeader = "deadline-milliseconds";
+
 /// 16 hexadecimal digits; nothing for anything else.
 std::optional<std::uint64_t> parseJobId(std::string_view Text);
 
-/// Body of the answer about a job in a state ("completed", "failed", "running", …).
-std::string encodeState(std::string_view State);
+/// State of a job as callers see it.
+enum class shown_state : std::uint8_t { Queued, Running, Completed, Failed, Cancelled };
+/// Body of the answer about a job.
+std::string encodeState(shown_state State);
 /// Body of the answer about a queue.
 std::string encodeWaiting(std::uint32_t Waiting);
 
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -13,13 +13,13 @@
 using dispatch::job_answer;
 using dispatch::job_outcome;
 using dispatch::queue_settings;
+using platform::shown_state;
 using runtime::log;
 using runtime::log_level;
 using wire::http_reply;
 using wire::http_request;
 using wire::request_token;
 
-constexpr const char *DeadlineHeader = "deadline-milliseconds";
 constexpr std::uint32_t MaxTasks = 10'000;
 
 struct submitted_job {
@@ -81,11 +81,11 @@
 http_reply replyTo(const job_answer &Answer) {
   switch (Answer.Outcome) {
   case job_outcome::Completed:
-    return makeReply(200, platform::encodeState("completed"));
+    return makeReply(200, platform::encodeState(shown_state::Completed));
   case job_outcome::Failed:
-    return makeReply(200, platform::encodeState("failed"));
+    return makeReply(200, platform::encodeState(shown_state::Failed));
   case job_outcome::Cancelled:
-    return makeReply(200, platform::encodeState("cancelled"));
+    return makeReply(200, platform::encodeState(shown_state::Cancelled));
   case job_outcome::TimedOut:
     return makeReply(504, "{}");
   case job_outcome::Refused:
@@ -206,7 +206,7 @@
   }
 
   [[nodiscard]] runtime::duration deadlineOf(const http_request &Request) const {
-    std::string_view Text = Request.header(DeadlineHeader);
+    std::string_view Text = Request.header(platform::DeadlineHeader);
     std::uint32_t Milliseconds = 0;
     auto [Stop, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
     if (Error != std::errc() || Stop != Text.data() + Text.size() || Milliseconds == 0)
@@ -217,7 +217,8 @@
   void tellState(const http_request &Request, std::uint64_t Job) {
     if (Vm.coordinator().contains(Job)) {
       bool Queued = Vm.coordinator().state(Job) == dispatch::job_state::Queued;
-      Handlers.Reply(Request.Token, makeReply(200, platform::encodeState(Queued ? "queued" : "running")));
+      Handlers.Reply(Request.Token, makeReply(200, platform::encodeState(Queued ? shown_state::Queued
+                                                                                : shown_state::Running)));
       return;
     }
     auto Found = Answers.find(Job);
@@ -230,7 +231,8 @@
   void cancel(const http_request &Request, std::uint64_t Job) {
     Vm.cancel(Job, [this, Token = Request.Token, Job](bool Found) {
       log(log_level::Info, "cancel_answered", {{"job", dispatch::formatJob(Job)}, {"found", Found}});
-      Handlers.Reply(Token, makeReply(Found ? 200 : 410, Found ? platform::encodeState("cancelled") : "{}"));
+      Handlers.Reply(
+          Token, makeReply(Found ? 200 : 410, Found ? platform::encodeState(shown_state::Cancelled) : "{}"));
     });
   }
 
--- a/src/yuccaplank/platform/documents.cpp
+++ b/src/yuccaplank/platform/documents.cpp
@@ -1,6 +1,7 @@
 #include "yuccaplank/platform/documents.hpp"
 #include "json_reader.hpp"
 
+#include <array>
 #include <charconv>
 
 namespace yuccaplank::platform {
@@ -8,6 +9,9 @@
 
 using runtime::errc;
 
+constexpr auto StateNames =
+    std::to_array<std::string_view>({"queued", "running", "completed", "failed", "cancelled"});
+
 void readSize(const json &Value, const std::string &Path, schema::task_size &Size,
               std::vector<field_issue> &Issues) {
   object_reader Reader(Value, Path, Issues);
@@ -134,7 +138,9 @@
   return Value;
 }
 
-std::string encodeState(std::string_view State) { return json{{"state", State}}.dump(); }
+std::string encodeState(shown_state State) {
+  return json{{"state", StateNames.at(static_cast<std::size_t>(State))}}.dump();
+}
 
 std::string encodeWaiting(std::uint32_t Waiting) { return json{{"waiting_count", Waiting}}.dump(); }
 
