--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -34,7 +34,7 @@
   [[nodiscard]] std::uint32_t session(const std::string &) const override { return 1; }
   void answer(std::uint64_t, const job_answer &Answer) override { Answers.push_back(Answer); }
 
-  void submit(std::uint32_t Tasks) {
+  void submit(std::uint32_t Tasks) const {
     queue_settings Queue;
     Queue.Name = "queue";
     Queue.MaxAttempts = 2;
@@ -45,7 +45,7 @@
     Request.Deadline = milliseconds(3000);
     Jobs->submit(Queue, Request);
   }
-  void grant(const run_key &Run, const std::string &Owner = "owner", std::uint64_t Token = 5) {
+  void grant(const run_key &Run, const std::string &Owner = "owner", std::uint64_t Token = 5) const {
     schema::grant Grant;
     *Grant.mutable_task() = toMessage(Run);
     Grant.set_server("s1");
@@ -53,7 +53,7 @@
     Grant.set_token(Token);
     Jobs->onGrant(Placer, Grant);
   }
-  void event(const run_key &Run, schema::run_event Event, const std::string &Owner = "owner") {
+  void event(const run_key &Run, schema::run_event Event, const std::string &Owner = "owner") const {
     schema::task_event Message;
     *Message.mutable_task() = toMessage(Run);
     Message.set_event(Event);
@@ -61,7 +61,7 @@
     Jobs->onEvent(Owner, Message);
   }
   // Claim of another owner under a token, with what runs on the server.
-  void adopt(const std::string &Owner, std::uint64_t Token, const std::vector<run_key> &Running) {
+  void adopt(const std::string &Owner, std::uint64_t Token, const std::vector<run_key> &Running) const {
     schema::adopt_request Request;
     Request.set_server("s1");
     Request.set_token(Token);
--- a/src/yuccaplank/platform/server_client_test.cpp
+++ b/src/yuccaplank/platform/server_client_test.cpp
@@ -8,7 +8,6 @@
 using namespace yuccaplank;
 using namespace yuccaplank::platform;
 using dispatch::order_outcome;
-using testing::section;
 using testing::story;
 
 namespace {
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -48,8 +48,7 @@
     call<order_reply>(Target.Id, {}, std::move(OnDone), [this, Order](const std::string &Name, auto Reply) {
       simulated_server &Server = All.Servers.at(Name);
       runtime::time_point Now = All.Executor.clock().now();
-      bool Present =
-          Server.State->running() != std::vector<dispatch::run_key>{} && isRunning(Server, Order.Run);
+      bool Present = isRunning(Server, Order.Run);
       auto Outcome = Server.State->start(Now, Order, All.workOf(Server, Order.Specification));
       if (Outcome == order_outcome::Accepted && !Present)
         All.OnStart(Name, Order.Run);
@@ -112,7 +111,7 @@
     duration Delay = All.Network.delay();
     if (IsLate)
       Delay += runtime::fromMs(MinLateMs + All.Random.uniform() * (MaxLateMs - MinLateMs));
-    All.Executor.after(Delay, [this, Servers = &All, VmName = Vm, Name, Life, Serve, Finish, IsLate, IsLost,
+    All.Executor.after(Delay, [Servers = &All, VmName = Vm, Name, Life, Serve, Finish, IsLate, IsLost,
                                Executor = &VmExecutor] {
       simulated_server &Server = Servers->Servers.at(Name);
       // What a cut holds up arrives after it at the same life only.
