--- a/include/yuccaplank/dispatch/fleet_view.hpp
+++ b/include/yuccaplank/dispatch/fleet_view.hpp
@@ -75,11 +75,11 @@
   virtual void introduceAgain() = 0;
   /// Whether enough is known to claim servers and to place tasks.
   [[nodiscard]] virtual bool introduced() const = 0;
-  /// The registered VM that was paused least often, of these the one that registered first; empty when there
-  /// is none.
+  /// The registered VM that was paused least often, of these the one that registered first; a draining one
+  /// only when there is no other. Empty when there is none.
   [[nodiscard]] virtual std::string placer() const = 0;
   /// The VM that should own the servers of a rack: one of the rack's failure domain if any lives there, each
-  /// in proportion to its strength; empty when there is none.
+  /// in proportion to its strength; a draining one only when there is no other. Empty when there is none.
   [[nodiscard]] virtual std::string ownerOf(const std::string &Rack, const std::string &Domain) const = 0;
   /// Highest term that any VM has told.
   [[nodiscard]] virtual std::uint32_t highestTerm() const = 0;
--- a/src/yuccaplank/dispatch/fleet_view.cpp
+++ b/src/yuccaplank/dispatch/fleet_view.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace yuccaplank::dispatch {
 namespace {
@@ -20,9 +21,7 @@
   return std::max(1.0, static_cast<double>(Vm.strength())) / -std::log(Uniform);
 }
 
-bool mayLead(const schema::vm_status &Status) {
-  return Status.registration() > 0 && !Status.draining() && Status.serving();
-}
+bool mayLead(const schema::vm_status &Status) { return Status.registration() > 0 && Status.serving(); }
 
 class fleet_view_impl final : public fleet_view {
 public:
@@ -123,7 +122,9 @@
   [[nodiscard]] std::string placer() const override {
     const schema::vm_status *Best = nullptr;
     visitLeaders([&](const schema::vm_status &Status) {
-      auto RankOf = [](const schema::vm_status &Vm) { return std::pair(Vm.pauses(), Vm.registration()); };
+      auto RankOf = [](const schema::vm_status &Vm) {
+        return std::tuple(Vm.draining(), Vm.pauses(), Vm.registration());
+      };
       if (!Best || RankOf(Status) < RankOf(*Best))
         Best = &Status;
     });
@@ -132,9 +133,9 @@
 
   [[nodiscard]] std::string ownerOf(const std::string &Rack, const std::string &Domain) const override {
     const schema::vm_status *Best = nullptr;
-    std::pair<bool, double> BestRank;
+    std::tuple<bool, bool, double> BestRank;
     visitLeaders([&](const schema::vm_status &Status) {
-      std::pair<bool, double> Rank{Status.domain() == Domain, score(Rack, Status)};
+      std::tuple<bool, bool, double> Rank{!Status.draining(), Status.domain() == Domain, score(Rack, Status)};
       if (!Best || Rank > BestRank) {
         Best = &Status;
         BestRank = Rank;
--- a/src/yuccaplank/dispatch/fleet_view_test.cpp
+++ b/src/yuccaplank/dispatch/fleet_view_test.cpp
@@ -51,6 +51,16 @@
     View->heard(Draining);
     CPPUNIT_ASSERT_EQUAL(std::string("c"), View->placer());
   }
+  if (auto When =
+          section("given only draining VMs, as in a failure domain that is cut off, they keep the roles")) {
+    auto Draining = statusOf("a", "d1", 7);
+    Draining.set_draining(true);
+    View->setSelf(Draining);
+    View->lost("b");
+    View->lost("c");
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), View->placer());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), View->ownerOf("r1", "d1"));
+  }
   if (auto When = section("given a VM that is not registered, it has no role")) {
     auto Unregistered = statusOf("b", "d1", 0);
     View->heard(Unregistered);
