Call what the project already had, and remove what nothing reads

Found in a read of the whole change; behaviour stays as it is: - the store's client encodes with wire::percentEncode instead of a copy; room on a server is one type for placer and owner; single-value metric families are made in one place for yuccaplankd and yuccaplank-entry; - a heartbeat is built once for all receivers; taking and leaving the placer's role, and what is told when contact begins anew, are one function each; a stop no longer looks a run up twice; - gone: two message fields and an event that nothing read, a decoder and a list used by no product code; - the fuzz target of the adapter now checks the numbers of runs and that each queue can be reached, as its comment says.

--- a/include/yuccaplank/platform/documents.hpp
+++ b/include/yuccaplank/platform/documents.hpp
@@ -17,9 +17,6 @@
 /// Operators' configuration. Errors: errc::MalformedDocument.
 runtime::result<dispatch::configuration> decodeConfiguration(std::string_view Text);
 
-/// Version of a configuration without decoding the rest; 0 when there is none.
-std::uint64_t configurationVersion(std::string_view Text);
-
 /// A backend server's report about itself. Errors: errc::MalformedDocument for a report that names no usable
 /// server.
 runtime::result<dispatch::server_entry> decodeServer(const std::string &Id, std::string_view Text);
--- a/src/yuccaplank/daemon/metrics.cpp
+++ b/src/yuccaplank/daemon/metrics.cpp
@@ -1,4 +1,5 @@
 #include "metrics.hpp"
+#include "yuccaplank/runtime/metric_family.hpp"
 
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -9,7 +10,6 @@
 namespace yuccaplank::daemon {
 namespace {
 
-using prometheus::ClientMetric;
 using prometheus::MetricFamily;
 using prometheus::MetricType;
 
@@ -63,17 +63,6 @@
      [](const model::scheduler_load &Load) { return Load.BacklogMs / 1000; }},
 });
 
-MetricFamily family(const char *Name, const char *Help, MetricType Type, double Value) {
-  MetricFamily Family{Name, Help, Type, {}};
-  ClientMetric Metric;
-  if (Type == MetricType::Counter)
-    Metric.counter.value = Value;
-  else
-    Metric.gauge.value = Value;
-  Family.metric.push_back(Metric);
-  return Family;
-}
-
 const prometheus::Histogram::BucketBoundaries JobBuckets{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.75,
                                                          1,    1.5,   2,    3,   5,    10,  30};
 
@@ -123,11 +112,12 @@
 private:
   static void addCounter(std::vector<MetricFamily> &Families, const char *Name, const char *Help,
                          std::uint64_t Value) {
-    Families.push_back(family(Name, Help, MetricType::Counter, static_cast<double>(Value)));
+    Families.push_back(
+        runtime::makeMetricFamily(Name, Help, MetricType::Counter, static_cast<double>(Value)));
   }
   static void addGauge(std::vector<MetricFamily> &Families, const char *Name, const char *Help,
                        double Value) {
-    Families.push_back(family(Name, Help, MetricType::Gauge, Value));
+    Families.push_back(runtime::makeMetricFamily(Name, Help, MetricType::Gauge, Value));
   }
 
   metrics_sources Sources;
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -242,7 +242,7 @@
       onStatus(Message.status());
       break;
     case schema::dispatch_message::kPlace:
-      beginPlacing();
+      setPlacing(true);
       Queue->place(From, Message.place());
       scheduleSoon();
       break;
@@ -334,8 +334,10 @@
   void onResume(const std::string &From, const schema::resume_session &Session) {
     Owner->onResume(From, Session);
     // The other end has noticed a break that this end may have missed.
-    if (!Session.answer() && From != Options.Vm)
-      resume(From, true);
+    if (Session.answer() || From == Options.Vm)
+      return;
+    resume(From, true);
+    tellPlacing(From);
   }
 
   void onCancel(const std::string &From, const schema::cancel_submitted &Request) {
@@ -388,19 +390,18 @@
     resume(Vm, false);
     Owner->tellOwned(Vm);
     OfferedVersions.erase(Vm);
-    if (Placing)
-      subscribe(Vm, false);
-    if (Vm == Placer)
-      Jobs->onPlacerChanged();
+    tellPlacing(Vm);
   }
 
   void resume(const std::string &Vm, bool Answer) {
     ++Sessions[Vm];
     Jobs->onVmResumed(Vm, Answer);
-    if (!Answer)
-      return;
+  }
+
+  // What placer and coordinators have told before may be lost.
+  void tellPlacing(const std::string &Vm) {
     if (Placing)
-      subscribe(Vm, false);
+      send(Vm, subscription(false));
     if (Vm == Placer)
       Jobs->onPlacerChanged();
   }
@@ -417,24 +418,30 @@
     Jobs->onVmLost(Vm);
   }
 
-  void sendHeartbeats() {
-    for (const auto &[Vm, Known] : View->others())
-      if (Known.Alive)
-        sendStatus(Vm, Known.Address);
-  }
+  void sendHeartbeats() { sendStatusWhere(true); }
 
   void tryOthers() {
+    sendStatusWhere(false);
+    if (std::ranges::any_of(View->others(), [](const auto &Entry) { return Entry.second.Alive; }))
+      return;
+    for (const std::string &Seed : Seeds)
+      if (Seed != Options.Address)
+        sendStatus("", Seed);
+  }
+
+  // To all VMs that are in contact, or to all that are not.
+  void sendStatusWhere(bool IsAlive) {
+    schema::dispatch_message Message = makeStatus();
     for (const auto &[Vm, Known] : View->others())
-      if (!Known.Alive)
-        sendStatus(Vm, Known.Address);
-    if (View->others().empty() ||
-        std::ranges::none_of(View->others(), [](const auto &Entry) { return Entry.second.Alive; }))
-      for (const std::string &Seed : Seeds)
-        if (Seed != Options.Address)
-          sendStatus("", Seed);
+      if (Known.Alive == IsAlive)
+        Ports.send(Vm, Known.Address, Message);
   }
 
   void sendStatus(const std::string &Vm, const std::string &Address) {
+    Ports.send(Vm, Address, makeStatus());
+  }
+
+  [[nodiscard]] schema::dispatch_message makeStatus() const {
     schema::dispatch_message Message;
     schema::vm_status &Status = *Message.mutable_status();
     Status = Self;
@@ -449,7 +456,7 @@
       Length.set_queue(Name);
       Length.set_waiting(Count);
     }
-    Ports.send(Vm, Address, std::move(Message));
+    return Message;
   }
 
   void statusChanged() {
@@ -466,37 +473,21 @@
     if (Now != Placer) {
       log(log_level::Info, "placer_changed", {{"placer", Now}, {"former", Placer}});
       Placer = Now;
-      if (Placer == Options.Vm)
-        beginPlacing();
-      else
-        endPlacing();
+      setPlacing(Placer == Options.Vm);
       Jobs->onPlacerChanged();
     }
     Owner->reviewOwnership();
   }
 
-  void beginPlacing() {
-    if (std::exchange(Placing, true))
-      return;
-    subscribe(Options.Vm, false);
-    for (const auto &[Vm, Known] : View->others())
-      if (Known.Alive)
-        subscribe(Vm, false);
-  }
-
-  void endPlacing() {
-    if (!std::exchange(Placing, false))
-      return;
-    subscribe(Options.Vm, true);
-    for (const auto &[Vm, Known] : View->others())
-      if (Known.Alive)
-        subscribe(Vm, true);
+  void setPlacing(bool Now) {
+    if (std::exchange(Placing, Now) != Now)
+      broadcast(subscription(!Now));
   }
 
-  void subscribe(const std::string &Vm, bool End) {
+  static schema::dispatch_message subscription(bool End) {
     schema::dispatch_message Message;
     Message.mutable_subscribe()->set_end(End);
-    send(Vm, std::move(Message));
+    return Message;
   }
 
   void scheduleSoon() {
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -171,7 +171,6 @@
       else
         endUnadopted(*Job, *Task, Run, Ended.contains(Run) ? Ended.at(Run) : nullptr);
     }
-    Reply.set_session(Ports.session(Owner));
     if (Reply.runs_size() > 0)
       Ports.send(Owner, std::move(Message));
   }
@@ -278,7 +277,6 @@
     Place.set_objective_left_ms(Left(Job.Objective));
     Place.set_late_left_ms(Left(std::chrono::duration_cast<duration>(Job.Objective * Options.LateFactor)));
     Place.set_deadline_left_ms(Left(Job.Request.Deadline));
-    Place.set_objective_ms(static_cast<std::uint32_t>(runtime::toMs(Job.Objective)));
     Place.set_started(Job.Started);
     for (const std::string &Server : Job.Avoid)
       Place.add_avoid(Server);
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
+#include "room.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
@@ -51,23 +52,6 @@
   }
 };
 
-struct room {
-  std::int64_t Cpu = 0;
-  std::int64_t MemoryMb = 0;
-  std::int64_t Accelerators = 0;
-
-  void take(const schema::task_size &Size) {
-    Cpu -= Size.cpu();
-    MemoryMb -= Size.memory_mb();
-    Accelerators -= Size.accelerators();
-  }
-  [[nodiscard]] bool fits(const schema::task_size &Size) const {
-    return Cpu >= Size.cpu() && MemoryMb >= Size.memory_mb() && Accelerators >= Size.accelerators();
-  }
-};
-
-room roomOf(const schema::task_size &Size) { return {Size.cpu(), Size.memory_mb(), Size.accelerators()}; }
-
 class placement_queue_impl final : public placement_queue {
 public:
   placement_queue_impl(const runtime::clock &Clock, send_function Send, placement_options Options)
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/dispatch/server_ledger.hpp"
+#include "room.hpp"
 #include "server_health.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
@@ -60,12 +61,6 @@
   Sum.set_accelerators(Sum.accelerators() + Size.accelerators());
 }
 
-bool fits(const schema::task_size &Used, const schema::task_size &Size, const schema::task_size &Capacity) {
-  return Used.cpu() + Size.cpu() <= Capacity.cpu() &&
-         Used.memory_mb() + Size.memory_mb() <= Capacity.memory_mb() &&
-         Used.accelerators() + Size.accelerators() <= Capacity.accelerators();
-}
-
 class server_ledger_impl final : public server_ledger {
 public:
   server_ledger_impl(runtime::executor &Executor, ledger_ports &Ports, server_entry EntryIn,
@@ -253,12 +248,19 @@
     return Used;
   }
 
+  [[nodiscard]] room freeRoom() const {
+    room Free = roomOf(Entry.Capacity);
+    for (const auto &[Run, State] : Runs)
+      Free.take(State.Size);
+    return Free;
+  }
+
   const char *refusalOf(const schema::start_task &Request) const {
     if (!usable())
       return "server_unusable";
     if (Request.token() != Token)
       return "granted_under_another_token";
-    if (!fits(used(), Request.size(), Entry.Capacity))
+    if (!freeRoom().fits(Request.size()))
       return "no_room";
     if (Health.onProbation() && !Runs.empty())
       return "on_probation";
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -66,8 +66,7 @@
   void onStop(const std::string &Coordinator, const schema::stop_task &Request) override {
     run_key Run = keyOf(Request.task());
     for (auto &[Id, Server] : Servers)
-      if (Server.Ledger->holds(Run))
-        Server.Ledger->stop(Coordinator, Run);
+      Server.Ledger->stop(Coordinator, Run);
   }
 
   void onSubscribe(const std::string &Placer, const schema::subscribe_servers &Request) override {
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -21,6 +21,8 @@
 using wire::request_token;
 
 constexpr std::uint32_t MaxTasks = 10'000;
+// For callers of what this VM cannot serve now, for example before it has a configuration.
+constexpr std::uint32_t ComeBackMs = 1000;
 
 struct submitted_job {
   // When the request of each arrived.
@@ -243,7 +245,7 @@
          {"status", std::int64_t{Status}},
          {"reason", std::string(Reason)},
          {"configuration", static_cast<std::int64_t>(Vm.current() ? Vm.current()->Version : 0)}});
-    Handlers.Reply(Request.Token, Status == 503 ? refusal(Status, 1000) : makeReply(Status, "{}"));
+    Handlers.Reply(Request.Token, Status == 503 ? refusal(Status, ComeBackMs) : makeReply(Status, "{}"));
   }
 
   // Only answers after which the job must not run again.
--- a/src/yuccaplank/entry/vm_metrics.cpp
+++ b/src/yuccaplank/entry/vm_metrics.cpp
@@ -1,4 +1,5 @@
 #include "vm_metrics.hpp"
+#include "yuccaplank/runtime/metric_family.hpp"
 
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -82,17 +83,6 @@
      [](const entry_vm_state &State) { return State.Placing ? 1.0 : 0.0; }},
 });
 
-MetricFamily makeFamily(const char *Name, const char *Help, MetricType Type, double Value) {
-  MetricFamily Family{Name, Help, Type, {}};
-  prometheus::ClientMetric Metric;
-  if (Type == MetricType::Counter)
-    Metric.counter.value = Value;
-  else
-    Metric.gauge.value = Value;
-  Family.metric.push_back(Metric);
-  return Family;
-}
-
 constexpr auto Outcomes = std::to_array({dispatch::job_outcome::Completed, dispatch::job_outcome::Failed,
                                          dispatch::job_outcome::Refused, dispatch::job_outcome::TimedOut,
                                          dispatch::job_outcome::Cancelled});
@@ -118,9 +108,10 @@
   std::string text(const entry_vm_state &State, std::size_t PendingCallers) override {
     std::vector<MetricFamily> Families = Registry.Collect();
     for (const metric_entry &Entry : Metrics)
-      Families.push_back(makeFamily(Entry.Name, Entry.Help, Entry.Type, Entry.Value(State)));
-    Families.push_back(makeFamily("yuccaplank_callers_waiting", "Callers that wait for an answer.",
-                                  MetricType::Gauge, toDouble(PendingCallers)));
+      Families.push_back(runtime::makeMetricFamily(Entry.Name, Entry.Help, Entry.Type, Entry.Value(State)));
+    Families.push_back(runtime::makeMetricFamily("yuccaplank_callers_waiting",
+                                                 "Callers that wait for an answer.", MetricType::Gauge,
+                                                 toDouble(PendingCallers)));
     return prometheus::TextSerializer().Serialize(Families);
   }
 
--- a/src/yuccaplank/platform/documents.cpp
+++ b/src/yuccaplank/platform/documents.cpp
@@ -81,14 +81,6 @@
   return Configuration;
 }
 
-std::uint64_t configurationVersion(std::string_view Text) {
-  json Document = parseJson(Text);
-  std::vector<field_issue> Issues;
-  std::uint64_t Version = 0;
-  object_reader(Document, "", Issues).integer("version", Version);
-  return Version;
-}
-
 runtime::result<dispatch::server_entry> decodeServer(const std::string &Id, std::string_view Text) {
   json Document = parseJson(Text);
   std::vector<field_issue> Issues;
--- a/src/yuccaplank/platform/fuzz/decoders.cpp
+++ b/src/yuccaplank/platform/fuzz/decoders.cpp
@@ -19,6 +19,10 @@
   return !Server || (Server.value().Target.Id == "i-1" && !Server.value().Rack.empty());
 }
 
+bool keepsRunRules(const dispatch::run_key &Run) {
+  return Run.Run > 0 && parseTaskName(taskName(Run.Task)) == Run.Task;
+}
+
 bool keepsReplyRules(std::string_view Text) {
   wire::http_call_result Reply;
   Reply.Body = Text;
@@ -28,9 +32,15 @@
       Hold.Outcome == dispatch::order_outcome::Accepted || (Hold.Running.empty() && Hold.Ended.empty());
   Reply.Status = 409;
   return Complete && decodeOrderReply(Reply).Outcome != dispatch::order_outcome::Accepted &&
-         std::ranges::all_of(Hold.Running, [](const dispatch::run_key &Run) {
-           return parseTaskName(taskName(Run.Task)) == Run.Task;
-         });
+         std::ranges::all_of(Hold.Running, keepsRunRules) &&
+         std::ranges::all_of(Hold.Ended,
+                             [](const dispatch::listed_end &End) { return keepsRunRules(End.Run); });
+}
+
+bool keepsQueueRules(const dispatch::configuration &Configuration) {
+  return std::ranges::all_of(Configuration.Queues, [&](const dispatch::queue_settings &Queue) {
+    return Configuration.find(Queue.Host, Queue.PathPrefix) != nullptr;
+  });
 }
 
 } // namespace
@@ -41,7 +51,7 @@
   auto Job = decodeJob(Text);
   bool Kept = keepsSettingsRules(Text) && keepsServerRules(Text) && keepsReplyRules(Text);
   if (Configuration)
-    Kept &= Configuration.value().Version == configurationVersion(Text);
+    Kept &= keepsQueueRules(Configuration.value());
   if (Job)
     Kept &= std::ranges::all_of(Job.value().Steps,
                                 [](const step_document &Step) { return Step.TaskSize.cpu() < ~0U; });
--- a/src/yuccaplank/platform/fuzz/decoders.hpp
+++ b/src/yuccaplank/platform/fuzz/decoders.hpp
@@ -7,8 +7,8 @@
 namespace yuccaplank::platform {
 
 /// Reads arbitrary bytes as each document and reply of the platform. Returns 0, or 1 when one is accepted
-/// that breaks a rule: a server without an address, a job with a step but no task count, or a run of another
-/// task than its name says.
+/// that breaks a rule: settings without a VM, a server without a rack, a queue that no request reaches, or a
+/// run without a number or of another task than its name says.
 int fuzzDecoders(const std::uint8_t *Data, std::size_t Size);
 
 } // namespace yuccaplank::platform
--- a/src/yuccaplank/platform/store_client.cpp
+++ b/src/yuccaplank/platform/store_client.cpp
@@ -1,6 +1,7 @@
 #include "yuccaplank/platform/store_client.hpp"
 #include "base64.hpp"
 #include "json_reader.hpp"
+#include "yuccaplank/wire/url.hpp"
 
 #include <fmt/format.h>
 
@@ -10,19 +11,6 @@
 using runtime::errc;
 using runtime::result;
 
-std::string percentEncode(std::string_view Text) {
-  std::string Encoded;
-  for (char Character : Text) {
-    bool Plain =
-        std::isalnum(static_cast<unsigned char>(Character)) != 0 || Character == '-' || Character == '_';
-    if (Plain)
-      Encoded.push_back(Character);
-    else
-      Encoded += fmt::format("%{:02X}", static_cast<unsigned char>(Character));
-  }
-  return Encoded;
-}
-
 std::error_code errorOf(const wire::http_call_result &Result) {
   if (Result.Error)
     return errc::PlatformUnavailable;
@@ -86,17 +74,17 @@
 
   void rows(const std::string &Table, const std::string &From,
             std::function<void(result<store_page>)> OnDone) override {
-    std::string Path = fmt::format("/yuccaplank/rows-get?table={}&part=", percentEncode(Table));
+    std::string Path = fmt::format("/yuccaplank/rows-get?table={}&part=", wire::percentEncode(Table));
     if (!From.empty())
-      Path += "&from=" + percentEncode(From);
+      Path += "&from=" + wire::percentEncode(From);
     call("GET", Path, "", {}, [OnDone = std::move(OnDone)](const auto &Result) { OnDone(readPage(Result)); });
   }
 
   void changes(const std::string &Table, std::uint64_t After, runtime::duration Wait,
                std::function<void(result<store_page>)> OnDone) override {
     auto WaitMs = std::chrono::duration_cast<std::chrono::milliseconds>(Wait).count();
-    std::string Path = fmt::format("/yuccaplank/rows-feed?table={}&after={}&wait_ms={}", percentEncode(Table),
-                                   After, WaitMs);
+    std::string Path = fmt::format("/yuccaplank/rows-feed?table={}&after={}&wait_ms={}",
+                                   wire::percentEncode(Table), After, WaitMs);
     call("GET", Path, "", Wait,
          [OnDone = std::move(OnDone)](const auto &Result) { OnDone(readPage(Result)); });
   }
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -246,17 +246,6 @@
   return Server.State ? Server.State->usedCpu() : 0;
 }
 
-std::vector<dispatch::run_key> simulated_servers::allRunning() {
-  std::vector<dispatch::run_key> Result;
-  for (auto &[Name, Server] : Servers)
-    if (Server.State) {
-      Server.State->advance(Executor.clock().now());
-      for (const dispatch::run_key &Run : Server.State->running())
-        Result.push_back(Run);
-    }
-  return Result;
-}
-
 std::vector<std::string> simulated_servers::names() const {
   std::vector<std::string> Result;
   for (const auto &[Name, Server] : Servers)
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -48,7 +48,6 @@
   [[nodiscard]] std::uint32_t capacityCpu(const std::string &Server) const {
     return Servers.at(Server).Entry.Capacity.cpu();
   }
-  [[nodiscard]] std::vector<dispatch::run_key> allRunning();
   [[nodiscard]] std::vector<std::string> names() const;
 
 private:
