--- a/include/yuccaplank/dispatch/entry_vm.hpp
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -7,6 +7,8 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
 #include "yuccaplank/dispatch/server_owner.hpp"
 
+#include "report.pb.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -93,6 +95,8 @@
   /// Others take over this VM's roles; jobs in hand go on.
   virtual void drain() = 0;
   [[nodiscard]] virtual entry_vm_state state() const = 0;
+  /// For operators.
+  [[nodiscard]] virtual schema::fleet_report report() const = 0;
 };
 
 std::unique_ptr<entry_vm> makeEntryVm(runtime::executor &Executor, entry_vm_ports &Ports,
--- a/include/yuccaplank/dispatch/fleet_view.hpp
+++ b/include/yuccaplank/dispatch/fleet_view.hpp
@@ -82,6 +82,8 @@
   /// in proportion to its strength; a draining one only when there is no other. Empty when there is none.
   [[nodiscard]] virtual std::string ownerOf(const std::string &Rack, const std::string &Domain) const = 0;
   /// Highest term that any VM has told.
+  /// Rises whenever placer() or ownerOf() may have changed.
+  [[nodiscard]] virtual std::uint64_t version() const = 0;
   [[nodiscard]] virtual std::uint32_t highestTerm() const = 0;
 };
 
--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -42,6 +42,9 @@
   std::string Reason;
   /// With Refused: when the caller may come back.
   std::uint32_t RetryAfterMs = 0;
+  /// Name of the job's queue.
+  std::string Queue;
+  bool WithinObjective = false;
 };
 
 enum class job_state : std::uint8_t { Queued, Running };
--- a/include/yuccaplank/dispatch/placement_queue.hpp
+++ b/include/yuccaplank/dispatch/placement_queue.hpp
@@ -48,6 +48,7 @@
   virtual void dropVm(const std::string &Vm) = 0;
   /// Grants and rejects as far as possible; called after a batch of the calls above and periodically.
   virtual void schedule() = 0;
+  [[nodiscard]] virtual std::size_t waitingJobs() const = 0;
   [[nodiscard]] virtual placement_counters counters() const = 0;
 };
 
--- a/include/yuccaplank/dispatch/server_owner.hpp
+++ b/include/yuccaplank/dispatch/server_owner.hpp
@@ -54,6 +54,8 @@
   /// Called every 50 ms.
   virtual void tick() = 0;
   [[nodiscard]] virtual owner_counts counts() const = 0;
+  /// Room and behaviour of the owned servers.
+  [[nodiscard]] virtual std::vector<schema::server_state> states() const = 0;
   [[nodiscard]] virtual const ledger_counters &counters() const = 0;
 };
 
--- a/include/yuccaplank/platform/settings.hpp
+++ b/include/yuccaplank/platform/settings.hpp
@@ -31,8 +31,11 @@
   std::int64_t MemoryMb = 0;
   /// Time between SIGTERM and SIGKILL.
   double GracePeriodS = 6;
-  /// How backend servers receive orders; only "request" is served.
-  std::string OrderForm;
+  /// Longest lease that a backend server grants.
+  std::uint32_t MaxLeaseMs = 1000;
+  /// Time after which callers send a job again whose connection broke.
+  std::uint32_t ResendMs = 1300;
+  std::uint32_t StopTimeMs = 50;
 };
 
 /// What is wrong with a settings file.
--- a/include/yuccaplank/wire/http_client.hpp
+++ b/include/yuccaplank/wire/http_client.hpp
@@ -30,6 +30,8 @@
   std::string Path;
   std::vector<http_header> Headers;
   std::string Body;
+  /// Host that the request is for; empty takes the address.
+  std::string Host;
   /// Time for the whole exchange; zero means no limit.
   runtime::duration Timeout{};
 };
--- a/scripts/lib/faults.py
+++ b/scripts/lib/faults.py
@@ -1,4 +1,4 @@
-"""Offers jobs while processes die, pause, and leave, the platform fails, servers misbehave, and domains separate."""
+"""Offers jobs while processes die, pause, and leave, the store fails, and servers misbehave."""
 import argparse
 import json
 import random
@@ -12,9 +12,9 @@
 import fleet
 
 DOMAINS = {"d1": 2, "d2": 2, "d3": 2, "d4": 1}
-SERVERS = 48
+WORKERS = 24
 # The load tool waits for late answers before it checks.
-LOAD_LIMIT_S = 90
+LOAD_LIMIT_S = 60
 
 
 class FaultInjector:
@@ -25,13 +25,13 @@
         self.stopping = threading.Event()
         self.counts = {}
         groups = {"vms": [self.kill, self.replace, self.terminate, self.pause, self.long_pause],
-                  "platform": [self.platform_down, self.platform_slow, self.lose_replies],
-                  "servers": [self.break_servers, self.servers_leave],
-                  "links": [self.separate],
-                  "drain": [self.terminate],
-                  "leave": [self.servers_leave]}
+                  "store": [self.store_away, self.store_slow, self.lose_answers, self.forget_history,
+                            self.configure],
+                  "servers": [self.break_servers, self.crash_servers, self.servers_leave, self.late_orders],
+                  "all": [self.kill_all]}
         self.threads = [threading.Thread(target=self.run, args=(groups[name], random.Random(seed + index)))
                         for index, name in enumerate(names)]
+        self.version = 1
 
     def start(self):
         for thread in self.threads:
@@ -69,6 +69,13 @@
         vm.signal(signal.SIGKILL)
         self.restart(vm, generator.uniform(0, 4))
 
+    def kill_all(self, generator):
+        for vm in self.system.vms.values():
+            vm.signal(signal.SIGKILL)
+        for vm in self.system.vms.values():
+            self.restart(vm, 0)
+        self.sleep(5)
+
     def replace(self, generator):
         """Ends two VMs at once and starts them again at the same addresses."""
         for vm in generator.sample(list(self.system.vms.values()), 2):
@@ -79,7 +86,7 @@
         vm = self.vm(generator)
         vm.signal(signal.SIGTERM)
         try:
-            vm.process.wait(30)
+            vm.process.wait(8)
         except subprocess.TimeoutExpired:
             vm.process.kill()
         self.restart(vm, generator.uniform(0, 1))
@@ -96,59 +103,61 @@
     def long_pause(self, generator):
         self.pause_for(generator, generator.uniform(2.5, 5))
 
-    def platform_fault(self, generator, fault):
-        fleet.http("POST", self.system.platform_address, "/fault", fault)
+    def store_fault(self, generator, fault):
+        self.system.control("/store", fault)
         self.sleep(generator.uniform(1, 5))
-        fleet.http("POST", self.system.platform_address, "/fault",
-                   {"mode": "normal", "delay_ms": 0, "lose_replies_percent": 0})
+        self.system.control("/store", {"mode": "normal"})
+
+    def store_away(self, generator):
+        self.store_fault(generator, {"mode": generator.choice(["down", "reset", "silent"])})
+
+    def store_slow(self, generator):
+        self.store_fault(generator, {"delay_ms": generator.choice([50, 400, 2000])})
 
-    def platform_down(self, generator):
-        self.platform_fault(generator, {"mode": generator.choice(["down", "hang"])})
+    def lose_answers(self, generator):
+        self.store_fault(generator, {"lost_answers": 0.5, "late_writes": 0.2})
 
-    def platform_slow(self, generator):
-        self.platform_fault(generator, {"mode": "slow", "delay_ms": generator.choice([50, 400, 2000])})
+    def forget_history(self, generator):
+        self.system.control("/history/forget", {})
 
-    def lose_replies(self, generator):
-        self.platform_fault(generator, {"mode": "normal", "lose_replies_percent": 50})
+    def configure(self, generator):
+        self.version += generator.randint(1, 5)
+        self.system.control("/configuration", {
+            "version": self.version,
+            "routes": [{"name": "jobs", "host": "jobs.example", "path_prefix": "/jobs/", "service": "pool",
+                        "max_attempts": 3, "stretch": 1.6, "target_latency_ms": 60}],
+            "services": [{"name": "pool"}], "limits": {"max_body_bytes": 100000}})
+
+    def names(self, generator, most):
+        return [f"w{number}" for number in generator.sample(range(1, WORKERS + 1), generator.randint(1, most))]
+
+    def server_fault(self, generator, names, fault, seconds):
+        self.system.control("/workers", {"names": names, **fault})
+        self.sleep(seconds)
+        self.system.control("/workers", {"names": names})
 
     def break_servers(self, generator):
-        mode = generator.choice(["fail_all", "stall", "refuse", "late", "crossed", "down", "drop_answer",
-                                   "drop_request"])
-        self.server_fault(generator, mode, generator.randint(1, 3), generator.uniform(0.5, 4))
+        mode = generator.choice([{"mode": "silent"}, {"mode": "failing"}, {"mode": "hanging"}, {"slowdown": 6}])
+        self.server_fault(generator, self.names(generator, 3), mode, generator.uniform(0.5, 4))
+
+    def late_orders(self, generator):
+        fault = {"late_orders": 0.1, "lost_answers": 0.2}
+        self.server_fault(generator, self.names(generator, 8), fault, generator.uniform(1, 4))
 
     def servers_leave(self, generator):
-        self.server_fault(generator, "leaving", generator.randint(1, 4), generator.uniform(2, 6))
+        self.server_fault(generator, self.names(generator, 4), {"draining": True}, generator.uniform(2, 6))
 
-    def server_fault(self, generator, mode, count, seconds):
-        names = [f"s{number}" for number in generator.sample(range(1, SERVERS + 1), count)]
-        fleet.http("POST", self.system.control_address, "/fault",
-                   {"servers": names, "mode": mode, "delay_ms": 300})
-        self.sleep(seconds)
-        fleet.http("POST", self.system.control_address, "/fault",
-                   {"servers": names, "mode": "normal", "delay_ms": 0})
-
-    def separate(self, generator):
-        cut = generator.choice(list(DOMAINS))
-        others = [domain for domain in DOMAINS if domain != cut]
-        with_platform = generator.random() < 0.5
-        self.set_links(lambda vm: {"domains": others, "platform": with_platform} if vm.domain == cut
-                       else {"domains": [cut]})
-        self.sleep(generator.uniform(0.5, 6))
-        self.set_links(lambda vm: {})
-
-    def set_links(self, links_of):
-        for vm in self.system.vms.values():
-            try:
-                fleet.http("POST", vm.operators, "/v1/test/links", links_of(vm), fleet.TOKEN, timeout=1)
-            except OSError:
-                pass  # The VM is down or paused.
+    def crash_servers(self, generator):
+        names = self.names(generator, 2)
+        self.system.control("/workers/crash", {"names": names})
+        self.sleep(generator.uniform(0, 3))
+        self.system.control("/workers/start", {"names": names})
 
 
 def offer(system, options):
-    command = [str(system.build / "yuccaplank-load"), "--entries", system.entries(), "--rate", str(options.rate),
-               "--seconds", str(options.seconds), "--seed", str(options.seed), "--tasks", "1-20",
-               "--time-scale", "0.2", "--resubmit-percent", "20", "--cancel-waves", str(max(1, options.seconds // 10)),
-               "--ids-block", "16", "--service", "proofs", "--check", system.control_address]
+    command = [str(system.build / "yuccaplank-load"), "--entries", system.entries(), "--queue", fleet.QUEUE,
+               "--rate", str(options.rate), "--seconds", str(options.seconds), "--seed", str(options.seed),
+               "--leave-percent", "5", "--cancel-percent", "3", "--check", system.control_address]
     return subprocess.run(command, capture_output=True, text=True, timeout=options.seconds + LOAD_LIMIT_S)
 
 
@@ -156,24 +165,21 @@
     parser = argparse.ArgumentParser(prog="scripts/faults")
     parser.add_argument("--seconds", type=int, default=30)
     parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 31))
-    parser.add_argument("--rate", type=float, default=150, help="jobs a second")
+    parser.add_argument("--rate", type=float, default=60, help="jobs a second")
     parser.add_argument("--base-port", type=int, default=8100)
     parser.add_argument("--build", default="build", help="folder of the programs")
-    parser.add_argument("--groups", default="vms,platform,servers,links",
-                        help="faults to inject at the same time: vms, platform, servers, links, drain, leave")
-    parser.add_argument("--one-dispatcher", action="store_true", help="all failure domains share a dispatcher")
+    parser.add_argument("--groups", default="vms,store,servers",
+                        help="faults to inject at the same time: vms, store, servers, all")
     parser.add_argument("--no-faults", action="store_true", help="only offer the load")
+    parser.add_argument("--keep-logs", default="", help="folder in which the logs stay")
     options = parser.parse_args()
     print(json.dumps({"name": "seed", "value": options.seed, "unit": ""}), flush=True)
     with tempfile.TemporaryDirectory(prefix="yuccaplank-faults-") as directory:
-        system = fleet.Fleet(directory, DOMAINS, SERVERS, base_port=options.base_port, build=options.build,
-                             one_dispatcher=options.one_dispatcher)
+        system = fleet.Fleet(options.keep_logs or directory, DOMAINS, WORKERS, base_port=options.base_port,
+                             build=options.build, seed=options.seed)
         injector = FaultInjector(system, options.seed, options.groups.split(","))
         try:
             system.start()
-            system.apply({"service": "proofs", "team": "engraving", "pool": "default",
-                          "objective": {"percent": 99, "within_ms": 2000}})
-            time.sleep(1)
             if not options.no_faults:
                 injector.start()
             result = offer(system, options)
--- a/scripts/lib/quickstart.py
+++ b/scripts/lib/quickstart.py
@@ -1,4 +1,4 @@
-"""The quick start: applies a service document, submits a job, and prints its answer and the burn report."""
+"""The quick start: submits a job, and prints its answer, the fleet and the burn report."""
 import argparse
 import json
 import os
@@ -16,9 +16,7 @@
 def run_cli(system, *arguments):
     command = [str(system.build / "yuccaplank"), *arguments]
     print("\n$ yuccaplank " + " ".join(arguments), flush=True)
-    vm = next(iter(system.vms.values()))
-    environment = dict(os.environ, YUCCAPLANK_ENTRY=system.entries(), YUCCAPLANK_OPERATOR=vm.operators,
-                       YUCCAPLANK_TOKEN=fleet.TOKEN)
+    environment = dict(os.environ, YUCCAPLANK_ENTRY=system.entries(), YUCCAPLANK_OPERATOR=system.operators())
     status = subprocess.run(command, env=environment, cwd=fleet.ROOT).returncode
     if status != 0:
         raise RuntimeError(f"exit status {status}")
@@ -47,9 +45,10 @@
 
 
 def show(system):
-    run_cli(system, "service", "apply", "examples/proofs.service.json", "--yes")
-    run_cli(system, "submit", "examples/nameplate_proof.job.json")
+    run_cli(system, "submit", "examples/proof.job.json")
+    run_cli(system, "waiting", fleet.QUEUE)
     run_cli(system, "vms")
+    run_cli(system, "servers")
     run_cli(system, "report", "burn")
 
 
@@ -63,10 +62,10 @@
         return 0
     if stop_kept():
         print("An earlier quick start was still running and has been stopped.")
-    system = fleet.Fleet(DIRECTORY, {"d1": 2, "d2": 1}, servers=6, pool="render")
+    system = fleet.Fleet(DIRECTORY, {"d1": 2, "d2": 1}, workers=6)
     try:
         system.start()
-        print(f"Three entry VMs in two failure domains and {system.servers} backend servers are up.")
+        print(f"Three entry VMs in two failure domains and {system.workers} backend servers are up.")
         show(system)
     except (RuntimeError, OSError) as error:
         print(f"quick start failed: {error}; logs are in {DIRECTORY}", file=sys.stderr)
@@ -77,12 +76,10 @@
         print("\nAll stopped. scripts/quickstart --keep leaves it running.")
         return 0
     STATE.write_text(json.dumps([process.pid for process in system.processes]))
-    first = next(iter(system.vms.values()))
     print("\nStill running. To use it:")
-    print(f"  export YUCCAPLANK_ENTRY={system.entries()} YUCCAPLANK_OPERATOR={first.operators}")
-    print(f"  export YUCCAPLANK_TOKEN={fleet.TOKEN}")
+    print(f"  export YUCCAPLANK_ENTRY={system.entries()} YUCCAPLANK_OPERATOR={system.operators()}")
     print("  build/yuccaplank --help")
-    print(f"Platform {system.platform_address}, servers' control {system.control_address}, logs {DIRECTORY}")
+    print(f"Store {system.store_address}, control of the stand-in {system.control_address}, logs {DIRECTORY}")
     print("scripts/quickstart --stop ends it.")
     return 0
 
--- a/src/yuccaplank/cli/arguments.cpp
+++ b/src/yuccaplank/cli/arguments.cpp
@@ -21,10 +21,8 @@
   po::options_description Options("Global options");
   Options.add_options()("entry", po::value<std::string>()->value_name("IP:PORT[,...]"),
                         "entry VMs; default: environment YUCCAPLANK_ENTRY");
-  Options.add_options()("operator", po::value<std::string>()->value_name("IP:PORT"),
-                        "operator listener; default: environment YUCCAPLANK_OPERATOR");
-  Options.add_options()("token", po::value<std::string>()->value_name("TOKEN"),
-                        "operator token; default: environment YUCCAPLANK_TOKEN");
+  Options.add_options()("operator", po::value<std::string>()->value_name("IP:PORT[,...]"),
+                        "operator listeners of entry VMs; default: environment YUCCAPLANK_OPERATOR");
   Options.add_options()("json", po::bool_switch(), "print JSON");
   Options.add_options()("timeout", po::value<double>()->value_name("SECONDS")->default_value(30, "30"),
                         "time to wait for an answer");
@@ -116,11 +114,10 @@
   command_target Target = Invocation.Command->Target;
   if (Target == command_target::Entry && Global.Entries.empty())
     return "no entry VM is given; use --entry or YUCCAPLANK_ENTRY.";
-  if (Target == command_target::Operator && Global.Operator.empty())
+  if (Target == command_target::Operator && Global.Operators.empty())
     return "no operator listener is given; use --operator or YUCCAPLANK_OPERATOR.";
   std::vector<std::string> Addresses = Global.Entries;
-  if (!Global.Operator.empty())
-    Addresses.push_back(Global.Operator);
+  Addresses.insert(Addresses.end(), Global.Operators.begin(), Global.Operators.end());
   for (const std::string &Address : Addresses)
     if (!isAddress(Address))
       return fmt::format("'{}' is not an address of the form ip:port.", Address);
@@ -137,35 +134,23 @@
   return {};
 }
 
-std::string checkCombinations(const invocation &Invocation) {
-  const po::variables_map &Options = Invocation.Options;
-  if (Options.contains("key") && Options.contains("id"))
-    return "--key and --id exclude each other.";
-  if (Options.contains("key") && Options["resubmit"].as<unsigned>() > 0)
-    return "--resubmit uses new ids and cannot be combined with --key.";
-  if (Options.contains("async") && Options["async"].as<bool>() && Options["resubmit"].as<unsigned>() > 0)
-    return "--resubmit needs the job's outcome and cannot be combined with --async.";
-  if (Options.contains("count") &&
-      (Options["count"].as<unsigned>() < 1 || Options["count"].as<unsigned>() > 1000))
-    return "--count must be 1 to 1000.";
-  return {};
-}
-
 std::string checkInvocation(const invocation &Invocation) {
-  for (auto *Check : {checkPositionals, checkTarget, checkTimes, checkCombinations})
+  for (auto *Check : {checkPositionals, checkTarget, checkTimes})
     if (std::string Message = Check(Invocation); !Message.empty())
       return Message;
   return {};
 }
 
+void splitAddresses(const std::string &Text, std::vector<std::string> &Addresses) {
+  if (!Text.empty())
+    boost::split(Addresses, Text, boost::is_any_of(","));
+}
+
 void fillGlobal(invocation &Invocation, const environment &Environment) {
   const po::variables_map &Options = Invocation.Options;
   global_options &Global = Invocation.Global;
-  std::string Entries = optionOrEnvironment(Options, "entry", Environment);
-  if (!Entries.empty())
-    boost::split(Global.Entries, Entries, boost::is_any_of(","));
-  Global.Operator = optionOrEnvironment(Options, "operator", Environment);
-  Global.Token = optionOrEnvironment(Options, "token", Environment);
+  splitAddresses(optionOrEnvironment(Options, "entry", Environment), Global.Entries);
+  splitAddresses(optionOrEnvironment(Options, "operator", Environment), Global.Operators);
   Global.Json = Options["json"].as<bool>();
   double Seconds = Options["timeout"].as<double>();
   if (std::isfinite(Seconds) && Seconds <= MaxSeconds)
@@ -188,6 +173,7 @@
   po::store(Parser.options(All).positional(Positions).style(Style).run(), Invocation.Options);
   if (Invocation.Options["help"].as<bool>())
     return help_request{&Command};
+  po::notify(Invocation.Options);
   fillGlobal(Invocation, Environment);
   if (std::string Message = checkInvocation(Invocation); !Message.empty())
     return usage_error{Message, &Command};
@@ -226,7 +212,7 @@
       Text << fmt::format("  {:<18}{}\n", Entry.Name, Entry.Summary);
     Text << "\n" << globalOptions();
     Text << "\nExit status: 0 done, 1 other error, 2 usage, 3 failed (may have run), 4 refused (not run),\n"
-            "5 outcome unknown, 6 conflict.\n";
+            "5 outcome unknown.\n";
     return Text.str();
   }
   std::string Separator = Command->Positionals.empty() ? "" : " ";
--- a/src/yuccaplank/cli/arguments.hpp
+++ b/src/yuccaplank/cli/arguments.hpp
@@ -22,9 +22,8 @@
 struct global_options {
   /// "ip:port" of entry VMs.
   std::vector<std::string> Entries;
-  /// "ip:port" of an operator listener.
-  std::string Operator;
-  std::string Token;
+  /// "ip:port" of operator listeners.
+  std::vector<std::string> Operators;
   bool Json = false;
   runtime::duration Timeout = std::chrono::seconds(30);
 };
--- a/src/yuccaplank/cli/burn_report.cpp
+++ b/src/yuccaplank/cli/burn_report.cpp
@@ -1,17 +1,17 @@
 #include "yuccaplank/cli/burn_report.hpp"
-#include "yuccaplank/cli/operator_client.hpp"
 #include "yuccaplank/cli/output.hpp"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
+#include <utility>
 #include <vector>
 
 namespace yuccaplank::cli {
 namespace {
 
-using nlohmann::ordered_json;
-
 // Plot dimensions in pixels.
 constexpr int LabelWidth = 220;
 constexpr int BarAreaWidth = 520;
@@ -28,7 +28,7 @@
     "<h1>Burn report</h1>\n";
 
 struct burn_row {
-  std::string Service;
+  std::string Queue;
   std::string Window;
   std::string Objective;
   std::string Good;
@@ -38,43 +38,47 @@
   double BurnRate = 0;
 };
 
-double number(const ordered_json &Object, const char *Member) {
-  auto Found = Object.find(Member);
-  return Found != Object.end() && Found->is_number() ? Found->get<double>() : 0;
-}
-
-std::string formatWindow(double Seconds) {
+std::string formatWindow(std::uint32_t Seconds) {
   constexpr double MinuteS = 60;
   constexpr double HourS = 3600;
   return Seconds >= HourS ? fmt::format("{:g} h", Seconds / HourS)
                           : fmt::format("{:g} min", Seconds / MinuteS);
 }
 
-std::vector<burn_row> readRows(const ordered_json &Report) {
+std::vector<burn_row> makeRows(const std::vector<burn_line> &Lines) {
   std::vector<burn_row> Rows;
-  for (const ordered_json &Line : arrayOf(Report, "lines"))
-    Rows.push_back({cell(Line, "service"), formatWindow(number(Line, "window_s")),
-                    fmt::format("{:g}", number(Line, "objective_percent")), cell(Line, "good"),
-                    cell(Line, "total"), fmt::format("{:.3f}", number(Line, "attained_percent")),
-                    fmt::format("{:.1f}", number(Line, "budget_left_percent")), number(Line, "burn_rate")});
+  Rows.reserve(Lines.size());
+  for (const burn_line &Line : Lines)
+    Rows.push_back({Line.Queue, formatWindow(Line.WindowS), fmt::format("{:g}", Line.ObjectivePercent),
+                    std::to_string(Line.Good), std::to_string(Line.Total),
+                    fmt::format("{:.3f}", Line.AttainedPercent),
+                    fmt::format("{:.1f}", Line.BudgetLeftPercent), Line.BurnRate});
   return Rows;
 }
 
-std::string silentText(const ordered_json &Report) {
-  std::vector<std::string> Names;
-  for (const ordered_json &Vm : arrayOf(Report, "silent"))
-    if (Vm.is_string())
-      Names.push_back(Vm.get<std::string>());
-  return Names.empty() ? "" : fmt::format("Without the VMs that gave no answer: {}", fmt::join(Names, ", "));
+std::string silentText(const std::vector<std::string> &Silent) {
+  return Silent.empty() ? ""
+                        : fmt::format("Without the VMs that gave no answer: {}", fmt::join(Silent, ", "));
+}
+
+// Fills in what follows from the counts.
+void rate(burn_line &Line) {
+  constexpr double Percent = 100;
+  double AllowedPercent = Percent - Line.ObjectivePercent;
+  if (Line.Total == 0 || AllowedPercent <= 0)
+    return;
+  Line.AttainedPercent = Percent * static_cast<double>(Line.Good) / static_cast<double>(Line.Total);
+  Line.BurnRate = (Percent - Line.AttainedPercent) / AllowedPercent;
+  Line.BudgetLeftPercent = Percent * (1 - Line.BurnRate);
 }
 
 std::string htmlTable(const std::vector<burn_row> &Rows) {
-  std::string Text = "<table><tr><th>Service</th><th>Window</th><th>Objective %</th><th>Good</th>"
+  std::string Text = "<table><tr><th>Queue</th><th>Window</th><th>Objective %</th><th>Good</th>"
                      "<th>Total</th><th>Attained %</th><th>Burn rate</th><th>Budget left %</th></tr>\n";
   for (const burn_row &Row : Rows)
     Text += fmt::format("<tr><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td>"
                         "<td{}>{:.2f}</td><td>{}</td></tr>\n",
-                        escapeHtml(Row.Service), escapeHtml(Row.Window), escapeHtml(Row.Objective),
+                        escapeHtml(Row.Queue), escapeHtml(Row.Window), escapeHtml(Row.Objective),
                         escapeHtml(Row.Good), escapeHtml(Row.Total), escapeHtml(Row.Attained),
                         Row.BurnRate > 1 ? " class=\"over\"" : "", Row.BurnRate, escapeHtml(Row.BudgetLeft));
   return Text + "</table>\n";
@@ -96,7 +100,7 @@
     int Top = PlotMargin + static_cast<int>(Index) * RowHeight;
     double Length = std::max(Row.BurnRate, 0.0) * Scale;
     Text += fmt::format("<text x=\"{}\" y=\"{}\" text-anchor=\"end\">{}, {}</text>", LabelWidth - 8,
-                        Top + BarHeight - 3, escapeHtml(Row.Service), escapeHtml(Row.Window));
+                        Top + BarHeight - 3, escapeHtml(Row.Queue), escapeHtml(Row.Window));
     Text += fmt::format("<rect x=\"{}\" y=\"{}\" width=\"{:.1f}\" height=\"{}\" fill=\"{}\"/>", LabelWidth,
                         Top, Length, BarHeight, Row.BurnRate > 1 ? "#b00020" : "#2e7d32");
     Text += fmt::format("<text x=\"{:.1f}\" y=\"{}\">{:.2f}</text>\n", LabelWidth + Length + 5,
@@ -112,21 +116,56 @@
 
 } // namespace
 
-std::string formatBurnTable(const ordered_json &Report) {
+std::vector<burn_line> mergeBurn(const std::vector<schema::burn_counts> &Counts) {
+  std::map<std::pair<std::string, std::uint32_t>, burn_line> Lines;
+  for (const schema::burn_counts &OfVm : Counts)
+    for (const schema::burn_queue &Queue : OfVm.queues())
+      for (const schema::burn_window &Window : Queue.windows()) {
+        burn_line &Line = Lines[{Queue.queue(), Window.window_s()}];
+        Line.Queue = Queue.queue();
+        Line.WindowS = Window.window_s();
+        if (Line.ObjectivePercent == 0)
+          Line.ObjectivePercent = OfVm.objective_percent();
+        Line.Good += Window.good();
+        Line.Total += Window.total();
+      }
+  std::vector<burn_line> Result;
+  for (auto &[Key, Line] : Lines) {
+    rate(Line);
+    Result.push_back(std::move(Line));
+  }
+  return Result;
+}
+
+std::string formatBurnTable(const std::vector<burn_line> &Lines, const std::vector<std::string> &Silent) {
   std::vector<std::vector<std::string>> Rows{
-      {"SERVICE", "WINDOW", "OBJECTIVE %", "GOOD", "TOTAL", "ATTAINED %", "BURN RATE", "BUDGET LEFT %"}};
-  for (const burn_row &Row : readRows(Report))
-    Rows.push_back({Row.Service, Row.Window, Row.Objective, Row.Good, Row.Total, Row.Attained,
+      {"QUEUE", "WINDOW", "OBJECTIVE %", "GOOD", "TOTAL", "ATTAINED %", "BURN RATE", "BUDGET LEFT %"}};
+  for (const burn_row &Row : makeRows(Lines))
+    Rows.push_back({Row.Queue, Row.Window, Row.Objective, Row.Good, Row.Total, Row.Attained,
                     fmt::format("{:.2f}", Row.BurnRate), Row.BudgetLeft});
-  std::string Silent = silentText(Report);
-  return formatTable(Rows) + (Silent.empty() ? "" : Silent + "\n");
+  std::string Text = silentText(Silent);
+  return formatTable(Rows) + (Text.empty() ? "" : Text + "\n");
 }
 
-std::string formatBurnHtml(const ordered_json &Report) {
-  std::vector<burn_row> Rows = readRows(Report);
-  std::string Silent = silentText(Report);
+std::string formatBurnHtml(const std::vector<burn_line> &Lines, const std::vector<std::string> &Silent) {
+  std::vector<burn_row> Rows = makeRows(Lines);
+  std::string Text = silentText(Silent);
   return fmt::format("{}{}{}{}</body></html>\n", PageHead, svgPlot(Rows), htmlTable(Rows),
-                     Silent.empty() ? "" : "<p>" + escapeHtml(Silent) + "</p>\n");
+                     Text.empty() ? "" : "<p>" + escapeHtml(Text) + "</p>\n");
+}
+
+std::string formatBurnJson(const std::vector<burn_line> &Lines) {
+  nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
+  for (const burn_line &Line : Lines)
+    Rows.push_back({{"queue", Line.Queue},
+                    {"window_s", Line.WindowS},
+                    {"objective_percent", Line.ObjectivePercent},
+                    {"good", Line.Good},
+                    {"total", Line.Total},
+                    {"attained_percent", Line.AttainedPercent},
+                    {"burn_rate", Line.BurnRate},
+                    {"budget_left_percent", Line.BudgetLeftPercent}});
+  return nlohmann::ordered_json{{"lines", std::move(Rows)}}.dump();
 }
 
 std::string escapeHtml(std::string_view Text) {
--- a/src/yuccaplank/cli/command.cpp
+++ b/src/yuccaplank/cli/command.cpp
@@ -12,34 +12,16 @@
 void declareNothing(po::options_description & /*Options*/) {}
 
 void declareSubmit(po::options_description &Options) {
-  Options.add_options()("key", po::value<std::string>()->value_name("KEY"),
-                        "submit under a key of your own, for example an order number");
   Options.add_options()("id", po::value<std::string>()->value_name("ID"),
-                        "submit under an id taken earlier; repeats a submission whose outcome is open");
-  Options.add_options()("async", po::bool_switch(), "return as soon as the job is accepted");
-  Options.add_options()("resubmit", po::value<unsigned>()->value_name("N")->default_value(0),
-                        "submit a repeatable job again, under a new id, at most N times after it failed or "
-                        "its outcome is unknown");
+                        "submit under this id (16 hexadecimal digits); repeats a submission whose outcome is "
+                        "open");
   Options.add_options()("wait", po::value<double>()->value_name("SECONDS")->default_value(0),
                         "time in which a refused job is submitted again when the refusal says when");
 }
 
-void declareGet(po::options_description &Options) {
-  Options.add_options()("wait", po::value<double>()->value_name("SECONDS")->default_value(0),
-                        "wait up to this time for the job to end");
-}
-
-void declareIds(po::options_description &Options) {
-  Options.add_options()("count", po::value<unsigned>()->value_name("N")->default_value(1),
-                        "number of ids, 1 to 1000");
-}
-
-void declareChange(po::options_description &Options) {
-  Options.add_options()("yes", po::bool_switch(), "apply without asking");
-  Options.add_options()("dry-run", po::bool_switch(), "show the changes only");
-  Options.add_options()("wait", po::bool_switch(), "wait until every VM has the new revision");
-  Options.add_options()("change", po::value<std::string>()->value_name("ID"),
-                        "change id; repeats an apply whose outcome is open");
+void declareQueue(po::options_description &Options) {
+  Options.add_options()("queue", po::value<std::string>()->value_name("HOST/PATH")->required(),
+                        "queue of the job");
 }
 
 void declareBurn(po::options_description &Options) {
@@ -48,41 +30,26 @@
 }
 
 constexpr auto Commands = std::to_array<command>({
-    {"submit", "FILE", "Submits a job document ('-' reads standard input) and prints its answer.",
+    {"submit", "FILE", "Submits a job document ('-' reads standard input) and waits for its end.",
      "yuccaplank submit job.json --entry 127.0.0.1:7100,127.0.0.1:7101\n"
-     "yuccaplank submit reorder.json --key order-20417\n"
-     "yuccaplank submit proofs.json --resubmit 2 --wait 10\n",
+     "yuccaplank submit job.json --wait 10\n",
      command_target::Entry, declareSubmit, runSubmit},
-    {"get", "ID", "Prints the state or the answer of a job.",
-     "yuccaplank get i.d1.vm1.1700000000000-7.12 --wait 5\n", command_target::Entry, declareGet, runGet},
-    {"cancel", "ID", "Cancels a job.", "yuccaplank cancel k.order-20417\n", command_target::Entry,
-     declareNothing, runCancel},
-    {"ids", "", "Takes job ids.", "yuccaplank ids --count 100\n", command_target::Entry, declareIds, runIds},
-    {"service apply", "FILE", "Shows what a service document changes and commits it.",
-     "yuccaplank service apply proofs.json --wait\n"
-     "yuccaplank service apply proofs.json --dry-run\n",
-     command_target::Operator, declareChange, runServiceApply},
-    {"service show", "NAME", "Prints the current revision of a service.", "yuccaplank service show proofs\n",
-     command_target::Operator, declareNothing, runServiceShow},
-    {"service list", "", "Lists the services.", "yuccaplank service list --operator 127.0.0.1:7200\n",
-     command_target::Operator, declareNothing, runServiceList},
-    {"service diff", "FILE", "Shows what a service document changes.",
-     "yuccaplank service diff proofs.json\n", command_target::Operator, declareNothing, runServiceDiff},
-    {"service history", "NAME", "Lists the revisions of a service, oldest first.",
-     "yuccaplank service history proofs\n", command_target::Operator, declareNothing, runServiceHistory},
-    {"service rollback", "NAME REVISION", "Commits the document of an earlier revision as a new revision.",
-     "yuccaplank service rollback proofs 41 --yes --wait\n", command_target::Operator, declareChange,
-     runServiceRollback},
-    {"service validate", "FILE", "Checks a service document without contacting a VM.",
-     "yuccaplank service validate proofs.json\n", command_target::None, declareNothing, runServiceValidate},
-    {"vms", "", "Lists the entry VMs.", "yuccaplank vms\n", command_target::Operator, declareNothing, runVms},
-    {"servers", "", "Lists the backend servers.", "yuccaplank servers --json\n", command_target::Operator,
-     declareNothing, runServers},
-    {"report burn", "", "Reports how the services meet their objectives.",
+    {"state", "ID", "Prints the state of a job; an entry VM knows the jobs of its own callers.",
+     "yuccaplank state 5c0e7a21d94b36f8 --queue jobs.example/jobs/\n", command_target::Entry, declareQueue,
+     runState},
+    {"cancel", "ID", "Cancels a job.", "yuccaplank cancel 5c0e7a21d94b36f8 --queue jobs.example/jobs/\n",
+     command_target::Entry, declareQueue, runCancel},
+    {"waiting", "QUEUE", "Prints how many jobs of a queue (HOST/PATH) wait.",
+     "yuccaplank waiting jobs.example/jobs/\n", command_target::Entry, declareNothing, runWaiting},
+    {"vms", "", "Lists the entry VMs as one of them sees them.", "yuccaplank vms\n", command_target::Operator,
+     declareNothing, runVms},
+    {"servers", "", "Lists the backend servers that the VMs asked own.", "yuccaplank servers --json\n",
+     command_target::Operator, declareNothing, runServers},
+    {"report burn", "", "Reports how the queues meet their objectives.",
      "yuccaplank report burn\n"
      "yuccaplank report burn --html burn.html\n",
      command_target::Operator, declareBurn, runReportBurn},
-    {"top", "", "Shows VMs, backend servers and objectives, refreshed each second.", "yuccaplank top\n",
+    {"top", "", "Shows VMs, objectives and backend servers, refreshed each second.", "yuccaplank top\n",
      command_target::Operator, declareNothing, runTop},
 });
 
@@ -91,7 +58,7 @@
 std::span<const command> commandTable() { return Commands; }
 
 exit_status runCli(const std::vector<std::string> &Arguments, const environment &Environment,
-                   const console &Console, requester &Requester, std::function<std::string()> MakeChangeId) {
+                   const console &Console, requester &Requester, std::function<std::string()> MakeJobId) {
   parsed_arguments Parsed = parseArguments(Arguments, Environment);
   if (const auto *Help = std::get_if<help_request>(&Parsed)) {
     Console.Out(helpText(Help->Command));
@@ -104,7 +71,7 @@
     return exit_status::Usage;
   }
   const auto &Invocation = std::get<invocation>(Parsed);
-  command_context Context{Invocation, Console, Requester, std::move(MakeChangeId)};
+  command_context Context{Invocation, Console, Requester, std::move(MakeJobId)};
   return Invocation.Command->Run(Context);
 }
 
--- a/src/yuccaplank/cli/command.hpp
+++ b/src/yuccaplank/cli/command.hpp
@@ -19,15 +19,15 @@
   const invocation &Invocation;
   const console &Console;
   requester &Requester;
-  /// Makes change ids: 16 hexadecimal digits.
-  std::function<std::string()> MakeChangeId;
+  /// Makes job ids: 16 hexadecimal digits.
+  std::function<std::string()> MakeJobId;
 };
 
 /// An entry of the command table.
 struct command {
-  /// One or two words, for example "service apply".
+  /// One or two words, for example "report burn".
   std::string_view Name;
-  /// Names of the positional arguments, all required, for example "NAME REVISION".
+  /// Names of the positional arguments, all required, for example "FILE".
   std::string_view Positionals;
   std::string_view Summary;
   /// One command line each.
@@ -42,20 +42,13 @@
 
 /// Parses and runs a command line.
 exit_status runCli(const std::vector<std::string> &Arguments, const environment &Environment,
-                   const console &Console, requester &Requester, std::function<std::string()> MakeChangeId);
+                   const console &Console, requester &Requester, std::function<std::string()> MakeJobId);
 
 // Commands by file.
 exit_status runSubmit(command_context &Context);
-exit_status runGet(command_context &Context);
+exit_status runState(command_context &Context);
 exit_status runCancel(command_context &Context);
-exit_status runIds(command_context &Context);
-exit_status runServiceApply(command_context &Context);
-exit_status runServiceShow(command_context &Context);
-exit_status runServiceList(command_context &Context);
-exit_status runServiceDiff(command_context &Context);
-exit_status runServiceHistory(command_context &Context);
-exit_status runServiceRollback(command_context &Context);
-exit_status runServiceValidate(command_context &Context);
+exit_status runWaiting(command_context &Context);
 exit_status runVms(command_context &Context);
 exit_status runServers(command_context &Context);
 exit_status runReportBurn(command_context &Context);
--- a/src/yuccaplank/cli/console.cpp
+++ b/src/yuccaplank/cli/console.cpp
@@ -37,13 +37,6 @@
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-bool confirm(std::string_view Question) {
-  writeTo(stderr, Question);
-  std::string Line;
-  std::getline(std::cin, Line);
-  return Line == "y" || Line == "yes";
-}
-
 } // namespace
 
 void console::error(std::string_view Text) const { Err(fmt::format("yuccaplank: {}\n", Text)); }
@@ -59,8 +52,6 @@
   Console.Err = [](std::string_view Text) { writeTo(stderr, Text); };
   Console.ReadFile = readFile;
   Console.WriteFile = writeFile;
-  Console.Confirm = confirm;
-  Console.InputIsTerminal = isatty(STDIN_FILENO) == 1;
   Console.ErrorIsTerminal = isatty(STDERR_FILENO) == 1;
   Console.OutputIsTerminal = isatty(STDOUT_FILENO) == 1;
   return Console;
--- a/src/yuccaplank/cli/console.hpp
+++ b/src/yuccaplank/cli/console.hpp
@@ -9,16 +9,13 @@
 
 namespace yuccaplank::cli {
 
-/// Output, files and questions of a command.
+/// Output and files of a command.
 struct console {
   std::function<void(std::string_view)> Out;
   std::function<void(std::string_view)> Err;
   /// Whole content of a file; "-" is standard input. errc::NotFound when it cannot be read.
   std::function<runtime::result<std::string>(const std::string &File)> ReadFile;
   std::function<runtime::result<void>(const std::string &File, std::string_view Text)> WriteFile;
-  /// Shows a question and reads the answer; false unless it is "y" or "yes".
-  std::function<bool(std::string_view Question)> Confirm;
-  bool InputIsTerminal = false;
   bool ErrorIsTerminal = false;
   bool OutputIsTerminal = false;
 
--- a/src/yuccaplank/cli/fleet_commands.cpp
+++ b/src/yuccaplank/cli/fleet_commands.cpp
@@ -1,64 +1,63 @@
 // vms, servers, top.
 #include "yuccaplank/cli/burn_report.hpp"
 #include "yuccaplank/cli/command.hpp"
-#include "yuccaplank/cli/operator_client.hpp"
+#include "yuccaplank/cli/operator_reports.hpp"
 #include "yuccaplank/cli/output.hpp"
+#include "yuccaplank/wire/document_writer.hpp"
 
 #include <fmt/format.h>
 
 namespace yuccaplank::cli {
 namespace {
 
-using nlohmann::ordered_json;
-
 constexpr runtime::duration RefreshInterval = std::chrono::seconds(1);
 // Moves the cursor to the first cell and clears the screen (ECMA-48).
 constexpr std::string_view ClearScreen = "\x1b[H\x1b[2J";
 
-std::string vmTable(const ordered_json &Body) {
+const char *yesOrNo(bool Value) { return Value ? "yes" : "no"; }
+
+// The fleet as the first VM that answered sees it.
+std::string vmTable(const fleet_answers &Answers) {
   std::vector<std::vector<std::string>> Rows{
-      {"VM", "DOMAIN", "STATE", "DISPATCHER", "ADDRESS", "STARTED", "SILENT MS"}};
-  for (const ordered_json &Vm : arrayOf(Body, "vms")) {
-    auto Started = Vm.find("started_ms");
-    bool Known = Started != Vm.end() && Started->is_number_integer();
-    Rows.push_back({cell(Vm, "vm"), cell(Vm, "domain"), cell(Vm, "state"), cell(Vm, "dispatcher"),
-                    cell(Vm, "address"), formatTime(Known ? Started->get<std::int64_t>() : 0),
-                    cell(Vm, "silent_ms")});
-  }
+      {"VM", "DOMAIN", "ADDRESS", "IN CONTACT", "DRAINING", "PLACING", "REGISTRATION", "CONFIGURATION"}};
+  for (const schema::vm_report &Vm : Answers.Reports.front().vms())
+    Rows.push_back({Vm.vm(), Vm.domain(), Vm.address(), yesOrNo(Vm.in_contact()), yesOrNo(Vm.draining()),
+                    yesOrNo(Vm.placing()), std::to_string(Vm.registration()),
+                    std::to_string(Vm.configuration_version())});
   return formatTable(Rows);
 }
 
-std::string serverTable(const ordered_json &Body) {
+// Each server is reported by the VM that owns it.
+std::string serverTable(const fleet_answers &Answers) {
   std::vector<std::vector<std::string>> Rows{
-      {"SERVER", "DOMAIN", "POOL", "ADDRESS", "STATE", "SPEED", "RUNNING", "SLOTS"}};
-  for (const ordered_json &Server : arrayOf(Body, "servers"))
-    Rows.push_back({cell(Server, "id"), cell(Server, "domain"), cell(Server, "pool"), cell(Server, "address"),
-                    cell(Server, "state"), cell(Server, "speed"), cell(Server, "running"),
-                    cell(Server, "slots")});
+      {"SERVER", "DOMAIN", "POOL", "OWNER", "USABLE", "SLOWNESS", "TASKS", "CORES"}};
+  for (const schema::fleet_report &Report : Answers.Reports)
+    for (const schema::server_report &Server : Report.servers())
+      Rows.push_back({Server.server(), Server.domain(), Server.pool(), Server.owner(),
+                      yesOrNo(Server.usable()), fmt::format("{:.2f}", Server.slowness()),
+                      std::to_string(Server.tasks()),
+                      formatCores(Server.used().cpu(), Server.capacity().cpu())});
   return formatTable(Rows);
 }
 
-exit_status showTable(command_context &Context, const std::string &Path,
-                      std::string (*Format)(const ordered_json &)) {
-  fetched Reply = fetch(Context, Path);
-  if (!Reply.ok())
-    return Reply.Exit;
-  Context.Console.Out(Context.Invocation.Global.Json ? Reply.Body.dump() + "\n" : Format(Reply.Body));
+exit_status show(command_context &Context, std::string (*Format)(const fleet_answers &)) {
+  fleet_answers Answers = fetchFleet(Context);
+  if (Answers.Reports.empty())
+    return exit_status::OtherError;
+  if (!Context.Invocation.Global.Json) {
+    Context.Console.Out(Format(Answers));
+    return exit_status::Done;
+  }
+  for (const schema::fleet_report &Report : Answers.Reports)
+    Context.Console.Out(wire::writeDocument(Report) + "\n");
   return exit_status::Done;
 }
 
-struct top_section {
-  const char *Path;
-  std::string (*Format)(const ordered_json &);
-};
-constexpr top_section TopSections[] = {
-    {"/v1/vms", vmTable}, {"/v1/reports/burn", formatBurnTable}, {"/v1/servers", serverTable}};
-
 } // namespace
 
-exit_status runVms(command_context &Context) { return showTable(Context, "/v1/vms", vmTable); }
+exit_status runVms(command_context &Context) { return show(Context, vmTable); }
 
-exit_status runServers(command_context &Context) { return showTable(Context, "/v1/servers", serverTable); }
+exit_status runServers(command_context &Context) { return show(Context, serverTable); }
 
 exit_status runTop(command_context &Context) {
   if (!Context.Console.OutputIsTerminal) {
@@ -66,14 +65,13 @@
     return exit_status::Usage;
   }
   for (;;) {
-    std::string Screen(ClearScreen);
-    for (const top_section &Section : TopSections) {
-      fetched Reply = fetch(Context, Section.Path);
-      if (!Reply.ok())
-        return Reply.Exit;
-      Screen += Section.Format(Reply.Body) + "\n";
-    }
-    Context.Console.Out(Screen);
+    fleet_answers Fleet = fetchFleet(Context);
+    burn_answers Burn = fetchBurn(Context);
+    if (Fleet.Reports.empty())
+      return exit_status::OtherError;
+    Context.Console.Out(fmt::format("{}{}\n{}\n{}", ClearScreen, vmTable(Fleet),
+                                    formatBurnTable(mergeBurn(Burn.Counts), Burn.Silent),
+                                    serverTable(Fleet)));
     Context.Requester.pause(RefreshInterval);
   }
 }
--- a/src/yuccaplank/cli/job_commands.cpp
+++ b/src/yuccaplank/cli/job_commands.cpp
@@ -1,134 +1,184 @@
-// submit, get, cancel, ids.
+// submit, state, cancel, waiting.
+#include "job.pb.h"
 #include "yuccaplank/cli/command.hpp"
-#include "yuccaplank/cli/output.hpp"
 #include "yuccaplank/cli/submission.hpp"
-#include "yuccaplank/wire/job_codec.hpp"
-#include "yuccaplank/wire/url.hpp"
+#include "yuccaplank/platform/documents.hpp"
+#include "yuccaplank/wire/settings_reader.hpp"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <cmath>
+#include <optional>
+
 namespace yuccaplank::cli {
 namespace {
 
-runtime::duration seconds(const command_context &Context, const std::string &Name) {
-  return runtime::fromMs(Context.Invocation.Options[Name].as<double>() * 1000);
-}
+using platform::caller_answer;
+using platform::caller_outcome;
+using platform::queue_address;
+
+constexpr double ThousandthsOfCore = 1000;
+
+// Indexed by caller_outcome.
+constexpr auto OutcomeNames = std::to_array<std::string_view>(
+    {"completed", "failed", "cancelled", "pending", "refused", "malformed", "not_found", "unknown"});
+
+std::string_view nameOf(caller_outcome Outcome) { return OutcomeNames.at(static_cast<std::size_t>(Outcome)); }
 
 entry_session makeSession(const command_context &Context) {
   return {Context.Requester, Context.Invocation.Global.Entries};
 }
 
-void printAnswer(const command_context &Context, const schema::job_answer &Answer) {
-  if (Context.Invocation.Global.Json)
-    Context.Console.Out(wire::writeAnswer(Answer) + "\n");
-  else
-    Context.Console.Out(formatAnswer(Answer));
+void print(const command_context &Context, const std::string &Id, const caller_answer &Answer) {
+  if (!Context.Invocation.Global.Json) {
+    Context.Console.Out(fmt::format("{} {}\n", Id, nameOf(Answer.Outcome)));
+    return;
+  }
+  nlohmann::ordered_json Document{{"id", Id}, {"outcome", nameOf(Answer.Outcome)}};
+  if (Answer.RetryAfterS > 0)
+    Document["retry_after_s"] = Answer.RetryAfterS;
+  Context.Console.Out(Document.dump() + "\n");
 }
 
-void explain(const command_context &Context, const schema::job_answer &Answer) {
-  if (std::string Sentence = explainAnswer(Answer); !Sentence.empty())
-    Context.Console.error(Sentence);
+// "HOST/PATH" of a queue.
+std::optional<queue_address> parseQueue(const std::string &Text) {
+  std::size_t Slash = Text.find('/');
+  if (Slash == std::string::npos || Slash == 0)
+    return std::nullopt;
+  return queue_address{Text.substr(0, Slash), Text.substr(Slash)};
 }
 
-// A document that no entry VM would accept is refused without asking one.
-exit_status refuseDocument(const command_context &Context, const std::vector<wire::document_issue> &Issues) {
+// Reads a job document; what is wrong has been reported.
+std::optional<schema::job_document> readJobFile(const command_context &Context, const std::string &File) {
+  auto Text = Context.Console.ReadFile(File);
+  if (!Text) {
+    Context.Console.error(fmt::format("cannot read {}.", File));
+    return std::nullopt;
+  }
+  schema::job_document Job;
+  auto Issues = wire::readDocument(Text.value(), Job);
+  auto Require = [&](bool Holds, const char *Path, const char *Expected) {
+    if (!Holds)
+      Issues.push_back({runtime::errc::MissingField, Path, 1, Expected});
+  };
+  if (Issues.empty()) {
+    Require(!Job.host().empty(), "host", "host of the queue");
+    Require(Job.path().starts_with('/'), "path", "path of the queue, with a leading '/'");
+    Require(Job.tasks() > 0, "tasks", "at least 1");
+  }
+  if (Issues.empty())
+    return Job;
   Context.Console.Err(wire::formatIssues(Issues));
-  const wire::document_issue &First = Issues.front();
-  schema::job_answer Answer = wire::makeAnswer("", schema::OUTCOME_REFUSED, First.Code, First.Path);
-  printAnswer(Context, Answer);
-  explain(Context, Answer);
-  return exit_status::Refused;
+  return std::nullopt;
+}
+
+submission_plan makePlan(const schema::job_document &Document, std::uint64_t Id) {
+  submission_plan Plan;
+  Plan.Queue = {Document.host(), Document.path()};
+  Plan.Job.Id = Id;
+  Plan.Job.Specification = Document.specification();
+  Plan.Job.TaskCount = Document.tasks();
+  Plan.Job.TaskSize.set_cpu(static_cast<std::uint32_t>(std::lround(Document.cores() * ThousandthsOfCore)));
+  Plan.Job.TaskSize.set_memory_mb(Document.memory_mb());
+  Plan.Job.TaskSize.set_accelerators(Document.accelerators());
+  Plan.Job.EstimateMs = Document.declared_ms();
+  Plan.Job.DeadlineMs = Document.deadline_ms();
+  return Plan;
+}
+
+// Id and queue of a command about a job.
+struct named_job {
+  std::uint64_t Id = 0;
+  queue_address Queue;
+};
+
+std::optional<named_job> readNames(const command_context &Context) {
+  auto Id = platform::parseJobId(Context.Invocation.text("ID"));
+  auto Queue = parseQueue(Context.Invocation.text("queue"));
+  if (!Id)
+    Context.Console.error("ID must be 16 hexadecimal digits.");
+  if (!Queue)
+    Context.Console.error("--queue must be HOST/PATH.");
+  if (!Id || !Queue)
+    return std::nullopt;
+  return named_job{*Id, *Queue};
+}
+
+// Asks about a job; prints the answer.
+exit_status askAboutJob(command_context &Context,
+                        wire::http_call (*MakeCall)(const std::string &, const queue_address &,
+                                                    std::uint64_t)) {
+  auto Names = readNames(Context);
+  if (!Names)
+    return exit_status::Usage;
+  entry_session Session = makeSession(Context);
+  auto Result =
+      Session.ask([&](const std::string &Entry) { return MakeCall(Entry, Names->Queue, Names->Id); },
+                  Context.Invocation.Global.Timeout);
+  caller_answer Answer = platform::decodeCallerAnswer(Result);
+  print(Context, Context.Invocation.text("ID"), Answer);
+  if (Answer.Outcome == caller_outcome::Unanswered) {
+    Context.Console.error(fmt::format("no answer: {}.", Answer.Detail));
+    return exit_status::Unknown;
+  }
+  return Answer.Outcome == caller_outcome::NotFound ? exit_status::OtherError : exit_status::Done;
 }
 
 } // namespace
 
 exit_status runSubmit(command_context &Context) {
   const invocation &Invocation = Context.Invocation;
-  auto Text = Context.Console.ReadFile(Invocation.text("FILE"));
-  if (!Text) {
-    Context.Console.error(fmt::format("cannot read {}.", Invocation.text("FILE")));
-    return exit_status::OtherError;
+  std::string Id = Invocation.text("id");
+  if (Id.empty())
+    Id = Context.MakeJobId();
+  auto Number = platform::parseJobId(Id);
+  if (!Number) {
+    Context.Console.error("--id must be 16 hexadecimal digits.");
+    return exit_status::Usage;
   }
-  schema::job Job;
-  if (auto Issues = wire::readJob(Text.value(), Job); !Issues.empty())
-    return refuseDocument(Context, Issues);
-  submission_plan Plan;
-  // Comments are for people; VMs get plain JSON.
-  Plan.Document = wire::writeJob(Job);
-  Plan.Repeatable = Job.repeatable();
-  Plan.Key = Invocation.text("key");
-  Plan.Id = Invocation.text("id");
-  Plan.Async = Invocation.flag("async");
-  Plan.Resubmits = Invocation.Options["resubmit"].as<unsigned>();
-  Plan.Wait = seconds(Context, "wait");
+  auto Document = readJobFile(Context, Invocation.text("FILE"));
+  if (!Document)
+    return exit_status::Refused;
+  submission_plan Plan = makePlan(*Document, *Number);
   Plan.Timeout = Invocation.Global.Timeout;
+  Plan.Wait = runtime::fromMs(Invocation.Options["wait"].as<double>() * 1000);
   entry_session Session = makeSession(Context);
   submission_result Result =
       submitJob(Session, Plan, [&](std::string_view Message) { Context.Console.progress(Message); });
-  printAnswer(Context, Result.Answer);
-  if (Result.Status != exit_status::Done)
-    explain(Context, Result.Answer);
-  bool Open = Result.Status == exit_status::Unknown && Result.AttemptLost;
-  if (Open && !Result.Answer.id().empty() && Plan.Key.empty())
+  print(Context, Id, Result.Answer);
+  if (Result.Status == exit_status::Unknown)
     Context.Console.error(
-        fmt::format("an attempt was lost; ask again with 'submit --id {}'.", Result.Answer.id()));
+        fmt::format("an attempt got no answer; the job may have run. Ask again with 'submit --id {}'.", Id));
+  else if (Result.Status != exit_status::Done)
+    Context.Console.error(fmt::format("job {} was not completed: {}.", Id, Result.Answer.Detail));
   return Result.Status;
 }
 
-exit_status runGet(command_context &Context) {
-  entry_session Session = makeSession(Context);
-  schema::job_answer Answer = queryJob(Session, Context.Invocation.text("ID"), seconds(Context, "wait"),
-                                       Context.Invocation.Global.Timeout)
-                                  .Answer;
-  printAnswer(Context, Answer);
-  explain(Context, Answer);
-  return statusOf(Answer.outcome());
-}
+exit_status runState(command_context &Context) { return askAboutJob(Context, platform::makeStateCall); }
 
-exit_status runCancel(command_context &Context) {
-  entry_session Session = makeSession(Context);
-  std::string Id = Context.Invocation.text("ID");
-  entry_reply Reply = Session.send(
-      {"DELETE", "/v1/jobs/" + wire::percentEncode(Id), {}, "", Context.Invocation.Global.Timeout});
-  Reply.MaybeWritten = true;
-  schema::job_answer Answer = answerOf(Reply, Id).Answer;
-  // A job of which no task had started ends as refused.
-  bool Ended = Answer.outcome() == schema::OUTCOME_FAILED || Answer.outcome() == schema::OUTCOME_REFUSED;
-  bool Cancelled = Ended && Answer.reason() == errcName(runtime::errc::Cancelled);
-  if (Context.Invocation.Global.Json)
-    Context.Console.Out(wire::writeAnswer(Answer) + "\n");
-  if (Cancelled || (Reply.Answered && Answer.outcome() == schema::OUTCOME_PENDING)) {
-    if (!Context.Invocation.Global.Json)
-      Context.Console.Out(fmt::format("{} is cancelled\n", Id));
-    return exit_status::Done;
-  }
-  if (Answer.outcome() == schema::OUTCOME_DONE) {
-    Context.Console.error(fmt::format("job {} was done before it could be cancelled.", Id));
-    return exit_status::OtherError;
-  }
-  Context.Console.error(explainAnswer(Answer));
-  return statusOf(Answer.outcome());
-}
+exit_status runCancel(command_context &Context) { return askAboutJob(Context, platform::makeCancelCall); }
 
-exit_status runIds(command_context &Context) {
-  entry_session Session = makeSession(Context);
-  unsigned Count = Context.Invocation.Options["count"].as<unsigned>();
-  entry_reply Reply = Session.send(
-      {"POST", fmt::format("/v1/ids?count={}", Count), {}, "", Context.Invocation.Global.Timeout});
-  auto Document = nlohmann::json::parse(Reply.Body, nullptr, false);
-  if (!Reply.Answered || Reply.Status != 200 || !Document.is_object() || !Document["ids"].is_array()) {
-    schema::job_answer Answer = answerOf(Reply, "").Answer;
-    Context.Console.error(fmt::format("no ids were issued: {}.", Answer.reason()));
-    return Answer.outcome() == schema::OUTCOME_REFUSED ? exit_status::Refused : exit_status::OtherError;
+exit_status runWaiting(command_context &Context) {
+  auto Queue = parseQueue(Context.Invocation.text("QUEUE"));
+  if (!Queue) {
+    Context.Console.error("QUEUE must be HOST/PATH.");
+    return exit_status::Usage;
   }
-  if (Context.Invocation.Global.Json) {
-    Context.Console.Out(Document.dump() + "\n");
-    return exit_status::Done;
+  entry_session Session = makeSession(Context);
+  auto Result =
+      Session.ask([&](const std::string &Entry) { return platform::makeWaitingCall(Entry, *Queue); },
+                  Context.Invocation.Global.Timeout);
+  auto Waiting = platform::decodeWaiting(Result);
+  if (!Waiting) {
+    Context.Console.error(
+        Result.Error ? fmt::format("no answer: {}.", Result.Error.message())
+                     : fmt::format("no such queue, or no readable answer: HTTP status {}.", Result.Status));
+    return exit_status::OtherError;
   }
-  for (const auto &Id : Document["ids"])
-    if (Id.is_string())
-      Context.Console.Out(Id.get<std::string>() + "\n");
+  Context.Console.Out(Context.Invocation.Global.Json ? nlohmann::json{{"waiting", *Waiting}}.dump() + "\n"
+                                                     : fmt::format("{} jobs wait\n", *Waiting));
   return exit_status::Done;
 }
 
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -2,6 +2,7 @@
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace yuccaplank::dispatch {
@@ -12,6 +13,10 @@
 using runtime::time_point;
 
 constexpr auto TickInterval = std::chrono::milliseconds(50);
+// Lists of the VMs heard from grow with their number and change rarely.
+constexpr std::uint64_t HeartbeatsToPeerList = 10;
+constexpr std::size_t ManyWaitingJobs = 100;
+constexpr auto BusyScheduleDelay = std::chrono::milliseconds(2);
 // Queued jobs are looked at this often even when nothing else happens, so that refusals are not late.
 constexpr auto ScheduleInterval = std::chrono::milliseconds(10);
 
@@ -184,7 +189,54 @@
     return State;
   }
 
+  [[nodiscard]] schema::fleet_report report() const override {
+    schema::fleet_report Report;
+    Report.set_vm(Options.Vm);
+    *Report.add_vms() = reportOf(Self, Options.Address, true);
+    for (const auto &[Vm, Known] : View->others()) {
+      *Report.add_vms() = reportOf(Known.Status, Known.Address, Known.Alive);
+      // Nothing may have been heard from it yet.
+      Report.mutable_vms(Report.vms_size() - 1)->set_vm(Vm);
+    }
+    for (const schema::server_state &State : Owner->states())
+      *Report.add_servers() = reportOf(State);
+    for (const auto &[Name, Count] : Jobs->waiting()) {
+      schema::queue_length &Length = *Report.add_queues();
+      Length.set_queue(Name);
+      Length.set_waiting(Count);
+    }
+    return Report;
+  }
+
 private:
+  [[nodiscard]] schema::vm_report reportOf(const schema::vm_status &Status, const std::string &Address,
+                                           bool InContact) const {
+    schema::vm_report Report;
+    Report.set_vm(Status.vm());
+    Report.set_domain(Status.domain());
+    Report.set_address(Address);
+    Report.set_in_contact(InContact);
+    Report.set_draining(Status.draining());
+    Report.set_placing(!Placer.empty() && Status.vm() == Placer);
+    Report.set_registration(Status.registration());
+    Report.set_configuration_version(Status.configuration_version());
+    return Report;
+  }
+
+  [[nodiscard]] schema::server_report reportOf(const schema::server_state &State) const {
+    schema::server_report Report;
+    Report.set_server(State.server());
+    Report.set_domain(State.domain());
+    Report.set_pool(State.pool());
+    Report.set_owner(Options.Vm);
+    Report.set_usable(State.usable());
+    Report.set_slowness(std::exp(State.slowness()));
+    Report.set_tasks(State.tasks());
+    *Report.mutable_used() = State.used();
+    *Report.mutable_capacity() = State.capacity();
+    return Report;
+  }
+
   // Ports of the roles.
 
   void send(const std::string &Vm, schema::dispatch_message Message) override {
@@ -215,7 +267,15 @@
   void answer(std::uint64_t Job, const job_answer &Answer) override { Ports.answer(Job, Answer); }
   server_orders &orders() override { return Ports.orders(); }
   [[nodiscard]] bool shouldOwn(const std::string &Rack, const std::string &Domain) const override {
-    return View->introduced() && View->ownerOf(Rack, Domain) == Options.Vm;
+    if (!View->introduced())
+      return false;
+    // The answer depends on all VMs and is asked for each server all the time.
+    if (std::exchange(OwnRacksVersion, View->version()) != View->version())
+      OwnRacks.clear();
+    auto [Known, IsNew] = OwnRacks.try_emplace({Rack, Domain}, false);
+    if (IsNew)
+      Known->second = View->ownerOf(Rack, Domain) == Options.Vm;
+    return Known->second;
   }
 
   // The term is the high part, so that a VM of an older registration can take over without the store.
@@ -316,7 +376,8 @@
       if (!View->others().contains(Peer.vm()))
         View->learn(Peer.vm(), Peer.address());
     offerConfiguration(Status);
-    reviewRoles();
+    if (View->version() != ReviewedVersion)
+      reviewRoles();
   }
 
   void offerConfiguration(const schema::vm_status &Status) {
@@ -418,10 +479,10 @@
     Jobs->onVmLost(Vm);
   }
 
-  void sendHeartbeats() { sendStatusWhere(true); }
+  void sendHeartbeats() { sendStatusWhere(true, ++Heartbeats % HeartbeatsToPeerList == 0); }
 
   void tryOthers() {
-    sendStatusWhere(false);
+    sendStatusWhere(false, true);
     if (std::ranges::any_of(View->others(), [](const auto &Entry) { return Entry.second.Alive; }))
       return;
     for (const std::string &Seed : Seeds)
@@ -430,23 +491,23 @@
   }
 
   // To all VMs that are in contact, or to all that are not.
-  void sendStatusWhere(bool IsAlive) {
-    schema::dispatch_message Message = makeStatus();
+  void sendStatusWhere(bool IsAlive, bool WithPeers) {
+    schema::dispatch_message Message = makeStatus(WithPeers);
     for (const auto &[Vm, Known] : View->others())
       if (Known.Alive == IsAlive)
         Ports.send(Vm, Known.Address, Message);
   }
 
   void sendStatus(const std::string &Vm, const std::string &Address) {
-    Ports.send(Vm, Address, makeStatus());
+    Ports.send(Vm, Address, makeStatus(true));
   }
 
-  [[nodiscard]] schema::dispatch_message makeStatus() const {
+  [[nodiscard]] schema::dispatch_message makeStatus(bool WithPeers) const {
     schema::dispatch_message Message;
     schema::vm_status &Status = *Message.mutable_status();
     Status = Self;
     for (const auto &[Name, Known] : View->others())
-      if (Known.Alive) {
+      if (WithPeers && Known.Alive) {
         schema::vm_address &Peer = *Status.add_peers();
         Peer.set_vm(Name);
         Peer.set_address(Known.Address);
@@ -469,6 +530,7 @@
   // Roles.
 
   void reviewRoles() {
+    ReviewedVersion = View->version();
     std::string Now = View->introduced() ? View->placer() : std::string();
     if (Now != Placer) {
       log(log_level::Info, "placer_changed", {{"placer", Now}, {"former", Placer}});
@@ -490,15 +552,20 @@
     return Message;
   }
 
+  // With many jobs waiting, a look at all of them is not due for each message.
   void scheduleSoon() {
     if (std::exchange(SchedulePosted, true))
       return;
-    Executor.post([Weak = std::weak_ptr<int>(Alive), this] {
+    auto Schedule = [Weak = std::weak_ptr<int>(Alive), this] {
       if (Weak.expired())
         return;
       SchedulePosted = false;
       Queue->schedule();
-    });
+    };
+    if (Queue->waitingJobs() > ManyWaitingJobs)
+      Executor.after(BusyScheduleDelay, Schedule);
+    else
+      Executor.post(Schedule);
   }
 
   void schedule() {
@@ -539,6 +606,12 @@
   std::map<std::string, std::uint64_t> OfferedVersions;
   std::map<std::uint64_t, open_cancel> Cancels;
   std::uint64_t LastCancel = 0;
+  std::uint64_t Heartbeats = 0;
+  // Version of the view for which the roles were last looked at.
+  std::uint64_t ReviewedVersion = 0;
+  // Whether racks, with their domains, are this VM's, under a version of the view.
+  mutable std::map<std::pair<std::string, std::string>, bool> OwnRacks;
+  mutable std::uint64_t OwnRacksVersion = 0;
   std::string Placer;
   bool Placing = false;
   bool SchedulePosted = false;
--- a/src/yuccaplank/dispatch/fleet_view.cpp
+++ b/src/yuccaplank/dispatch/fleet_view.cpp
@@ -23,12 +23,19 @@
 
 bool mayLead(const schema::vm_status &Status) { return Status.registration() > 0 && Status.serving(); }
 
+// What the choice of placer and owners depends on.
+auto leadingPart(const schema::vm_status &Status) {
+  return std::tuple(Status.registration(), Status.serving(), Status.draining(), Status.pauses(),
+                    Status.strength(), Status.domain());
+}
+
 class fleet_view_impl final : public fleet_view {
 public:
   fleet_view_impl(const runtime::clock &Clock, fleet_view_options Options)
       : Clock(Clock), Options(Options), StartedAt(Clock.now()) {}
 
   void setSelf(const schema::vm_status &Status) override {
+    noteChange(leadingPart(Self) != leadingPart(Status));
     Self = Status;
     Term = std::max(Term, Status.term());
   }
@@ -51,6 +58,7 @@
     Vm.Address = Status.address();
     Vm.LastHeard = Clock.now();
     Vm.Tried = true;
+    noteChange(!Vm.Alive || leadingPart(Vm.Status) != leadingPart(Status));
     Vm.Status = Status;
     Term = std::max(Term, Status.term());
     bool WasBroken = std::exchange(Vm.Broken, false);
@@ -76,6 +84,7 @@
     Found->second.Broken = false;
     if (!std::exchange(Found->second.Alive, false))
       return {};
+    noteChange(true);
     return {{view_change::kind::Lost, Vm}};
   }
 
@@ -86,6 +95,7 @@
           Clock.now() - Vm.LastHeard >= (Vm.Broken ? Options.ReconnectTime : Options.SilenceLimit)) {
         Vm.Alive = false;
         Vm.Broken = false;
+        noteChange(true);
         Changes.push_back({view_change::kind::Lost, Name});
       }
     return Changes;
@@ -144,9 +154,12 @@
     return Best ? Best->vm() : std::string();
   }
 
+  [[nodiscard]] std::uint64_t version() const override { return Version; }
   [[nodiscard]] std::uint32_t highestTerm() const override { return Term; }
 
 private:
+  void noteChange(bool Changed) { Version += Changed ? 1 : 0; }
+
   template <typename Visitor> void visitLeaders(Visitor Visit) const {
     if (mayLead(Self))
       Visit(Self);
@@ -160,6 +173,7 @@
   time_point StartedAt;
   schema::vm_status Self;
   std::uint32_t Term = 0;
+  std::uint64_t Version = 1;
   std::map<std::string, known_vm> Others;
 };
 
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -46,8 +46,8 @@
   duration Objective{};
   std::vector<task_state> Tasks;
   std::uint32_t DoneTasks = 0;
-  // Whether a start order has left for any task.
-  bool Started = false;
+  // Runs that were ordered, less those that certainly never started.
+  std::uint32_t OrderedRuns = 0;
   std::set<std::string> Avoid;
   runtime::timer_id DeadlineTimer = 0;
   runtime::timer_id PlacerTimer = 0;
@@ -88,20 +88,20 @@
     auto Found = Jobs.find(Id);
     if (Found == Jobs.end())
       return false;
-    finish(Found->second, {job_outcome::Cancelled, std::string(Reason), 0});
+    finish(Found->second, {job_outcome::Cancelled, std::string(Reason), 0, {}, false});
     return true;
   }
 
   [[nodiscard]] bool contains(std::uint64_t Id) const override { return Jobs.contains(Id); }
   [[nodiscard]] job_state state(std::uint64_t Id) const override {
-    return Jobs.at(Id).Started ? job_state::Running : job_state::Queued;
+    return Jobs.at(Id).OrderedRuns > 0 ? job_state::Running : job_state::Queued;
   }
   [[nodiscard]] std::size_t size() const override { return Jobs.size(); }
 
   [[nodiscard]] std::map<std::string, std::uint32_t> waiting() const override {
     std::map<std::string, std::uint32_t> Result;
     for (const auto &[Id, Job] : Jobs)
-      if (!Job.Started)
+      if (Job.OrderedRuns == 0)
         ++Result[Job.Queue.Name];
     return Result;
   }
@@ -121,7 +121,7 @@
     Task->Server = Grant.server();
     Task->Token = Grant.token();
     Task->OrderedAt = now();
-    Job->Started = true;
+    ++Job->OrderedRuns;
     sendStart(Placer, *Job, Run, Grant);
   }
 
@@ -130,12 +130,12 @@
     if (Found == Jobs.end())
       return;
     coordinated_job &Job = Found->second;
-    if (Job.Started) {
+    if (Job.OrderedRuns > 0) {
       // A start order has left since; what waits is told again.
       placeWaiting(Job);
       return;
     }
-    finish(Job, {job_outcome::Refused, Rejection.reason(), Rejection.retry_after_ms()});
+    finish(Job, {job_outcome::Refused, Rejection.reason(), Rejection.retry_after_ms(), {}, false});
   }
 
   void onEvent(const std::string &Owner, const schema::task_event &Event) override {
@@ -277,7 +277,7 @@
     Place.set_objective_left_ms(Left(Job.Objective));
     Place.set_late_left_ms(Left(std::chrono::duration_cast<duration>(Job.Objective * Options.LateFactor)));
     Place.set_deadline_left_ms(Left(Job.Request.Deadline));
-    Place.set_started(Job.Started);
+    Place.set_started(Job.OrderedRuns > 0);
     for (const std::string &Server : Job.Avoid)
       Place.add_avoid(Server);
   }
@@ -342,6 +342,7 @@
     case schema::RUN_NOT_STARTED:
       // The number may be used up at the server by an earlier submission of the job.
       ++Task.Run;
+      --Job.OrderedRuns;
       placeAgain(Job, Task);
       return;
     default:
@@ -353,7 +354,7 @@
     cancelTimer(Task.OrphanTimer);
     Task.Phase = task_phase::Done;
     if (++Job.DoneTasks == Job.Tasks.size())
-      finish(Job, {job_outcome::Completed, "", 0});
+      finish(Job, {job_outcome::Completed, "", 0, {}, false});
   }
 
   void onFailed(coordinated_job &Job, task_state &Task, const run_key &Run, const schema::task_event &Event) {
@@ -364,7 +365,7 @@
          {"failures", std::int64_t{Task.Failures}},
          {"allowed", std::int64_t{Job.Queue.MaxAttempts}}});
     if (Task.Failures >= Job.Queue.MaxAttempts) {
-      finish(Job, {job_outcome::Failed, "task_failed", 0});
+      finish(Job, {job_outcome::Failed, "task_failed", 0, {}, false});
       return;
     }
     ++Task.Run;
@@ -430,10 +431,10 @@
       return;
     coordinated_job &Job = Found->second;
     Job.DeadlineTimer = 0;
-    if (Job.Started)
-      finish(Job, {job_outcome::TimedOut, "deadline", 0});
+    if (Job.OrderedRuns > 0)
+      finish(Job, {job_outcome::TimedOut, "deadline", 0, {}, false});
     else
-      finish(Job, {job_outcome::Refused, "deadline", 0});
+      finish(Job, {job_outcome::Refused, "deadline", 0, {}, false});
   }
 
   void refuseWithoutPlacer(std::uint64_t Id) {
@@ -442,12 +443,17 @@
       return;
     coordinated_job &Job = Found->second;
     Job.PlacerTimer = 0;
-    finish(Job, {job_outcome::Refused, "no_placer",
-                 static_cast<std::uint32_t>(runtime::toMs(Options.PlacerWait))});
+    finish(Job, {job_outcome::Refused,
+                 "no_placer",
+                 static_cast<std::uint32_t>(runtime::toMs(Options.PlacerWait)),
+                 {},
+                 false});
   }
 
-  void finish(coordinated_job &Job, const job_answer &Answer) {
+  void finish(coordinated_job &Job, job_answer Answer) {
     std::uint64_t Id = Job.Request.Job;
+    Answer.Queue = Job.Queue.Name;
+    Answer.WithinObjective = Answer.Outcome == job_outcome::Completed && now() - Job.Arrived <= Job.Objective;
     cancelTimers(Job);
     releaseTasks(Job);
     count(Answer.Outcome);
@@ -485,7 +491,7 @@
          {"reason", Answer.Reason},
          {"tasks", static_cast<std::int64_t>(Job.Tasks.size())},
          {"done", std::int64_t{Job.DoneTasks}},
-         {"started", Job.Started},
+         {"started", Job.OrderedRuns > 0},
          {"took_ms", runtime::toMs(now() - Job.Arrived)},
          {"objective_ms", runtime::toMs(Job.Objective)}});
   }
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -128,6 +128,8 @@
     std::erase_if(Jobs, [](const auto &Entry) { return Entry.second.Tasks.empty(); });
   }
 
+  [[nodiscard]] std::size_t waitingJobs() const override { return Jobs.size(); }
+
   [[nodiscard]] placement_counters counters() const override {
     placement_counters Result = Counters;
     for (const auto &[Key, Job] : Jobs)
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -148,6 +148,13 @@
     }
     return Counts;
   }
+  [[nodiscard]] std::vector<schema::server_state> states() const override {
+    std::vector<schema::server_state> States;
+    for (const auto &[Id, Server] : Servers)
+      if (Server.Ledger->owned())
+        States.push_back(Server.Ledger->state());
+    return States;
+  }
   [[nodiscard]] const ledger_counters &counters() const override { return Counters; }
 
 private:
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -149,7 +149,7 @@
     for (const auto &[Token, Arrived] : Submitted.Callers) {
       JobsOfCallers.erase(Token);
       if (Handlers.OnAnswered)
-        Handlers.OnAnswered(Answer.Outcome, Executor.clock().now() - Arrived);
+        Handlers.OnAnswered(Answer, Executor.clock().now() - Arrived);
       Handlers.Reply(Token, replyTo(Answer));
     }
     remember(Job, Answer);
--- a/src/yuccaplank/entry/frontend.hpp
+++ b/src/yuccaplank/entry/frontend.hpp
@@ -30,7 +30,7 @@
 struct frontend_handlers {
   std::function<void(wire::request_token, wire::http_reply)> Reply;
   /// For each caller whose job has its answer; optional.
-  std::function<void(dispatch::job_outcome, runtime::duration Took)> OnAnswered;
+  std::function<void(const dispatch::job_answer &, runtime::duration Took)> OnAnswered;
 };
 
 std::unique_ptr<frontend> makeFrontend(runtime::executor &Executor, dispatch::entry_vm &Vm,
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -1,7 +1,9 @@
 #include "vm_process.hpp"
 #include "directory.hpp"
 #include "frontend.hpp"
-#include "vm_metrics.hpp"
+#include "operator_api.hpp"
+#include "own_settings.hpp"
+#include "yuccaplank/dispatch/bounds.hpp"
 #include "yuccaplank/platform/server_client.hpp"
 #include "yuccaplank/runtime/log.hpp"
 #include "yuccaplank/wire/http_client.hpp"
@@ -60,10 +62,11 @@
     CallerSide.Reply = [this](wire::request_token Token, wire::http_reply Reply) {
       Callers->reply(Token, std::move(Reply));
     };
-    CallerSide.OnAnswered = [this](dispatch::job_outcome Outcome, runtime::duration Took) {
-      Metrics->observeAnswer(Outcome, Took);
+    CallerSide.OnAnswered = [this](const dispatch::job_answer &Answer, runtime::duration Took) {
+      Operators->observeAnswer(Answer, Took);
     };
-    Frontend = makeFrontend(Loop, *Vm, std::move(CallerSide));
+    Frontend = makeFrontend(Loop, *Vm, std::move(CallerSide), frontendOptions(Options.Own));
+    Operators = makeOperatorApi(Loop.clock(), *Vm, {Settings.Vm, objectivePercent(Options.Own)});
     if (auto Listening = listen(); !Listening)
       return Listening;
     Vm->addSeeds(Settings.Seeds);
@@ -107,6 +110,15 @@
     Result.Address = Settings.PeerAddress;
     Result.Domain = Settings.Domain;
     Result.Strength = static_cast<std::uint32_t>(Settings.CpuShare * ThousandthsOfCore);
+    applyOwnSettings(Options.Own, Result);
+    dispatch::platform_bounds Bounds;
+    Bounds.MaxLease = std::chrono::milliseconds(Settings.MaxLeaseMs);
+    Bounds.Resend = std::chrono::milliseconds(Settings.ResendMs);
+    Bounds.StopTime = std::chrono::milliseconds(Settings.StopTimeMs);
+    if (!dispatch::applyBounds(Bounds, Result))
+      log(log_level::Error, "bounds_too_short",
+          {{"max_lease_ms", std::int64_t{Settings.MaxLeaseMs}},
+           {"resend_ms", std::int64_t{Settings.ResendMs}}});
     return Result;
   }
 
@@ -133,11 +145,14 @@
     ReadyHandlers.OnRequest = [this](const wire::http_request &Request) { onReadyCheck(Request); };
     if (auto Made = listenHttp(Settings.ReadyAddress, ReadyHandlers, Ready); !Made)
       return Made;
-    if (Options.MetricsPort == 0)
+    if (Options.OperatorPort == 0)
       return BOOST_OUTCOME_V2_NAMESPACE::success();
-    wire::http_server_handlers MetricsHandlers;
-    MetricsHandlers.OnRequest = [this](const wire::http_request &Request) { onMetricsRequest(Request); };
-    return listenHttp(fmt::format("{}:{}", Settings.Ip, Options.MetricsPort), MetricsHandlers, MetricsServer);
+    wire::http_server_handlers OperatorHandlers;
+    OperatorHandlers.OnRequest = [this](const wire::http_request &Request) {
+      OperatorServer->reply(Request.Token, Operators->reply(Request, Frontend->pending()));
+    };
+    return listenHttp(fmt::format("{}:{}", Settings.Ip, Options.OperatorPort), OperatorHandlers,
+                      OperatorServer);
   }
 
   runtime::result<void> listenHttp(const std::string &Address, wire::http_server_handlers Handlers,
@@ -176,13 +191,6 @@
       log(log_level::Info, "readiness_changed", {{"ready", Vm->ready()}});
   }
 
-  void onMetricsRequest(const wire::http_request &Request) {
-    wire::http_reply Reply;
-    Reply.ContentType = "text/plain; version=0.0.4";
-    Reply.Body = Metrics->text(Vm->state(), Frontend->pending());
-    MetricsServer->reply(Request.Token, std::move(Reply));
-  }
-
   // Signals.
 
   void onSignal(int Signal) {
@@ -218,10 +226,12 @@
 
   void reload() {
     platform::settings Updated;
-    bool Readable = Options.ReadSettings && Options.ReadSettings(Updated);
+    schema::daemon_settings Own;
+    bool Readable = Options.ReadSettings && Options.ReadSettings(Updated, Own);
     log(Readable ? log_level::Info : log_level::Error, "settings_reloaded", {{"accepted", Readable}});
     if (!Readable)
       return;
+    runtime::setLogLevel(logLevel(Own));
     Settings.Seeds = Updated.Seeds;
     Settings.GracePeriodS = Updated.GracePeriodS;
     Vm->addSeeds(Settings.Seeds);
@@ -237,9 +247,9 @@
   std::unique_ptr<wire::peer_transport> Peers;
   std::unique_ptr<wire::http_server> Callers;
   std::unique_ptr<wire::http_server> Ready;
-  std::unique_ptr<wire::http_server> MetricsServer;
+  std::unique_ptr<wire::http_server> OperatorServer;
   std::unique_ptr<dispatch::entry_vm> Vm;
-  std::unique_ptr<vm_metrics> Metrics = makeVmMetrics();
+  std::unique_ptr<operator_api> Operators;
   std::unique_ptr<frontend> Frontend;
   std::unique_ptr<directory> Directory;
   runtime::time_point DrainStarted{};
--- a/src/yuccaplank/entry/vm_process.hpp
+++ b/src/yuccaplank/entry/vm_process.hpp
@@ -1,6 +1,7 @@
 // The process of an entry VM on the platform: sockets, signals, and the parts between them.
 #pragma once
 
+#include "settings.pb.h"
 #include "yuccaplank/platform/settings.hpp"
 #include "yuccaplank/runtime/loop.hpp"
 
@@ -12,10 +13,11 @@
 
 struct vm_process_options {
   platform::settings Settings;
-  /// Port of the metrics, on the VM's address; 0 serves none.
-  std::uint16_t MetricsPort = 0;
-  /// Reads the settings file again after SIGHUP; false leaves the settings as they are.
-  std::function<bool(platform::settings &)> ReadSettings;
+  schema::daemon_settings Own;
+  /// Port for operators, on the VM's address; 0 serves none.
+  std::uint16_t OperatorPort = 0;
+  /// Reads both settings files again; false leaves the settings as they are.
+  std::function<bool(platform::settings &, schema::daemon_settings &)> ReadSettings;
 };
 
 class vm_process {
--- a/src/yuccaplank/entry/yuccaplankd_main.cpp
+++ b/src/yuccaplank/entry/yuccaplankd_main.cpp
@@ -1,7 +1,9 @@
-// yuccaplank-entry: the process of an entry VM on the users' platform.
+// yuccaplankd: the process of an entry VM.
+#include "own_settings.hpp"
 #include "vm_process.hpp"
 #include "yuccaplank/runtime/descriptor_limit.hpp"
 #include "yuccaplank/runtime/log.hpp"
+#include "yuccaplank/wire/settings_reader.hpp"
 
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
@@ -10,6 +12,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <optional>
 
 namespace options = boost::program_options;
 using namespace yuccaplank;
@@ -18,28 +21,59 @@
 
 constexpr int ExitUsage = 2;
 
-// Reports what is wrong on standard error, as all programs of the product do.
-bool readSettingsFile(const std::string &File, platform::settings &Settings) {
+struct settings_files {
+  // Written by the platform.
+  std::string Platform;
+  // The product's own; empty for the defaults.
+  std::string Own;
+};
+
+// All programs of the product report what is wrong on standard error.
+std::optional<std::string> readFile(const std::string &File) {
   std::ifstream Stream(File);
   if (!Stream) {
     fmt::print(stderr, "{}: cannot be read\n", File);
-    return false;
+    return std::nullopt;
   }
-  std::string Text(std::istreambuf_iterator<char>(Stream), {});
-  auto Issues = platform::readSettings(Text, Settings);
+  return std::string(std::istreambuf_iterator<char>(Stream), {});
+}
+
+bool readPlatformSettings(const std::string &File, platform::settings &Settings) {
+  auto Text = readFile(File);
+  if (!Text)
+    return false;
+  auto Issues = platform::readSettings(*Text, Settings);
   for (const platform::settings_issue &Issue : Issues)
     fmt::print(stderr, "{}: {} at '{}'\n", File, runtime::errcName(Issue.Reason), Issue.Path);
   return Issues.empty();
 }
 
-int serve(const std::string &File, const platform::settings &Settings, std::uint16_t MetricsPort) {
+bool readOwnSettings(const std::string &File, schema::daemon_settings &Settings) {
+  if (File.empty())
+    return true;
+  auto Text = readFile(File);
+  if (!Text)
+    return false;
+  auto Issues = wire::readSettings(*Text, Settings);
+  if (!Issues.empty())
+    fmt::print(stderr, "{}:\n{}", File, wire::formatIssues(Issues));
+  return Issues.empty();
+}
+
+bool readSettings(const settings_files &Files, platform::settings &Settings, schema::daemon_settings &Own) {
+  bool Readable = readPlatformSettings(Files.Platform, Settings);
+  return readOwnSettings(Files.Own, Own) && Readable;
+}
+
+int serve(const settings_files &Files, entry::vm_process_options Options) {
   runtime::logToStandardOutput();
+  runtime::setLogLevel(entry::logLevel(Options.Own));
   runtime::raiseDescriptorLimit();
   auto Loop = runtime::makeLoop();
-  entry::vm_process_options Options;
-  Options.Settings = Settings;
-  Options.MetricsPort = MetricsPort;
-  Options.ReadSettings = [File](platform::settings &Updated) { return readSettingsFile(File, Updated); };
+  platform::settings Settings = Options.Settings;
+  Options.ReadSettings = [Files](platform::settings &Updated, schema::daemon_settings &Own) {
+    return readSettings(Files, Updated, Own);
+  };
   auto Process = entry::makeVmProcess(*Loop, std::move(Options));
   if (!Process) {
     runtime::log(runtime::log_level::Error, "start_failed", {{"reason", Process.error().message()}});
@@ -54,13 +88,15 @@
 
 int main(int Count, char **Arguments) {
   const char *FromEnvironment = std::getenv(platform::SettingsVariable);
-  options::options_description Described("yuccaplank-entry [options]");
+  options::options_description Described("yuccaplankd [options]");
   Described.add_options()("help,h", "show this text") //
       ("settings,s", options::value<std::string>()->default_value(FromEnvironment ? FromEnvironment : ""),
        "settings file of the platform (default: the file that YUCCAPLANK_BOOT names)") //
-      ("check-settings", "check the settings file and exit")                           //
-      ("metrics-port", options::value<std::uint16_t>()->default_value(0),
-       "port of the metrics; 0 serves none");
+      ("own-settings", options::value<std::string>()->default_value(""),
+       "the product's own settings, JSON with comments (docs/SETTINGS.md)") //
+      ("check-settings", "check the settings files and exit")               //
+      ("operator-port", options::value<std::uint16_t>()->default_value(0),
+       "port for metrics and reports; 0 serves none");
   options::variables_map Given;
   try {
     options::store(options::parse_command_line(Count, Arguments, Described), Given);
@@ -72,11 +108,12 @@
     std::cout << Described;
     return 0;
   }
-  std::string File = Given["settings"].as<std::string>();
-  platform::settings Settings;
-  if (!readSettingsFile(File, Settings))
+  settings_files Files{Given["settings"].as<std::string>(), Given["own-settings"].as<std::string>()};
+  entry::vm_process_options Options;
+  if (!readSettings(Files, Options.Settings, Options.Own))
     return ExitUsage;
   if (Given.count("check-settings") > 0)
     return 0;
-  return serve(File, Settings, Given["metrics-port"].as<std::uint16_t>());
+  Options.OperatorPort = Given["operator-port"].as<std::uint16_t>();
+  return serve(Files, std::move(Options));
 }
--- a/src/yuccaplank/load/load_run.cpp
+++ b/src/yuccaplank/load/load_run.cpp
@@ -1,335 +1,190 @@
 #include "yuccaplank/load/load_run.hpp"
-#include "yuccaplank/load/id_pool.hpp"
-#include "yuccaplank/load/workload.hpp"
-#include "yuccaplank/wire/job_codec.hpp"
+#include "yuccaplank/runtime/random.hpp"
+#include "yuccaplank/standin/task_server.hpp"
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <deque>
-#include <optional>
+#include <cmath>
 #include <random>
-#include <unordered_set>
+#include <unordered_map>
 
 namespace yuccaplank::load {
 namespace {
 
-using runtime::duration;
+using platform::caller_answer;
+using platform::caller_outcome;
+using runtime::fromMs;
 using runtime::time_point;
 
-// Pause before a lost submission is repeated at another entry VM.
-constexpr duration RepeatDelay = std::chrono::milliseconds(50);
-// Jobs that have waited this long for an id are given up.
-constexpr duration MaxIdWait = std::chrono::seconds(5);
-// Arrivals begin after this time even if no id has been issued.
-constexpr duration MaxStartDelay = std::chrono::seconds(1);
-constexpr duration CancelTimeout = std::chrono::seconds(5);
-constexpr duration MaxResubmitDelay = std::chrono::milliseconds(500);
-constexpr double MinResubmitSpreadMs = 5;
-
-// A job from its arrival until its last submission has ended.
-struct active_job {
-  planned_job Planned;
-  std::string Id;
-  std::string Body;
-  double IdealMs = 0;
-  time_point SentAt;
-  std::uint32_t OpenSubmissions = 0;
-  // The job is submitted once more after its first answer.
-  bool ResubmitAfterEnd = false;
-  bool Answered = false;
-  // The id was submitted once, and no attempt was lost.
-  bool OnlyAttempt = true;
+// Callers send a job again this long after a lost answer.
+constexpr double ResendMs = 1300;
+constexpr double UnreachableMs = 100;
+// Callers wait a little longer than they say, and give a job up some seconds after its deadline.
+constexpr double AnswerSlackMs = 1000;
+constexpr double GiveUpMs = 4000;
+constexpr double Stretch = 1.6;
+constexpr double ObjectiveMs = 60;
+constexpr double ThousandthsOfCore = 1000;
+constexpr auto CheckTimeout = std::chrono::seconds(30);
+constexpr std::size_t MaxChecksAtOnce = 16;
+constexpr int BreachStatus = 3;
+constexpr int IncompleteStatus = 1;
+
+struct offered_job {
+  platform::caller_job Job;
+  double WorkMs = 0;
+  time_point FirstSent;
+  time_point GiveUpAt;
+  // Attempts that got neither a refusal nor an answer.
+  std::uint32_t OpenAttempts = 0;
+  wire::call_id Call = 0;
 };
-using job_pointer = std::shared_ptr<active_job>;
-
-struct waiting_job {
-  planned_job Planned;
-  time_point ArrivedAt;
-};
-
-// One submission, repeated at other entry VMs while its connections are lost.
-struct submission {
-  job_pointer Job;
-  std::size_t Entry = 0;
-  time_point End;
-  bool First = true;
-};
-
-submission_end endOf(schema::outcome_kind Outcome) {
-  switch (Outcome) {
-  case schema::OUTCOME_DONE:
-    return submission_end::Done;
-  case schema::OUTCOME_FAILED:
-    return submission_end::Failed;
-  case schema::OUTCOME_REFUSED:
-    return submission_end::Refused;
-  default:
-    return submission_end::Unknown;
-  }
-}
 
 class load_run_impl final : public load_run {
 public:
   load_run_impl(runtime::executor &Executor, wire::http_client &Client, const load_options &Options,
                 std::function<void(std::string_view)> Print)
-      : Executor(Executor), Client(Client), Options(Options), Print(std::move(Print)), Work(this->Options),
-        Ids(Executor, Client, this->Options.Entries, Options.IdsBlock, [this] { onIds(); }),
-        ArrivalRandom(Options.Seed, 1), Random(Options.Seed, 2) {}
+      : Executor(Executor), Client(Client), Options(Options), Print(std::move(Print)), Random(Options.Seed) {}
 
   void start(std::function<void()> Done) override {
     OnDone = std::move(Done);
-    Ids.refill();
-    Executor.after(MaxStartDelay, [this] { startArrivals(); });
+    StartedAt = now();
+    Executor.after(fromMs(Options.Seconds * 1000), [this] { stopArrivals(); });
+    if (Options.Timeline)
+      scheduleTimeline();
+    scheduleArrival();
   }
 
   void stopArrivals() override {
-    if (Stopping)
-      return;
-    Stopping = true;
-    Started = true;
-    finishWhenIdle();
+    if (!std::exchange(Stopping, true))
+      finishWhenIdle();
   }
 
-  load_result &result() override { return Result; }
+  measurements &result() override { return Result; }
 
-private:
-  // Runs once, when the first ids have arrived or could have.
-  void startArrivals() {
-    if (Started)
-      return;
-    Started = true;
-    StartedAt = Executor.clock().now();
-    NextArrival = StartedAt;
-    ArrivalsEnd = StartedAt + runtime::fromMs(Options.Seconds * 1000);
-    Executor.after(ArrivalsEnd - StartedAt, [this] { stopArrivals(); });
-    for (std::uint32_t Wave = 1; Wave <= Options.CancelWaves; ++Wave)
-      Executor.after((ArrivalsEnd - StartedAt) * Wave / (Options.CancelWaves + 1), [this] { cancelAll(); });
-    if (Options.Timeline)
-      scheduleTimeline();
-    if (Options.Rate > 0)
-      arriveDue();
-    else
-      fillClosedLoop();
+  [[nodiscard]] int exitStatus() const override {
+    if (!Result.breaches().empty())
+      return BreachStatus;
+    return CheckErrors == 0 && Result.attempts() > 0 ? 0 : IncompleteStatus;
   }
 
+private:
   [[nodiscard]] time_point now() const { return Executor.clock().now(); }
-  run_counts &counts() { return Result.Measurements.Counts; }
-  std::size_t randomEntry() {
-    return std::uniform_int_distribution<std::size_t>(0, Options.Entries.size() - 1)(Random);
+  double logNormal(double Spread) {
+    return std::exp(std::normal_distribution<double>(0, Spread)(Random.engine()));
   }
-  double randomFraction() { return std::uniform_real_distribution<double>(0, 1)(Random); }
-  [[nodiscard]] std::size_t inFlight() const { return Active.size() + Waiting.size(); }
+  const std::string &randomEntry() { return Options.Entries[Random.next() % Options.Entries.size()]; }
 
   // Arrivals.
-  void arriveDue() {
-    while (!Stopping && NextArrival <= now()) {
-      arrive();
-      double GapS = Options.Arrivals == arrival_kind::Fixed
-                        ? 1 / Options.Rate
-                        : std::exponential_distribution<double>(Options.Rate)(ArrivalRandom);
-      NextArrival += runtime::fromMs(GapS * 1000);
-    }
-    if (!Stopping)
-      Executor.after(NextArrival - now(), [this] { arriveDue(); });
-  }
-
-  void arrive() {
-    if (inFlight() >= Options.Concurrency) {
-      ++counts().Skipped;
-      return;
-    }
-    begin({Work.next(), std::min(NextArrival, now())});
-  }
-
-  void fillClosedLoop() {
-    while (!Stopping && Options.Rate <= 0 && inFlight() < Options.Concurrency)
-      begin({Work.next(), now()});
-  }
-
-  void begin(waiting_job Arrival) {
-    std::size_t Entry = randomEntry();
-    std::optional<std::string> Id = Ids.take(Entry);
-    if (!Id) {
-      Waiting.push_back(std::move(Arrival));
-      if (Waiting.size() == 1)
-        scheduleIdWait();
-      return;
-    }
-    auto Job = std::make_shared<active_job>();
-    Job->Planned = std::move(Arrival.Planned);
-    Job->Id = *Id;
-    Job->Body = wire::writeJob(Job->Planned.Job);
-    Job->IdealMs = Work.idealMs(Job->Planned);
-    Job->SentAt = now();
-    Result.Measurements.addSendDelay(runtime::toMs(now() - Arrival.ArrivedAt));
-    Result.Ledger.addJob(Job->Id);
-    Active.insert(Job);
-    planResubmission(Job);
-    submit({Job, Entry, now() + Options.AnswerTimeout, true});
-  }
-
-  void onIds() {
-    startArrivals();
-    startWaiting();
-  }
 
-  void startWaiting() {
-    while (!Waiting.empty()) {
-      std::size_t Before = Waiting.size();
-      waiting_job Job = std::move(Waiting.front());
-      Waiting.pop_front();
-      begin(std::move(Job));
-      if (Waiting.size() >= Before)
+  void scheduleArrival() {
+    double GapMs = -std::log(1 - Random.uniform()) * 1000 / Options.Rate;
+    Executor.after(fromMs(GapMs), [this] {
+      if (Stopping)
         return;
-    }
-  }
-
-  void scheduleIdWait() {
-    Executor.after(MaxIdWait / 10, [this] {
-      while (!Waiting.empty() && now() - Waiting.front().ArrivedAt > MaxIdWait) {
-        Waiting.pop_front();
-        ++counts().WithoutId;
-        addJobEnd(submission_end::Refused, 0);
-      }
-      if (!Waiting.empty())
-        scheduleIdWait();
-      fillClosedLoop();
-      finishWhenIdle();
+      offer();
+      scheduleArrival();
     });
   }
 
-  // Half of the resubmissions come while the job is in flight, half after its first answer.
-  void planResubmission(const job_pointer &Job) {
-    if (randomFraction() * 100 >= Options.ResubmitPercent)
-      return;
-    if (randomFraction() < 0.5) {
-      Job->ResubmitAfterEnd = true;
-      return;
-    }
-    double SpreadMs = std::max(Job->IdealMs, MinResubmitSpreadMs);
-    scheduleResubmission(Job, runtime::fromMs(SpreadMs * randomFraction()));
+  void offer() {
+    std::uint64_t Id = Random.next();
+    offered_job &Offered = Jobs[Id];
+    Offered.WorkMs = Options.TaskMs * logNormal(Options.TaskSpread);
+    platform::caller_job &Job = Offered.Job;
+    Job.Id = Id;
+    Job.TaskCount = Options.MinTasks +
+                    static_cast<std::uint32_t>(Random.next() % (Options.MaxTasks - Options.MinTasks + 1));
+    Job.TaskSize.set_cpu(static_cast<std::uint32_t>(Options.Cores * ThousandthsOfCore));
+    Job.TaskSize.set_memory_mb(64);
+    Job.EstimateMs = static_cast<std::uint32_t>(Offered.WorkMs * logNormal(Options.DeclaredSpread)) + 1;
+    Job.Specification = standin::encodeWork({Job.TaskSize.cpu(), fromMs(Offered.WorkMs), false});
+    Job.DeadlineMs = Options.DeadlineMs;
+    Offered.FirstSent = now();
+    Offered.GiveUpAt = now() + fromMs(Options.DeadlineMs + GiveUpMs);
+    attempt(Id);
+    if (Random.uniform() * 100 < Options.LeavePercent)
+      Executor.after(fromMs(Offered.WorkMs * Random.uniform()), [this, Id] { leave(Id); });
+    if (Random.uniform() * 100 < Options.CancelPercent)
+      Executor.after(fromMs(Offered.WorkMs * Random.uniform()), [this, Id] { cancel(Id); });
   }
 
-  void scheduleResubmission(const job_pointer &Job, duration Delay) {
-    ++Job->OpenSubmissions;
-    Job->OnlyAttempt = false;
-    ++counts().Resubmissions;
-    Executor.after(Delay, [this, Job] {
-      --Job->OpenSubmissions;
-      submit({Job, randomEntry(), now() + Options.AnswerTimeout, false});
-    });
-  }
-
-  // Submissions.
-  void submit(const submission &Submission) {
-    ++Submission.Job->OpenSubmissions;
-    ++counts().Submissions;
-    attempt(Submission);
-  }
-
-  void attempt(const submission &Submission) {
-    wire::http_call Call;
-    Call.Method = "PUT";
-    Call.Address = Options.Entries[Submission.Entry];
-    Call.Path = "/v1/jobs/" + Submission.Job->Id;
-    Call.Headers.push_back({"content-type", "application/json"});
-    Call.Body = Submission.Job->Body;
-    Call.Timeout = std::max(Submission.End - now(), duration(std::chrono::milliseconds(1)));
-    Client.call(std::move(Call),
-                [this, Submission](const wire::http_call_result &Reply) { onReply(Submission, Reply); });
+  void attempt(std::uint64_t Id) {
+    auto Found = Jobs.find(Id);
+    if (Found == Jobs.end())
+      return;
+    offered_job &Offered = Found->second;
+    ++Offered.OpenAttempts;
+    Result.addAttempt();
+    wire::http_call Call = makeSubmitCall(randomEntry(), {Options.Host, Options.Path}, Offered.Job);
+    Call.Timeout = fromMs(Options.DeadlineMs + AnswerSlackMs);
+    Offered.Call =
+        Client.call(std::move(Call), [this, Id](const wire::http_call_result &Reply) { onReply(Id, Reply); });
   }
 
-  void onReply(const submission &Submission, const wire::http_call_result &Reply) {
-    if (Reply.Error)
-      return onLost(Submission, Reply.Stage);
-    const active_job &Job = *Submission.Job;
-    auto Answer = wire::readAnswer(Reply.Body);
-    if (!Answer) {
-      Result.Measurements.addBreach({breach_kind::WrongAnswer, Job.Id, "not an answer: " + Reply.Body});
-      return endSubmission(Submission, submission_end::Unknown);
+  void onReply(std::uint64_t Id, const wire::http_call_result &Reply) {
+    offered_job &Offered = Jobs.at(Id);
+    Offered.Call = 0;
+    caller_answer Answer = platform::decodeCallerAnswer(Reply);
+    bool NothingWritten = Reply.Error && Reply.Stage == wire::transfer_stage::NothingWritten;
+    if (NothingWritten)
+      --Offered.OpenAttempts;
+    if (Answer.Outcome != caller_outcome::Unanswered) {
+      end(Id, Answer);
+      return;
     }
-    if (auto Breach = checkAnswer(Job.Id, Job.Planned.Job, Answer.value()))
-      Result.Measurements.addBreach(*Breach);
-    // The id's authority may be gone, and with it all ids of the same block.
-    if (Answer.value().outcome() == schema::OUTCOME_UNKNOWN ||
-        Answer.value().reason() == errcName(runtime::errc::Draining))
-      Ids.discard(Submission.Entry);
-    if (Job.OnlyAttempt && wire::neverDelivered(Answer.value()))
-      return renewId(Submission);
-    endSubmission(Submission, endOf(Answer.value().outcome()));
+    double DelayMs = NothingWritten ? UnreachableMs : ResendMs;
+    if (now() + fromMs(DelayMs) >= Offered.GiveUpAt)
+      end(Id, Answer);
+    else
+      Executor.after(fromMs(DelayMs), [this, Id] { attempt(Id); });
   }
 
-  // Submits the job under another id. Under this one nothing may have run, which is checked as for a refusal.
-  void renewId(const submission &Submission) {
-    ++counts().IdsRenewed;
-    Result.Ledger.addEnd(Submission.Job->Id, submission_end::Refused);
-    Active.erase(Submission.Job);
-    begin({Submission.Job->Planned, now()});
+  void end(std::uint64_t Id, const caller_answer &Answer) {
+    offered_job &Offered = Jobs.at(Id);
+    job_end End = endOf(Answer.Outcome);
+    double TookMs = runtime::toMs(now() - Offered.FirstSent);
+    note(End, TookMs);
+    if (End == job_end::Completed && Offered.FirstSent - StartedAt >= fromMs(Options.WarmupSeconds * 1000))
+      Result.addCompleted(TookMs, Offered.WorkMs, Stretch * Offered.WorkMs + ObjectiveMs);
+    if (Answer.Outcome == caller_outcome::Pending)
+      Result.addBreach(fmt::format("job {:016x} was answered before its end", Id));
+    // Only this attempt can have reached an entry VM, so that the job has not run at all.
+    if (End == job_end::Refused && Offered.OpenAttempts == 1)
+      Refused.push_back(Id);
+    Jobs.erase(Id);
+    finishWhenIdle();
   }
 
-  void onLost(submission Submission, wire::transfer_stage Stage) {
-    ++counts().LostAttempts;
-    Submission.Job->OnlyAttempt = false;
-    if (Stage == wire::transfer_stage::MaybeWritten)
-      Result.Ledger.addLostAttempt(Submission.Job->Id);
-    Ids.discard(Submission.Entry);
-    if (now() + RepeatDelay >= Submission.End)
-      return endSubmission(Submission, submission_end::NoAnswer);
-    Submission.Entry = (Submission.Entry + 1) % Options.Entries.size();
-    Executor.after(RepeatDelay, [this, Submission] { attempt(Submission); });
+  void note(job_end End, double TookMs) {
+    Result.addEnd(End);
+    if (Options.Timeline)
+      Timeline.add(elapsedSeconds(), End, TookMs);
   }
 
-  void endSubmission(const submission &Submission, submission_end End) {
-    active_job &Job = *Submission.Job;
-    --Job.OpenSubmissions;
-    Result.Ledger.addEnd(Job.Id, End);
-    bool FirstAnswer = !Job.Answered && (End != submission_end::NoAnswer || Job.OpenSubmissions == 0);
-    if (FirstAnswer) {
-      Job.Answered = true;
-      addFirstAnswer(Job, End);
-      if (Job.ResubmitAfterEnd)
-        scheduleResubmission(Submission.Job,
-                             runtime::fromMs(runtime::toMs(MaxResubmitDelay) * randomFraction()));
-    }
-    if (Job.OpenSubmissions > 0)
+  void leave(std::uint64_t Id) {
+    auto Found = Jobs.find(Id);
+    if (Found == Jobs.end())
       return;
-    Active.erase(Submission.Job);
-    fillClosedLoop();
+    if (Found->second.Call)
+      Client.abandon(Found->second.Call);
+    note(job_end::Left, 0);
+    Jobs.erase(Found);
     finishWhenIdle();
   }
 
-  void addFirstAnswer(const active_job &Job, submission_end End) {
-    double ResponseMs = runtime::toMs(now() - Job.SentAt);
-    addJobEnd(End, ResponseMs);
-    if (End != submission_end::Done)
+  void cancel(std::uint64_t Id) {
+    if (!Jobs.contains(Id))
       return;
-    counts().TasksDone += static_cast<std::uint64_t>(Job.Planned.Job.tasks_size());
-    if (runtime::toMs(Job.SentAt - StartedAt) >= Options.WarmupSeconds * 1000)
-      Result.Measurements.addDone(ResponseMs, Job.IdealMs);
-  }
-
-  void addJobEnd(submission_end End, double ResponseMs) {
-    Result.Measurements.addJob(End);
-    if (Options.Timeline)
-      Timeline.add(elapsedSeconds(), End, ResponseMs);
-  }
-
-  void cancelAll() {
-    for (const job_pointer &Job : Active) {
-      if (Job->Answered)
-        continue;
-      ++counts().Cancels;
-      wire::http_call Call;
-      Call.Method = "DELETE";
-      Call.Address = Options.Entries[randomEntry()];
-      Call.Path = "/v1/jobs/" + Job->Id;
-      Call.Timeout = CancelTimeout;
-      Client.call(std::move(Call), [](const wire::http_call_result &) {});
-    }
+    wire::http_call Call = platform::makeCancelCall(randomEntry(), {Options.Host, Options.Path}, Id);
+    Call.Timeout = fromMs(AnswerSlackMs);
+    Client.call(std::move(Call), [](const wire::http_call_result &) {});
   }
 
   // End of the run.
+
   [[nodiscard]] std::int64_t elapsedSeconds() const {
     return std::chrono::duration_cast<std::chrono::seconds>(now() - StartedAt).count();
   }
@@ -344,38 +199,69 @@
   }
 
   void finishWhenIdle() {
-    if (!Stopping || Finished || inFlight() > 0)
+    if (!Stopping || !Jobs.empty() || std::exchange(Finished, true))
       return;
-    Finished = true;
-    Ids.stop();
     if (Options.Timeline)
       Print(Timeline.takeUntil(elapsedSeconds() + 1));
-    for (const breach &Breach : Result.Ledger.withoutOutcome())
-      Result.Measurements.addBreach(Breach);
-    if (Options.Check.empty())
+    if (Options.Check.empty()) {
       Executor.post(OnDone);
-    else
-      runFinalChecks(Client, Options.Check, Result, OnDone);
+      return;
+    }
+    askSite("/summary", [this](const nlohmann::json &Summary) { readSummary(Summary); });
+    askAboutRefused();
+  }
+
+  void readSummary(const nlohmann::json &Summary) {
+    if (!Summary.is_object() || !Summary.contains("breaches") || !Summary["breaches"].is_array()) {
+      ++CheckErrors;
+      return;
+    }
+    for (const nlohmann::json &Breach : Summary["breaches"])
+      Result.addBreach(Breach.dump());
+  }
+
+  void askAboutRefused() {
+    while (OpenChecks < MaxChecksAtOnce && NextRefused < Refused.size()) {
+      std::uint64_t Id = Refused[NextRefused++];
+      askSite(fmt::format("/job?id={:016x}", Id), [this, Id](const nlohmann::json &Job) {
+        if (!Job.is_object() || !Job.contains("starts") || !Job["starts"].is_number_integer())
+          ++CheckErrors;
+        else if (Job["starts"].get<std::int64_t>() > 0)
+          Result.addBreach(fmt::format("job {:016x} was refused as not run although it ran", Id));
+      });
+    }
+  }
+
+  void askSite(const std::string &Path, std::function<void(const nlohmann::json &)> OnReply) {
+    ++OpenChecks;
+    wire::http_call Call;
+    Call.Address = Options.Check;
+    Call.Path = Path;
+    Call.Timeout = CheckTimeout;
+    Client.call(std::move(Call), [this, OnReply = std::move(OnReply)](const wire::http_call_result &Reply) {
+      bool Valid = !Reply.Error && Reply.Status == 200;
+      OnReply(Valid ? nlohmann::json::parse(Reply.Body, nullptr, false) : nlohmann::json());
+      --OpenChecks;
+      askAboutRefused();
+      if (OpenChecks == 0)
+        OnDone();
+    });
   }
 
   runtime::executor &Executor;
   wire::http_client &Client;
   load_options Options;
   std::function<void(std::string_view)> Print;
-  workload Work;
-  id_pool Ids;
-  // Apart from the other choices, whose order depends on replies: a seed always gives the same arrivals.
-  pcg64 ArrivalRandom;
-  pcg64 Random;
+  runtime::random Random;
   std::function<void()> OnDone;
   time_point StartedAt;
-  time_point NextArrival;
-  time_point ArrivalsEnd;
-  std::unordered_set<job_pointer> Active;
-  std::deque<waiting_job> Waiting;
+  std::unordered_map<std::uint64_t, offered_job> Jobs;
+  std::vector<std::uint64_t> Refused;
+  std::size_t NextRefused = 0;
+  std::size_t OpenChecks = 0;
+  std::uint64_t CheckErrors = 0;
   timeline Timeline;
-  load_result Result;
-  bool Started = false;
+  measurements Result;
   bool Stopping = false;
   bool Finished = false;
 };
--- a/src/yuccaplank/load/yuccaplank_load_main.cpp
+++ b/src/yuccaplank/load/yuccaplank_load_main.cpp
@@ -1,6 +1,5 @@
 // Load tool, see options.cpp for its options.
 #include "yuccaplank/load/load_run.hpp"
-#include "yuccaplank/load/workload.hpp"
 #include "yuccaplank/runtime/descriptor_limit.hpp"
 #include "yuccaplank/runtime/loop.hpp"
 
@@ -26,21 +25,16 @@
   // Every job in flight uses a connection.
   runtime::raiseDescriptorLimit();
   printLines(load::figureLine("seed", static_cast<double>(Options.Seed), "count"));
-  printLines(load::figureLine("mean_task_ms", load::workload(Options).meanTaskMs(), "ms"));
   auto Loop = runtime::makeLoop();
   auto Client = wire::makeHttpClient(*Loop);
   auto Run = load::makeLoadRun(*Loop, *Client, Options, printLines);
   Loop->onSignal([&](int) { Run->stopArrivals(); });
   Run->start([&] { Loop->stop(); });
-  runtime::time_point Begin = Loop->clock().now();
   Loop->run();
-  load::load_result &Result = Run->result();
-  printLines(Result.Measurements.report(runtime::toMs(Loop->clock().now() - Begin) / 1000));
-  printLines(load::figureLine("check_errors", static_cast<double>(Result.CheckErrors), "count"));
-  for (const load::breach &Breach : Result.Measurements.firstBreaches())
-    fmt::print(stderr, "{}: {}: {}\n", load::BreachNames[static_cast<std::size_t>(Breach.Kind)], Breach.JobId,
-               Breach.Detail);
-  return load::exitStatusOf(Result);
+  printLines(Run->result().report());
+  for (const std::string &Breach : Run->result().breaches())
+    fmt::print(stderr, "breach: {}\n", Breach);
+  return Run->exitStatus();
 }
 
 } // namespace
--- a/src/yuccaplank/platform/settings.cpp
+++ b/src/yuccaplank/platform/settings.cpp
@@ -4,6 +4,8 @@
 namespace yuccaplank::platform {
 namespace {
 
+constexpr const char *ServedOrderForm = "request";
+
 void readListeners(object_reader &Reader, settings &Settings, std::vector<field_issue> &Issues) {
   object_reader Listeners(Reader.child("listen_addresses", true, false), "listen_addresses", Issues);
   Listeners.text("frontend", Settings.CallerAddress);
@@ -40,7 +42,14 @@
   Limits.optionalInteger("memory_mb", Settings.MemoryMb);
   object_reader Bounds(Reader.child("bounds", false, false), "bounds", Issues);
   Bounds.optionalNumber("grace_period_s", Settings.GracePeriodS);
-  Reader.optionalText("orders", Settings.OrderForm);
+  Bounds.optionalInteger("max_hold_ms", Settings.MaxLeaseMs);
+  Bounds.optionalInteger("retransmit_ms", Settings.ResendMs);
+  Bounds.optionalInteger("stop_timeout_ms", Settings.StopTimeMs);
+  // Servers that fetch their orders with their heartbeats are not served.
+  std::string OrderForm = ServedOrderForm;
+  Reader.optionalText("orders", OrderForm);
+  if (OrderForm != ServedOrderForm)
+    Issues.push_back({runtime::errc::OutOfRange, "orders"});
   std::vector<settings_issue> Result;
   Result.reserve(Issues.size());
   for (const field_issue &Issue : Issues)
--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -112,9 +112,9 @@
       Timers.pop()();
   }
 
-  // Runs the callbacks of writes that posted functions and timers have made and that are complete. h2o expects
-  // this before it polls: a socket that is still polled for an earlier write would stay so after its callback,
-  // and h2o aborts when it becomes writable.
+  // Runs the callbacks of writes that posted functions and timers have made and that are complete. h2o
+  // expects this before it polls: a socket that is still polled for an earlier write would stay so after its
+  // callback, and h2o aborts when it becomes writable.
   void finishWrites() { h2o_timeout__do_post_callback(Native); }
 
   [[nodiscard]] std::int32_t waitMs() const {
--- /dev/null
+++ b/src/yuccaplank/scenario/world.cpp
@@ -0,0 +1,171 @@
+#include "world.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace yuccaplank::scenario {
+namespace {
+
+using simulation::vm_life;
+
+constexpr double ThousandthsOfCore = 1000;
+// Until all VMs have found each other and claimed their servers.
+constexpr auto StartTime = std::chrono::seconds(2);
+
+} // namespace
+
+world::world(const world_options &Options)
+    : Random(Options.Seed),
+      Fleet(
+          *Executor, Random,
+          {Options.Vms,
+           Options.Domains,
+           Options.Servers,
+           {simulation::makeQueue("urgent", 0), simulation::makeQueue("bulk", 2)}},
+          {}, [this](const std::string &Server, const dispatch::run_key &Run) { onStart(Server, Run); },
+          [this](const std::string &Vm, std::uint64_t Job, const dispatch::job_answer &Answer) {
+            onAnswer(Vm, Job, Answer);
+          }) {
+  Fleet.start();
+  Executor->advance(StartTime);
+}
+
+double world::nowMs() const { return runtime::toMs(Executor->clock().now().time_since_epoch()); }
+
+void world::killVm(const std::string &Vm, bool Silent) {
+  Fleet.endVm(Vm, Silent);
+  for (submission_record &Record : Submissions)
+    if (Record.Vm == Vm && !Record.Answered)
+      Record.ConnectionLost = true;
+}
+
+void world::cutDomain(const std::string &Domain) {
+  Fleet.eachLinkOf(Domain, [this](const std::string &From, const std::string &To) { cutLink(From, To); });
+}
+
+void world::cutLink(const std::string &From, const std::string &To) {
+  Fleet.setCut(From, To, true);
+  Cuts.emplace_back(From, To);
+}
+
+void world::heal() {
+  for (const auto &[From, To] : Cuts)
+    Fleet.setCut(From, To, false);
+  Cuts.clear();
+}
+
+std::string world::ownerOf(const std::string &Server) {
+  for (std::uint32_t Index = 0; Index < Fleet.layout().Vms; ++Index) {
+    vm_life &Life = Fleet.vm(simulation::simulated_fleet::vmName(Index));
+    if (!Life.Executor.alive())
+      continue;
+    schema::fleet_report Reported = Life.Vm->report();
+    for (const schema::server_report &Report : Reported.servers())
+      if (Report.server() == Server)
+        return Life.Name;
+  }
+  return {};
+}
+
+std::size_t world::submit(const std::string &Vm, const job_wish &Wish) {
+  submission_record Record;
+  Record.Job = ++LastJob;
+  Record.Queue = Wish.Queue;
+  dispatch::job_request &Request = Record.Request;
+  Request.Job = Record.Job;
+  Request.TaskCount = Wish.Tasks;
+  Request.TaskSize.set_cpu(static_cast<std::uint32_t>(Wish.Cores * ThousandthsOfCore));
+  Request.TaskSize.set_memory_mb(64);
+  Request.EstimateMs = static_cast<std::uint32_t>(Wish.DeclaredMs > 0 ? Wish.DeclaredMs : Wish.Ms);
+  Request.Specification = standin::encodeWork({Request.TaskSize.cpu(), runtime::fromMs(Wish.Ms), false});
+  Request.Deadline = runtime::fromMs(Wish.DeadlineMs);
+  return send(Vm, std::move(Record));
+}
+
+std::size_t world::resubmit(const std::string &Vm, std::size_t Submission) {
+  submission_record Record;
+  Record.Job = Submissions.at(Submission).Job;
+  Record.Queue = Submissions.at(Submission).Queue;
+  Record.Request = Submissions.at(Submission).Request;
+  return send(Vm, std::move(Record));
+}
+
+std::size_t world::send(const std::string &Vm, submission_record Record) {
+  Record.Vm = Vm;
+  Record.Sent = Executor->clock().now();
+  vm_life &Life = Fleet.vm(Vm);
+  Record.ConnectionLost = !Life.Executor.alive();
+  dispatch::job_request Request = Record.Request;
+  std::string Queue = Record.Queue;
+  Submissions.push_back(std::move(Record));
+  if (Life.Executor.alive())
+    Life.Executor.guard([&Life, Queue, Request] {
+      if (!Life.Vm->coordinator().contains(Request.Job))
+        Life.Vm->coordinator().submit(*Life.Vm->current()->find("", Queue), Request);
+    })();
+  return Submissions.size() - 1;
+}
+
+void world::leave(std::size_t Submission) {
+  submission_record &Record = Submissions.at(Submission);
+  Record.Left = true;
+  vm_life &Life = Fleet.vm(Record.Vm);
+  Life.Executor.guard([&Life, Job = Record.Job] { Life.Vm->coordinator().cancel(Job, "caller_left"); })();
+}
+
+void world::cancel(const std::string &Vm, std::size_t Submission) {
+  vm_life &Life = Fleet.vm(Vm);
+  Life.Executor.guard([&Life, Job = Submissions.at(Submission).Job] { Life.Vm->cancel(Job, [](bool) {}); })();
+}
+
+std::uint64_t world::starts(std::size_t Submission) const {
+  auto Found = Starts.find(Submissions.at(Submission).Job);
+  return Found == Starts.end() ? 0 : Found->second;
+}
+
+std::uint32_t world::running(std::size_t Submission) {
+  const submission_record &Record = Submissions.at(Submission);
+  std::uint32_t Sum = 0;
+  for (std::uint32_t Index = 0; Index < Record.Request.TaskCount; ++Index)
+    Sum += static_cast<std::uint32_t>(Fleet.servers().running({Record.Job, Index}).size());
+  return Sum;
+}
+
+std::vector<std::string> world::breaches() const {
+  std::vector<std::string> Result = Breaches;
+  for (const submission_record &Record : Submissions)
+    if (!Record.Answered && !Record.ConnectionLost && !Record.Left)
+      Result.push_back(fmt::format("job {} has no answer from {}", Record.Job, Record.Vm));
+  return Result;
+}
+
+void world::onStart(const std::string &Server, const dispatch::run_key &Run) {
+  ++Starts[Run.Task.Job];
+  if (Fleet.servers().running(Run.Task).size() > 1)
+    Breaches.push_back(fmt::format("two runs of {} at the same time", dispatch::format(Run)));
+  if (Fleet.servers().usedCpu(Server) > Fleet.servers().capacityCpu(Server))
+    Breaches.push_back(fmt::format("{} starts on {} beyond its room", dispatch::format(Run), Server));
+  bool MayRun = std::ranges::any_of(Submissions, [&](const submission_record &Record) {
+    return Record.Job == Run.Task.Job &&
+           !(Record.Answered && Record.Answer.Outcome == dispatch::job_outcome::Refused);
+  });
+  if (!MayRun)
+    Breaches.push_back(fmt::format("{} starts after its job was refused", dispatch::format(Run)));
+}
+
+void world::onAnswer(const std::string &Vm, std::uint64_t Job, const dispatch::job_answer &Answer) {
+  for (submission_record &Record : Submissions) {
+    if (Record.Job != Job || Record.Vm != Vm || Record.ConnectionLost || Record.Left)
+      continue;
+    if (std::exchange(Record.Answered, true))
+      continue;
+    Record.Answer = Answer;
+    Record.TookMs = runtime::toMs(Executor->clock().now() - Record.Sent);
+    bool OnlySubmission = std::ranges::count(Submissions, Job, &submission_record::Job) == 1;
+    if (Answer.Outcome == dispatch::job_outcome::Refused && OnlySubmission && Starts.contains(Job))
+      Breaches.push_back(fmt::format("job {} was refused although it ran", Job));
+  }
+}
+
+} // namespace yuccaplank::scenario
--- /dev/null
+++ b/src/yuccaplank/simulation/simulated_fleet.cpp
@@ -0,0 +1,195 @@
+#include "simulated_fleet.hpp"
+
+#include <fmt/format.h>
+
+#include <array>
+
+namespace yuccaplank::simulation {
+namespace {
+
+// After a longer pause a VM gives up its roles, as its process does.
+constexpr auto PauseLimit = std::chrono::milliseconds(450);
+
+network_end makeEnd(vm_life &Life, std::string Incarnation) {
+  network_end End;
+  End.Incarnation = std::move(Incarnation);
+  End.OnMessage = [&Life](const std::string &From, const std::string &Sender,
+                          const schema::dispatch_message &Message) {
+    Life.Executor.guard([&Life, From, Sender, Message] { Life.Vm->onMessage(From, Sender, Message); })();
+  };
+  End.OnClosed = [&Life](const std::string &Vm) {
+    Life.Executor.guard([&Life, Vm] { Life.Vm->onClosed(Vm); })();
+  };
+  End.OnConnectFailed = [&Life](const std::string &Address) {
+    Life.Executor.guard([&Life, Address] { Life.Vm->onConnectFailed(Address); })();
+  };
+  return End;
+}
+
+std::uint32_t indexOf(const std::string &VmName) {
+  return static_cast<std::uint32_t>(std::stoul(VmName.substr(2)));
+}
+
+} // namespace
+
+vm_life::vm_life(runtime::executor &Executor, network &Network, simulated_servers &Servers, std::string Name,
+                 answer_function OnAnswer)
+    : Executor(Executor), Network(Network), Name(std::move(Name)),
+      Orders(Servers.ordersOf(this->Name, this->Executor)), OnAnswer(std::move(OnAnswer)) {}
+
+void vm_life::begin(dispatch::entry_vm_options Options) {
+  Vm = dispatch::makeEntryVm(Executor, *this, std::move(Options));
+}
+
+void vm_life::send(const std::string &, const std::string &Address, schema::dispatch_message Message) {
+  if (Executor.alive())
+    Network.send(Name, Address, Message);
+}
+
+// The document of a simulated configuration is its version.
+void vm_life::configurationOffered(const schema::configuration_copy &Copy) {
+  dispatch::configuration Configuration = *Vm->current();
+  Configuration.Version = Copy.version();
+  Vm->setConfiguration(Configuration, Copy.document());
+}
+
+simulated_fleet::simulated_fleet(runtime::executor &Executor, runtime::random &Random, fleet_layout LayoutIn,
+                                 simulated_servers::options ServerOptions, start_function OnStart,
+                                 answer_function OnAnswer)
+    : Executor(Executor), Random(Random), Layout(std::move(LayoutIn)), Net(Executor, Random),
+      Servers(Executor, Net, Random, ServerOptions, std::move(OnStart)), OnAnswer(std::move(OnAnswer)) {}
+
+std::string simulated_fleet::vmName(std::uint32_t Index) { return fmt::format("vm{}", Index); }
+
+std::string simulated_fleet::domainOf(std::uint32_t Index) const {
+  return fmt::format("d{}", Index % Layout.Domains);
+}
+
+std::vector<std::string> simulated_fleet::domains() const {
+  std::vector<std::string> Result;
+  for (std::uint32_t Index = 0; Index < Layout.Domains; ++Index)
+    Result.push_back(domainOf(Index));
+  return Result;
+}
+
+void simulated_fleet::start() {
+  addServers();
+  for (std::uint32_t Index = 0; Index < Layout.Vms; ++Index)
+    startVm(vmName(Index));
+}
+
+void simulated_fleet::addServers() {
+  for (std::uint32_t Index = 0; Index < Layout.Servers; ++Index) {
+    dispatch::server_entry Entry;
+    Entry.Target = {fmt::format("s{}", Index), fmt::format("s{}", Index)};
+    Entry.Pool = Pool;
+    Entry.Domain = domainOf(Index);
+    Entry.Rack = fmt::format("r{}", Index / 2);
+    Entry.Capacity.set_cpu(Random.uniform() < 0.3 ? 96000 : 64000);
+    Entry.Capacity.set_memory_mb(100000);
+    constexpr auto Speeds = std::to_array({0.6, 1.0, 1.6});
+    Servers.add(Entry, 1 - 0.02 * Random.uniform(), Speeds[Index % Speeds.size()]);
+  }
+}
+
+void simulated_fleet::startVm(const std::string &Name) {
+  auto &Slot = Vms[Name];
+  if (Slot)
+    Ended.push_back(std::move(Slot));
+  Slot = std::make_unique<vm_life>(
+      Executor, Net, Servers, Name,
+      [this, Name](std::uint64_t Job, const dispatch::job_answer &Answer) { OnAnswer(Name, Job, Answer); });
+  vm_life &Life = *Slot;
+  dispatch::entry_vm_options VmOptions;
+  VmOptions.Vm = Name;
+  VmOptions.Address = Name;
+  VmOptions.Domain = domainOf(indexOf(Name));
+  Life.begin(VmOptions);
+  Net.attach(Name, makeEnd(Life, fmt::format("{}", ++LastRegistration)));
+  registerVm(Life, LastRegistration);
+}
+
+void simulated_fleet::configure(vm_life &Life, std::uint64_t Version) const {
+  dispatch::configuration Configuration;
+  Configuration.Version = Version;
+  Configuration.Queues.push_back(makeQueue(QueueName, 0));
+  for (const dispatch::queue_settings &Queue : Layout.Queues)
+    Configuration.Queues.push_back(Queue);
+  Life.Vm->setConfiguration(Configuration, fmt::format("{}", Version));
+}
+
+void simulated_fleet::registerVm(vm_life &Life, std::uint64_t Registration) {
+  configure(Life, 1);
+  Life.Vm->setRegistration(Registration);
+  std::map<std::string, std::string> Others;
+  for (std::uint32_t Index = 0; Index < Layout.Vms; ++Index)
+    if (vmName(Index) != Life.Name)
+      Others[vmName(Index)] = vmName(Index);
+  Life.Vm->setRegisteredVms(Others);
+  Life.Vm->setServers(Servers.entries());
+}
+
+void simulated_fleet::endVm(const std::string &Name, bool Silent) {
+  Vms.at(Name)->Executor.end();
+  Net.detach(Name, Silent);
+}
+
+void simulated_fleet::pauseVm(const std::string &Name) {
+  vm_life &Life = vm(Name);
+  Life.Paused = true;
+  Life.Executor.pause();
+}
+
+void simulated_fleet::resumeVm(const std::string &Name) {
+  vm_life &Life = vm(Name);
+  Life.Paused = false;
+  Life.Executor.resume([&Life](runtime::duration Pause) {
+    if (Pause > PauseLimit)
+      Life.Vm->onPause();
+  });
+}
+
+void simulated_fleet::setCut(const std::string &From, const std::string &To, bool IsCut) {
+  Net.setCut(From, To, IsCut);
+}
+
+void simulated_fleet::eachLinkOf(
+    const std::string &Domain,
+    const std::function<void(const std::string &From, const std::string &To)> &Cut) const {
+  auto BothWays = [&](const std::string &One, const std::string &Other) {
+    Cut(One, Other);
+    Cut(Other, One);
+  };
+  for (std::uint32_t One = 0; One < Layout.Vms; ++One) {
+    if (domainOf(One) != Domain) {
+      BothWays(vmName(One), Domain);
+      continue;
+    }
+    for (std::uint32_t Other = 0; Other < Layout.Vms; ++Other)
+      if (domainOf(Other) != Domain)
+        BothWays(vmName(One), vmName(Other));
+    for (const std::string &Other : domains())
+      if (Other != Domain)
+        BothWays(vmName(One), Other);
+  }
+}
+
+void simulated_fleet::resetConnection(const std::string &One, const std::string &Other) {
+  Net.disconnect(One, Other);
+  vm_life &Life = vm(One);
+  Executor.after(runtime::fromMs(1), Life.Executor.guard([&Life, Other] { Life.Vm->onClosed(Other); }));
+}
+
+dispatch::queue_settings makeQueue(const std::string &Name, std::uint32_t Priority) {
+  dispatch::queue_settings Queue;
+  Queue.Name = Name;
+  Queue.PathPrefix = Name;
+  Queue.Pool = Pool;
+  Queue.Priority = Priority;
+  Queue.MaxAttempts = 3;
+  Queue.Stretch = 1.6;
+  Queue.LatencyMs = 60;
+  return Queue;
+}
+
+} // namespace yuccaplank::simulation
