--- /dev/null
+++ b/src/yuccaplank/simulation/simulated_fleet.hpp
@@ -0,0 +1,111 @@
+// Entry VMs of a simulation with the network between them and their backend servers.
+#pragma once
+
+#include "network.hpp"
+#include "simulated_servers.hpp"
+#include "vm_executor.hpp"
+#include "yuccaplank/dispatch/entry_vm.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yuccaplank::simulation {
+
+inline constexpr const char *Pool = "pool";
+inline constexpr const char *QueueName = "queue";
+
+/// Process of a VM; a new one for each start.
+class vm_life final : public dispatch::entry_vm_ports {
+public:
+  using answer_function = std::function<void(std::uint64_t Job, const dispatch::job_answer &Answer)>;
+
+  vm_life(runtime::executor &Executor, network &Network, simulated_servers &Servers, std::string Name,
+          answer_function OnAnswer);
+  void begin(dispatch::entry_vm_options Options);
+
+  void send(const std::string &Vm, const std::string &Address, schema::dispatch_message Message) override;
+  void disconnect(const std::string &Other) override { Network.disconnect(Name, Other); }
+  dispatch::server_orders &orders() override { return *Orders; }
+  void answer(std::uint64_t Job, const dispatch::job_answer &Answer) override { OnAnswer(Job, Answer); }
+  void termRaised(std::uint32_t Term) override { RaisedTerm = Term; }
+  void configurationOffered(const schema::configuration_copy &Copy) override;
+
+  vm_executor Executor;
+  network &Network;
+  std::string Name;
+  std::unique_ptr<dispatch::server_orders> Orders;
+  answer_function OnAnswer;
+  std::unique_ptr<dispatch::entry_vm> Vm;
+  bool Paused = false;
+  std::uint32_t RaisedTerm = 0;
+};
+
+struct fleet_layout {
+  std::uint32_t Vms = 4;
+  std::uint32_t Domains = 2;
+  std::uint32_t Servers = 6;
+  /// Queues beside QueueName.
+  std::vector<dispatch::queue_settings> Queues;
+};
+
+/// VMs "vm0", "vm1", … and servers "s0", "s1", … are spread over the domains "d0", "d1", … in turn; two
+/// servers share a rack.
+class simulated_fleet {
+public:
+  using answer_function =
+      std::function<void(const std::string &Vm, std::uint64_t Job, const dispatch::job_answer &)>;
+  using start_function = std::function<void(const std::string &Server, const dispatch::run_key &Run)>;
+
+  simulated_fleet(runtime::executor &Executor, runtime::random &Random, fleet_layout Layout,
+                  simulated_servers::options ServerOptions, start_function OnStart, answer_function OnAnswer);
+
+  static std::string vmName(std::uint32_t Index);
+  [[nodiscard]] std::string domainOf(std::uint32_t Index) const;
+  [[nodiscard]] std::vector<std::string> domains() const;
+
+  /// Adds the servers and starts all VMs.
+  void start();
+  /// A new process; what the former one had under way is void.
+  void startVm(const std::string &Name);
+  /// The process ends; Silent closes no connection.
+  void endVm(const std::string &Name, bool Silent);
+  void pauseVm(const std::string &Name);
+  void resumeVm(const std::string &Name);
+  /// Connections between the two VMs, or of a VM and the servers of a domain, pass nothing in this direction.
+  void setCut(const std::string &From, const std::string &To, bool IsCut);
+  /// All links between a domain and the rest, those to servers included; calls Cut for each.
+  void eachLinkOf(const std::string &Domain,
+                  const std::function<void(const std::string &From, const std::string &To)> &Cut) const;
+  void resetConnection(const std::string &One, const std::string &Other);
+  /// Puts a configuration into force on one VM, as if read from the store.
+  void configure(vm_life &Life, std::uint64_t Version) const;
+
+  vm_life &vm(const std::string &Name) { return *Vms.at(Name); }
+  [[nodiscard]] const fleet_layout &layout() const { return Layout; }
+  network &net() { return Net; }
+  simulated_servers &servers() { return Servers; }
+
+private:
+  void addServers();
+  void registerVm(vm_life &Life, std::uint64_t Registration);
+
+  runtime::executor &Executor;
+  runtime::random &Random;
+  fleet_layout Layout;
+  network Net;
+  simulated_servers Servers;
+  answer_function OnAnswer;
+  std::map<std::string, std::unique_ptr<vm_life>> Vms;
+  // Processes that have ended; what they had under way refers to them.
+  std::vector<std::unique_ptr<vm_life>> Ended;
+  std::uint64_t LastRegistration = 0;
+};
+
+/// A queue of the pool with the stretch and latency of the users' sites.
+dispatch::queue_settings makeQueue(const std::string &Name, std::uint32_t Priority);
+
+} // namespace yuccaplank::simulation
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -1,9 +1,5 @@
 #include "simulated_servers.hpp"
 
-#include <fmt/format.h>
-
-#include <cstdio>
-
 namespace yuccaplank::simulation {
 
 using dispatch::hold_reply;
@@ -20,18 +16,11 @@
 
 } // namespace
 
-std::string encodeWork(const standin::run_work &Work) {
-  return fmt::format("{} {}", Work.Cpu, runtime::toMs(Work.Time));
-}
-
 standin::run_work simulated_servers::workOf(const simulated_server &Server,
-                                            const std::string &Specification) const {
-  unsigned Cpu = 0;
-  double Ms = 0;
-  if (std::sscanf(Specification.c_str(), "%u %lf", &Cpu, &Ms) !=
-      2) // NOLINT(cert-err34-c): written by encodeWork
-    return {};
-  standin::run_work Work{Cpu, runtime::fromMs(Ms * Server.Slowness * Server.Slowdown), Server.Failing};
+                                            const std::string &Specification) {
+  standin::run_work Work = standin::decodeWork(Specification);
+  Work.Time = runtime::fromMs(runtime::toMs(Work.Time) * Server.Slowness * Server.Slowdown);
+  Work.Fails = Server.Failing;
   if (Server.Hanging)
     Work.Time = Hanging;
   return Work;
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -15,9 +15,6 @@
 
 namespace yuccaplank::simulation {
 
-/// Cores and times are written into the specification: "cpu milliseconds".
-std::string encodeWork(const standin::run_work &Work);
-
 class simulated_servers {
 public:
   struct options {
@@ -70,7 +67,7 @@
   };
   class orders;
 
-  standin::run_work workOf(const simulated_server &Server, const std::string &Specification) const;
+  static standin::run_work workOf(const simulated_server &Server, const std::string &Specification);
   void serveHold(const std::string &Name, const dispatch::hold_order &Order,
                  std::function<void(dispatch::hold_reply)> Reply);
   void answerHolds(const std::string &Name);
--- a/src/yuccaplank/simulation/vm_executor.hpp
+++ b/src/yuccaplank/simulation/vm_executor.hpp
@@ -1,4 +1,4 @@
-// Executor of one VM of a scenario. It can be stopped, as by SIGSTOP, and ended, as by SIGKILL.
+// Executor of one simulated VM. It can be stopped, as by SIGSTOP, and ended, as by SIGKILL.
 #pragma once
 
 #include "yuccaplank/runtime/executor.hpp"
@@ -6,9 +6,9 @@
 #include <deque>
 #include <functional>
 
-namespace yuccaplank::scenario {
+namespace yuccaplank::simulation {
 
-/// Passes everything to the scenario's executor; what becomes due while the VM is paused runs when it
+/// Passes everything to the common executor; what becomes due while the VM is paused runs when it
 /// resumes, and nothing runs after its end.
 class vm_executor final : public runtime::executor {
 public:
@@ -56,4 +56,4 @@
   std::deque<std::function<void()>> Held;
 };
 
-} // namespace yuccaplank::scenario
+} // namespace yuccaplank::simulation
--- a/src/yuccaplank/standin/task_server.cpp
+++ b/src/yuccaplank/standin/task_server.cpp
@@ -1,6 +1,9 @@
 #include "task_server.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <sstream>
 
 namespace yuccaplank::standin {
 
@@ -15,6 +18,19 @@
 
 } // namespace
 
+std::string encodeWork(const run_work &Work) {
+  return fmt::format("{} {}", Work.Cpu, runtime::toMs(Work.Time));
+}
+
+run_work decodeWork(const std::string &Specification) {
+  std::istringstream Stream(Specification);
+  std::uint32_t Cpu = 0;
+  double Ms = 0;
+  if (!(Stream >> Cpu >> Ms))
+    return {};
+  return {Cpu, runtime::fromMs(Ms), false};
+}
+
 std::int64_t task_server::clockMs(time_point Now) const {
   return static_cast<std::int64_t>(runtime::toMs(Now.time_since_epoch()) * Options.ClockRate);
 }
--- a/src/yuccaplank/standin/task_server.hpp
+++ b/src/yuccaplank/standin/task_server.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace yuccaplank::standin {
@@ -19,6 +20,11 @@
   bool Fails = false;
 };
 
+/// The specification that tells a stand-in what a run does: "cpu milliseconds".
+std::string encodeWork(const run_work &Work);
+/// No work for a specification of another form.
+run_work decodeWork(const std::string &Specification);
+
 struct task_server_options {
   runtime::duration MaxLease = std::chrono::milliseconds(1000);
   /// Time from a stop order to the end.
--- /dev/null
+++ b/src/yuccaplank/standin/worker.cpp
@@ -0,0 +1,342 @@
+#include "worker.hpp"
+#include "yuccaplank/platform/json_reader.hpp"
+#include "yuccaplank/platform/server_client.hpp"
+#include "yuccaplank/standin/replies.hpp"
+#include "yuccaplank/wire/http_server.hpp"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace yuccaplank::standin {
+namespace {
+
+using dispatch::order_outcome;
+using nlohmann::json;
+using platform::field_issue;
+using platform::object_reader;
+using runtime::time_point;
+using wire::http_reply;
+using wire::http_request;
+
+constexpr int Ok = 200;
+constexpr int BadRequest = 400;
+constexpr int NotFound = 404;
+constexpr int Conflict = 409;
+constexpr int OtherInstance = 421;
+constexpr std::uint32_t MaxWaitMs = 2000;
+constexpr double LeastLateMs = 1000;
+constexpr double MostLateMs = 8000;
+
+// Indexed by run_end.
+constexpr auto EndNames =
+    std::to_array<std::string_view>({"done", "failed", "stopped", "lapsed", "broken", "alone"});
+
+std::string_view reasonOf(order_outcome Outcome) {
+  switch (Outcome) {
+  case order_outcome::Fenced:
+    return "fence";
+  case order_outcome::LeaseOver:
+    return "late";
+  case order_outcome::NoRoom:
+    return "room";
+  default:
+    return "old";
+  }
+}
+
+// Orders as they arrive; Task is not set when the body cannot be read.
+struct order_body {
+  dispatch::run_key Run;
+  std::string Specification;
+  std::uint64_t FencingToken = 0;
+  std::int64_t LeaseEndMs = 0;
+};
+
+std::optional<order_body> readOrder(const std::string &Text, bool IsStart) {
+  json Body = platform::parseJson(Text);
+  std::vector<field_issue> Issues;
+  order_body Order;
+  std::string Task;
+  object_reader Reader(Body, "", Issues);
+  Reader.text("task", Task);
+  Reader.integer("run", Order.Run.Run);
+  Reader.optionalInteger("fencing_token", Order.FencingToken);
+  if (IsStart) {
+    Reader.optionalText("specification", Order.Specification);
+    Reader.integer("deadline_ms", Order.LeaseEndMs);
+  }
+  auto Name = platform::parseTaskName(Task);
+  if (!Issues.empty() || !Name)
+    return std::nullopt;
+  Order.Run.Task = *Name;
+  return Order;
+}
+
+std::optional<dispatch::hold_order> readHold(const std::string &Text) {
+  json Body = platform::parseJson(Text);
+  std::vector<field_issue> Issues;
+  dispatch::hold_order Order;
+  std::int64_t LeaseEndMs = 0;
+  std::uint32_t WaitMs = 0;
+  object_reader Reader(Body, "", Issues);
+  Reader.optionalInteger("fencing_token", Order.FencingToken);
+  Reader.optionalInteger("observed", Order.Observed);
+  Reader.optionalInteger("deadline_ms", LeaseEndMs);
+  Reader.optionalInteger("wait_ms", WaitMs);
+  if (!Issues.empty())
+    return std::nullopt;
+  if (LeaseEndMs > 0)
+    Order.LeaseEndMs = LeaseEndMs;
+  Order.Wait = std::chrono::milliseconds(std::min(WaitMs, MaxWaitMs));
+  return Order;
+}
+
+class worker_impl final : public worker {
+public:
+  worker_impl(runtime::loop &Loop, runtime::random &Random, worker_options OptionsIn,
+              std::function<void(const dispatch::run_key &)> OnStart)
+      : Loop(Loop), Random(Random), Options(std::move(OptionsIn)), OnStart(std::move(OnStart)) {}
+  worker_impl(const worker_impl &) = delete;
+  worker_impl &operator=(const worker_impl &) = delete;
+  ~worker_impl() override = default;
+
+  [[nodiscard]] const worker_options &options() const override { return Options; }
+  [[nodiscard]] std::string address() const override { return Options.Listen; }
+  [[nodiscard]] bool alive() const override { return State != nullptr; }
+
+  [[nodiscard]] std::string entry(std::uint64_t Sequence, bool Draining) const override {
+    json Entry{{"service", Options.Pool},
+               {"address", Options.Listen},
+               {"zone", Options.Domain},
+               {"state", Draining ? "draining" : "ready"},
+               {"sequence", Sequence},
+               {"born", State ? State->born() : 0},
+               {"labels", {"a", Options.Rack}},
+               {"capacity", {{"cpu", Options.Cpu}, {"memory_limit_mb", Options.MemoryMb}, {"gpu", 0}}}};
+    return Entry.dump();
+  }
+
+  runtime::result<void> start() override {
+    wire::http_server_options ServerOptions;
+    ServerOptions.Address = Options.Listen;
+    ServerOptions.RequestTimeout = std::chrono::seconds(30);
+    auto Made = wire::makeHttpServer(Loop, ServerOptions,
+                                     {[this](const http_request &Request) { onRequest(Request); }, {}});
+    if (!Made)
+      return Made.error();
+    Server = std::move(Made.value());
+    std::string Ip = Options.Listen.substr(0, Options.Listen.rfind(':'));
+    Options.Listen = fmt::format("{}:{}", Ip, Server->port());
+    State = std::make_unique<task_server>(Loop.clock().unixMs(), Options.Server);
+    ++Life;
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void crash() override {
+    ++Life;
+    Loop.cancel(std::exchange(WatchTimer, 0));
+    Holds.clear();
+    State.reset();
+    Server.reset();
+  }
+
+  void setFaults(worker_faults Updated) override { Faults = Updated; }
+
+  [[nodiscard]] bool runs(const dispatch::task_key &Task) override {
+    if (!State)
+      return false;
+    State->advance(now());
+    return std::ranges::any_of(State->running(), [&](const auto &Run) { return Run.Task == Task; });
+  }
+  [[nodiscard]] std::uint32_t usedCpu() override {
+    if (!State)
+      return 0;
+    State->advance(now());
+    return State->usedCpu();
+  }
+
+private:
+  struct waiting_hold {
+    wire::request_token Token = 0;
+    dispatch::hold_order Order;
+    time_point Until;
+  };
+
+  [[nodiscard]] time_point now() const { return Loop.clock().now(); }
+
+  void onRequest(const http_request &Request) {
+    if (Faults.Mode == worker_mode::Silent)
+      return;
+    std::string_view Expected = Request.header("expected-instance");
+    if (!Expected.empty() && Expected != Options.Id)
+      return reply(Request.Token, reasonReply(OtherInstance, "instance"));
+    if (Request.Method == "POST" && Request.Path == "/yuccaplank/run-start")
+      return onStartOrder(Request);
+    if (Request.Method == "POST" && Request.Path == "/yuccaplank/run-stop")
+      return onStopOrder(Request);
+    if (Request.Method == "POST" && Request.Path == "/yuccaplank/hold")
+      return onHold(Request);
+    reply(Request.Token, reasonReply(NotFound, "unknown_path"));
+  }
+
+  void onStartOrder(const http_request &Request) {
+    auto Order = readOrder(Request.Body, true);
+    if (!Order)
+      return reply(Request.Token, reasonReply(BadRequest, "malformed"));
+    carryOut(Request.Token, [this, Order = *Order] {
+      bool Present = runs(Order.Run.Task);
+      order_outcome Outcome =
+          State->start(now(), {Order.Run, Order.Specification, Order.FencingToken, Order.LeaseEndMs},
+                       workOf(Order.Specification));
+      if (Outcome == order_outcome::Accepted && !Present)
+        OnStart(Order.Run);
+      return Outcome;
+    });
+  }
+
+  void onStopOrder(const http_request &Request) {
+    auto Order = readOrder(Request.Body, false);
+    if (!Order)
+      return reply(Request.Token, reasonReply(BadRequest, "malformed"));
+    carryOut(Request.Token,
+             [this, Order = *Order] { return State->stop(now(), Order.Run, Order.FencingToken); });
+  }
+
+  [[nodiscard]] run_work workOf(const std::string &Specification) const {
+    run_work Work = decodeWork(Specification);
+    Work.Time = runtime::fromMs(runtime::toMs(Work.Time) * Options.Slowness * Faults.Slowdown);
+    Work.Fails = Faults.Mode == worker_mode::Failing;
+    if (Faults.Mode == worker_mode::Hanging)
+      Work.Time = std::chrono::hours(1);
+    return Work;
+  }
+
+  void carryOut(wire::request_token Token, std::function<order_outcome()> Order) {
+    if (Random.uniform() < Faults.LateOrders) {
+      carryOutLate(std::move(Order));
+      return;
+    }
+    order_outcome Outcome = Order();
+    watch();
+    if (Random.uniform() < Faults.LostAnswers)
+      return Server->drop(Token);
+    json Body{{"clock_ms", State->clockMs(now())}};
+    if (Outcome != order_outcome::Accepted)
+      Body["reason"] = reasonOf(Outcome);
+    reply(Token, jsonReply(Outcome == order_outcome::Accepted ? Ok : Conflict, Body));
+  }
+
+  // Also by a new life at the address.
+  void carryOutLate(std::function<order_outcome()> Order) {
+    Loop.after(runtime::fromMs(LeastLateMs + Random.uniform() * (MostLateMs - LeastLateMs)),
+               [Weak = std::weak_ptr<int>(Alive), this, Order = std::move(Order)] {
+                 if (Weak.expired() || !State)
+                   return;
+                 Order();
+                 watch();
+               });
+  }
+
+  void onHold(const http_request &Request) {
+    auto Order = readHold(Request.Body);
+    if (!Order)
+      return reply(Request.Token, reasonReply(BadRequest, "malformed"));
+    auto Reply = State->hold(now(), *Order);
+    watch();
+    if (Reply.Outcome != order_outcome::Accepted || !Reply.Ended.empty() ||
+        Order->Wait <= runtime::duration::zero())
+      return replyHold(Request.Token, Reply);
+    Holds.push_back({Request.Token, *Order, now() + Order->Wait});
+    later(Order->Wait, [this] { answerHolds(); });
+  }
+
+  void answerHolds() {
+    std::vector<waiting_hold> Waiting;
+    Waiting.swap(Holds);
+    for (waiting_hold &Hold : Waiting) {
+      // The lease was extended when the order arrived.
+      Hold.Order.LeaseEndMs.reset();
+      auto Reply = State->hold(now(), Hold.Order);
+      if (Reply.Outcome == order_outcome::Accepted && Reply.Ended.empty() && now() < Hold.Until)
+        Holds.push_back(Hold);
+      else
+        replyHold(Hold.Token, Reply);
+    }
+  }
+
+  void replyHold(wire::request_token Token, const dispatch::hold_reply &Reply) {
+    json Body{{"clock_ms", State->clockMs(now())}, {"born", Reply.Born}};
+    if (Reply.Outcome != order_outcome::Accepted) {
+      Body["reason"] = reasonOf(Reply.Outcome);
+      return reply(Token, jsonReply(Conflict, Body));
+    }
+    json Running = json::array();
+    for (const dispatch::run_key &Run : Reply.Running)
+      Running.push_back({platform::taskName(Run.Task), Run.Run, "", 0});
+    json Finished = json::array();
+    for (const dispatch::listed_end &End : Reply.Ended)
+      Finished.push_back({End.Number, platform::taskName(End.Run.Task), End.Run.Run,
+                          EndNames.at(static_cast<std::size_t>(End.End)), ""});
+    Body["running_tasks"] = std::move(Running);
+    Body["finished"] = std::move(Finished);
+    reply(Token, jsonReply(Ok, Body));
+  }
+
+  // Looks again when the next run ends.
+  void watch() {
+    Loop.cancel(std::exchange(WatchTimer, 0));
+    auto Next = State->nextEvent();
+    if (!Next)
+      return;
+    WatchTimer = later(std::max(*Next - now(), runtime::duration::zero()), [this] {
+      WatchTimer = 0;
+      State->advance(now());
+      if (State->hasEnds())
+        answerHolds();
+      watch();
+    });
+  }
+
+  void reply(wire::request_token Token, http_reply Reply) {
+    if (Faults.Mode != worker_mode::Silent)
+      Server->reply(Token, std::move(Reply));
+  }
+
+  // Not carried out in another life.
+  runtime::timer_id later(runtime::duration Delay, std::function<void()> Function) {
+    return Loop.after(Delay,
+                      [Weak = std::weak_ptr<int>(Alive), this, At = Life, Function = std::move(Function)] {
+                        if (!Weak.expired() && At == Life)
+                          Function();
+                      });
+  }
+
+  runtime::loop &Loop;
+  runtime::random &Random;
+  worker_options Options;
+  std::function<void(const dispatch::run_key &)> OnStart;
+  worker_faults Faults;
+  std::unique_ptr<task_server> State;
+  std::unique_ptr<wire::http_server> Server;
+  std::vector<waiting_hold> Holds;
+  std::uint64_t Life = 0;
+  runtime::timer_id WatchTimer = 0;
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+};
+
+} // namespace
+
+runtime::result<std::unique_ptr<worker>> makeWorker(runtime::loop &Loop, runtime::random &Random,
+                                                    worker_options Options,
+                                                    std::function<void(const dispatch::run_key &)> OnStart) {
+  auto Worker = std::make_unique<worker_impl>(Loop, Random, std::move(Options), std::move(OnStart));
+  if (auto Started = Worker->start(); !Started)
+    return Started.error();
+  return std::unique_ptr<worker>(std::move(Worker));
+}
+
+} // namespace yuccaplank::standin
--- /dev/null
+++ b/src/yuccaplank/standin/yuccaplank_standin_site_main.cpp
@@ -0,0 +1,56 @@
+// Stand-in for the users' platform, see site.hpp.
+#include "site.hpp"
+#include "yuccaplank/runtime/descriptor_limit.hpp"
+#include "yuccaplank/runtime/log.hpp"
+#include "yuccaplank/standin/program.hpp"
+
+#include <boost/algorithm/string.hpp>
+#include <boost/program_options.hpp>
+
+namespace {
+
+namespace po = boost::program_options;
+using namespace yuccaplank;
+
+int runSite(const standin::site_options &Options) {
+  // Each worker needs a few descriptors besides its connections.
+  runtime::raiseDescriptorLimit();
+  auto Loop = runtime::makeLoop();
+  auto Site = standin::makeSite(*Loop, Options);
+  if (!Site) {
+    log(runtime::log_level::Error, "listen_failed", {{"reason", Site.error().message()}});
+    return 1;
+  }
+  log(runtime::log_level::Info, "site_ready",
+      {{"store_port", std::int64_t{Site.value()->store().port()}},
+       {"control_port", std::int64_t{Site.value()->controlPort()}}});
+  standin::runUntilSignal(*Loop);
+  return 0;
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  standin::site_options Options;
+  std::string Domains = "d1";
+  bool Equal = false;
+  po::options_description Description(
+      "yuccaplank-standin-site: the users' platform for tests, with its store and backend servers");
+  auto Add = Description.add_options();
+  Add("help", "show this text");
+  Add("ip", po::value(&Options.Ip)->default_value(Options.Ip), "IP number of all listeners");
+  Add("store-port", po::value(&Options.StorePort)->default_value(9000), "port of the store");
+  Add("control-port", po::value(&Options.ControlPort)->default_value(9001), "port of the control listener");
+  Add("first-worker-port", po::value(&Options.FirstWorkerPort)->default_value(9100),
+      "port of the first backend server");
+  Add("workers", po::value(&Options.Workers)->default_value(Options.Workers), "number of backend servers");
+  Add("domains", po::value(&Domains)->default_value(Domains), "failure domains, given in turn");
+  Add("equal", po::bool_switch(&Equal), "servers of equal speed");
+  Add("seed", po::value(&Options.Seed)->default_value(Options.Seed), "seed of clock rates and faults");
+  return standin::runProgram(Count, Arguments, Description, [&](const po::variables_map &) {
+    if (Equal)
+      Options.Slowness = {1};
+    boost::split(Options.Domains, Domains, boost::is_any_of(","));
+    return runSite(Options);
+  });
+}
--- a/src/yuccaplank/testing/cli_run.cpp
+++ b/src/yuccaplank/testing/cli_run.cpp
@@ -17,15 +17,14 @@
     Files[File] = Text;
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   };
-  Console.Confirm = [this](std::string_view) { return Confirmed; };
-  Console.InputIsTerminal = Terminal;
   Console.ErrorIsTerminal = Terminal;
   cli::requester Requester(*Executor, Client,
                            {[this] { Executor->advance(std::chrono::milliseconds(1)); }, [] {}});
   auto Variable = [this](const std::string &Name) {
     return Environment.contains(Name) ? Environment[Name] : std::string();
   };
-  return static_cast<int>(cli::runCli(Arguments, Variable, Console, Requester, [] { return "change1"; }));
+  return static_cast<int>(
+      cli::runCli(Arguments, Variable, Console, Requester, [] { return "00000000000000c1"; }));
 }
 
 } // namespace yuccaplank::testing
--- a/src/yuccaplank/testing/cli_run.hpp
+++ b/src/yuccaplank/testing/cli_run.hpp
@@ -20,7 +20,6 @@
   std::map<std::string, std::string> Environment;
   std::string Out;
   std::string Err;
-  bool Confirmed = false;
   bool Terminal = false;
   std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
   scripted_http_client Client;
--- a/src/yuccaplank/wire/document_reader.cpp
+++ b/src/yuccaplank/wire/document_reader.cpp
@@ -54,8 +54,7 @@
 // Receives the parser's events. Values of unknown keys and of wrong types are passed over as a whole.
 class message_builder {
 public:
-  message_builder(std::string_view Text, Message &Root, const positive_field &Positive)
-      : Lines(Text), Root(Root), Positive(Positive) {}
+  message_builder(std::string_view Text, Message &Root) : Lines(Text), Root(Root) {}
 
   line_counter &lines() { return Lines; }
   std::vector<document_issue> takeIssues() { return std::move(Issues); }
@@ -225,11 +224,7 @@
   }
 
   template <typename Value> bool integer(Value Number) {
-    return scalar([this, Number](const FieldDescriptor &Field) {
-      if (&Field == Positive.Field && std::cmp_less(Number, 1))
-        return issue(Positive.Code, "integer of at least 1");
-      putInteger(Field, Number);
-    });
+    return scalar([this, Number](const FieldDescriptor &Field) { putInteger(Field, Number); });
   }
 
   template <typename Target, typename Value, typename Setter, typename Adder>
@@ -318,7 +313,6 @@
 
   line_counter Lines;
   Message &Root;
-  positive_field Positive;
   std::vector<frame> Frames;
   // Containers entered since the value that is passed over began.
   int SkipDepth = 0;
@@ -347,10 +341,9 @@
 
 } // namespace
 
-std::vector<document_issue> readMessage(std::string_view Text, Message &Target,
-                                        const positive_field &Positive) {
+std::vector<document_issue> readMessage(std::string_view Text, Message &Target) {
   Target.Clear();
-  message_builder Builder(Text, Target, Positive);
+  message_builder Builder(Text, Target);
   parse(Text, Builder);
   return Builder.takeIssues();
 }
@@ -360,7 +353,7 @@
     return;
   std::map<std::string, int> Lines;
   std::unique_ptr<Message> Scratch(Prototype.New());
-  message_builder Builder(Text, *Scratch, {});
+  message_builder Builder(Text, *Scratch);
   Builder.recordLines(&Lines);
   parse(Text, Builder);
   for (document_issue &Issue : Issues)
--- a/src/yuccaplank/wire/document_reader.hpp
+++ b/src/yuccaplank/wire/document_reader.hpp
@@ -3,19 +3,10 @@
 
 #include "yuccaplank/wire/settings_reader.hpp"
 
-#include <google/protobuf/descriptor.h>
-
 namespace yuccaplank::wire {
 
-/// An integer field that must be at least 1 when it is given; smaller values are issues with Code.
-struct positive_field {
-  const google::protobuf::FieldDescriptor *Field = nullptr;
-  runtime::errc Code = runtime::errc::OutOfRange;
-};
-
 /// Fills Message from Text.
-std::vector<document_issue> readMessage(std::string_view Text, google::protobuf::Message &Message,
-                                        const positive_field &Positive);
+std::vector<document_issue> readMessage(std::string_view Text, google::protobuf::Message &Message);
 
 /// Sets the lines of issues that were found after reading, from their paths. An absent field gets the line of
 /// the object that lacks it. Reads the text a second time, since documents are rarely faulty.
--- a/src/yuccaplank/wire/fuzz/fuzz_targets.cpp
+++ b/src/yuccaplank/wire/fuzz/fuzz_targets.cpp
@@ -1,10 +1,9 @@
 #include "yuccaplank/wire/fuzz/fuzz_targets.hpp"
 
-#include "peer.pb.h"
+#include "job.pb.h"
 #include "settings.pb.h"
 #include "yuccaplank/wire/document_writer.hpp"
-#include "yuccaplank/wire/job_codec.hpp"
-#include "yuccaplank/wire/service_codec.hpp"
+#include "yuccaplank/wire/settings_reader.hpp"
 
 #include <algorithm>
 #include <stdexcept>
@@ -58,21 +57,11 @@
   std::string_view Text = textOf(Data, Size);
   checkReader<schema::daemon_settings>(Text, readDaemonSettings);
   checkReader<schema::daemon_settings>(Text, readAny);
-  checkReader<schema::service_document>(Text, readService);
-  checkReader<schema::vm_list>(Text, readAny);
   return 0;
 }
 
 int fuzzJob(const std::uint8_t *Data, std::size_t Size) {
-  std::string_view Text = textOf(Data, Size);
-  checkReader<schema::job>(Text, readJob);
-  auto Answer = readAnswer(Text);
-  if (Answer) {
-    std::string Written = writeAnswer(Answer.value());
-    auto Again = readAnswer(Written);
-    require(Again.has_value() && writeAnswer(Again.value()) == Written,
-            "an answer is the same after writing and reading");
-  }
+  checkReader<schema::job_document>(textOf(Data, Size), readAny);
   return 0;
 }
 
--- a/src/yuccaplank/wire/fuzz/fuzz_targets.hpp
+++ b/src/yuccaplank/wire/fuzz/fuzz_targets.hpp
@@ -6,11 +6,11 @@
 
 namespace yuccaplank::wire {
 
-/// Reads arbitrary bytes as settings, as a service document and as a VM list. Returns 0; throws
-/// std::logic_error when an accepted document changes by writing and reading, or when an issue has no line.
+/// Reads arbitrary bytes as settings. Returns 0; throws std::logic_error when an accepted document changes by
+/// writing and reading, or when an issue has no line.
 int fuzzSettings(const std::uint8_t *Data, std::size_t Size);
 
-/// The same for job documents and answers.
+/// The same for job documents.
 int fuzzJob(const std::uint8_t *Data, std::size_t Size);
 
 } // namespace yuccaplank::wire
--- a/src/yuccaplank/wire/http_client.cpp
+++ b/src/yuccaplank/wire/http_client.cpp
@@ -73,7 +73,8 @@
 bool holdsLineBreak(std::string_view Text) { return Text.find_first_of("\r\n") != std::string_view::npos; }
 
 bool wellFormed(const http_call &Call) {
-  return !holdsLineBreak(Call.Method) && Call.Path.find_first_of("\r\n ") == std::string::npos &&
+  return !holdsLineBreak(Call.Method) && !holdsLineBreak(Call.Host) &&
+         Call.Path.find_first_of("\r\n ") == std::string::npos &&
          std::ranges::none_of(Call.Headers, [](const http_header &Header) {
            return holdsLineBreak(Header.Name) || holdsLineBreak(Header.Value);
          });
@@ -83,7 +84,8 @@
   std::string Head;
   Head.reserve(TypicalHeadBytes);
   auto Out = std::back_inserter(Head);
-  fmt::format_to(Out, "{} {} HTTP/1.1\r\nhost: {}\r\n", Call.Method, Call.Path, Call.Address);
+  fmt::format_to(Out, "{} {} HTTP/1.1\r\nhost: {}\r\n", Call.Method, Call.Path,
+                 Call.Host.empty() ? Call.Address : Call.Host);
   if (!Call.Body.empty() || Call.Method == "POST" || Call.Method == "PUT")
     fmt::format_to(Out, "content-length: {}\r\n", Call.Body.size());
   for (const http_header &Header : Call.Headers)
--- a/src/yuccaplank/wire/peer_link_test.cpp
+++ b/src/yuccaplank/wire/peer_link_test.cpp
@@ -33,7 +33,7 @@
 
 schema::envelope makeProbe(std::uint64_t Sequence) {
   schema::envelope Message;
-  Message.mutable_probe()->set_sequence(Sequence);
+  Message.mutable_dispatch()->mutable_cancel()->set_job(Sequence);
   return Message;
 }
 
@@ -60,7 +60,7 @@
   // Whether probes 0 to Count-1 have arrived, in order and once each.
   [[nodiscard]] bool gotProbes(std::uint64_t Count) const {
     for (std::size_t Index = 0; Index < Messages.size(); ++Index)
-      CPPUNIT_ASSERT_EQUAL(static_cast<std::uint64_t>(Index), Messages[Index].probe().sequence());
+      CPPUNIT_ASSERT_EQUAL(static_cast<std::uint64_t>(Index), Messages[Index].dispatch().cancel().job());
     return Messages.size() == Count;
   }
 
@@ -100,8 +100,7 @@
     }
     if (auto When = section("when a large envelope follows")) {
       schema::envelope Large;
-      auto *Task = Large.mutable_forward_job()->mutable_job()->add_tasks();
-      Task->set_payload(std::string(24U << 20U, 'p'));
+      Large.mutable_dispatch()->mutable_start()->set_specification(std::string(24U << 20U, 'p'));
       Second.Messages.clear();
       First.send(Second, Large);
       runUntil(*Loop, [&] { return !Second.Messages.empty(); });
@@ -311,9 +310,9 @@
   test_vm First(*Loop, Options);
   test_vm Second(*Loop, makeOptions("vm2"));
   schema::envelope Large;
-  Large.mutable_forward_answer()->mutable_answer()->set_id(std::string(9'000, 'x'));
+  Large.mutable_dispatch()->mutable_start()->set_specification(std::string(9'000, 'x'));
   if (auto Given = section("given an envelope above the limit")) {
-    Large.mutable_forward_answer()->mutable_answer()->set_id(std::string(11'000, 'x'));
+    Large.mutable_dispatch()->mutable_start()->set_specification(std::string(11'000, 'x'));
     CPPUNIT_ASSERT(First.send(Second, Large) == runtime::errc::BodyTooLarge);
     Second.send(First, Large);
     runUntil(*Loop, [&] { return Second.Closed.size() == 1; });
@@ -424,7 +423,7 @@
     std::string ServerProof = Server.takeReply();
     if (auto When = section("when the right proofs follow")) {
       Server.feed(ClientProof + encodeEnvelope(makeProbe(5)));
-      CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Server.next().value()->probe().sequence());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Server.next().value()->dispatch().cancel().job());
       Client.feed(ServerProof);
       CPPUNIT_ASSERT(!Client.next().value());
       CPPUNIT_ASSERT(Client.authenticated() && Server.authenticated());
@@ -444,7 +443,7 @@
       }
       if (auto Then = section("then an envelope of an unknown kind is skipped")) {
         Server.feed(std::string("\x04\xfa\x06\x01x", 5) + encodeEnvelope(makeProbe(6)));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), Server.next().value()->probe().sequence());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), Server.next().value()->dispatch().cancel().job());
       }
     }
     if (auto When = section("when a proof is reflected to its sender")) {
