Index the placer's servers by speed and free room

Cause: for each waiting task the placer looked at every server, and once more for each job to see whether any is large enough. The servers of a pool are now kept by steps of slowness and by free cores (dispatch/pool_index). Ruled out: a heap of servers by rank alone (the rank depends on the job's time left and on the servers that it avoids).

--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -1,9 +1,11 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
+#include "pool_index.hpp"
 #include "room.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -96,19 +98,23 @@
     auto Found = Servers.find(State.server());
     if (State.removed()) {
       if (Found != Servers.end() && Found->second.Owner == Owner)
-        Servers.erase(Found);
+        eraseServer(Found);
       return;
     }
     if (Found != Servers.end() && Found->second.Owner != Owner && Found->second.State.token() > State.token())
       return;
+    if (Found != Servers.end() && Found->second.State.pool() != State.pool())
+      eraseServer(Found);
     known_server &Server = Servers[State.server()];
     Server.Owner = Owner;
     Server.State = State;
     Server.State.clear_handled();
+    index(Server);
   }
 
   void dropVm(const std::string &Vm) override {
-    std::erase_if(Servers, [&](const auto &Entry) { return Entry.second.Owner == Vm; });
+    for (auto Server = Servers.begin(); Server != Servers.end();)
+      Server = Server->second.Owner == Vm ? eraseServer(Server) : std::next(Server);
     std::erase_if(Jobs, [&](const auto &Entry) { return Entry.first.Coordinator == Vm; });
     std::vector<std::uint64_t> Void;
     for (const auto &[Id, Grant] : Grants)
@@ -122,6 +128,7 @@
     time_point Now = Clock.now();
     expireGrants(Now);
     std::erase_if(Unreachable, [&](const auto &Entry) { return Entry.second <= Now; });
+    NoRoom.clear();
     for (waiting_job *Job : ordered(Now))
       if (!rejectIfHopeless(*Job, Now))
         grantTasks(*Job, Now);
@@ -185,15 +192,8 @@
 
   [[nodiscard]] bool fitsAnywhere(const schema::place_job &Request) const {
     // Before the owners have told their servers, nothing is known about sizes.
-    bool PoolKnown = false;
-    for (const auto &[Id, Server] : Servers) {
-      if (Server.State.pool() != Request.pool())
-        continue;
-      PoolKnown = true;
-      if (roomOf(Server.State.capacity()).fits(Request.size()))
-        return true;
-    }
-    return !PoolKnown;
+    auto Pool = Pools.find(Request.pool());
+    return Pool == Pools.end() || Pool->second.empty() || Pool->second.fitsAnywhere(Request.size());
   }
 
   void reject(waiting_job &Job, const char *Reason, time_point Now) {
@@ -241,48 +241,62 @@
     return Server.State.task_limit() == 0 || Tasks < Server.State.task_limit();
   }
 
-  // Lower ranks are better: servers that suffice for the objective before those that do not, faster ones
-  // before slower ones, and among equally fast ones the one that the task leaves with the least room.
-  struct server_rank {
-    bool Avoided = false;
-    bool TooSlow = false;
-    int Slowness = 0;
-    std::int64_t FreeCpu = 0;
-    bool operator<(const server_rank &Other) const {
-      return std::tie(Avoided, TooSlow, Slowness, FreeCpu) <
-             std::tie(Other.Avoided, Other.TooSlow, Other.Slowness, Other.FreeCpu);
-    }
-  };
+  using server_iterator = std::map<std::string, known_server>::iterator;
+
+  void index(const known_server &Server) {
+    const schema::server_state &State = Server.State;
+    auto [Pool, IsNew] = Pools.try_emplace(State.pool(), Options.SlownessStep);
+    Pool->second.set(State.server(),
+                     {freeRoom(Server), roomOf(State.capacity()), State.slowness(), admits(Server)});
+  }
+
+  server_iterator eraseServer(server_iterator Server) {
+    Pools.at(Server->second.State.pool()).erase(Server->first);
+    return Servers.erase(Server);
+  }
 
-  [[nodiscard]] bool suffices(const known_server &Server, const waiting_job &Job, time_point Now) const {
-    double TookMs = Job.Request.estimate_ms() * std::exp(Server.State.slowness()) * Options.EstimateMargin;
-    return Now + runtime::fromMs(TookMs) <= Job.Objective;
+  // Highest slowness (natural logarithm) with which a task ends within the objective.
+  [[nodiscard]] double slownessAllowed(const waiting_job &Job, time_point Now) const {
+    double LeftMs = runtime::toMs(Job.Objective - Now);
+    double EstimateMs = Job.Request.estimate_ms() * Options.EstimateMargin;
+    if (LeftMs <= 0)
+      return -std::numeric_limits<double>::infinity();
+    return EstimateMs > 0 ? std::log(LeftMs / EstimateMs) : std::numeric_limits<double>::infinity();
   }
 
-  // The best server that has room. While a server that suffices may still become free in time, one that does
-  // not is left to other jobs.
+  // The best server that has room; one that the job should avoid only if there is no other. While a server
+  // that suffices may still become free in time, one that does not is left to other jobs.
   const std::string *bestServer(const waiting_job &Job, time_point Now) {
-    const std::string *Best = nullptr;
-    server_rank BestRank;
-    bool AnySuffices = false;
-    for (const auto &[Id, Server] : Servers) {
-      if (Server.State.pool() != Job.Request.pool() || !admits(Server) ||
-          Unreachable.contains({Job.Coordinator, Server.Owner}))
-        continue;
-      bool Suffices = suffices(Server, Job, Now);
-      AnySuffices |= Suffices;
-      room Free = freeRoom(Server);
-      if (!Free.fits(Job.Request.size()))
-        continue;
-      bool Avoided = std::ranges::find(Job.Request.avoid(), Id) != Job.Request.avoid().end();
-      int Step = static_cast<int>(std::floor(Server.State.slowness() / Options.SlownessStep));
-      server_rank Rank{Avoided, !Suffices, Step, Free.Cpu};
-      if (!Best || Rank < BestRank) {
-        Best = &Id;
-        BestRank = Rank;
-      }
-    }
-    return Best && BestRank.TooSlow && AnySuffices ? nullptr : Best;
+    auto Pool = Pools.find(Job.Request.pool());
+    if (Pool == Pools.end() || knownFull(Job.Request))
+      return nullptr;
+    double Allowed = slownessAllowed(Job, Now);
+    auto OutOfReach = [&](const std::string &Id) {
+      return !Unreachable.empty() && Unreachable.contains({Job.Coordinator, Servers.at(Id).Owner});
+    };
+    auto Avoided = [&](const std::string &Id) {
+      return OutOfReach(Id) || std::ranges::find(Job.Request.avoid(), Id) != Job.Request.avoid().end();
+    };
+    pool_index::choice Choice = Pool->second.best(Job.Request.size(), Allowed, Avoided);
+    if (!Choice.Id && !Job.Request.avoid().empty())
+      Choice = Pool->second.best(Job.Request.size(), Allowed, OutOfReach);
+    if (!Choice.Id && Unreachable.empty())
+      NoRoom[Job.Request.pool()].push_back(roomOf(Job.Request.size()));
+    bool Waits = !Choice.Suffices && Pool->second.anyWithin(Allowed);
+    // The index's own name of the server ends when the server's room changes.
+    return Choice.Id && !Waits ? &Servers.find(*Choice.Id)->first : nullptr;
+  }
+
+  // Whether a task that is no larger has found no room in this turn.
+  [[nodiscard]] bool knownFull(const schema::place_job &Request) const {
+    auto Found = NoRoom.find(Request.pool());
+    if (Found == NoRoom.end())
+      return false;
+    room Size = roomOf(Request.size());
+    return std::ranges::any_of(Found->second, [&](const room &Failed) {
+      return Size.Cpu >= Failed.Cpu && Size.MemoryMb >= Failed.MemoryMb &&
+             Size.Accelerators >= Failed.Accelerators;
+    });
   }
 
   void grantTask(waiting_job &Job, const run_key &Run, const std::string &ServerId, time_point Now) {
@@ -291,6 +305,7 @@
     Grants.emplace(
         Id, outstanding_grant{Job.Coordinator, ServerId, Job.Request.size(), Now + Options.GrantTimeout});
     Server.Grants.push_back(Id);
+    index(Server);
     Job.Started = true;
     ++Counters.Granted;
     schema::dispatch_message Message;
@@ -321,9 +336,11 @@
     if (Found == Grants.end())
       return;
     auto Server = Servers.find(Found->second.Server);
-    if (Server != Servers.end())
-      std::erase(Server->second.Grants, Id);
     Grants.erase(Found);
+    if (Server == Servers.end())
+      return;
+    std::erase(Server->second.Grants, Id);
+    index(Server->second);
   }
 
   // Time until the jobs that hold the room now have mostly ended.
@@ -334,6 +351,9 @@
   placement_options Options;
   std::map<job_key, waiting_job> Jobs;
   std::map<std::string, known_server> Servers;
+  std::map<std::string, pool_index> Pools;
+  // Sizes for which a pool had no room in this turn.
+  std::map<std::string, std::vector<room>> NoRoom;
   std::unordered_map<std::uint64_t, outstanding_grant> Grants;
   // Pairs of a coordinator and an owner that it cannot reach, until a time.
   std::map<std::pair<std::string, std::string>, time_point> Unreachable;
