Split the record of a server: runs, lease clock, messages

Cause: server_ledger.cpp held the table of runs, the estimate of the server's clock, the building of messages and all decisions in 780 lines; the building of events stood three times. run_table answers questions about runs, lease_clock computes lease ends, owner_messages builds what owners send; the ledger decides.

--- /dev/null
+++ b/src/yuccaplank/dispatch/owner_messages.hpp
@@ -0,0 +1,23 @@
+// Messages that owners of backend servers send to coordinators.
+#pragma once
+
+#include "yuccaplank/dispatch/messages.hpp"
+#include "yuccaplank/dispatch/server_orders.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace yuccaplank::dispatch {
+
+/// What an end means for the coordinator.
+schema::run_event eventOf(run_end End);
+
+schema::dispatch_message makeEvent(const run_key &Run, schema::run_event Event, const std::string &Server,
+                                   std::string_view Reason);
+/// What a claim under a token has found on a server.
+schema::dispatch_message makeAdoption(const std::string &Server, std::uint64_t Token, const hold_reply &Found);
+/// The sender no longer owns the server that it held under a token.
+schema::dispatch_message makeYield(const std::string &Server, std::uint64_t Token);
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/src/yuccaplank/dispatch/run_table.cpp
@@ -0,0 +1,69 @@
+#include "run_table.hpp"
+
+#include <algorithm>
+
+namespace yuccaplank::dispatch {
+
+server_run *run_table::find(const run_key &Run) {
+  auto Found = Runs.find(Run);
+  return Found == Runs.end() ? nullptr : &Found->second;
+}
+
+schema::task_size run_table::used() const {
+  schema::task_size Sum;
+  for (const auto &[Run, State] : Runs) {
+    Sum.set_cpu(Sum.cpu() + State.Size.cpu());
+    Sum.set_memory_mb(Sum.memory_mb() + State.Size.memory_mb());
+    Sum.set_accelerators(Sum.accelerators() + State.Size.accelerators());
+  }
+  return Sum;
+}
+
+room run_table::freeOf(const schema::task_size &Capacity) const {
+  room Free = roomOf(Capacity);
+  Free.take(used());
+  return Free;
+}
+
+bool run_table::containsTask(const task_key &Task) const {
+  return std::ranges::any_of(Runs, [&](const auto &Each) { return Each.first.Task == Task; });
+}
+
+bool run_table::anyUnclaimed() const {
+  return std::ranges::any_of(Runs, [](const auto &Each) { return Each.second.Unclaimed; });
+}
+
+std::set<std::string> run_table::coordinators() const {
+  std::set<std::string> Result;
+  for (const auto &[Run, State] : Runs)
+    if (!State.Coordinator.empty())
+      Result.insert(State.Coordinator);
+  return Result;
+}
+
+std::vector<run_key> run_table::keys() const {
+  std::vector<run_key> Result;
+  Result.reserve(Runs.size());
+  for (const auto &[Run, State] : Runs)
+    Result.push_back(Run);
+  return Result;
+}
+
+std::vector<run_key> run_table::missingIn(const std::vector<run_key> &Listed, runtime::time_point Sent) const {
+  std::set<run_key> Present(Listed.begin(), Listed.end());
+  std::vector<run_key> Result;
+  for (const auto &[Run, State] : Runs)
+    if (State.SettledAt && *State.SettledAt < Sent && !Present.contains(Run))
+      Result.push_back(Run);
+  return Result;
+}
+
+std::vector<run_key> run_table::lapsing(bool IncludeOpen) const {
+  std::vector<run_key> Result;
+  for (const auto &[Run, State] : Runs)
+    if (!State.StartOpen || IncludeOpen)
+      Result.push_back(Run);
+  return Result;
+}
+
+} // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -1,5 +1,7 @@
 #include "yuccaplank/dispatch/server_ledger.hpp"
-#include "room.hpp"
+#include "lease_clock.hpp"
+#include "owner_messages.hpp"
+#include "run_table.hpp"
 #include "server_health.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
@@ -29,44 +31,13 @@
 
 constexpr unsigned MaxFencedSteps = 16;
 
-enum class run_phase : std::uint8_t {
-  /// The start order has no answer yet.
-  Starting,
-  Running,
-  /// The stop order has no answer yet.
-  Stopping,
-  /// Void at the server: either its end will be listed or it never ran.
-  Voided,
-};
-
-struct server_run {
-  std::string Coordinator;
-  schema::task_size Size;
-  std::uint32_t EstimateMs = 0;
-  run_phase Phase = run_phase::Starting;
-  time_point StartedAt;
-  // When the server had certainly dealt with the run's latest order; a list made after this that lacks the
-  // run proves that it does not run.
-  std::optional<time_point> SettledAt;
-  // Found at a take-over and claimed by no coordinator yet; its size is not known.
-  bool Unclaimed = false;
-  // Whether the start may still be carried out, however late.
-  bool StartOpen = true;
-  std::string StopReason;
-};
-
-void add(schema::task_size &Sum, const schema::task_size &Size) {
-  Sum.set_cpu(Sum.cpu() + Size.cpu());
-  Sum.set_memory_mb(Sum.memory_mb() + Size.memory_mb());
-  Sum.set_accelerators(Sum.accelerators() + Size.accelerators());
-}
-
 class server_ledger_impl final : public server_ledger {
 public:
   server_ledger_impl(runtime::executor &Executor, ledger_ports &Ports, server_entry EntryIn,
                      ledger_options Options)
       : Executor(Executor), Ports(Ports), Entry(std::move(EntryIn)), Options(Options),
-        Health(Options.FailuresToQuarantine, Options.FirstQuarantine, Options.LongestQuarantine) {}
+        Health(Options.FailuresToQuarantine, Options.FirstQuarantine, Options.LongestQuarantine),
+        Clock(Options.ClockDrift, Options.ClockError) {}
   server_ledger_impl(const server_ledger_impl &) = delete;
   server_ledger_impl &operator=(const server_ledger_impl &) = delete;
   ~server_ledger_impl() override = default;
@@ -135,26 +106,26 @@
   }
 
   void stop(const std::string &Coordinator, const run_key &Run) override {
-    auto Found = Runs.find(Run);
-    if (Found != Runs.end() && Found->second.Coordinator == Coordinator)
-      stopRun(Run, Found->second, "asked");
+    server_run *Found = Runs.find(Run);
+    if (Found && Found->Coordinator == Coordinator)
+      stopRun(Run, *Found, "asked");
   }
 
   void adopt(const std::string &Coordinator, const schema::adopt_reply &Reply) override {
     if (Ownership != ownership::Adopting)
       return;
     for (const schema::adopted_run &Adopted : Reply.runs()) {
-      auto Found = Runs.find(keyOf(Adopted.task()));
-      if (Found == Runs.end() || !Found->second.Unclaimed)
+      server_run *Found = Runs.find(keyOf(Adopted.task()));
+      if (!Found || !Found->Unclaimed)
         continue;
-      server_run &Run = Found->second;
+      server_run &Run = *Found;
       Run.Unclaimed = false;
       Run.Coordinator = Coordinator;
       Run.Size = Adopted.size();
       Run.EstimateMs = Adopted.estimate_ms();
       Run.StartedAt = now() - std::chrono::milliseconds(Adopted.age_ms());
     }
-    if (std::ranges::none_of(Runs, [](const auto &Each) { return Each.second.Unclaimed; }))
+    if (!Runs.anyUnclaimed())
       endAdoption();
   }
 
@@ -196,7 +167,7 @@
     State.set_domain(Entry.Domain);
     State.set_pool(Entry.Pool);
     *State.mutable_capacity() = Entry.Capacity;
-    *State.mutable_used() = used();
+    *State.mutable_used() = Runs.used();
     State.set_slowness(static_cast<float>(Health.slowness()));
     State.set_usable(usable());
     State.set_removed(Ownership == ownership::None);
@@ -241,32 +212,16 @@
     return Ownership == ownership::Owned && !Delisted && !Entry.Draining && Answering && Health.usable();
   }
 
-  [[nodiscard]] schema::task_size used() const {
-    schema::task_size Used;
-    for (const auto &[Run, State] : Runs)
-      add(Used, State.Size);
-    return Used;
-  }
-
-  [[nodiscard]] room freeRoom() const {
-    room Free = roomOf(Entry.Capacity);
-    for (const auto &[Run, State] : Runs)
-      Free.take(State.Size);
-    return Free;
-  }
-
   const char *refusalOf(const schema::start_task &Request) const {
     if (!usable())
       return "server_unusable";
     if (Request.token() != Token)
       return "granted_under_another_token";
-    if (!freeRoom().fits(Request.size()))
+    if (!Runs.freeOf(Entry.Capacity).fits(Request.size()))
       return "no_room";
     if (Health.onProbation() && !Runs.empty())
       return "on_probation";
-    run_key Run = keyOf(Request.task());
-    bool Present = std::ranges::any_of(Runs, [&](const auto &Each) { return Each.first.Task == Run.Task; });
-    return Present ? "task_already_here" : nullptr;
+    return Runs.containsTask(keyOf(Request.task()).Task) ? "task_already_here" : nullptr;
   }
 
   void refuse(const std::string &Coordinator, const run_key &Run, std::string_view Reason) {
@@ -278,24 +233,17 @@
 
   void report(const std::string &Coordinator, const run_key &Run, schema::run_event Event,
               std::string_view Reason) {
-    if (Coordinator.empty())
-      return;
-    schema::dispatch_message Message;
-    schema::task_event &Body = *Message.mutable_event();
-    *Body.mutable_task() = toMessage(Run);
-    Body.set_event(Event);
-    Body.set_server(Entry.Target.Id);
-    Body.set_reason(std::string(Reason));
-    Ports.send(Coordinator, std::move(Message));
+    if (!Coordinator.empty())
+      Ports.send(Coordinator, makeEvent(Run, Event, Entry.Target.Id, Reason));
   }
 
   // Removes a run of which is certain that it does not run.
   void endRun(const run_key &Run, schema::run_event Event, std::string_view Reason) {
-    auto Found = Runs.find(Run);
-    if (Found == Runs.end())
+    server_run *Found = Runs.find(Run);
+    if (!Found)
       return;
-    std::string Coordinator = Found->second.Coordinator;
-    Runs.erase(Found);
+    std::string Coordinator = Found->Coordinator;
+    Runs.erase(Run);
     if (Event != schema::RUN_DONE)
       log(log_level::Info, "run_ended",
           {{"run", format(Run)},
@@ -306,23 +254,7 @@
     Ports.roomChanged(Entry.Target.Id);
   }
 
-  // Clock of the server and leases.
-
-  void noteClock(const std::optional<std::int64_t> &ClockMs) {
-    if (!ClockMs)
-      return;
-    ServerClockMs = *ClockMs;
-    ServerClockAt = now();
-  }
-
-  // Lease end for an order sent now, on the server's clock.
-  std::int64_t extendLease() {
-    auto Guard =
-        std::chrono::duration_cast<duration>(Options.Lease * (1 + Options.ClockDrift)) + Options.ClockError;
-    LeaseOverAt = std::max(LeaseOverAt, now() + Guard);
-    auto End = std::chrono::duration_cast<std::chrono::milliseconds>(now() - ServerClockAt + Options.Lease);
-    return ServerClockMs + End.count();
-  }
+  std::int64_t extendLease() { return Clock.extend(now(), Options.Lease); }
 
   // Take-over.
 
@@ -356,7 +288,7 @@
          {"token", static_cast<std::int64_t>(Token)},
          {"running", static_cast<std::int64_t>(Reply.Running.size())},
          {"ended", static_cast<std::int64_t>(Reply.Ended.size())}});
-    noteClock(Reply.ClockMs);
+    Clock.note(now(), Reply.ClockMs);
     Born = Reply.Born;
     FencedClaims = 0;
     Answering = true;
@@ -369,12 +301,8 @@
 
   void beginAdoption(const hold_reply &Reply) {
     Ownership = ownership::Adopting;
-    Adoption.Clear();
-    schema::adopt_request &Request = *Adoption.mutable_adopt();
-    Request.set_server(Entry.Target.Id);
-    Request.set_token(Token);
+    Adoption = makeAdoption(Entry.Target.Id, Token, Reply);
     for (const run_key &Run : Reply.Running) {
-      *Request.add_running() = toMessage(Run);
       server_run &Found = Runs[Run];
       Found.Unclaimed = true;
       Found.Phase = run_phase::Running;
@@ -382,8 +310,6 @@
       Found.StartedAt = now();
       Found.SettledAt = now();
     }
-    for (const listed_end &End : Reply.Ended)
-      addEnd(Request, End);
     Ports.broadcast(Adoption);
     if (Runs.empty()) {
       endAdoption();
@@ -392,13 +318,6 @@
     later(Options.AdoptionTime, [this] { endAdoption(); });
   }
 
-  static void addEnd(schema::adopt_request &Request, const listed_end &End) {
-    schema::task_event &Event = *Request.add_ended();
-    *Event.mutable_task() = toMessage(End.Run);
-    Event.set_event(eventOf(End.End));
-    Event.set_reason(std::string(runEndName(End.End)));
-  }
-
   void endAdoption() {
     if (Ownership != ownership::Adopting)
       return;
@@ -414,15 +333,8 @@
   }
 
   void yieldRuns() {
-    std::set<std::string> Coordinators;
-    for (const auto &[Run, State] : Runs)
-      if (!State.Coordinator.empty())
-        Coordinators.insert(State.Coordinator);
-    schema::dispatch_message Message;
-    Message.mutable_yield()->set_server(Entry.Target.Id);
-    Message.mutable_yield()->set_token(Token);
-    for (const std::string &Coordinator : Coordinators)
-      Ports.send(Coordinator, Message);
+    for (const std::string &Coordinator : Runs.coordinators())
+      Ports.send(Coordinator, makeYield(Entry.Target.Id, Token));
   }
 
   void loseOwnership() {
@@ -436,15 +348,15 @@
   // Starts.
 
   void onStartReply(const run_key &Run, const order_reply &Reply) {
-    noteClock(Reply.ClockMs);
-    auto Found = Runs.find(Run);
+    Clock.note(now(), Reply.ClockMs);
     if (Reply.Outcome == order_outcome::Fenced) {
       loseOwnership();
       return;
     }
-    if (Found == Runs.end())
+    server_run *Found = Runs.find(Run);
+    if (!Found)
       return;
-    server_run &State = Found->second;
+    server_run &State = *Found;
     if (Reply.Outcome == order_outcome::Accepted) {
       State.StartOpen = false;
       State.SettledAt = now();
@@ -494,18 +406,18 @@
   }
 
   void onStopReply(const run_key &Run, const order_reply &Reply) {
-    noteClock(Reply.ClockMs);
+    Clock.note(now(), Reply.ClockMs);
     if (Reply.Outcome == order_outcome::Fenced) {
       loseOwnership();
       return;
     }
-    auto Found = Runs.find(Run);
-    if (Found == Runs.end())
+    server_run *Found = Runs.find(Run);
+    if (!Found)
       return;
     if (Reply.Outcome == order_outcome::Accepted || Reply.Outcome == order_outcome::Superseded) {
-      Found->second.Phase = run_phase::Voided;
-      Found->second.StartOpen = false;
-      Found->second.SettledAt = now();
+      Found->Phase = run_phase::Voided;
+      Found->StartOpen = false;
+      Found->SettledAt = now();
       keepHolding();
       return;
     }
@@ -563,7 +475,7 @@
       onHoldFailed(Reply.Outcome);
       return;
     }
-    noteClock(Reply.ClockMs);
+    Clock.note(now(), Reply.ClockMs);
     UnansweredHolds = 0;
     setAnswering(true);
     if (Reply.Born != Born)
@@ -589,7 +501,7 @@
           {{"server", Entry.Target.Id},
            {"outcome", std::string(orderOutcomeName(Outcome))},
            {"runs", static_cast<std::int64_t>(Runs.size())},
-           {"lease_left_ms", runtime::toMs(LeaseOverAt - now())}});
+           {"lease_left_ms", runtime::toMs(Clock.overAt() - now())}});
     setAnswering(false);
     HoldPending = true;
     later(Options.RepeatDelay, [this] {
@@ -612,22 +524,15 @@
       Ports.roomChanged(Entry.Target.Id);
   }
 
-  static schema::run_event eventOf(run_end End) {
-    if (End == run_end::Done)
-      return schema::RUN_DONE;
-    return End == run_end::Failed ? schema::RUN_FAILED : schema::RUN_GONE;
-  }
-
   void onEnd(const listed_end &End) {
     if (End.Number <= Observed)
       return;
     Observed = End.Number;
-    auto Found = Runs.find(End.Run);
-    if (Found == Runs.end())
+    server_run *Found = Runs.find(End.Run);
+    if (!Found)
       return;
-    noteHealth(End.End, Found->second);
-    std::string Reason =
-        Found->second.StopReason.empty() ? std::string(runEndName(End.End)) : Found->second.StopReason;
+    noteHealth(End.End, *Found);
+    std::string Reason = Found->StopReason.empty() ? std::string(runEndName(End.End)) : Found->StopReason;
     endRun(End.Run, eventOf(End.End), Reason);
   }
 
@@ -652,12 +557,7 @@
   }
 
   void endMissingRuns(time_point Sent, const std::vector<run_key> &Running) {
-    std::set<run_key> Listed(Running.begin(), Running.end());
-    std::vector<run_key> Missing;
-    for (const auto &[Run, State] : Runs)
-      if (State.SettledAt && *State.SettledAt < Sent && !Listed.contains(Run))
-        Missing.push_back(Run);
-    for (const run_key &Run : Missing)
+    for (const run_key &Run : Runs.missingIn(Running, Sent))
       endRun(Run, schema::RUN_GONE, "not_listed");
   }
 
@@ -681,10 +581,7 @@
   void onReplaced() {
     log(log_level::Warning, "server_replaced",
         {{"server", Entry.Target.Id}, {"runs", static_cast<std::int64_t>(Runs.size())}});
-    std::vector<run_key> Lost;
-    for (const auto &[Run, State] : Runs)
-      Lost.push_back(Run);
-    for (const run_key &Run : Lost)
+    for (const run_key &Run : Runs.keys())
       endRun(Run, schema::RUN_GONE, "server_replaced");
     delist();
   }
@@ -711,13 +608,9 @@
   // Ends of time.
 
   void endLapsedRuns(time_point Now) {
-    if ((Answering && !Delisted) || Now < LeaseOverAt)
+    if ((Answering && !Delisted) || Now < Clock.overAt())
       return;
-    std::vector<run_key> Lapsed;
-    for (const auto &[Run, State] : Runs)
-      if (!State.StartOpen || Delisted)
-        Lapsed.push_back(Run);
-    for (const run_key &Run : Lapsed)
+    for (const run_key &Run : Runs.lapsing(Delisted))
       endRun(Run, schema::RUN_GONE, "lease_over");
   }
 
@@ -742,6 +635,7 @@
   server_entry Entry;
   ledger_options Options;
   server_health Health;
+  lease_clock Clock;
   ownership Ownership = ownership::None;
   std::uint64_t Token = 0;
   unsigned FencedClaims = 0;
@@ -749,17 +643,13 @@
   std::uint64_t HighestToken = 0;
   // Asks coordinators for the runs found at the latest claim.
   schema::dispatch_message Adoption;
-  std::map<run_key, server_run> Runs;
+  run_table Runs;
   // Starts of late that were never answered and may still be carried out by a new incarnation.
   std::map<run_key, time_point> OpenStarts;
   std::int64_t Born = 0;
   std::uint64_t Observed = 0;
   // Ends up to this one are known to be acknowledged at the server.
   std::uint64_t AcknowledgedEnds = 0;
-  std::int64_t ServerClockMs = 0;
-  time_point ServerClockAt{};
-  // When no run can be alive any more unless the lease is extended again.
-  time_point LeaseOverAt{};
   // When this VM may claim the server again.
   time_point ReclaimAfter{};
   bool HoldPending = false;
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/dispatch/server_owner.hpp"
+#include "owner_messages.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
@@ -204,13 +205,8 @@
   }
 
   void refuse(const std::string &Coordinator, const schema::start_task &Request) {
-    schema::dispatch_message Message;
-    schema::task_event &Event = *Message.mutable_event();
-    *Event.mutable_task() = Request.task();
-    Event.set_event(schema::RUN_NOT_STARTED);
-    Event.set_server(Request.server());
-    Event.set_reason("server_not_owned");
-    Ports.send(Coordinator, std::move(Message));
+    Ports.send(Coordinator, makeEvent(keyOf(Request.task()), schema::RUN_NOT_STARTED, Request.server(),
+                                      "server_not_owned"));
   }
 
   void answerCountedRun(const std::string &Coordinator, const schema::counted_run &Counted) {
@@ -225,11 +221,7 @@
       *Message.mutable_event() = *Ended;
     } else if (Ledger && Ledger->owned()) {
       // Neither running nor ended here: the start never arrived.
-      schema::task_event &Event = *Message.mutable_event();
-      *Event.mutable_task() = Counted.task();
-      Event.set_event(schema::RUN_GONE);
-      Event.set_server(Counted.server());
-      Event.set_reason("not_received");
+      Message = makeEvent(Run, schema::RUN_GONE, Counted.server(), "not_received");
     } else {
       // Whatever was ordered under an earlier claim is out of this VM's hands, until it claims the server
       // anew.
--- a/src/yuccaplank/standin/row_store.cpp
+++ b/src/yuccaplank/standin/row_store.cpp
@@ -16,12 +16,11 @@
 
 // All rows of one transaction get its version; the history keeps the latest change of each row.
 void row_store::change(stored_row Row) {
-  auto [Entry, IsNew] = Rows.try_emplace(Row.Name);
-  if (!IsNew)
-    std::erase_if(Changes, [&](const auto &Change) { return Change.first == Entry->second.Version; });
+  stored_row &Stored = Rows[Row.Name];
+  Changes.erase(Stored.Version);
   Row.Version = ++Version;
   Changes[Row.Version] = Row.Name;
-  Entry->second = std::move(Row);
+  Stored = std::move(Row);
 }
 
 std::optional<std::uint64_t> row_store::commit(const row_transaction &Transaction) {
--- a/src/yuccaplank/standin/store_service.cpp
+++ b/src/yuccaplank/standin/store_service.cpp
@@ -304,7 +304,8 @@
 
 } // namespace
 
-runtime::result<std::unique_ptr<store_service>> makeStoreService(runtime::loop &Loop, store_options Options) {
+runtime::result<std::unique_ptr<store_service>> makeStoreService(runtime::loop &Loop,
+                                                                 const store_options &Options) {
   auto Service = std::make_unique<store_service_impl>(Loop, Options);
   if (auto Listening = Service->listen(); !Listening)
     return Listening.error();
--- a/src/yuccaplank/standin/store_service.hpp
+++ b/src/yuccaplank/standin/store_service.hpp
@@ -61,6 +61,7 @@
 };
 
 /// Errors are those of wire::makeHttpServer.
-runtime::result<std::unique_ptr<store_service>> makeStoreService(runtime::loop &Loop, store_options Options);
+runtime::result<std::unique_ptr<store_service>> makeStoreService(runtime::loop &Loop,
+                                                                 const store_options &Options);
 
 } // namespace yuccaplank::standin
