--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -1,9 +1,9 @@
 #include "yuccaplank/dispatch/entry_vm.hpp"
+#include "cancel_exchanges.hpp"
+#include "fleet_reports.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
-#include <cmath>
-#include <set>
 
 namespace yuccaplank::dispatch {
 namespace {
@@ -20,12 +20,6 @@
 // Queued jobs are looked at this often even when nothing else happens, so that refusals are not late.
 constexpr auto ScheduleInterval = std::chrono::milliseconds(10);
 
-struct open_cancel {
-  std::set<std::string> Asked;
-  std::function<void(bool)> OnDone;
-  runtime::timer_id Timer = 0;
-};
-
 class entry_vm_impl final : public entry_vm, coordinator_ports, owner_ports {
 public:
   entry_vm_impl(runtime::executor &Executor, entry_vm_ports &Ports, entry_vm_options OptionsIn)
@@ -36,7 +30,11 @@
             [this](const std::string &Vm, schema::dispatch_message Message) { send(Vm, std::move(Message)); },
             Options.Placement)),
         Jobs(makeJobCoordinator(Executor, *this, Options.Coordinator)),
-        Owner(makeServerOwner(Executor, *this, Options.Ledger)) {
+        Owner(makeServerOwner(Executor, *this, Options.Ledger)),
+        Cancels(
+            Executor,
+            [this](const std::string &Vm, schema::dispatch_message Message) { send(Vm, std::move(Message)); },
+            Options.CancelTimeout) {
     Self.set_vm(Options.Vm);
     Self.set_address(Options.Address);
     Self.set_domain(Options.Domain);
@@ -136,20 +134,11 @@
       OnDone(true);
       return;
     }
-    std::uint64_t Id = ++LastCancel;
-    open_cancel &Open = Cancels[Id];
-    Open.OnDone = std::move(OnDone);
-    Open.Timer = Executor.after(Options.CancelTimeout, [this, Id] { endCancel(Id, false); });
-    schema::dispatch_message Message;
-    Message.mutable_cancel()->set_job(Job);
-    Message.mutable_cancel()->set_exchange(Id);
+    std::vector<std::string> Vms;
     for (const auto &[Vm, Known] : View->others())
-      if (Known.Alive) {
-        Open.Asked.insert(Vm);
-        send(Vm, Message);
-      }
-    if (Open.Asked.empty())
-      endCancel(Id, false);
+      if (Known.Alive)
+        Vms.push_back(Vm);
+    Cancels.ask(Job, Vms, std::move(OnDone));
   }
 
   [[nodiscard]] std::uint32_t waiting(const std::string &QueueName) const override {
@@ -192,14 +181,15 @@
   [[nodiscard]] schema::fleet_report report() const override {
     schema::fleet_report Report;
     Report.set_vm(Options.Vm);
-    *Report.add_vms() = reportOf(Self, Options.Address, true);
+    *Report.add_vms() = makeVmReport(Self, Options.Address, true, Placer);
     for (const auto &[Vm, Known] : View->others()) {
-      *Report.add_vms() = reportOf(Known.Status, Known.Address, Known.Alive);
+      schema::vm_report &Other = *Report.add_vms();
+      Other = makeVmReport(Known.Status, Known.Address, Known.Alive, Placer);
       // Nothing may have been heard from it yet.
-      Report.mutable_vms(Report.vms_size() - 1)->set_vm(Vm);
+      Other.set_vm(Vm);
     }
     for (const schema::server_state &State : Owner->states())
-      *Report.add_servers() = reportOf(State);
+      *Report.add_servers() = makeServerReport(State, Options.Vm);
     for (const auto &[Name, Count] : Jobs->waiting()) {
       schema::queue_length &Length = *Report.add_queues();
       Length.set_queue(Name);
@@ -209,34 +199,6 @@
   }
 
 private:
-  [[nodiscard]] schema::vm_report reportOf(const schema::vm_status &Status, const std::string &Address,
-                                           bool InContact) const {
-    schema::vm_report Report;
-    Report.set_vm(Status.vm());
-    Report.set_domain(Status.domain());
-    Report.set_address(Address);
-    Report.set_in_contact(InContact);
-    Report.set_draining(Status.draining());
-    Report.set_placing(!Placer.empty() && Status.vm() == Placer);
-    Report.set_registration(Status.registration());
-    Report.set_configuration_version(Status.configuration_version());
-    return Report;
-  }
-
-  [[nodiscard]] schema::server_report reportOf(const schema::server_state &State) const {
-    schema::server_report Report;
-    Report.set_server(State.server());
-    Report.set_domain(State.domain());
-    Report.set_pool(State.pool());
-    Report.set_owner(Options.Vm);
-    Report.set_usable(State.usable());
-    Report.set_slowness(std::exp(State.slowness()));
-    Report.set_tasks(State.tasks());
-    *Report.mutable_used() = State.used();
-    *Report.mutable_capacity() = State.capacity();
-    return Report;
-  }
-
   // Ports of the roles.
 
   void send(const std::string &Vm, schema::dispatch_message Message) override {
@@ -355,7 +317,7 @@
       onCancel(From, Message.cancel());
       break;
     case schema::dispatch_message::kCancelled:
-      onCancelled(From, Message.cancelled());
+      Cancels.onReply(From, Message.cancelled());
       break;
     case schema::dispatch_message::kConfiguration:
       if (!Current || Message.configuration().version() > Current->Version)
@@ -408,23 +370,6 @@
     send(From, std::move(Message));
   }
 
-  void onCancelled(const std::string &From, const schema::cancel_submitted_reply &Reply) {
-    auto Found = Cancels.find(Reply.exchange());
-    if (Found == Cancels.end())
-      return;
-    Found->second.Asked.erase(From);
-    if (Reply.found() || Found->second.Asked.empty())
-      endCancel(Reply.exchange(), Reply.found());
-  }
-
-  void endCancel(std::uint64_t Id, bool WasFound) {
-    auto Found = Cancels.find(Id);
-    open_cancel Open = std::move(Found->second);
-    Cancels.erase(Found);
-    Executor.cancel(Open.Timer);
-    Open.OnDone(WasFound);
-  }
-
   // Contact with other VMs.
 
   void apply(const std::vector<view_change> &Changes) {
@@ -597,6 +542,7 @@
   std::unique_ptr<placement_queue> Queue;
   std::unique_ptr<job_coordinator> Jobs;
   std::unique_ptr<server_owner> Owner;
+  cancel_exchanges Cancels;
   std::unique_ptr<configuration> Current;
   schema::configuration_copy Copy;
   std::map<std::string, std::string> Registered;
@@ -604,8 +550,6 @@
   std::map<std::string, std::string> Incarnations;
   std::map<std::string, std::uint32_t> Sessions;
   std::map<std::string, std::uint64_t> OfferedVersions;
-  std::map<std::uint64_t, open_cancel> Cancels;
-  std::uint64_t LastCancel = 0;
   std::uint64_t Heartbeats = 0;
   // Version of the view for which the roles were last looked at.
   std::uint64_t ReviewedVersion = 0;
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -471,6 +471,7 @@
         continue;
       schema::dispatch_message Message;
       *Message.mutable_stop()->mutable_task() = toMessage({{Job.Request.Job, Index}, Task.Run});
+      Message.mutable_stop()->set_server(Task.Server);
       Ports.send(Task.Owner, std::move(Message));
     }
     std::string Placer = Ports.placer();
--- a/src/yuccaplank/dispatch/owner_messages.cpp
+++ b/src/yuccaplank/dispatch/owner_messages.cpp
@@ -19,7 +19,8 @@
   return Message;
 }
 
-schema::dispatch_message makeAdoption(const std::string &Server, std::uint64_t Token, const hold_reply &Found) {
+schema::dispatch_message makeAdoption(const std::string &Server, std::uint64_t Token,
+                                      const hold_reply &Found) {
   schema::dispatch_message Message;
   schema::adopt_request &Request = *Message.mutable_adopt();
   Request.set_server(Server);
--- a/src/yuccaplank/dispatch/run_table.cpp
+++ b/src/yuccaplank/dispatch/run_table.cpp
@@ -49,7 +49,8 @@
   return Result;
 }
 
-std::vector<run_key> run_table::missingIn(const std::vector<run_key> &Listed, runtime::time_point Sent) const {
+std::vector<run_key> run_table::missingIn(const std::vector<run_key> &Listed,
+                                          runtime::time_point Sent) const {
   std::set<run_key> Present(Listed.begin(), Listed.end());
   std::vector<run_key> Result;
   for (const auto &[Run, State] : Runs)
--- a/src/yuccaplank/dispatch/run_table.hpp
+++ b/src/yuccaplank/dispatch/run_table.hpp
@@ -31,8 +31,8 @@
   std::uint32_t EstimateMs = 0;
   run_phase Phase = run_phase::Starting;
   runtime::time_point StartedAt;
-  /// When the server had certainly dealt with the run's latest order; a list made after this that lacks the run
-  /// proves that it does not run.
+  /// When the server had certainly dealt with the run's latest order; a list made after this that lacks the
+  /// run proves that it does not run.
   std::optional<runtime::time_point> SettledAt;
   /// Found at a take-over and claimed by no coordinator yet; its size is not known.
   bool Unclaimed = false;
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -65,9 +65,9 @@
   }
 
   void onStop(const std::string &Coordinator, const schema::stop_task &Request) override {
-    run_key Run = keyOf(Request.task());
-    for (auto &[Id, Server] : Servers)
-      Server.Ledger->stop(Coordinator, Run);
+    auto Found = Servers.find(Request.server());
+    if (Found != Servers.end())
+      Found->second.Ledger->stop(Coordinator, keyOf(Request.task()));
   }
 
   void onSubscribe(const std::string &Placer, const schema::subscribe_servers &Request) override {
