Notice a changed settings file without a signal

The daemon compares the files' content every 2 s and reloads as after SIGHUP; a file that cannot be read leaves everything as it is. The fault test rewrites settings files now.

--- a/scripts/lib/faults.py
+++ b/scripts/lib/faults.py
@@ -24,7 +24,8 @@
         self.system = system
         self.stopping = threading.Event()
         self.counts = {}
-        groups = {"vms": [self.kill, self.replace, self.terminate, self.pause, self.long_pause],
+        groups = {"vms": [self.kill, self.replace, self.terminate, self.pause, self.long_pause,
+                          self.change_settings],
                   "store": [self.store_away, self.store_slow, self.lose_answers, self.forget_history,
                             self.configure],
                   "servers": [self.break_servers, self.crash_servers, self.servers_leave, self.late_orders],
@@ -91,6 +92,11 @@
             vm.process.kill()
         self.restart(vm, generator.uniform(0, 1))
 
+    def change_settings(self, generator):
+        """Rewrites a VM's settings file, as the platform does at times without a signal."""
+        vm = self.vm(generator)
+        vm.write_settings(generator.sample([other.peers for other in self.system.vms.values()], 3))
+
     def pause_for(self, generator, seconds):
         vm = self.vm(generator)
         vm.signal(signal.SIGSTOP)
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -41,23 +41,28 @@
         self.operators = f"127.0.0.1:{self.operator_port}"
         self.process = None
 
-    def settings(self):
+    def settings(self, seeds):
         """The file as the platform writes it."""
         return {
             "node": self.name,
             "zone": self.domain,
             "ip": "127.0.0.1",
             "listen_addresses": {"frontend": self.callers, "ready": self.ready, "control_plane": self.peers},
-            "seeds": [vm.peers for vm in list(self.fleet.vms.values())[:3]],
+            "seeds": seeds,
             "orders": "request",
             "platform": {"address": self.fleet.store_address},
             "limits": {"cpu_share": 0.25, "memory_mb": 260},
             "bounds": {"grace_period_s": 6},
         }
 
-    def start(self):
+    def write_settings(self, seeds):
         path = self.fleet.directory / f"{self.name}.json"
-        path.write_text(json.dumps(self.settings(), indent=2))
+        path.with_suffix(".new").write_text(json.dumps(self.settings(seeds), indent=2))
+        path.with_suffix(".new").rename(path)
+        return path
+
+    def start(self):
+        path = self.write_settings([vm.peers for vm in list(self.fleet.vms.values())[:3]])
         self.process = self.fleet.spawn(self.name, ["yuccaplankd", "--settings", str(path), "--operator-port",
                                                     str(self.operator_port)])
 
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -27,6 +27,7 @@
 constexpr auto ExitMargin = std::chrono::milliseconds(500);
 // After a longer pause the leases given have ended and other VMs are about to take over.
 constexpr auto PauseLimit = std::chrono::milliseconds(450);
+constexpr auto SettingsCheckInterval = std::chrono::seconds(2);
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
 // Servers keep idle connections longer than this; a new connection costs more than an idle one.
 constexpr auto ServerIdleTime = std::chrono::seconds(10);
@@ -80,6 +81,10 @@
       log(log_level::Warning, "paused", {{"pause_ms", runtime::toMs(Pause)}});
       Vm->onPause();
     });
+    if (Options.SettingsText) {
+      SettingsText = Options.SettingsText();
+      watchSettings();
+    }
     Loop.run();
     log(log_level::Info, "stopped", {{"abandoned", static_cast<std::int64_t>(Frontend->pending())}});
     return 0;
@@ -224,6 +229,16 @@
     Loop.after(DrainCheckInterval, [this] { checkDrained(); });
   }
 
+  // The platform changes the file without a signal at times.
+  void watchSettings() {
+    Loop.after(SettingsCheckInterval, [this] {
+      std::string Text = Options.SettingsText();
+      if (std::exchange(SettingsText, Text) != Text)
+        reload();
+      watchSettings();
+    });
+  }
+
   void reload() {
     platform::settings Updated;
     schema::daemon_settings Own;
@@ -252,6 +267,8 @@
   std::unique_ptr<operator_api> Operators;
   std::unique_ptr<frontend> Frontend;
   std::unique_ptr<directory> Directory;
+  // As last read.
+  std::string SettingsText;
   runtime::time_point DrainStarted{};
   bool Draining = false;
   bool WasReady = false;
--- a/src/yuccaplank/entry/vm_process.hpp
+++ b/src/yuccaplank/entry/vm_process.hpp
@@ -18,6 +18,8 @@
   std::uint16_t OperatorPort = 0;
   /// Reads both settings files again; false leaves the settings as they are.
   std::function<bool(platform::settings &, schema::daemon_settings &)> ReadSettings;
+  /// Content of the settings files, which change without a signal too; optional.
+  std::function<std::string()> SettingsText;
 };
 
 class vm_process {
--- a/src/yuccaplank/entry/yuccaplankd_main.cpp
+++ b/src/yuccaplank/entry/yuccaplankd_main.cpp
@@ -38,6 +38,12 @@
   return std::string(std::istreambuf_iterator<char>(Stream), {});
 }
 
+// Empty when it cannot be read.
+std::string contentOf(const std::string &File) {
+  std::ifstream Stream(File);
+  return {std::istreambuf_iterator<char>(Stream), {}};
+}
+
 bool readPlatformSettings(const std::string &File, platform::settings &Settings) {
   auto Text = readFile(File);
   if (!Text)
@@ -74,6 +80,7 @@
   Options.ReadSettings = [Files](platform::settings &Updated, schema::daemon_settings &Own) {
     return readSettings(Files, Updated, Own);
   };
+  Options.SettingsText = [Files] { return contentOf(Files.Platform) + contentOf(Files.Own); };
   auto Process = entry::makeVmProcess(*Loop, std::move(Options));
   if (!Process) {
     runtime::log(runtime::log_level::Error, "start_failed", {{"reason", Process.error().message()}});
