Type the reasons for which jobs end; mend two tests

Cause: a job's reason was a text from the placer's message to the log, so that a misspelt one would have passed. It is an enumeration with a table of names now (dispatch/job_answer); a rejection carries its own in the schema.

The test of whole VMs failed once because a port that had been found free was taken by another process's outgoing connection before the VM listened on it; it now takes ports that are not given to outgoing connections.

--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "yuccaplank/dispatch/configuration.hpp"
+#include "yuccaplank/dispatch/job_answer.hpp"
 #include "yuccaplank/dispatch/messages.hpp"
 #include "yuccaplank/runtime/executor.hpp"
 
@@ -9,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace yuccaplank::dispatch {
@@ -25,28 +25,6 @@
   runtime::duration Deadline{};
 };
 
-enum class job_outcome : std::uint8_t {
-  Completed,
-  /// A task failed as often as its queue allows.
-  Failed,
-  /// Nothing has run and nothing will.
-  Refused,
-  /// Tasks have run, none runs any more, and the deadline has passed.
-  TimedOut,
-  Cancelled,
-};
-std::string_view jobOutcomeName(job_outcome Outcome);
-
-struct job_answer {
-  job_outcome Outcome = job_outcome::Completed;
-  std::string Reason;
-  /// With Refused: when the caller may come back.
-  std::uint32_t RetryAfterMs = 0;
-  /// Name of the job's queue.
-  std::string Queue;
-  bool WithinObjective = false;
-};
-
 enum class job_state : std::uint8_t { Queued, Running };
 
 struct coordinator_options {
@@ -96,7 +74,7 @@
   /// False when a job with this id is in progress here; the caller then waits for the same answer.
   virtual bool submit(const queue_settings &Queue, job_request Request) = 0;
   /// The caller has left or cancelled; false when the job is not here.
-  virtual bool cancel(std::uint64_t Job, std::string_view Reason) = 0;
+  virtual bool cancel(std::uint64_t Job, end_reason Reason) = 0;
   [[nodiscard]] virtual bool contains(std::uint64_t Job) const = 0;
   /// State of a job in progress here.
   [[nodiscard]] virtual job_state state(std::uint64_t Job) const = 0;
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -130,7 +130,7 @@
   job_coordinator &coordinator() override { return *Jobs; }
 
   void cancel(std::uint64_t Job, std::function<void(bool)> OnDone) override {
-    if (Jobs->cancel(Job, "cancelled")) {
+    if (Jobs->cancel(Job, end_reason::Cancelled)) {
       OnDone(true);
       return;
     }
@@ -366,7 +366,7 @@
   void onCancel(const std::string &From, const schema::cancel_submitted &Request) {
     schema::dispatch_message Message;
     Message.mutable_cancelled()->set_exchange(Request.exchange());
-    Message.mutable_cancelled()->set_found(Jobs->cancel(Request.job(), "cancelled"));
+    Message.mutable_cancelled()->set_found(Jobs->cancel(Request.job(), end_reason::Cancelled));
     send(From, std::move(Message));
   }
 
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -14,9 +14,6 @@
 using runtime::log_level;
 using runtime::time_point;
 
-constexpr auto OutcomeNames =
-    std::to_array<std::string_view>({"completed", "failed", "refused", "timed_out", "cancelled"});
-
 enum class task_phase : std::uint8_t {
   /// Told to the placer.
   Waiting,
@@ -84,11 +81,11 @@
     return true;
   }
 
-  bool cancel(std::uint64_t Id, std::string_view Reason) override {
+  bool cancel(std::uint64_t Id, end_reason Reason) override {
     auto Found = Jobs.find(Id);
     if (Found == Jobs.end())
       return false;
-    finish(Found->second, {job_outcome::Cancelled, std::string(Reason), 0, {}, false});
+    finish(Found->second, {job_outcome::Cancelled, Reason, 0, {}, false});
     return true;
   }
 
@@ -135,7 +132,8 @@
       placeWaiting(Job);
       return;
     }
-    finish(Job, {job_outcome::Refused, Rejection.reason(), Rejection.retry_after_ms(), {}, false});
+    finish(Job,
+           {job_outcome::Refused, endReasonOf(Rejection.reason()), Rejection.retry_after_ms(), {}, false});
   }
 
   void onEvent(const std::string &Owner, const schema::task_event &Event) override {
@@ -354,7 +352,7 @@
     cancelTimer(Task.OrphanTimer);
     Task.Phase = task_phase::Done;
     if (++Job.DoneTasks == Job.Tasks.size())
-      finish(Job, {job_outcome::Completed, "", 0, {}, false});
+      finish(Job, {job_outcome::Completed, end_reason::None, 0, {}, false});
   }
 
   void onFailed(coordinated_job &Job, task_state &Task, const run_key &Run, const schema::task_event &Event) {
@@ -365,7 +363,7 @@
          {"failures", std::int64_t{Task.Failures}},
          {"allowed", std::int64_t{Job.Queue.MaxAttempts}}});
     if (Task.Failures >= Job.Queue.MaxAttempts) {
-      finish(Job, {job_outcome::Failed, "task_failed", 0, {}, false});
+      finish(Job, {job_outcome::Failed, end_reason::TaskFailed, 0, {}, false});
       return;
     }
     ++Task.Run;
@@ -432,9 +430,9 @@
     coordinated_job &Job = Found->second;
     Job.DeadlineTimer = 0;
     if (Job.OrderedRuns > 0)
-      finish(Job, {job_outcome::TimedOut, "deadline", 0, {}, false});
+      finish(Job, {job_outcome::TimedOut, end_reason::Deadline, 0, {}, false});
     else
-      finish(Job, {job_outcome::Refused, "deadline", 0, {}, false});
+      finish(Job, {job_outcome::Refused, end_reason::Deadline, 0, {}, false});
   }
 
   void refuseWithoutPlacer(std::uint64_t Id) {
@@ -444,7 +442,7 @@
     coordinated_job &Job = Found->second;
     Job.PlacerTimer = 0;
     finish(Job, {job_outcome::Refused,
-                 "no_placer",
+                 end_reason::NoPlacer,
                  static_cast<std::uint32_t>(runtime::toMs(Options.PlacerWait)),
                  {},
                  false});
@@ -489,7 +487,7 @@
         {{"job", formatJob(Job.Request.Job)},
          {"queue", Job.Queue.Name},
          {"outcome", std::string(jobOutcomeName(Answer.Outcome))},
-         {"reason", Answer.Reason},
+         {"reason", std::string(endReasonName(Answer.Reason))},
          {"tasks", static_cast<std::int64_t>(Job.Tasks.size())},
          {"done", std::int64_t{Job.DoneTasks}},
          {"started", Job.OrderedRuns > 0},
@@ -525,10 +523,6 @@
 
 } // namespace
 
-std::string_view jobOutcomeName(job_outcome Outcome) {
-  return OutcomeNames.at(static_cast<std::size_t>(Outcome));
-}
-
 std::unique_ptr<job_coordinator> makeJobCoordinator(runtime::executor &Executor, coordinator_ports &Ports,
                                                     coordinator_options Options) {
   return std::make_unique<job_coordinator_impl>(Executor, Ports, Options);
--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -112,7 +112,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.count(&schema::dispatch_message::has_stop));
   }
   if (auto When = section("when the caller leaves, its runs are stopped")) {
-    Vm.Jobs->cancel(Job, "caller_left");
+    Vm.Jobs->cancel(Job, end_reason::CallerLeft);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.count(&schema::dispatch_message::has_stop));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Vm.Jobs->size());
   }
@@ -124,7 +124,7 @@
   Vm.submit(2);
   schema::reject_job Rejection;
   Rejection.set_job(Job);
-  Rejection.set_reason("no_room_in_time");
+  Rejection.set_reason(schema::REJECT_NO_ROOM_IN_TIME);
   if (auto When = section("when nothing has begun, the job is refused at once")) {
     Vm.Jobs->onReject(Rejection);
     CPPUNIT_ASSERT(Vm.Answers.at(0).Outcome == job_outcome::Refused);
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -1,6 +1,7 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
 #include "pool_index.hpp"
 #include "room.hpp"
+#include "yuccaplank/dispatch/job_answer.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
@@ -180,13 +181,13 @@
     if (Job.Started)
       return false;
     if (!fitsAnywhere(Job.Request)) {
-      reject(Job, "no_server_large_enough", Now);
+      reject(Job, schema::REJECT_NO_SERVER_LARGE_ENOUGH, Now);
       return true;
     }
     auto Allowed = std::chrono::duration_cast<duration>((Job.Deadline - Job.Arrived) * Options.MaxWaitShare);
     if (prospectOf(Job, Now) != prospect::Hopeless && Now - Job.Arrived <= Allowed)
       return false;
-    reject(Job, "no_room_in_time", Now);
+    reject(Job, schema::REJECT_NO_ROOM_IN_TIME, Now);
     return true;
   }
 
@@ -196,7 +197,7 @@
     return Pool == Pools.end() || Pool->second.empty() || Pool->second.fitsAnywhere(Request.size());
   }
 
-  void reject(waiting_job &Job, const char *Reason, time_point Now) {
+  void reject(waiting_job &Job, schema::reject_reason Reason, time_point Now) {
     schema::dispatch_message Message;
     schema::reject_job &Rejection = *Message.mutable_reject();
     Rejection.set_job(Job.Request.job());
@@ -206,7 +207,7 @@
     ++Counters.Rejected;
     runtime::log(runtime::log_level::Info, "job_rejected",
                  {{"job", formatJob(Job.Request.job())},
-                  {"reason", std::string(Reason)},
+                  {"reason", std::string(endReasonName(endReasonOf(Reason)))},
                   {"waited_ms", runtime::toMs(Now - Job.Arrived)},
                   {"estimate_ms", std::int64_t{Job.Request.estimate_ms()}},
                   {"objective_left_ms", runtime::toMs(Job.Objective - Now)},
--- a/src/yuccaplank/dispatch/placement_queue_test.cpp
+++ b/src/yuccaplank/dispatch/placement_queue_test.cpp
@@ -227,7 +227,7 @@
     Large.mutable_size()->set_cpu(65000);
     Placer.place(Large);
     Placer.Queue->schedule();
-    CPPUNIT_ASSERT_EQUAL(std::string("no_server_large_enough"), Placer.Rejections.at(0).reason());
+    CPPUNIT_ASSERT(Placer.Rejections.at(0).reason() == schema::REJECT_NO_SERVER_LARGE_ENOUGH);
   }
 });
 
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -186,8 +186,14 @@
     CPPUNIT_ASSERT(!Owner.Orders.Holds.front().Order.LeaseEndMs.has_value());
     Owner.Ledger->tick();
     CPPUNIT_ASSERT(Owner.Events.empty());
-    // 500 ms on a clock that is 2 % slow, and the error of its estimate.
-    Owner.Executor->advance(milliseconds(450));
+    // The lease on a clock that is 2 % slow, and the error of its estimate.
+    ledger_options Options;
+    auto Over = std::chrono::duration_cast<runtime::duration>(Options.Lease * (1 + Options.ClockDrift)) +
+                Options.ClockError;
+    Owner.Executor->advance(Over - milliseconds(151));
+    Owner.Ledger->tick();
+    CPPUNIT_ASSERT(Owner.Events.empty());
+    Owner.Executor->advance(milliseconds(1));
     Owner.Ledger->tick();
     CPPUNIT_ASSERT_EQUAL(schema::RUN_GONE, Owner.lastEvent());
   }
--- a/src/yuccaplank/entry/fleet_test.cpp
+++ b/src/yuccaplank/entry/fleet_test.cpp
@@ -8,6 +8,10 @@
 #include <cppunit/TestAssert.h>
 #include <fmt/format.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <deque>
 
 using namespace yuccaplank;
@@ -20,10 +24,23 @@
 
 namespace {
 
+// Ports of one process that are free now and not given to outgoing connections, which would take them before
+// they are listened on.
 std::uint16_t freePort() {
-  std::uint16_t Port = 0;
-  testing::raw_socket Socket = testing::listenOn(1, Port);
-  return Port;
+  static auto Next = static_cast<std::uint16_t>(20'000 + getpid() % 10 * 1000);
+  for (;;) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_port = htons(++Next);
+    int Fd = socket(AF_INET, SOCK_STREAM, 0);
+    int Enable = 1;
+    setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &Enable, sizeof(Enable));
+    bool Free = bind(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0 && listen(Fd, 1) == 0;
+    close(Fd);
+    if (Free)
+      return Next;
+  }
 }
 
 std::string localAddress() { return fmt::format("127.0.0.1:{}", freePort()); }
@@ -41,6 +58,10 @@
     runtime::setLogLevel(runtime::log_level::Error);
     standin::site_options Options;
     Options.Workers = 4;
+    // The range of ports belongs to this process, so that the following ones are free too.
+    Options.FirstWorkerPort = freePort();
+    for (std::uint32_t Index = 1; Index < Options.Workers; ++Index)
+      freePort();
     Options.Heartbeat = milliseconds(100);
     auto Made = standin::makeSite(*Loop, Options);
     CPPUNIT_ASSERT(Made);
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -137,7 +137,7 @@
     submitted_job &Submitted = Jobs.at(Job);
     Submitted.Callers.erase(Token);
     if (Submitted.Callers.empty())
-      Vm.coordinator().cancel(Job, "caller_left");
+      Vm.coordinator().cancel(Job, dispatch::end_reason::CallerLeft);
   }
 
   void answer(std::uint64_t Job, const job_answer &Answer) override {
--- a/src/yuccaplank/scenario/script.cpp
+++ b/src/yuccaplank/scenario/script.cpp
@@ -280,7 +280,7 @@
   return 1;
 }
 int luaReason(lua_State *Lua) {
-  lua_pushstring(Lua, submission(Lua).Answer.Reason.c_str());
+  lua_pushstring(Lua, std::string(dispatch::endReasonName(submission(Lua).Answer.Reason)).c_str());
   return 1;
 }
 int luaRetryAfter(lua_State *Lua) {
--- a/src/yuccaplank/scenario/world.cpp
+++ b/src/yuccaplank/scenario/world.cpp
@@ -111,7 +111,8 @@
   submission_record &Record = Submissions.at(Submission);
   Record.Left = true;
   vm_life &Life = Fleet.vm(Record.Vm);
-  Life.Executor.guard([&Life, Job = Record.Job] { Life.Vm->coordinator().cancel(Job, "caller_left"); })();
+  Life.Executor.guard(
+      [&Life, Job = Record.Job] { Life.Vm->coordinator().cancel(Job, dispatch::end_reason::CallerLeft); })();
 }
 
 void world::cancel(const std::string &Vm, std::size_t Submission) {
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -249,7 +249,8 @@
     std::uint64_t Attempt = Job.Attempt;
     if (Answer.Outcome == job_outcome::Cancelled || Job.Vm != Vm)
       return;
-    trace(fmt::format("{} answers {:016x}: {} {}", Vm, Id, jobOutcomeName(Answer.Outcome), Answer.Reason));
+    trace(fmt::format("{} answers {:016x}: {} {}", Vm, Id, jobOutcomeName(Answer.Outcome),
+                      endReasonName(Answer.Reason)));
     if (Answer.Outcome == job_outcome::Refused) {
       --Job.OpenAttempts;
       if (Job.OpenAttempts == 0 && Job.EverStarted)
@@ -288,8 +289,9 @@
     Job.Left = true;
     Job.LeftAt = Executor->clock().now();
     vm_life &Life = Fleet.vm(Job.Vm);
-    Executor->after(fromMs(CallerDelayMs),
-                    Life.Executor.guard([&Life, Id] { Life.Vm->coordinator().cancel(Id, "caller_left"); }));
+    Executor->after(fromMs(CallerDelayMs), Life.Executor.guard([&Life, Id] {
+      Life.Vm->coordinator().cancel(Id, dispatch::end_reason::CallerLeft);
+    }));
   }
 
   // Checks.
