--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -1,6 +1,7 @@
 #include "yuccaplank/dispatch/entry_vm.hpp"
 #include "cancel_exchanges.hpp"
 #include "fleet_reports.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
@@ -203,10 +204,7 @@
 
   void send(const std::string &Vm, schema::dispatch_message Message) override {
     if (Vm == Options.Vm) {
-      Executor.post([Weak = std::weak_ptr<int>(Alive), this, Message = std::move(Message)] {
-        if (!Weak.expired())
-          handle(Options.Vm, Message);
-      });
+      Executor.post(Lifetime.guard([this, Message = std::move(Message)] { handle(Options.Vm, Message); }));
       return;
     }
     auto Found = View->others().find(Vm);
@@ -501,12 +499,10 @@
   void scheduleSoon() {
     if (std::exchange(SchedulePosted, true))
       return;
-    auto Schedule = [Weak = std::weak_ptr<int>(Alive), this] {
-      if (Weak.expired())
-        return;
+    auto Schedule = Lifetime.guard([this] {
       SchedulePosted = false;
       Queue->schedule();
-    };
+    });
     if (Queue->waitingJobs() > ManyWaitingJobs)
       Executor.after(BusyScheduleDelay, Schedule);
     else
@@ -525,13 +521,10 @@
   }
 
   void every(runtime::duration Interval, std::function<void()> Function) {
-    Executor.after(Interval,
-                   [Weak = std::weak_ptr<int>(Alive), this, Interval, Function = std::move(Function)] {
-                     if (Weak.expired())
-                       return;
-                     Function();
-                     every(Interval, Function);
-                   });
+    Executor.after(Interval, Lifetime.guard([this, Interval, Function = std::move(Function)] {
+      Function();
+      every(Interval, Function);
+    }));
   }
 
   runtime::executor &Executor;
@@ -559,7 +552,7 @@
   std::string Placer;
   bool Placing = false;
   bool SchedulePosted = false;
-  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+  runtime::lifetime Lifetime;
 };
 
 } // namespace
--- a/src/yuccaplank/dispatch/pool_index_test.cpp
+++ b/src/yuccaplank/dispatch/pool_index_test.cpp
@@ -43,9 +43,9 @@
 const story Choices("pool index: the same choices as a look at every server", [] {
   runtime::random Random(7);
   pool_index Index(Step);
-  std::vector<listed_server> Servers;
-  for (int Server = 0; Server < 40; ++Server)
-    Servers.push_back({fmt::format("s{:02}", Server), {}});
+  std::vector<listed_server> Servers(40);
+  for (std::size_t Server = 0; Server < Servers.size(); ++Server)
+    Servers[Server].Id = fmt::format("s{:02}", Server);
   for (int Turn = 0; Turn < 20'000; ++Turn) {
     listed_server &Changed = Servers[Random.next() % Servers.size()];
     Changed.Entry.Capacity = {64'000, 1000, 0};
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -3,6 +3,7 @@
 #include "owner_messages.hpp"
 #include "run_table.hpp"
 #include "server_health.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
@@ -61,7 +62,7 @@
     if (Ownership == ownership::None)
       return;
     Ownership = ownership::None;
-    ++Epoch;
+    Tenure.renew();
     yieldRuns();
     Runs.clear();
     HoldPending = false;
@@ -99,9 +100,8 @@
     Started.StartedAt = now();
     ++Ports.counters().Started;
     start_order Order{Run, Request.specification(), Token, extendLease()};
-    Ports.orders().start(
-        Entry.Target, std::move(Order),
-        guarded<order_reply>([this, Run](const order_reply &Reply) { onStartReply(Run, Reply); }));
+    Ports.orders().start(Entry.Target, std::move(Order),
+                         Tenure.guard([this, Run](const order_reply &Reply) { onStartReply(Run, Reply); }));
     keepHolding();
   }
 
@@ -191,21 +191,8 @@
 private:
   [[nodiscard]] time_point now() const { return Executor.clock().now(); }
 
-  // Callbacks of calls made before the server was released are dropped.
-  template <typename Reply> std::function<void(Reply)> guarded(std::function<void(const Reply &)> Function) {
-    return [Weak = std::weak_ptr<int>(Alive), this, At = Epoch,
-            Function = std::move(Function)](const Reply &Value) {
-      if (!Weak.expired() && At == Epoch)
-        Function(Value);
-    };
-  }
-
   void later(duration Delay, std::function<void()> Function) {
-    Executor.after(Delay,
-                   [Weak = std::weak_ptr<int>(Alive), this, At = Epoch, Function = std::move(Function)] {
-                     if (!Weak.expired() && At == Epoch)
-                       Function();
-                   });
+    Executor.after(Delay, Tenure.guard(std::move(Function)));
   }
 
   [[nodiscard]] bool usable() const {
@@ -264,7 +251,7 @@
     hold_order Order;
     Order.FencingToken = Token;
     Ports.orders().hold(Entry.Target, Order,
-                        guarded<hold_reply>([this](const hold_reply &Reply) { onClaimReply(Reply); }));
+                        Tenure.guard([this](const hold_reply &Reply) { onClaimReply(Reply); }));
   }
 
   void onClaimReply(const hold_reply &Reply) {
@@ -347,13 +334,18 @@
 
   // Starts.
 
-  void onStartReply(const run_key &Run, const order_reply &Reply) {
+  // The run that a reply is about; null when it is gone, or this VM's ownership with it.
+  server_run *answeredRun(const run_key &Run, const order_reply &Reply) {
     Clock.note(now(), Reply.ClockMs);
     if (Reply.Outcome == order_outcome::Fenced) {
       loseOwnership();
-      return;
+      return nullptr;
     }
-    server_run *Found = Runs.find(Run);
+    return Runs.find(Run);
+  }
+
+  void onStartReply(const run_key &Run, const order_reply &Reply) {
+    server_run *Found = answeredRun(Run, Reply);
     if (!Found)
       return;
     server_run &State = *Found;
@@ -399,19 +391,13 @@
 
   void sendStop(const run_key &Run) {
     ++Ports.counters().Stops;
-    Ports.orders().stop(Entry.Target, Run, Token, guarded<order_reply>([this, Run](const order_reply &Reply) {
-                          onStopReply(Run, Reply);
-                        }));
+    Ports.orders().stop(Entry.Target, Run, Token,
+                        Tenure.guard([this, Run](const order_reply &Reply) { onStopReply(Run, Reply); }));
     keepHolding();
   }
 
   void onStopReply(const run_key &Run, const order_reply &Reply) {
-    Clock.note(now(), Reply.ClockMs);
-    if (Reply.Outcome == order_outcome::Fenced) {
-      loseOwnership();
-      return;
-    }
-    server_run *Found = Runs.find(Run);
+    server_run *Found = answeredRun(Run, Reply);
     if (!Found)
       return;
     if (Reply.Outcome == order_outcome::Accepted || Reply.Outcome == order_outcome::Superseded) {
@@ -456,7 +442,7 @@
     HoldPending = true;
     ++Ports.counters().Holds;
     Ports.orders().hold(Entry.Target, Order,
-                        guarded<hold_reply>([this, Sent = now(), Order](const hold_reply &Reply) {
+                        Tenure.guard([this, Sent = now(), Order](const hold_reply &Reply) {
                           onHoldReply(Sent, Order, Reply);
                         }));
   }
@@ -656,8 +642,8 @@
   std::uint32_t UnansweredHolds = 0;
   bool Answering = true;
   bool Delisted = false;
-  std::uint64_t Epoch = 0;
-  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+  // Callbacks of calls made before the server was released are dropped.
+  runtime::lifetime Tenure;
 };
 
 } // namespace
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -1,5 +1,6 @@
 #include "yuccaplank/dispatch/server_owner.hpp"
 #include "owner_messages.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
@@ -174,10 +175,7 @@
   void roomChanged(const std::string &Server) override {
     Changed.insert(Server);
     if (Changed.size() == 1)
-      Executor.post([Weak = std::weak_ptr<int>(Alive), this] {
-        if (!Weak.expired())
-          sendStates();
-      });
+      Executor.post(Lifetime.guard([this] { sendStates(); }));
   }
 
   void sendStates() {
@@ -257,7 +255,7 @@
   std::map<std::string, std::map<std::string, std::vector<std::uint64_t>>> Handled;
   std::map<std::string, std::uint32_t> Sessions;
   std::deque<schema::task_event> Ends;
-  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+  runtime::lifetime Lifetime;
 };
 
 } // namespace
--- a/src/yuccaplank/entry/directory.cpp
+++ b/src/yuccaplank/entry/directory.cpp
@@ -1,6 +1,7 @@
 #include "directory.hpp"
 #include "table_watch.hpp"
 #include "yuccaplank/platform/documents.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <nlohmann/json.hpp>
@@ -114,12 +115,10 @@
     }
     Vm.setServers(List);
     if (Kept && !PublishTimer)
-      PublishTimer = Executor.after(Options.RetryDelay, [Weak = std::weak_ptr<int>(Alive), this] {
-        if (Weak.expired())
-          return;
+      PublishTimer = Executor.after(Options.RetryDelay, Lifetime.guard([this] {
         PublishTimer = 0;
         publishServers();
-      });
+      }));
   }
 
   struct vm_row {
@@ -154,10 +153,8 @@
   void writeEntry() {
     Writing = true;
     nlohmann::json Row{{"address", Options.PeerAddress}, {"domain", Options.Domain}, {"term", Term}};
-    Store.put(VmTable, Options.Vm, Row.dump(), [Weak = std::weak_ptr<int>(Alive), this](const auto &Version) {
-      if (!Weak.expired())
-        onWritten(Version);
-    });
+    Store.put(VmTable, Options.Vm, Row.dump(),
+              Lifetime.guard([this](const auto &Version) { onWritten(Version); }));
     WrittenTerm = Term;
   }
 
@@ -188,10 +185,10 @@
 
   void writeLater() {
     Writing = true;
-    Executor.after(Options.RetryDelay, [Weak = std::weak_ptr<int>(Alive), this] {
-      if (!Weak.expired() && !Leaving)
+    Executor.after(Options.RetryDelay, Lifetime.guard([this] {
+      if (!Leaving)
         writeEntry();
-    });
+    }));
   }
 
   runtime::executor &Executor;
@@ -213,7 +210,7 @@
   // A write is under way or about to be made.
   bool Writing = false;
   bool Leaving = false;
-  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+  runtime::lifetime Lifetime;
 };
 
 } // namespace
--- a/src/yuccaplank/entry/table_watch.cpp
+++ b/src/yuccaplank/entry/table_watch.cpp
@@ -1,4 +1,5 @@
 #include "table_watch.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 namespace yuccaplank::entry {
@@ -27,13 +28,7 @@
 private:
   using page_handler = std::function<void(const runtime::result<store_page> &)>;
 
-  page_handler guarded(page_handler Handler) {
-    return [Weak = std::weak_ptr<int>(Alive),
-            Handler = std::move(Handler)](const runtime::result<store_page> &Page) {
-      if (!Weak.expired())
-        Handler(Page);
-    };
-  }
+  page_handler guarded(page_handler Handler) { return Lifetime.guard(std::move(Handler)); }
 
   void readAll(const std::string &From) {
     if (From.empty())
@@ -126,10 +121,7 @@
   }
 
   void later(runtime::duration Delay, std::function<void()> Function) {
-    Executor.after(Delay, [Weak = std::weak_ptr<int>(Alive), Function = std::move(Function)] {
-      if (!Weak.expired())
-        Function();
-    });
+    Executor.after(Delay, Lifetime.guard(std::move(Function)));
   }
 
   runtime::executor &Executor;
@@ -143,7 +135,7 @@
   bool Contacted = false;
   runtime::time_point RegainedAt{};
   runtime::time_point FollowedAt{};
-  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+  runtime::lifetime Lifetime;
 };
 
 } // namespace
--- /dev/null
+++ b/src/yuccaplank/runtime/lifetime_test.cpp
@@ -0,0 +1,31 @@
+#include "yuccaplank/runtime/lifetime.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+#include <functional>
+#include <optional>
+
+using namespace yuccaplank;
+using testing::section;
+using testing::story;
+
+namespace {
+
+// Guards against functions that use an object after its end.
+const story Guard("lifetime: guarded functions", [] {
+  std::optional<runtime::lifetime> Lifetime(std::in_place);
+  int Sum = 0;
+  std::function<void(int)> Add = Lifetime->guard([&Sum](int Value) { Sum += Value; });
+  Add(1);
+  if (auto When = section("when the lifetime has ended"))
+    Lifetime.reset();
+  if (auto When = section("when it has begun anew")) {
+    Lifetime->renew();
+    Lifetime->guard([&Sum](int Value) { Sum += 10 * Value; })(1);
+    CPPUNIT_ASSERT_EQUAL(11, Sum);
+    Sum = 1;
+  }
+  Add(1);
+  CPPUNIT_ASSERT_EQUAL(1, Sum);
+});
+
+} // namespace
--- a/src/yuccaplank/simulation/fleet_simulation_test.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation_test.cpp
@@ -24,6 +24,20 @@
   CPPUNIT_ASSERT_EQUAL(std::string(), First);
 }
 
+// The size and load of the users' sites.
+simulation_options siteWithoutFaults(double Seconds) {
+  simulation_options Options;
+  Options.Vms = 6;
+  Options.Domains = 4;
+  Options.Servers = 48;
+  Options.FaultsPerSecond = 0;
+  Options.LateOrders = 0;
+  Options.LostAnswers = 0;
+  Options.Seconds = Seconds;
+  Options.Kinds = simulation::siteKinds();
+  return Options;
+}
+
 // Days on which a promise was broken once, with the cause.
 struct former_breach {
   std::uint64_t Seed;
@@ -63,15 +77,7 @@
 // Guards against refusals and late answers while there is room: on a calm day 95 % of the jobs have to be
 // within their objective and at most 0.1 % refused.
 const story Calm("fleet simulation: a calm day", [] {
-  simulation_options Options;
-  Options.Vms = 6;
-  Options.Domains = 4;
-  Options.Servers = 48;
-  Options.FaultsPerSecond = 0;
-  Options.LateOrders = 0;
-  Options.LostAnswers = 0;
-  Options.Seconds = 10;
-  Options.Kinds = simulation::siteKinds();
+  simulation_options Options = siteWithoutFaults(10);
   for (simulation::job_kind &Kind : Options.Kinds)
     Kind.JobsPerSecond *= 0.57;
   runtime::setLogLevel(runtime::log_level::Error);
@@ -87,15 +93,7 @@
 // Guards against an order of service that loses more than the load explains. The marks are those of the
 // users' days of that kind: 0.47 of the credit on days with a burst, 0.5 with slow servers.
 const story Load("fleet simulation: bursts and slow servers", [] {
-  simulation_options Options;
-  Options.Vms = 6;
-  Options.Domains = 4;
-  Options.Servers = 48;
-  Options.FaultsPerSecond = 0;
-  Options.LateOrders = 0;
-  Options.LostAnswers = 0;
-  Options.Seconds = 12;
-  Options.Kinds = simulation::siteKinds();
+  simulation_options Options = siteWithoutFaults(12);
   auto CreditShare = [&] {
     runtime::setLogLevel(runtime::log_level::Error);
     auto Result = simulateFleet(Options);
--- a/src/yuccaplank/standin/site.cpp
+++ b/src/yuccaplank/standin/site.cpp
@@ -3,6 +3,7 @@
 #include "yuccaplank/platform/documents.hpp"
 #include "yuccaplank/platform/json_reader.hpp"
 #include "yuccaplank/platform/store_client.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/standin/enum_names.hpp"
 #include "yuccaplank/standin/replies.hpp"
 #include "yuccaplank/wire/http_server.hpp"
@@ -123,10 +124,7 @@
   void beat() {
     for (site_worker &Worker : Workers)
       beat(Worker);
-    Loop.after(Options.Heartbeat, [Weak = std::weak_ptr<int>(Alive), this] {
-      if (!Weak.expired())
-        beat();
-    });
+    Loop.after(Options.Heartbeat, Lifetime.guard([this] { beat(); }));
   }
 
   // While the store is away entries lapse too.
@@ -292,7 +290,7 @@
   std::uint64_t Starts = 0;
   std::unordered_map<std::uint64_t, std::uint64_t> StartsOfJobs;
   std::vector<std::string> Breaches;
-  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+  runtime::lifetime Lifetime;
 };
 
 } // namespace
--- a/src/yuccaplank/standin/store_service.cpp
+++ b/src/yuccaplank/standin/store_service.cpp
@@ -1,6 +1,7 @@
 #include "store_service.hpp"
 #include "yuccaplank/platform/base64.hpp"
 #include "yuccaplank/platform/json_reader.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/random.hpp"
 #include "yuccaplank/standin/replies.hpp"
 #include "yuccaplank/wire/http_server.hpp"
@@ -276,11 +277,7 @@
   }
 
   void later(runtime::duration Delay, std::function<void()> Function) {
-    Loop.after(std::max(Delay, runtime::duration::zero()),
-               [Weak = std::weak_ptr<int>(Alive), Function = std::move(Function)] {
-                 if (!Weak.expired())
-                   Function();
-               });
+    Loop.after(std::max(Delay, runtime::duration::zero()), Lifetime.guard(std::move(Function)));
   }
 
   runtime::loop &Loop;
@@ -293,7 +290,7 @@
   runtime::random Random;
   std::vector<waiting_feed> Feeds;
   std::unique_ptr<wire::http_server> Server;
-  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+  runtime::lifetime Lifetime;
 };
 
 const std::array<store_service_impl::route, 3> store_service_impl::Routes = {{
--- a/src/yuccaplank/standin/worker.cpp
+++ b/src/yuccaplank/standin/worker.cpp
@@ -1,6 +1,7 @@
 #include "worker.hpp"
 #include "yuccaplank/platform/json_reader.hpp"
 #include "yuccaplank/platform/server_client.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/standin/replies.hpp"
 #include "yuccaplank/wire/http_server.hpp"
 
@@ -132,12 +133,12 @@
     std::string Ip = Options.Listen.substr(0, Options.Listen.rfind(':'));
     Options.Listen = fmt::format("{}:{}", Ip, Server->port());
     State = std::make_unique<task_server>(Loop.clock().unixMs(), Options.Server);
-    ++Life;
+    Incarnation.renew();
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
   void crash() override {
-    ++Life;
+    Incarnation.renew();
     Loop.cancel(std::exchange(WatchTimer, 0));
     Holds.clear();
     State.reset();
@@ -233,12 +234,12 @@
   // Also by a new life at the address.
   void carryOutLate(std::function<order_outcome()> Order) {
     Loop.after(runtime::fromMs(LeastLateMs + Random.uniform() * (MostLateMs - LeastLateMs)),
-               [Weak = std::weak_ptr<int>(Alive), this, Order = std::move(Order)] {
-                 if (Weak.expired() || !State)
+               Lifetime.guard([this, Order = std::move(Order)] {
+                 if (!State)
                    return;
                  Order();
                  watch();
-               });
+               }));
   }
 
   void onHold(const http_request &Request) {
@@ -308,11 +309,7 @@
 
   // Not carried out in another life.
   runtime::timer_id later(runtime::duration Delay, std::function<void()> Function) {
-    return Loop.after(Delay,
-                      [Weak = std::weak_ptr<int>(Alive), this, At = Life, Function = std::move(Function)] {
-                        if (!Weak.expired() && At == Life)
-                          Function();
-                      });
+    return Loop.after(Delay, Incarnation.guard(std::move(Function)));
   }
 
   runtime::loop &Loop;
@@ -323,9 +320,10 @@
   std::unique_ptr<task_server> State;
   std::unique_ptr<wire::http_server> Server;
   std::vector<waiting_hold> Holds;
-  std::uint64_t Life = 0;
+  // Ends with each crash.
+  runtime::lifetime Incarnation;
   runtime::timer_id WatchTimer = 0;
-  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+  runtime::lifetime Lifetime;
 };
 
 } // namespace
