Tell in a job's last line where its time went

Late jobs have an event of their own (job_late), and the line names the placer, the runs, their servers, the time until the first order and the declared time.

--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -45,6 +45,7 @@
   std::uint32_t DoneTasks = 0;
   // Runs that were ordered, less those that certainly never started.
   std::uint32_t OrderedRuns = 0;
+  std::optional<time_point> FirstOrdered;
   std::set<std::string> Avoid;
   runtime::timer_id DeadlineTimer = 0;
   runtime::timer_id PlacerTimer = 0;
@@ -119,6 +120,8 @@
     Task->Token = Grant.token();
     Task->OrderedAt = now();
     ++Job->OrderedRuns;
+    if (!Job->FirstOrdered)
+      Job->FirstOrdered = now();
     sendStart(Placer, *Job, Run, Grant);
   }
 
@@ -480,17 +483,39 @@
     Ports.send(Placer, std::move(Message));
   }
 
+  // Events of their own for what went well, came late and failed, so that the limit on lines for each event
+  // leaves room for the rare ones.
+  static const char *answerEvent(const job_answer &Answer) {
+    if (Answer.Outcome != job_outcome::Completed)
+      return "job_not_completed";
+    return Answer.WithinObjective ? "job_completed" : "job_late";
+  }
+
+  static std::string serversOf(const coordinated_job &Job) {
+    std::set<std::string> Servers;
+    for (const task_state &Task : Job.Tasks)
+      if (!Task.Server.empty())
+        Servers.insert(Task.Server);
+    std::string Text;
+    for (const std::string &Server : Servers)
+      Text += (Text.empty() ? "" : ",") + Server;
+    return Text;
+  }
+
   void logAnswer(const coordinated_job &Job, const job_answer &Answer) const {
-    // An event of their own, so that the limit on lines for each event leaves room for the failures.
-    const char *Event = Answer.Outcome == job_outcome::Completed ? "job_completed" : "job_not_completed";
-    log(log_level::Info, Event,
+    double WaitedMs = runtime::toMs(Job.FirstOrdered.value_or(now()) - Job.Arrived);
+    log(log_level::Info, answerEvent(Answer),
         {{"job", formatJob(Job.Request.Job)},
          {"queue", Job.Queue.Name},
          {"outcome", std::string(jobOutcomeName(Answer.Outcome))},
          {"reason", std::string(endReasonName(Answer.Reason))},
          {"tasks", static_cast<std::int64_t>(Job.Tasks.size())},
          {"done", std::int64_t{Job.DoneTasks}},
-         {"started", Job.OrderedRuns > 0},
+         {"runs", std::int64_t{Job.OrderedRuns}},
+         {"servers", serversOf(Job)},
+         {"placer", Ports.placer()},
+         {"waited_ms", WaitedMs},
+         {"estimate_ms", std::int64_t{Job.Request.EstimateMs}},
          {"took_ms", runtime::toMs(now() - Job.Arrived)},
          {"objective_ms", runtime::toMs(Job.Objective)}});
   }
