Do not start under bounds with which a resent job could run twice

Cause: a deployment whose bounds leave no time to notice a lost VM before callers send again was served all the same, with a line in the log. The daemon ends with bounds_too_short and OutOfRange; a test starts a VM with callers that come back after 400 ms.

--- a/src/yuccaplank/entry/fleet_test.cpp
+++ b/src/yuccaplank/entry/fleet_test.cpp
@@ -182,6 +182,18 @@
   Fleet.assertKept();
 });
 
+// Guards against a VM that serves under bounds with which a resent job could run twice.
+const story ShortBounds("fleet on sockets: bounds that cannot be kept", [] {
+  fleet Fleet(0);
+  auto Loop = runtime::makeLoop();
+  entry::vm_process_options Options;
+  Options.Settings = Fleet.settingsOf(0);
+  Options.Settings.ResendMs = 400;
+  auto Made = entry::makeVmProcess(*Loop, Options);
+  CPPUNIT_ASSERT(!Made);
+  CPPUNIT_ASSERT(Made.error() == runtime::errc::OutOfRange);
+});
+
 // Guards against VMs that stop serving, or go back to older knowledge, when the store is away or forgets.
 const story Store("fleet on sockets: trouble with the store", [] {
   fleet Fleet(2);
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -58,7 +58,10 @@
     Client = wire::makeHttpClient(Loop, Calls);
     Orders = platform::makeServerClient(*Client);
     Store = platform::makeStoreClient(*Client, {Settings.StoreAddress});
-    Vm = dispatch::makeEntryVm(Loop, *this, vmOptions());
+    auto VmOptions = vmOptions();
+    if (!VmOptions)
+      return VmOptions.error();
+    Vm = dispatch::makeEntryVm(Loop, *this, std::move(VmOptions.value()));
     frontend_handlers CallerSide;
     CallerSide.Reply = [this](wire::request_token Token, wire::http_reply Reply) {
       Callers->reply(Token, std::move(Reply));
@@ -109,7 +112,8 @@
     applyConfiguration(*Vm, Copy.document());
   }
 
-  [[nodiscard]] dispatch::entry_vm_options vmOptions() const {
+  // Bounds under which a resent job could run twice are an error.
+  [[nodiscard]] runtime::result<dispatch::entry_vm_options> vmOptions() const {
     dispatch::entry_vm_options Result;
     Result.Vm = Settings.Vm;
     Result.Address = Settings.PeerAddress;
@@ -120,10 +124,12 @@
     Bounds.MaxLease = std::chrono::milliseconds(Settings.MaxLeaseMs);
     Bounds.Resend = std::chrono::milliseconds(Settings.ResendMs);
     Bounds.StopTime = std::chrono::milliseconds(Settings.StopTimeMs);
-    if (!dispatch::applyBounds(Bounds, Result))
+    if (!dispatch::applyBounds(Bounds, Result)) {
       log(log_level::Error, "bounds_too_short",
           {{"max_lease_ms", std::int64_t{Settings.MaxLeaseMs}},
            {"resend_ms", std::int64_t{Settings.ResendMs}}});
+      return make_error_code(runtime::errc::OutOfRange);
+    }
     return Result;
   }
 
