--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -191,11 +191,7 @@
     }
     for (const schema::server_state &State : Owner->states())
       *Report.add_servers() = makeServerReport(State, Options.Vm);
-    for (const auto &[Name, Count] : Jobs->waiting()) {
-      schema::queue_length &Length = *Report.add_queues();
-      Length.set_queue(Name);
-      Length.set_waiting(Count);
-    }
+    fillQueues(*Report.mutable_queues());
     return Report;
   }
 
@@ -455,12 +451,17 @@
         Peer.set_vm(Name);
         Peer.set_address(Known.Address);
       }
+    fillQueues(*Status.mutable_queues());
+    return Message;
+  }
+
+  // Jobs of this VM's callers that wait, by queue.
+  void fillQueues(google::protobuf::RepeatedPtrField<schema::queue_length> &Queues) const {
     for (const auto &[Name, Count] : Jobs->waiting()) {
-      schema::queue_length &Length = *Status.add_queues();
+      schema::queue_length &Length = *Queues.Add();
       Length.set_queue(Name);
       Length.set_waiting(Count);
     }
-    return Message;
   }
 
   void statusChanged() {
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -136,7 +136,6 @@
     for (auto &[Id, Server] : Servers)
       Server.Ledger->tick();
     dropFinished();
-    reviewOwnership();
   }
 
   [[nodiscard]] owner_counts counts() const override {
@@ -223,7 +222,7 @@
     } else {
       // Whatever was ordered under an earlier claim is out of this VM's hands, until it claims the server
       // anew.
-      Message.mutable_yield()->set_server(Counted.server());
+      Message = makeYield(Counted.server(), 0);
       *Message.mutable_yield()->mutable_run() = Counted.task();
     }
     Ports.send(Coordinator, std::move(Message));
--- a/src/yuccaplank/entry/table_watch.cpp
+++ b/src/yuccaplank/entry/table_watch.cpp
@@ -26,14 +26,10 @@
   [[nodiscard]] runtime::time_point regainedAt() const override { return RegainedAt; }
 
 private:
-  using page_handler = std::function<void(const runtime::result<store_page> &)>;
-
-  page_handler guarded(page_handler Handler) { return Lifetime.guard(std::move(Handler)); }
-
   void readAll(const std::string &From) {
     if (From.empty())
       Incoming.clear();
-    Store.rows(Options.Table, From, guarded([this](const auto &Page) { onAll(Page); }));
+    Store.rows(Options.Table, From, Lifetime.guard([this](const auto &Page) { onAll(Page); }));
   }
 
   void onAll(const runtime::result<store_page> &Page) {
@@ -68,7 +64,7 @@
   void follow() {
     FollowedAt = Executor.clock().now();
     Store.changes(Options.Table, Version, Options.Wait,
-                  guarded([this](const auto &Page) { onChanges(Page); }));
+                  Lifetime.guard([this](const auto &Page) { onChanges(Page); }));
   }
 
   void onChanges(const runtime::result<store_page> &Page) {
--- a/src/yuccaplank/entry/yuccaplankd_main.cpp
+++ b/src/yuccaplank/entry/yuccaplankd_main.cpp
@@ -28,20 +28,19 @@
   std::string Own;
 };
 
-// All programs of the product report what is wrong on standard error.
-std::optional<std::string> readFile(const std::string &File) {
+std::optional<std::string> contentOf(const std::string &File) {
   std::ifstream Stream(File);
-  if (!Stream) {
-    fmt::print(stderr, "{}: cannot be read\n", File);
+  if (!Stream)
     return std::nullopt;
-  }
   return std::string(std::istreambuf_iterator<char>(Stream), {});
 }
 
-// Empty when it cannot be read.
-std::string contentOf(const std::string &File) {
-  std::ifstream Stream(File);
-  return {std::istreambuf_iterator<char>(Stream), {}};
+// All programs of the product report what is wrong on standard error.
+std::optional<std::string> readFile(const std::string &File) {
+  auto Content = contentOf(File);
+  if (!Content)
+    fmt::print(stderr, "{}: cannot be read\n", File);
+  return Content;
 }
 
 bool readPlatformSettings(const std::string &File, platform::settings &Settings) {
@@ -80,7 +79,9 @@
   Options.ReadSettings = [Files](platform::settings &Updated, schema::daemon_settings &Own) {
     return readSettings(Files, Updated, Own);
   };
-  Options.SettingsText = [Files] { return contentOf(Files.Platform) + contentOf(Files.Own); };
+  Options.SettingsText = [Files] {
+    return contentOf(Files.Platform).value_or("") + contentOf(Files.Own).value_or("");
+  };
   auto Process = entry::makeVmProcess(*Loop, std::move(Options));
   if (!Process) {
     runtime::log(runtime::log_level::Error, "start_failed", {{"reason", Process.error().message()}});
