--- a/include/yuccaplank/dispatch/entry_vm.hpp
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -2,15 +2,16 @@
 #pragma once
 
 #include "yuccaplank/dispatch/configuration.hpp"
+#include "yuccaplank/dispatch/contact_plan.hpp"
 #include "yuccaplank/dispatch/fleet_view.hpp"
 #include "yuccaplank/dispatch/job_coordinator.hpp"
 #include "yuccaplank/dispatch/placement_queue.hpp"
+#include "yuccaplank/dispatch/relay_options.hpp"
 #include "yuccaplank/dispatch/server_owner.hpp"
 
 #include "report.pb.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -30,8 +31,10 @@
   /// How long a cancel waits for the other VMs.
   runtime::duration CancelTimeout = std::chrono::milliseconds(400);
   fleet_view_options View;
+  dispatching_options Dispatching;
   placement_options Placement;
   coordinator_options Coordinator;
+  relay_options Relay;
   ledger_options Ledger;
 };
 
@@ -46,6 +49,10 @@
   virtual void answer(std::uint64_t Job, const job_answer &Answer) = 0;
   /// The term of this VM's fencing tokens has risen; it should outlast the process.
   virtual void termRaised(std::uint32_t Term) = 0;
+  /// Whether this VM needs to know the backend servers; it does not while it relays.
+  virtual void serversNeeded(bool Needed) = 0;
+  /// A VM that dispatches by its entry in the store has been out of contact for long.
+  virtual void registrationStale(const std::string &Vm) = 0;
   /// Another VM has a newer configuration; decoding it is up to the receiver.
   virtual void configurationOffered(const schema::configuration_copy &Copy) = 0;
 };
@@ -56,8 +63,11 @@
   ledger_counters Ledger;
   placement_counters Placement;
   owner_counts Servers;
+  /// Jobs that this VM coordinates, and those of its callers that others coordinate.
   std::size_t Jobs = 0;
+  std::size_t RelayedJobs = 0;
   std::size_t VmsInContact = 0;
+  bool Dispatching = false;
   bool Placing = false;
 };
 
@@ -65,15 +75,16 @@
 public:
   virtual ~entry_vm() = default;
 
-  /// Version of this VM's registration in the store; without one it owns no servers and places no tasks.
-  virtual void setRegistration(std::uint64_t Version) = 0;
+  /// Version of this VM's registration in the store; without one it does not dispatch. Returning: the VM was
+  /// registered before, so that the others' entries are those of a whole fleet.
+  virtual void setRegistration(std::uint64_t Version, bool Returning) = 0;
   /// A term that was used before, by this VM or another.
   virtual void noteTerm(std::uint32_t Term) = 0;
   /// Older versions than the one in force are ignored; tells whether it is in force now.
   virtual bool setConfiguration(configuration Configuration, std::string Document) = 0;
   virtual void setServers(const std::vector<server_entry> &Servers) = 0;
-  /// VMs that are registered in the store, with their addresses.
-  virtual void setRegisteredVms(const std::map<std::string, std::string> &Addresses) = 0;
+  /// The other VMs that are registered in the store.
+  virtual void setRegisteredVms(const registered_vms &Vms) = 0;
   /// Addresses at which VMs may be.
   virtual void addSeeds(const std::vector<std::string> &Addresses) = 0;
 
@@ -83,9 +94,11 @@
   virtual void onConnectFailed(const std::string &Address) = 0;
 
   [[nodiscard]] virtual const configuration *current() const = 0;
-  /// Whether jobs can be served: there is a configuration and a placer, and this VM is not draining.
+  /// Whether jobs can be served: there is a configuration and a VM that dispatches, and this VM is not
+  /// draining.
   [[nodiscard]] virtual bool ready() const = 0;
-  virtual job_coordinator &coordinator() = 0;
+  /// Jobs of this VM's callers.
+  virtual job_desk &jobs() = 0;
   /// Cancels a job wherever it is; OnDone tells whether it was found.
   virtual void cancel(std::uint64_t Job, std::function<void(bool Found)> OnDone) = 0;
   /// Jobs of a queue that wait on any VM in contact.
--- a/include/yuccaplank/dispatch/fleet_view.hpp
+++ b/include/yuccaplank/dispatch/fleet_view.hpp
@@ -40,7 +40,7 @@
   enum class kind : std::uint8_t {
     /// In contact after having been lost or unknown.
     Found,
-    /// In contact again after a connection broke; messages may have been lost.
+    /// In contact again after a connection broke, so that messages may have been lost; or with another role.
     Resumed,
     Lost,
   } Kind = kind::Found;
@@ -75,15 +75,19 @@
   virtual void introduceAgain() = 0;
   /// Whether enough is known to claim servers and to place tasks.
   [[nodiscard]] virtual bool introduced() const = 0;
-  /// The registered VM that was paused least often, of these the one that registered first; a draining one
+  /// The dispatching VM that was paused least often, of these the one that registered first; a draining one
   /// only when there is no other. Empty when there is none.
   [[nodiscard]] virtual std::string placer() const = 0;
   /// The VM that should own the servers of a rack: one of the rack's failure domain if any lives there, each
   /// in proportion to its strength; a draining one only when there is no other. Empty when there is none.
   [[nodiscard]] virtual std::string ownerOf(const std::string &Rack, const std::string &Domain) const = 0;
-  /// Highest term that any VM has told.
-  /// Rises whenever placer() or ownerOf() may have changed.
+  /// The other VM that should coordinate a job which this VM relays: one of its own failure domain if any is
+  /// in contact, each in proportion to its strength; a draining one only when there is no other. Empty when
+  /// there is none.
+  [[nodiscard]] virtual std::string dispatcherFor(std::uint64_t Job, const std::string &Domain) const = 0;
+  /// Rises whenever placer(), ownerOf() or dispatcherFor() may have changed.
   [[nodiscard]] virtual std::uint64_t version() const = 0;
+  /// Highest term that any VM has told.
   [[nodiscard]] virtual std::uint32_t highestTerm() const = 0;
 };
 
--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -1,8 +1,7 @@
 // The coordinator: jobs of the callers that are connected to this VM, from submission to answer.
 #pragma once
 
-#include "yuccaplank/dispatch/configuration.hpp"
-#include "yuccaplank/dispatch/job_answer.hpp"
+#include "yuccaplank/dispatch/job_desk.hpp"
 #include "yuccaplank/dispatch/messages.hpp"
 #include "yuccaplank/runtime/executor.hpp"
 
@@ -14,19 +13,6 @@
 
 namespace yuccaplank::dispatch {
 
-/// A job of equal tasks as a caller has submitted it.
-struct job_request {
-  std::uint64_t Job = 0;
-  std::string Specification;
-  std::uint32_t TaskCount = 0;
-  schema::task_size TaskSize;
-  std::uint32_t EstimateMs = 0;
-  /// How long the caller waits for the answer.
-  runtime::duration Deadline{};
-};
-
-enum class job_state : std::uint8_t { Queued, Running };
-
 struct coordinator_options {
   /// After losing contact with the owner of a run's server, the run counts as gone after this time unless
   /// another owner reports it: the lost owner stops it within its own silence limit, and without an owner its
@@ -37,8 +23,9 @@
   /// Pause before a task whose start was refused is placed again, so that a stale view of a server does not
   /// cause a burst of refusals.
   runtime::duration ReplaceDelay = std::chrono::milliseconds(5);
-  /// Without a placer in sight, new jobs are refused after this time.
-  runtime::duration PlacerWait = std::chrono::milliseconds(300);
+  /// Without a placer in sight, new jobs are refused after this time, which is longer than the introduction
+  /// of a fleet that has just started.
+  runtime::duration PlacerWait = std::chrono::milliseconds(800);
 };
 
 struct coordinator_counters {
@@ -68,17 +55,8 @@
   virtual void answer(std::uint64_t Job, const job_answer &Answer) = 0;
 };
 
-class job_coordinator {
+class job_coordinator : public job_desk {
 public:
-  virtual ~job_coordinator() = default;
-  /// False when a job with this id is in progress here; the caller then waits for the same answer.
-  virtual bool submit(const queue_settings &Queue, job_request Request) = 0;
-  /// The caller has left or cancelled; false when the job is not here.
-  virtual bool cancel(std::uint64_t Job, end_reason Reason) = 0;
-  [[nodiscard]] virtual bool contains(std::uint64_t Job) const = 0;
-  /// State of a job in progress here.
-  [[nodiscard]] virtual job_state state(std::uint64_t Job) const = 0;
-  [[nodiscard]] virtual std::size_t size() const = 0;
   /// Jobs of which no task has been started, by queue.
   [[nodiscard]] virtual std::map<std::string, std::uint32_t> waiting() const = 0;
 
@@ -92,8 +70,8 @@
   virtual void onPlacerChanged() = 0;
   /// Contact with the VM is lost.
   virtual void onVmLost(const std::string &Vm) = 0;
-  /// A new session with the VM begins: tells it which runs are counted on. Answer: the VM has begun it.
-  virtual void onVmResumed(const std::string &Vm, bool Answer) = 0;
+  /// A new session with the VM begins: sends it Resume with the runs that are counted on.
+  virtual void onVmResumed(const std::string &Vm, schema::resume_session Resume) = 0;
   [[nodiscard]] virtual const coordinator_counters &counters() const = 0;
 };
 
--- /dev/null
+++ b/include/yuccaplank/dispatch/relay_options.hpp
@@ -0,0 +1,18 @@
+// Times of jobs that another VM coordinates.
+#pragma once
+
+#include "yuccaplank/runtime/clock.hpp"
+
+namespace yuccaplank::dispatch {
+
+struct relay_options {
+  /// After losing contact with the dispatching VM, its runs of the job count as gone after this time: it
+  /// stops them within its silence limit, and if it has died, the owners of the servers do.
+  runtime::duration OrphanTime = std::chrono::milliseconds(1200);
+  /// Without a dispatching VM in contact, jobs are refused after this time.
+  runtime::duration DispatcherWait = std::chrono::milliseconds(800);
+  /// The dispatching VM's own answer at the deadline arrives within this time.
+  runtime::duration AnswerTime = std::chrono::milliseconds(100);
+};
+
+} // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/bounds.cpp
+++ b/src/yuccaplank/dispatch/bounds.cpp
@@ -55,7 +55,13 @@
   // Coordinator and owner lose each other: the owner stops the runs before the coordinator starts others.
   bool Apart = Silence + Bounds.StopTime + CallTime < Options.Coordinator.OrphanTime &&
                leaseOver(Ledger) < Options.Coordinator.OrphanTime;
-  return Useful && LeaseGranted && LeaseLasts && AfterCoordinator && AfterBoth && Apart &&
+  // A relaying VM loses the coordinator, or both the coordinator and an owner die: their runs have ended
+  // before the job is passed on. The relaying VM may notice at once, the owners only by silence.
+  bool Relayed =
+      Silence + Bounds.StopTime + 2 * CallTime < Options.Relay.OrphanTime &&
+      leaseOver(Ledger) < Options.Relay.OrphanTime &&
+      Silence + CallTime + Ledger.AdoptionTime + Bounds.StopTime + CallTime < Options.Relay.OrphanTime;
+  return Useful && LeaseGranted && LeaseLasts && AfterCoordinator && AfterBoth && Apart && Relayed &&
          Options.Coordinator.OrphanTime < Bounds.Resend;
 }
 
--- a/src/yuccaplank/dispatch/cancel_exchanges.hpp
+++ b/src/yuccaplank/dispatch/cancel_exchanges.hpp
@@ -1,5 +1,5 @@
-// Cancels of jobs that another VM may coordinate: asks all VMs in contact and waits for the first that has
-// the job.
+// Cancels of jobs that another VM may coordinate: asks VMs in contact and waits for the first that has the
+// job.
 #pragma once
 
 #include "yuccaplank/dispatch/messages.hpp"
@@ -18,15 +18,16 @@
 public:
   using done_function = std::function<void(bool Found)>;
 
-  cancel_exchanges(runtime::executor &Executor, send_function Send, runtime::duration Timeout)
-      : Executor(Executor), Send(std::move(Send)), Timeout(Timeout) {}
+  cancel_exchanges(runtime::executor &Executor, send_function Send)
+      : Executor(Executor), Send(std::move(Send)) {}
   cancel_exchanges(const cancel_exchanges &) = delete;
   cancel_exchanges &operator=(const cancel_exchanges &) = delete;
   ~cancel_exchanges();
 
   /// OnDone runs once: with true when a VM had the job, with false when all have answered or the time is
   /// over.
-  void ask(std::uint64_t Job, const std::vector<std::string> &Vms, done_function OnDone);
+  void ask(std::uint64_t Job, const std::vector<std::string> &Vms, runtime::duration Timeout,
+           done_function OnDone);
   void onReply(const std::string &Vm, const schema::cancel_submitted_reply &Reply);
 
 private:
@@ -39,7 +40,6 @@
 
   runtime::executor &Executor;
   send_function Send;
-  runtime::duration Timeout;
   std::map<std::uint64_t, exchange> Open;
   std::uint64_t LastId = 0;
 };
--- /dev/null
+++ b/src/yuccaplank/dispatch/contact_plan.cpp
@@ -0,0 +1,58 @@
+#include "yuccaplank/dispatch/contact_plan.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace yuccaplank::dispatch {
+
+std::set<std::string> chooseDispatchers(const registered_vms &Vms, std::size_t PerDomain) {
+  std::map<std::string, std::vector<registered_vms::const_pointer>> Domains;
+  for (const auto &Vm : Vms)
+    Domains[Vm.second.Domain].push_back(&Vm);
+  std::set<std::string> Chosen;
+  for (auto &[Domain, Members] : Domains) {
+    // By name among equally strong ones, so that a restart changes nothing.
+    std::ranges::sort(Members, [](const auto *Left, const auto *Right) {
+      return std::tie(Right->second.Strength, Left->first) < std::tie(Left->second.Strength, Right->first);
+    });
+    for (std::size_t Index = 0; Index < std::min(PerDomain, Members.size()); ++Index)
+      Chosen.insert(Members[Index]->first);
+  }
+  return Chosen;
+}
+
+std::set<std::string> contactsOfRelay(const registered_vms &Vms, const std::set<std::string> &Dispatchers,
+                                      const std::string &Domain,
+                                      const std::function<bool(const std::string &)> &InContact) {
+  std::set<std::string> Near;
+  for (const std::string &Vm : Dispatchers)
+    if (auto Found = Vms.find(Vm); Found != Vms.end() && Found->second.Domain == Domain)
+      Near.insert(Vm);
+  return std::ranges::any_of(Near, InContact) ? Near : Dispatchers;
+}
+
+void dispatching_decision::onRegistered(runtime::time_point Now, bool Returning) {
+  if (!DecidesAt)
+    DecidesAt = Returning ? Now : Now + Options.SettleTime;
+}
+
+bool dispatching_decision::update(runtime::time_point Now, bool Chosen) {
+  if (!DecidesAt || Now < *DecidesAt)
+    return false;
+  bool First = !std::exchange(Decided, true);
+  if (Chosen == Dispatches) {
+    DiffersSince.reset();
+    return Dispatches;
+  }
+  if (!DiffersSince)
+    DiffersSince = Now;
+  if (First || Now - *DiffersSince >= Options.ChangeDelay) {
+    Dispatches = Chosen;
+    DiffersSince.reset();
+  }
+  return Dispatches;
+}
+
+} // namespace yuccaplank::dispatch
--- /dev/null
+++ b/src/yuccaplank/dispatch/contact_plan_test.cpp
@@ -0,0 +1,95 @@
+#include "yuccaplank/dispatch/contact_plan.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+#include <cppunit/TestAssert.h>
+#include <fmt/format.h>
+
+using namespace yuccaplank;
+using namespace yuccaplank::dispatch;
+using testing::section;
+using testing::story;
+
+namespace {
+
+registered_vms fleet(std::uint32_t Vms, std::uint32_t Domains) {
+  registered_vms Result;
+  for (std::uint32_t Index = 0; Index < Vms; ++Index)
+    Result[fmt::format("vm{:03}", Index)] = {fmt::format("a{}", Index), fmt::format("d{}", Index % Domains),
+                                             Index / Domains == 4 ? 500U : 90U};
+  return Result;
+}
+
+// Guards against work of a VM that grows with the fleet, and against failure domains without a dispatcher.
+const story Choice("contact plan: who dispatches", [] {
+  if (auto Given = section("given a small fleet, all VMs dispatch")) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, chooseDispatchers(fleet(6, 2), 3).size());
+  }
+  if (auto Given = section("given hundreds of VMs, three of each domain do, the strongest first")) {
+    auto Chosen = chooseDispatchers(fleet(300, 6), 3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{18}, Chosen.size());
+    for (std::uint32_t Strong = 24; Strong < 30; ++Strong)
+      CPPUNIT_ASSERT(Chosen.contains(fmt::format("vm{:03}", Strong)));
+  }
+  if (auto Given =
+          section("given an entry without a strength, as another version writes it, it comes last")) {
+    auto Vms = fleet(4, 1);
+    Vms["vm000"].Strength = 0;
+    CPPUNIT_ASSERT(!chooseDispatchers(Vms, 3).contains("vm000"));
+  }
+});
+
+// Guards against callers of a failure domain that are not served because its dispatchers are lost, and
+// against contact with a whole fleet in ordinary times.
+const story Contacts("contact plan: whom a relaying VM contacts", [] {
+  auto Vms = fleet(60, 6);
+  auto Dispatchers = chooseDispatchers(Vms, 3);
+  if (auto Given =
+          section("given a dispatcher of its domain in contact, it contacts only those of its domain")) {
+    auto Contacts =
+        contactsOfRelay(Vms, Dispatchers, "d1", [](const std::string &Vm) { return Vm == "vm025"; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Contacts.size());
+    for (const std::string &Vm : Contacts)
+      CPPUNIT_ASSERT_EQUAL(std::string("d1"), Vms.at(Vm).Domain);
+  }
+  if (auto Given = section("given none in contact, it tries all dispatchers")) {
+    CPPUNIT_ASSERT(contactsOfRelay(Vms, Dispatchers, "d1", [](const std::string &) { return false; }) ==
+                   Dispatchers);
+  }
+  if (auto Given = section("given a dispatcher whose entry is missing, it is passed over")) {
+    Dispatchers.insert("vm999");
+    auto Contacts = contactsOfRelay(Vms, Dispatchers, "d1", [](const std::string &) { return true; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Contacts.size());
+  }
+});
+
+// Guards against roles that move twice when a VM restarts, and against a fleet in which each VM that starts
+// believes itself the first of its domain.
+const story Decision("contact plan: when a VM takes up the role", [] {
+  dispatching_options Options;
+  dispatching_decision Role(Options);
+  runtime::time_point Start{};
+  CPPUNIT_ASSERT(!Role.update(Start, true));
+  if (auto Given = section("given a VM that was registered before, it takes it up at once")) {
+    Role.onRegistered(Start, true);
+    CPPUNIT_ASSERT(Role.update(Start, true));
+    if (auto When = section("a short loss of the choice changes nothing, a longer one does")) {
+      CPPUNIT_ASSERT(Role.update(Start + Options.SettleTime, false));
+      CPPUNIT_ASSERT(Role.update(Start + 2 * Options.SettleTime, true));
+      auto Lost = Start + 3 * Options.SettleTime;
+      CPPUNIT_ASSERT(Role.update(Lost, false));
+      CPPUNIT_ASSERT(!Role.update(Lost + Options.ChangeDelay, false));
+    }
+  }
+  if (auto Given = section("given a first start, it waits for the entries of the others")) {
+    Role.onRegistered(Start, false);
+    CPPUNIT_ASSERT(!Role.update(Start, true));
+    CPPUNIT_ASSERT(!Role.update(Start + Options.SettleTime, false));
+    if (auto When = section("a VM that is not chosen takes it up when it has been chosen for some time")) {
+      auto Chosen = Start + 2 * Options.SettleTime;
+      CPPUNIT_ASSERT(!Role.update(Chosen, true));
+      CPPUNIT_ASSERT(Role.update(Chosen + Options.ChangeDelay, true));
+    }
+  }
+});
+
+} // namespace
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -1,6 +1,9 @@
 #include "yuccaplank/dispatch/entry_vm.hpp"
 #include "cancel_exchanges.hpp"
 #include "fleet_reports.hpp"
+#include "job_relay.hpp"
+#include "job_router.hpp"
+#include "job_waiters.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
@@ -18,6 +21,8 @@
 constexpr std::uint64_t HeartbeatsToPeerList = 10;
 constexpr std::size_t ManyWaitingJobs = 100;
 constexpr auto BusyScheduleDelay = std::chrono::milliseconds(2);
+// A VM that has not been in contact for this time is taken as removed for good.
+constexpr auto StaleTime = std::chrono::seconds(15);
 // Queued jobs are looked at this often even when nothing else happens, so that refusals are not late.
 constexpr auto ScheduleInterval = std::chrono::milliseconds(10);
 
@@ -31,11 +36,17 @@
             [this](const std::string &Vm, schema::dispatch_message Message) { send(Vm, std::move(Message)); },
             Options.Placement)),
         Jobs(makeJobCoordinator(Executor, *this, Options.Coordinator)),
-        Owner(makeServerOwner(Executor, *this, Options.Ledger)),
-        Cancels(
-            Executor,
+        Owner(makeServerOwner(Executor, *this, Options.Ledger)), RelaySide(*this),
+        Relay(makeJobRelay(Executor, RelaySide, Options.Relay)),
+        Waiters(
+            *Jobs,
             [this](const std::string &Vm, schema::dispatch_message Message) { send(Vm, std::move(Message)); },
-            Options.CancelTimeout) {
+            [this](std::uint64_t Job, const job_answer &Answer) { this->Ports.answer(Job, Answer); }),
+        Router(*Jobs, Waiters, *Relay, [this] { return relaysNewJobs(); }),
+        Cancels(Executor, [this](const std::string &Vm,
+                                 schema::dispatch_message Message) { send(Vm, std::move(Message)); }),
+        Decision(Options.Dispatching) {
+    Self.set_role(schema::VM_RELAYS);
     Self.set_vm(Options.Vm);
     Self.set_address(Options.Address);
     Self.set_domain(Options.Domain);
@@ -50,8 +61,10 @@
   entry_vm_impl &operator=(const entry_vm_impl &) = delete;
   ~entry_vm_impl() override = default;
 
-  void setRegistration(std::uint64_t Version) override {
+  void setRegistration(std::uint64_t Version, bool Returning) override {
     Self.set_registration(Version);
+    Decision.onRegistered(Executor.clock().now(), Returning);
+    chooseAgain();
     statusChanged();
   }
 
@@ -79,16 +92,9 @@
 
   void setServers(const std::vector<server_entry> &Servers) override { Owner->setServers(Servers); }
 
-  void setRegisteredVms(const std::map<std::string, std::string> &Addresses) override {
-    for (const auto &[Vm, Address] : Addresses)
-      View->learn(Vm, Address);
-    std::vector<std::string> Removed;
-    for (const auto &[Vm, Known] : View->others())
-      if (!Addresses.contains(Vm) && Registered.contains(Vm))
-        Removed.push_back(Vm);
-    for (const std::string &Vm : Removed)
-      View->forget(Vm);
-    Registered = Addresses;
+  void setRegisteredVms(const registered_vms &Vms) override {
+    Registered = Vms;
+    chooseAgain();
     tryOthers();
   }
 
@@ -112,7 +118,9 @@
   void onClosed(const std::string &Vm) override {
     View->broken(Vm);
     auto Found = View->others().find(Vm);
-    if (Found != View->others().end() && Found->second.Alive)
+    // Who does not want contact would be met again and again.
+    bool Wanted = Registered.empty() || contacts().contains(Vm);
+    if (Wanted && Found != View->others().end() && Found->second.Alive)
       sendStatus(Vm, Found->second.Address);
   }
 
@@ -128,30 +136,37 @@
 
   [[nodiscard]] const configuration *current() const override { return Current.get(); }
   [[nodiscard]] bool ready() const override { return Current && !Self.draining() && !View->placer().empty(); }
-  job_coordinator &coordinator() override { return *Jobs; }
+  job_desk &jobs() override { return Router; }
 
   void cancel(std::uint64_t Job, std::function<void(bool)> OnDone) override {
-    if (Jobs->cancel(Job, end_reason::Cancelled)) {
+    if (Relay->cancel(Job, end_reason::Cancelled) || Jobs->cancel(Job, end_reason::Cancelled)) {
       OnDone(true);
       return;
     }
-    std::vector<std::string> Vms;
-    for (const auto &[Vm, Known] : View->others())
-      if (Known.Alive)
-        Vms.push_back(Vm);
-    Cancels.ask(Job, Vms, std::move(OnDone));
+    if (!relays()) {
+      Cancels.ask(Job, coordinatingVms(), Options.CancelTimeout, std::move(OnDone));
+      return;
+    }
+    // The dispatching VM asks the others in turn.
+    std::string Dispatcher = View->dispatcherFor(Job, Options.Domain);
+    std::vector<std::string> Asked;
+    if (!Dispatcher.empty())
+      Asked.push_back(Dispatcher);
+    Cancels.ask(Job, Asked, 2 * Options.CancelTimeout, std::move(OnDone));
   }
 
   [[nodiscard]] std::uint32_t waiting(const std::string &QueueName) const override {
-    std::uint32_t Sum = 0;
-    auto Own = Jobs->waiting();
-    if (auto Found = Own.find(QueueName); Found != Own.end())
-      Sum += Found->second;
+    if (!relays()) {
+      auto Lengths = fleetWaiting();
+      auto Found = Lengths.find(QueueName);
+      return Found == Lengths.end() ? 0 : Found->second;
+    }
+    std::uint32_t Most = 0;
     for (const auto &[Vm, Known] : View->others())
-      for (const schema::queue_length &Length : Known.Status.queues())
+      for (const schema::queue_length &Length : Known.Status.fleet_queues())
         if (Known.Alive && Length.queue() == QueueName)
-          Sum += Length.waiting();
-    return Sum;
+          Most = std::max(Most, Length.waiting());
+    return Most;
   }
 
   void onPause() override {
@@ -159,7 +174,10 @@
     View->introduceAgain();
     Self.set_pauses(Self.pauses() + 1);
     View->setSelf(Self);
+    std::vector<std::string> Names;
     for (const auto &[Vm, Known] : View->others())
+      Names.push_back(Vm);
+    for (const std::string &Vm : Names)
       apply(View->lost(Vm));
     Owner->onPause();
     tryOthers();
@@ -172,8 +190,11 @@
   }
 
   [[nodiscard]] entry_vm_state state() const override {
-    entry_vm_state State{
-        Jobs->counters(), Owner->counters(), Queue->counters(), Owner->counts(), Jobs->size(), 0, Placing};
+    entry_vm_state State{Jobs->counters(), Owner->counters(), Queue->counters(), Owner->counts()};
+    State.Jobs = Jobs->size();
+    State.RelayedJobs = Relay->size();
+    State.Dispatching = Self.role() == schema::VM_DISPATCHES;
+    State.Placing = Placing;
     State.VmsInContact = static_cast<std::size_t>(
         std::ranges::count_if(View->others(), [](const auto &Entry) { return Entry.second.Alive; }));
     return State;
@@ -191,11 +212,25 @@
     }
     for (const schema::server_state &State : Owner->states())
       *Report.add_servers() = makeServerReport(State, Options.Vm);
-    fillQueues(*Report.mutable_queues());
+    fillQueues(Jobs->waiting(), *Report.mutable_queues());
     return Report;
   }
 
 private:
+  // What the relay needs of this VM.
+  struct relay_side final : relay_ports {
+    explicit relay_side(entry_vm_impl &Vm) : Vm(Vm) {}
+    void send(const std::string &To, schema::dispatch_message Message) override {
+      Vm.send(To, std::move(Message));
+    }
+    [[nodiscard]] std::string dispatcherFor(std::uint64_t Job) const override {
+      return Vm.View->dispatcherFor(Job, Vm.Options.Domain);
+    }
+    [[nodiscard]] std::uint32_t session(const std::string &Other) const override { return Vm.session(Other); }
+    void answer(std::uint64_t Job, const job_answer &Answer) override { Vm.Ports.answer(Job, Answer); }
+    entry_vm_impl &Vm;
+  };
+
   // Ports of the roles.
 
   void send(const std::string &Vm, schema::dispatch_message Message) override {
@@ -210,7 +245,7 @@
 
   void broadcast(const schema::dispatch_message &Message) override {
     send(Options.Vm, Message);
-    for (const auto &[Vm, Known] : View->others())
+    for (const std::string &Vm : coordinatingVms())
       send(Vm, Message);
   }
 
@@ -220,7 +255,7 @@
     auto Found = Sessions.find(Vm);
     return Found == Sessions.end() ? 0 : Found->second;
   }
-  void answer(std::uint64_t Job, const job_answer &Answer) override { Ports.answer(Job, Answer); }
+  void answer(std::uint64_t Job, const job_answer &Answer) override { Waiters.onAnswer(Job, Answer); }
   server_orders &orders() override { return Ports.orders(); }
   [[nodiscard]] bool shouldOwn(const std::string &Rack, const std::string &Domain) const override {
     if (!View->introduced())
@@ -321,6 +356,17 @@
       for (const schema::owned_server &Owned : Message.owned().servers())
         Owner->onClaimedElsewhere(From, Owned.server(), Owned.token());
       break;
+    case schema::dispatch_message::kRelay:
+      // A VM that has been lost counts its jobs as given up.
+      if (View->alive(From))
+        Waiters.onRelayed(From, Message.relay());
+      break;
+    case schema::dispatch_message::kRelayed:
+      Relay->onAnswer(From, Message.relayed());
+      break;
+    case schema::dispatch_message::kWithdrawRelayed:
+      Waiters.onWithdrawn(From, Message.withdraw_relayed());
+      break;
     case schema::dispatch_message::BODY_NOT_SET:
       break;
     }
@@ -328,8 +374,9 @@
 
   void onStatus(const schema::vm_status &Status) {
     apply(View->heard(Status));
+    // Without entries from the store, contact spreads from the VMs that answer.
     for (const schema::vm_address &Peer : Status.peers())
-      if (!View->others().contains(Peer.vm()))
+      if (Registered.empty() && !View->others().contains(Peer.vm()))
         View->learn(Peer.vm(), Peer.address());
     offerConfiguration(Status);
     if (View->version() != ReviewedVersion)
@@ -350,6 +397,7 @@
 
   void onResume(const std::string &From, const schema::resume_session &Session) {
     Owner->onResume(From, Session);
+    Waiters.onResume(From, Session);
     // The other end has noticed a break that this end may have missed.
     if (Session.answer() || From == Options.Vm)
       return;
@@ -358,10 +406,19 @@
   }
 
   void onCancel(const std::string &From, const schema::cancel_submitted &Request) {
-    schema::dispatch_message Message;
-    Message.mutable_cancelled()->set_exchange(Request.exchange());
-    Message.mutable_cancelled()->set_found(Jobs->cancel(Request.job(), end_reason::Cancelled));
-    send(From, std::move(Message));
+    auto Answer = [this, From, Exchange = Request.exchange()](bool Found) {
+      schema::dispatch_message Message;
+      Message.mutable_cancelled()->set_exchange(Exchange);
+      Message.mutable_cancelled()->set_found(Found);
+      send(From, std::move(Message));
+    };
+    bool Found = Jobs->cancel(Request.job(), end_reason::Cancelled);
+    auto Asking = View->others().find(From);
+    bool AsksForAll = Asking != View->others().end() && Asking->second.Status.role() == schema::VM_RELAYS;
+    if (Found || !AsksForAll)
+      Answer(Found);
+    else
+      Cancels.ask(Request.job(), coordinatingVms(), Options.CancelTimeout, Answer);
   }
 
   // Contact with other VMs.
@@ -388,19 +445,38 @@
 
   void begin(const std::string &Vm) {
     resume(Vm, false);
-    Owner->tellOwned(Vm);
     OfferedVersions.erase(Vm);
+    if (coordinates(Vm))
+      Owner->tellOwned(Vm);
     tellPlacing(Vm);
   }
 
   void resume(const std::string &Vm, bool Answer) {
-    ++Sessions[Vm];
-    Jobs->onVmResumed(Vm, Answer);
+    schema::resume_session Session;
+    Session.set_session(++Sessions[Vm]);
+    Session.set_answer(Answer);
+    Relay->resume(Vm, Session);
+    Jobs->onVmResumed(Vm, std::move(Session));
+  }
+
+  // Whether the VM may coordinate jobs, so that it has to know who owns which servers.
+  [[nodiscard]] bool coordinates(const std::string &Vm) const {
+    auto Found = View->others().find(Vm);
+    return Found != View->others().end() && Found->second.Alive &&
+           Found->second.Status.role() != schema::VM_RELAYS;
+  }
+
+  [[nodiscard]] std::vector<std::string> coordinatingVms() const {
+    std::vector<std::string> Vms;
+    for (const auto &[Vm, Known] : View->others())
+      if (coordinates(Vm))
+        Vms.push_back(Vm);
+    return Vms;
   }
 
   // What placer and coordinators have told before may be lost.
   void tellPlacing(const std::string &Vm) {
-    if (Placing)
+    if (Placing && coordinates(Vm))
       send(Vm, subscription(false));
     if (Vm == Placer)
       Jobs->onPlacerChanged();
@@ -410,54 +486,129 @@
     log(log_level::Warning, "vm_lost", {{"vm", Vm}});
     Ports.disconnect(Vm);
     forgetSessions(Vm);
+    if (!Registered.empty() && !contacts().contains(Vm))
+      View->forget(Vm);
   }
 
   void forgetSessions(const std::string &Vm) {
     Queue->dropVm(Vm);
     Owner->onVmLost(Vm);
     Jobs->onVmLost(Vm);
+    Waiters.onVmLost(Vm);
+    Relay->onVmLost(Vm);
   }
 
-  void sendHeartbeats() { sendStatusWhere(true, ++Heartbeats % HeartbeatsToPeerList == 0); }
+  [[nodiscard]] bool relays() const { return Self.role() == schema::VM_RELAYS; }
+
+  // A VM that dispatches and does not know the placer yet relays while it can.
+  [[nodiscard]] bool relaysNewJobs() const {
+    if (Self.role() != schema::VM_DISPATCHES)
+      return true;
+    return Placer.empty() && !View->dispatcherFor(0, Options.Domain).empty();
+  }
+
+  // VMs that this one keeps in contact with; others may contact it.
+  [[nodiscard]] std::set<std::string> contacts() const {
+    std::set<std::string> Names = Dispatchers;
+    if (relays()) {
+      Names = contactsOfRelay(Registered, Dispatchers, Options.Domain,
+                              [this](const std::string &Vm) { return View->alive(Vm); });
+      Names.merge(Relay->dispatchers());
+    }
+    Names.erase(Options.Vm);
+    return Names;
+  }
+
+  void sendHeartbeats() {
+    bool WithPeers = ++Heartbeats % HeartbeatsToPeerList == 0;
+    schema::dispatch_message ToDispatchers = makeStatus(WithPeers, false);
+    schema::dispatch_message ToRelays = makeStatus(WithPeers, true);
+    std::set<std::string> Contacts = contacts();
+    for (const auto &[Vm, Known] : View->others()) {
+      bool IsRelay = Known.Status.role() == schema::VM_RELAYS;
+      if (Known.Alive && (!relays() || Registered.empty() || Contacts.contains(Vm)))
+        Ports.send(Vm, Known.Address, IsRelay ? ToRelays : ToDispatchers);
+    }
+  }
 
   void tryOthers() {
-    sendStatusWhere(false, true);
-    if (std::ranges::any_of(View->others(), [](const auto &Entry) { return Entry.second.Alive; }))
-      return;
+    for (const std::string &Vm : contacts())
+      if (auto Found = Registered.find(Vm); Found != Registered.end())
+        View->learn(Vm, Found->second.Address);
+    forgetStrangers();
+    schema::dispatch_message Message = makeStatus(true, false);
+    bool AnyAlive = false;
+    for (const auto &[Vm, Known] : View->others()) {
+      AnyAlive |= Known.Alive;
+      if (!Known.Alive)
+        Ports.send(Vm, Known.Address, Message);
+    }
     for (const std::string &Seed : Seeds)
-      if (Seed != Options.Address)
+      if (!AnyAlive && Seed != Options.Address)
         sendStatus("", Seed);
+    reportStaleVms();
   }
 
-  // To all VMs that are in contact, or to all that are not.
-  void sendStatusWhere(bool IsAlive, bool WithPeers) {
-    schema::dispatch_message Message = makeStatus(WithPeers);
+  // VMs out of contact with which no contact is wanted any more.
+  void forgetStrangers() {
+    if (Registered.empty())
+      return;
+    std::set<std::string> Contacts = contacts();
+    std::vector<std::string> Strangers;
     for (const auto &[Vm, Known] : View->others())
-      if (Known.Alive == IsAlive)
-        Ports.send(Vm, Known.Address, Message);
+      if (!Known.Alive && !Contacts.contains(Vm))
+        Strangers.push_back(Vm);
+    for (const std::string &Vm : Strangers)
+      View->forget(Vm);
+  }
+
+  // Entries of VMs that were removed without a signal stay in the store and take the place of others.
+  void reportStaleVms() {
+    if (!Placing)
+      return;
+    time_point Now = Executor.clock().now();
+    for (const auto &[Vm, Known] : View->others())
+      if (Dispatchers.contains(Vm) && !Known.Alive &&
+          Now - std::max(Known.LastHeard, PlacingSince) > StaleTime)
+        Ports.registrationStale(Vm);
   }
 
   void sendStatus(const std::string &Vm, const std::string &Address) {
-    Ports.send(Vm, Address, makeStatus(true));
+    Ports.send(Vm, Address, makeStatus(true, false));
   }
 
-  [[nodiscard]] schema::dispatch_message makeStatus(bool WithPeers) const {
+  [[nodiscard]] schema::dispatch_message makeStatus(bool WithPeers, bool ForRelay) const {
     schema::dispatch_message Message;
     schema::vm_status &Status = *Message.mutable_status();
     Status = Self;
     for (const auto &[Name, Known] : View->others())
-      if (WithPeers && Known.Alive) {
+      if (WithPeers && coordinates(Name)) {
         schema::vm_address &Peer = *Status.add_peers();
         Peer.set_vm(Name);
         Peer.set_address(Known.Address);
       }
-    fillQueues(*Status.mutable_queues());
+    if (ForRelay)
+      fillQueues(fleetWaiting(), *Status.mutable_fleet_queues());
+    else
+      fillQueues(Jobs->waiting(), *Status.mutable_queues());
     return Message;
   }
 
-  // Jobs of this VM's callers that wait, by queue.
-  void fillQueues(google::protobuf::RepeatedPtrField<schema::queue_length> &Queues) const {
-    for (const auto &[Name, Count] : Jobs->waiting()) {
+  using queue_lengths = std::map<std::string, std::uint32_t>;
+
+  // Jobs that wait on any VM in contact.
+  [[nodiscard]] queue_lengths fleetWaiting() const {
+    queue_lengths Lengths = Jobs->waiting();
+    for (const auto &[Vm, Known] : View->others())
+      for (const schema::queue_length &Length : Known.Status.queues())
+        if (Known.Alive)
+          Lengths[Length.queue()] += Length.waiting();
+    return Lengths;
+  }
+
+  static void fillQueues(const queue_lengths &Lengths,
+                         google::protobuf::RepeatedPtrField<schema::queue_length> &Queues) {
+    for (const auto &[Name, Count] : Lengths) {
       schema::queue_length &Length = *Queues.Add();
       Length.set_queue(Name);
       Length.set_waiting(Count);
@@ -473,8 +624,46 @@
 
   // Roles.
 
+  void chooseAgain() {
+    registered_vms Vms = Registered;
+    if (Self.registration() > 0)
+      Vms[Options.Vm] = {Options.Address, Options.Domain, Options.Strength};
+    Dispatchers = chooseDispatchers(Vms, Options.Dispatching.PerDomain);
+    reviewDispatching();
+  }
+
+  void reviewDispatching() {
+    bool Dispatches = Decision.update(Executor.clock().now(), Dispatchers.contains(Options.Vm));
+    schema::vm_role Role = Self.role();
+    if (Dispatches)
+      Role = schema::VM_DISPATCHES;
+    else if (Role == schema::VM_DISPATCHES)
+      Role = schema::VM_RETIRES;
+    else if (Role == schema::VM_RETIRES && Jobs->size() == 0 && Owner->counts().Owned == 0)
+      Role = schema::VM_RELAYS;
+    if (Role != Self.role())
+      changeRole(Role);
+  }
+
+  void changeRole(schema::vm_role Role) {
+    log(log_level::Info, "role_changed",
+        {{"role", schema::vm_role_Name(Role)},
+         {"former", schema::vm_role_Name(Self.role())},
+         {"dispatchers", static_cast<std::int64_t>(Dispatchers.size())}});
+    bool WasRelay = relays();
+    Self.set_role(Role);
+    View->setSelf(Self);
+    if (WasRelay)
+      View->introduceAgain();
+    if (WasRelay != relays())
+      Ports.serversNeeded(!relays());
+    tryOthers();
+    statusChanged();
+  }
+
   void reviewRoles() {
     ReviewedVersion = View->version();
+    Relay->onDispatcherFound();
     std::string Now = View->introduced() ? View->placer() : std::string();
     if (Now != Placer) {
       log(log_level::Info, "placer_changed", {{"placer", Now}, {"former", Placer}});
@@ -486,8 +675,10 @@
   }
 
   void setPlacing(bool Now) {
-    if (std::exchange(Placing, Now) != Now)
-      broadcast(subscription(!Now));
+    if (std::exchange(Placing, Now) == Now)
+      return;
+    PlacingSince = Executor.clock().now();
+    broadcast(subscription(!Now));
   }
 
   static schema::dispatch_message subscription(bool End) {
@@ -517,6 +708,7 @@
 
   void tick() {
     apply(View->tick());
+    reviewDispatching();
     reviewRoles();
     Owner->tick();
   }
@@ -536,10 +728,17 @@
   std::unique_ptr<placement_queue> Queue;
   std::unique_ptr<job_coordinator> Jobs;
   std::unique_ptr<server_owner> Owner;
+  relay_side RelaySide;
+  std::unique_ptr<job_relay> Relay;
+  job_waiters Waiters;
+  job_router Router;
   cancel_exchanges Cancels;
+  dispatching_decision Decision;
   std::unique_ptr<configuration> Current;
   schema::configuration_copy Copy;
-  std::map<std::string, std::string> Registered;
+  registered_vms Registered;
+  // By the entries in the store, this VM included.
+  std::set<std::string> Dispatchers;
   std::vector<std::string> Seeds;
   std::map<std::string, std::string> Incarnations;
   std::map<std::string, std::uint32_t> Sessions;
@@ -552,6 +751,7 @@
   mutable std::uint64_t OwnRacksVersion = 0;
   std::string Placer;
   bool Placing = false;
+  time_point PlacingSince{};
   bool SchedulePosted = false;
   runtime::lifetime Lifetime;
 };
--- a/src/yuccaplank/dispatch/fleet_view.cpp
+++ b/src/yuccaplank/dispatch/fleet_view.cpp
@@ -11,22 +11,24 @@
 
 using runtime::time_point;
 
-// Rendezvous hashing: each VM scores each rack, the highest score wins. A change of one VM moves only its
-// racks.
-double score(const std::string &Rack, const schema::vm_status &Vm) {
+// Rendezvous hashing: each VM scores each key, such as a rack, and the highest score wins. A change of one VM
+// moves only its keys.
+double score(std::string_view Key, const schema::vm_status &Vm) {
   std::uint64_t Hash =
-      XXH3_64bits_withSeed(Rack.data(), Rack.size(), XXH3_64bits(Vm.vm().data(), Vm.vm().size()));
+      XXH3_64bits_withSeed(Key.data(), Key.size(), XXH3_64bits(Vm.vm().data(), Vm.vm().size()));
   constexpr double Range = 18446744073709551616.0;
   double Uniform = (static_cast<double>(Hash) + 0.5) / Range;
   return std::max(1.0, static_cast<double>(Vm.strength())) / -std::log(Uniform);
 }
 
-bool mayLead(const schema::vm_status &Status) { return Status.registration() > 0 && Status.serving(); }
+bool mayLead(const schema::vm_status &Status) {
+  return Status.registration() > 0 && Status.serving() && Status.role() == schema::VM_DISPATCHES;
+}
 
 // What the choice of placer and owners depends on.
 auto leadingPart(const schema::vm_status &Status) {
   return std::tuple(Status.registration(), Status.serving(), Status.draining(), Status.pauses(),
-                    Status.strength(), Status.domain());
+                    Status.strength(), Status.domain(), Status.role());
 }
 
 class fleet_view_impl final : public fleet_view {
@@ -59,12 +61,13 @@
     Vm.LastHeard = Clock.now();
     Vm.Tried = true;
     noteChange(!Vm.Alive || leadingPart(Vm.Status) != leadingPart(Status));
+    bool RoleChanged = Vm.Alive && Vm.Status.role() != Status.role();
     Vm.Status = Status;
     Term = std::max(Term, Status.term());
     bool WasBroken = std::exchange(Vm.Broken, false);
     if (!std::exchange(Vm.Alive, true))
       return {{view_change::kind::Found, Status.vm()}};
-    if (WasBroken)
+    if (WasBroken || RoleChanged)
       return {{view_change::kind::Resumed, Status.vm()}};
     return {};
   }
@@ -130,28 +133,25 @@
   }
 
   [[nodiscard]] std::string placer() const override {
-    const schema::vm_status *Best = nullptr;
-    visitLeaders([&](const schema::vm_status &Status) {
-      auto RankOf = [](const schema::vm_status &Vm) {
-        return std::tuple(Vm.draining(), Vm.pauses(), Vm.registration());
-      };
-      if (!Best || RankOf(Status) < RankOf(*Best))
-        Best = &Status;
+    return best([](const known_vm &, const schema::vm_status &Vm) {
+      return std::tuple(!Vm.draining(), -std::int64_t{Vm.pauses()},
+                        -static_cast<std::int64_t>(Vm.registration()));
     });
-    return Best ? Best->vm() : std::string();
   }
 
   [[nodiscard]] std::string ownerOf(const std::string &Rack, const std::string &Domain) const override {
-    const schema::vm_status *Best = nullptr;
-    std::tuple<bool, bool, double> BestRank;
-    visitLeaders([&](const schema::vm_status &Status) {
-      std::tuple<bool, bool, double> Rank{!Status.draining(), Status.domain() == Domain, score(Rack, Status)};
-      if (!Best || Rank > BestRank) {
-        Best = &Status;
-        BestRank = Rank;
-      }
+    return best([&](const known_vm &, const schema::vm_status &Vm) {
+      return std::tuple(!Vm.draining(), Vm.domain() == Domain, score(Rack, Vm));
     });
-    return Best ? Best->vm() : std::string();
+  }
+
+  [[nodiscard]] std::string dispatcherFor(std::uint64_t Job, const std::string &Domain) const override {
+    std::string_view Key(reinterpret_cast<const char *>(&Job), sizeof(Job));
+    std::string Best = best([&](const known_vm &Known, const schema::vm_status &Vm) {
+      bool IsOther = Vm.vm() != Self.vm();
+      return std::tuple(IsOther, !Vm.draining() && !Known.Broken, Vm.domain() == Domain, score(Key, Vm));
+    });
+    return Best == Self.vm() ? std::string() : Best;
   }
 
   [[nodiscard]] std::uint64_t version() const override { return Version; }
@@ -160,12 +160,23 @@
 private:
   void noteChange(bool Changed) { Version += Changed ? 1 : 0; }
 
-  template <typename Visitor> void visitLeaders(Visitor Visit) const {
+  // The dispatching VM of the highest rank; empty when there is none.
+  template <typename Ranking> [[nodiscard]] std::string best(Ranking RankOf) const {
+    const schema::vm_status *Best = nullptr;
+    decltype(RankOf(known_vm(), Self)) BestRank;
+    auto Consider = [&](const known_vm &Known, const schema::vm_status &Status) {
+      auto Rank = RankOf(Known, Status);
+      if (!Best || Rank > BestRank) {
+        Best = &Status;
+        BestRank = Rank;
+      }
+    };
     if (mayLead(Self))
-      Visit(Self);
+      Consider(known_vm(), Self);
     for (const auto &[Name, Vm] : Others)
       if (Vm.Alive && mayLead(Vm.Status))
-        Visit(Vm.Status);
+        Consider(Vm, Vm.Status);
+    return Best ? Best->vm() : std::string();
   }
 
   const runtime::clock &Clock;
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -70,10 +70,11 @@
     coordinated_job &Job = Entry->second;
     Job.Request = std::move(Request);
     Job.Queue = Queue;
-    Job.Arrived = now();
+    Job.Arrived = now() - Job.Request.Age;
     Job.Objective = runtime::fromMs(Queue.Stretch * Job.Request.EstimateMs + Queue.LatencyMs);
     Job.Tasks.resize(Job.Request.TaskCount);
-    Job.DeadlineTimer = Executor.after(Job.Request.Deadline, [this, Id] { onDeadline(Id); });
+    Job.DeadlineTimer =
+        Executor.after(Job.Request.Deadline - Job.Request.Age, [this, Id] { onDeadline(Id); });
     ++Counters.Submitted;
     if (Ports.placer().empty())
       Job.PlacerTimer = Executor.after(Options.PlacerWait, [this, Id] { refuseWithoutPlacer(Id); });
@@ -200,11 +201,10 @@
     orphan([&](const task_state &Task) { return Task.Owner == Vm; });
   }
 
-  void onVmResumed(const std::string &Vm, bool Answer) override {
+  void onVmResumed(const std::string &Vm, schema::resume_session Begun) override {
     schema::dispatch_message Message;
     schema::resume_session &Resume = *Message.mutable_resume();
-    Resume.set_session(Ports.session(Vm));
-    Resume.set_answer(Answer);
+    Resume = std::move(Begun);
     for (const run_key &Run : runsWhere([&](const task_state &Task) { return Task.Owner == Vm; })) {
       task_state &Task = *taskOf(*jobOf(Run), Run);
       cancelTimer(Task.OrphanTimer);
--- /dev/null
+++ b/src/yuccaplank/dispatch/job_waiters_test.cpp
@@ -0,0 +1,120 @@
+#include "job_waiters.hpp"
+#include "relay_messages.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+#include <cppunit/TestAssert.h>
+
+#include <vector>
+
+using namespace yuccaplank;
+using namespace yuccaplank::dispatch;
+using std::chrono::milliseconds;
+using testing::section;
+using testing::story;
+
+namespace {
+
+constexpr std::uint64_t Job = 7;
+
+struct vm final : coordinator_ports {
+  std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
+  std::vector<std::pair<std::string, schema::dispatch_message>> Sent;
+  int CallerAnswers = 0;
+  std::unique_ptr<job_coordinator> Jobs = makeJobCoordinator(*Executor, *this);
+  job_waiters Waiters{*Jobs,
+                      [this](const std::string &Vm, schema::dispatch_message Message) {
+                        Sent.emplace_back(Vm, std::move(Message));
+                      },
+                      [this](std::uint64_t, const job_answer &) { ++CallerAnswers; }};
+
+  void send(const std::string &, schema::dispatch_message) override {}
+  [[nodiscard]] std::string placer() const override { return "placer"; }
+  [[nodiscard]] bool reachable(const std::string &) const override { return true; }
+  [[nodiscard]] std::uint32_t session(const std::string &) const override { return 1; }
+  void answer(std::uint64_t Id, const job_answer &Answer) override { Waiters.onAnswer(Id, Answer); }
+
+  static job_request request() {
+    job_request Request;
+    Request.Job = Job;
+    Request.TaskCount = 1;
+    Request.Deadline = milliseconds(3000);
+    return Request;
+  }
+  void relay(const std::string &Vm, std::uint32_t Session = 1) {
+    Waiters.onRelayed(Vm, makeRelayJob({}, request(), Session).relay());
+  }
+  void resume(const std::string &Vm, std::uint32_t Session, const std::vector<std::uint64_t> &Counted) {
+    schema::resume_session Resume;
+    Resume.set_session(Session);
+    for (std::uint64_t Id : Counted)
+      Resume.add_relayed(Id);
+    Waiters.onResume(Vm, Resume);
+  }
+  void complete() const {
+    schema::grant Grant;
+    *Grant.mutable_task() = toMessage({{Job, 0}, 1});
+    Grant.set_owner("owner");
+    Jobs->onGrant("placer", Grant);
+    schema::task_event Event;
+    *Event.mutable_task() = Grant.task();
+    Event.set_event(schema::RUN_DONE);
+    Jobs->onEvent("owner", Event);
+  }
+  [[nodiscard]] const schema::relayed_answer &lastAnswer() const { return Sent.back().second.relayed(); }
+};
+
+// Guards against answers that reach only one of those who wait, and against jobs that end while one still
+// waits.
+const story Several("job waiters: a caller and a relaying VM wait for one job", [] {
+  vm Vm;
+  Vm.relay("r1");
+  CPPUNIT_ASSERT(Vm.Waiters.submit({}, vm::request()));
+  CPPUNIT_ASSERT(!Vm.Waiters.submit({}, vm::request()));
+  if (auto When = section("when the job ends, each has the answer")) {
+    Vm.complete();
+    CPPUNIT_ASSERT_EQUAL(1, Vm.CallerAnswers);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Sent.size());
+    CPPUNIT_ASSERT(Vm.lastAnswer().end() == schema::RELAYED_COMPLETED);
+  }
+  if (auto When = section("when one leaves, the job goes on; when both do, it ends")) {
+    CPPUNIT_ASSERT(Vm.Waiters.leave(Job, end_reason::CallerLeft));
+    CPPUNIT_ASSERT(Vm.Jobs->contains(Job));
+    Vm.Waiters.onWithdrawn("r1", makeWithdrawal(Job, end_reason::CallerLeft).withdraw_relayed());
+    CPPUNIT_ASSERT(!Vm.Jobs->contains(Job));
+  }
+});
+
+// Guards against a job that runs again because its answer was lost, and against jobs that run for nobody.
+const story Sessions("job waiters: the session with a relaying VM breaks", [] {
+  vm Vm;
+  Vm.relay("r1");
+  if (auto When = section("when the VM is lost, its job ends")) {
+    Vm.Waiters.onVmLost("r1");
+    CPPUNIT_ASSERT(!Vm.Jobs->contains(Job));
+    if (auto Then = section("and the VM is told so when it asks again")) {
+      Vm.resume("r1", 2, {Job});
+      CPPUNIT_ASSERT(Vm.lastAnswer().end() == schema::RELAYED_NOT_HELD);
+    }
+  }
+  if (auto When = section("when the VM no longer counts on the job, it ends")) {
+    Vm.resume("r1", 2, {});
+    CPPUNIT_ASSERT(!Vm.Jobs->contains(Job));
+    if (auto Then = section("and the job is not taken from the former session")) {
+      Vm.relay("r1", 1);
+      CPPUNIT_ASSERT(!Vm.Jobs->contains(Job));
+    }
+  }
+  if (auto When = section("when the VM counts on a job that has ended meanwhile, its answer is repeated")) {
+    Vm.complete();
+    Vm.Sent.clear();
+    Vm.resume("r1", 2, {Job});
+    CPPUNIT_ASSERT(Vm.lastAnswer().end() == schema::RELAYED_COMPLETED);
+    if (auto Then = section("and when it passes the job again, the job does not run again")) {
+      Vm.relay("r1", 2);
+      CPPUNIT_ASSERT(!Vm.Jobs->contains(Job));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Vm.Sent.size());
+    }
+  }
+});
+
+} // namespace
--- /dev/null
+++ b/src/yuccaplank/dispatch/relay_messages.cpp
@@ -0,0 +1,91 @@
+#include "relay_messages.hpp"
+
+namespace yuccaplank::dispatch {
+
+schema::dispatch_message makeRelayJob(const queue_settings &Queue, const job_request &Request,
+                                      std::uint32_t Session) {
+  schema::dispatch_message Message;
+  schema::relay_job &Job = *Message.mutable_relay();
+  Job.set_job(Request.Job);
+  Job.set_session(Session);
+  Job.set_specification(Request.Specification);
+  Job.set_task_count(Request.TaskCount);
+  *Job.mutable_size() = Request.TaskSize;
+  Job.set_estimate_ms(Request.EstimateMs);
+  Job.set_deadline_ms(static_cast<std::uint32_t>(runtime::toMs(Request.Deadline)));
+  Job.set_age_ms(static_cast<std::uint32_t>(runtime::toMs(Request.Age)));
+  Job.set_queue(Queue.Name);
+  Job.set_pool(Queue.Pool);
+  Job.set_priority(Queue.Priority);
+  Job.set_max_attempts(Queue.MaxAttempts);
+  Job.set_stretch(Queue.Stretch);
+  Job.set_latency_ms(Queue.LatencyMs);
+  return Message;
+}
+
+queue_settings queueOf(const schema::relay_job &Message) {
+  queue_settings Queue;
+  Queue.Name = Message.queue();
+  Queue.Pool = Message.pool();
+  Queue.Priority = Message.priority();
+  Queue.MaxAttempts = Message.max_attempts();
+  Queue.Stretch = Message.stretch();
+  Queue.LatencyMs = Message.latency_ms();
+  return Queue;
+}
+
+job_request requestOf(const schema::relay_job &Message) {
+  job_request Request;
+  Request.Job = Message.job();
+  Request.Specification = Message.specification();
+  Request.TaskCount = Message.task_count();
+  Request.TaskSize = Message.size();
+  Request.EstimateMs = Message.estimate_ms();
+  Request.Deadline = std::chrono::milliseconds(Message.deadline_ms());
+  Request.Age = std::chrono::milliseconds(Message.age_ms());
+  return Request;
+}
+
+schema::dispatch_message makeRelayedAnswer(std::uint64_t Job, std::uint32_t Session,
+                                           const job_answer &Answer) {
+  schema::dispatch_message Message;
+  schema::relayed_answer &Relayed = *Message.mutable_relayed();
+  Relayed.set_job(Job);
+  Relayed.set_session(Session);
+  Relayed.set_end(static_cast<schema::relayed_end>(Answer.Outcome));
+  Relayed.set_reason(static_cast<std::uint32_t>(Answer.Reason));
+  Relayed.set_retry_after_ms(Answer.RetryAfterMs);
+  Relayed.set_within_objective(Answer.WithinObjective);
+  return Message;
+}
+
+schema::dispatch_message makeNotHeld(std::uint64_t Job) {
+  schema::dispatch_message Message;
+  Message.mutable_relayed()->set_job(Job);
+  Message.mutable_relayed()->set_end(schema::RELAYED_NOT_HELD);
+  return Message;
+}
+
+job_answer answerOf(const schema::relayed_answer &Message) {
+  bool Known = Message.end() >= schema::RELAYED_COMPLETED && Message.end() <= schema::RELAYED_CANCELLED;
+  job_answer Answer;
+  Answer.Outcome = Known ? static_cast<job_outcome>(Message.end()) : job_outcome::TimedOut;
+  Answer.Reason = reasonOf(Message.reason());
+  Answer.RetryAfterMs = Message.retry_after_ms();
+  Answer.WithinObjective = Message.within_objective();
+  return Answer;
+}
+
+schema::dispatch_message makeWithdrawal(std::uint64_t Job, end_reason Reason) {
+  schema::dispatch_message Message;
+  Message.mutable_withdraw_relayed()->set_job(Job);
+  Message.mutable_withdraw_relayed()->set_reason(static_cast<std::uint32_t>(Reason));
+  return Message;
+}
+
+end_reason reasonOf(std::uint32_t Value) {
+  return Value <= static_cast<std::uint32_t>(end_reason::Cancelled) ? static_cast<end_reason>(Value)
+                                                                    : end_reason::None;
+}
+
+} // namespace yuccaplank::dispatch
--- a/src/yuccaplank/entry/directory.cpp
+++ b/src/yuccaplank/entry/directory.cpp
@@ -17,6 +17,13 @@
 
 // Table of this product in the platform's store; one row for each VM that runs.
 constexpr const char *VmTable = "yuccaplank_vms";
+constexpr auto ConfigurationWait = std::chrono::seconds(1);
+// VMs that relay are told of a newer configuration by those that dispatch.
+constexpr auto RelayedConfigurationWait = std::chrono::seconds(8);
+// New VMs make themselves known to those that they know.
+constexpr auto VmWait = std::chrono::seconds(8);
+// Servers write their entries all the time; one that begins to leave has to be noticed within 2 s.
+constexpr auto ServerInterval = std::chrono::milliseconds(500);
 
 class directory_impl final : public directory {
 public:
@@ -25,20 +32,41 @@
       : Executor(Executor), Store(Store), Vm(Vm), Options(std::move(OptionsIn)) {
     table_watch_options Watch;
     Watch.Table = platform::OperatorTable;
+    Watch.Wait = RelayedConfigurationWait;
     Configuration = makeTableWatch(Executor, Store, Watch, [this] { readConfiguration(); });
-    Watch.Table = platform::ServerTable;
-    // Servers write their entries all the time; one that begins to leave has to be noticed within 2 s.
-    Watch.Interval = std::chrono::milliseconds(500);
-    Servers = makeTableWatch(Executor, Store, Watch, [this] { readServers(); });
     Watch.Table = VmTable;
-    // New VMs also make themselves known to those that they know.
-    Watch.Wait = std::chrono::seconds(4);
+    Watch.Wait = VmWait;
+    // All VMs of a fleet may register at the same time.
+    Watch.Interval = std::chrono::milliseconds(200);
     Vms = makeTableWatch(Executor, Store, Watch, [this] { readVms(); });
   }
   directory_impl(const directory_impl &) = delete;
   directory_impl &operator=(const directory_impl &) = delete;
   ~directory_impl() override = default;
 
+  void followServers(bool Follows) override {
+    Configuration->setWait(Follows ? runtime::duration(ConfigurationWait) : RelayedConfigurationWait);
+    if (!Follows) {
+      Servers.reset();
+      Entries.clear();
+      Vm.setServers({});
+      return;
+    }
+    table_watch_options Watch;
+    Watch.Table = platform::ServerTable;
+    Watch.Interval = ServerInterval;
+    Servers = makeTableWatch(Executor, Store, Watch, [this] { readServers(); });
+  }
+
+  void removeStale(const std::string &Name) override {
+    auto Found = Vms->rows().find(Name);
+    if (Found == Vms->rows().end() || !Vms->current() || !Removing.insert(Name).second)
+      return;
+    log(log_level::Warning, "stale_vm_removed", {{"vm", Name}});
+    Store.remove(VmTable, Name, Found->second.Version,
+                 Lifetime.guard([this, Name](const auto &) { Removing.erase(Name); }));
+  }
+
   void setTerm(std::uint32_t Raised) override {
     Term = std::max(Term, Raised);
     if (Registered && !Writing && WrittenTerm != Term)
@@ -99,6 +127,8 @@
   }
 
   void publishServers() {
+    if (!Servers)
+      return;
     runtime::time_point Now = Executor.clock().now();
     bool StoreWasAway =
         Now - Servers->regainedAt() < Options.RegisterAgainTime && Servers->regainedAt() > StartedAt;
@@ -122,37 +152,70 @@
   }
 
   struct vm_row {
-    std::string Address;
+    dispatch::registered_vm Vm;
     std::uint32_t Term = 0;
   };
 
+  struct known_vm_row {
+    std::uint64_t Version = 0;
+    std::optional<vm_row> Row;
+  };
+
   static std::optional<vm_row> decodeVm(const std::string &Value) {
     auto Document = nlohmann::json::parse(Value, nullptr, false);
-    if (!Document.is_object() || !Document.contains("address") || !Document["address"].is_string())
+    auto Text = [&](const char *Key) {
+      return Document.contains(Key) && Document[Key].is_string() ? Document[Key].get<std::string>()
+                                                                 : std::string();
+    };
+    auto Number = [&](const char *Key) {
+      bool Fits = Document.contains(Key) && Document[Key].is_number_unsigned();
+      return Fits ? Document[Key].get<std::uint32_t>() : 0U;
+    };
+    if (!Document.is_object() || Text("address").empty())
       return std::nullopt;
-    return vm_row{Document["address"].get<std::string>(), Document.value("term", 0U)};
+    return vm_row{{Text("address"), Text("domain"), Number("strength")}, Number("term")};
   }
 
-  void readVms() {
-    std::map<std::string, std::string> Addresses;
-    for (const auto &[Name, Row] : Vms->rows()) {
-      auto Decoded = decodeVm(Row.Value);
-      if (!Decoded)
-        continue;
-      Vm.noteTerm(Decoded->Term);
-      Term = std::max(Term, Decoded->Term);
-      if (Name != Options.Vm)
-        Addresses[Name] = Decoded->Address;
+  // An entry that cannot be read names no VM.
+  void readVm(const std::string &Name, const platform::store_row &Row) {
+    known_vm_row &Known = VmRows[Name];
+    if (std::exchange(Known.Version, Row.Version) == Row.Version)
+      return;
+    Known.Row = decodeVm(Row.Value);
+    if (!Known.Row) {
+      log(log_level::Warning, "vm_entry_unreadable", {{"vm", Name}});
+      return;
     }
-    Vm.setRegisteredVms(Addresses);
+    Vm.noteTerm(Known.Row->Term);
+    Term = std::max(Term, Known.Row->Term);
+  }
+
+  void readVms() {
+    std::erase_if(VmRows, [this](const auto &Entry) { return !Vms->rows().contains(Entry.first); });
+    for (const auto &[Name, Row] : Vms->rows())
+      readVm(Name, Row);
+    dispatch::registered_vms Others;
+    for (const auto &[Name, Known] : VmRows)
+      if (Known.Row && Name != Options.Vm)
+        Others[Name] = Known.Row->Vm;
+    Vm.setRegisteredVms(Others);
+    bool Listed = Vms->rows().contains(Options.Vm);
     // After the first read, so that the former entry's term is known before it is overwritten.
-    if (!std::exchange(Registering, true))
+    if (!std::exchange(Registering, true)) {
+      Returning = Listed;
       writeEntry();
+    } else if (Registered && !Listed && !Leaving && !Writing) {
+      // Another VM took this one as removed.
+      writeLater();
+    }
   }
 
   void writeEntry() {
     Writing = true;
-    nlohmann::json Row{{"address", Options.PeerAddress}, {"domain", Options.Domain}, {"term", Term}};
+    nlohmann::json Row{{"address", Options.PeerAddress},
+                       {"domain", Options.Domain},
+                       {"strength", Options.Strength},
+                       {"term", Term}};
     Store.put(VmTable, Options.Vm, Row.dump(),
               Lifetime.guard([this](const auto &Version) { onWritten(Version); }));
     WrittenTerm = Term;
@@ -180,7 +243,7 @@
     if (std::exchange(Registered, true))
       return;
     log(log_level::Info, "vm_registered", {{"registration", static_cast<std::int64_t>(Version)}});
-    Vm.setRegistration(Version);
+    Vm.setRegistration(Version, Returning);
   }
 
   void writeLater() {
@@ -200,12 +263,17 @@
   std::unique_ptr<table_watch> Servers;
   std::unique_ptr<table_watch> Vms;
   std::map<std::string, known_server> Entries;
+  std::map<std::string, known_vm_row> VmRows;
   runtime::timer_id PublishTimer = 0;
   // Of the entry in the store; 0 before it is written.
   std::uint64_t EntryVersion = 0;
   std::uint32_t Term = 0;
   std::uint32_t WrittenTerm = 0;
   bool Registering = false;
+  // This VM's entry was there before this process wrote one.
+  bool Returning = false;
+  // Stale entries whose removal is under way.
+  std::set<std::string> Removing;
   bool Registered = false;
   // A write is under way or about to be made.
   bool Writing = false;
--- a/src/yuccaplank/entry/directory.hpp
+++ b/src/yuccaplank/entry/directory.hpp
@@ -16,6 +16,8 @@
   /// Where other VMs reach this one.
   std::string PeerAddress;
   std::string Domain;
+  /// Thousandths of a core.
+  std::uint32_t Strength = 0;
   /// Servers whose entries lapsed while the store was away are kept for this time after its return, in which
   /// those that live register again.
   runtime::duration RegisterAgainTime = std::chrono::milliseconds(2500);
@@ -25,6 +27,10 @@
 class directory {
 public:
   virtual ~directory() = default;
+  /// Follows the backend servers from now on, or no longer.
+  virtual void followServers(bool Follows) = 0;
+  /// Removes the entry of a VM that was removed without a signal, unless the entry changes meanwhile.
+  virtual void removeStale(const std::string &Name) = 0;
   /// Keeps the term of the VM's fencing tokens in its entry.
   virtual void setTerm(std::uint32_t Term) = 0;
   /// Removes this VM's entry; OnDone runs in any case.
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -137,7 +137,7 @@
     submitted_job &Submitted = Jobs.at(Job);
     Submitted.Callers.erase(Token);
     if (Submitted.Callers.empty())
-      Vm.coordinator().cancel(Job, dispatch::end_reason::CallerLeft);
+      Vm.jobs().cancel(Job, dispatch::end_reason::CallerLeft);
   }
 
   void answer(std::uint64_t Job, const job_answer &Answer) override {
@@ -190,8 +190,7 @@
     }
     Jobs[Id].Callers.emplace(Request.Token, Executor.clock().now());
     JobsOfCallers[Request.Token] = Id;
-    if (!Vm.coordinator().contains(Id))
-      Vm.coordinator().submit(Queue, toRequest(Decoded.value(), Id, deadlineOf(Request)));
+    Vm.jobs().submit(Queue, toRequest(Decoded.value(), Id, deadlineOf(Request)));
   }
 
   static dispatch::job_request toRequest(platform::job_document &Document, std::uint64_t Id,
@@ -217,8 +216,8 @@
   }
 
   void tellState(const http_request &Request, std::uint64_t Job) {
-    if (Vm.coordinator().contains(Job)) {
-      bool Queued = Vm.coordinator().state(Job) == dispatch::job_state::Queued;
+    if (Vm.jobs().contains(Job)) {
+      bool Queued = Vm.jobs().state(Job) == dispatch::job_state::Queued;
       Handlers.Reply(Request.Token, makeReply(200, platform::encodeState(Queued ? shown_state::Queued
                                                                                 : shown_state::Running)));
       return;
--- a/src/yuccaplank/entry/table_watch.cpp
+++ b/src/yuccaplank/entry/table_watch.cpp
@@ -21,6 +21,7 @@
   table_watch_impl &operator=(const table_watch_impl &) = delete;
   ~table_watch_impl() override = default;
 
+  void setWait(runtime::duration Wait) override { Options.Wait = Wait; }
   [[nodiscard]] const std::map<std::string, store_row> &rows() const override { return Rows; }
   [[nodiscard]] bool current() const override { return Reachable; }
   [[nodiscard]] runtime::time_point regainedAt() const override { return RegainedAt; }
--- a/src/yuccaplank/entry/table_watch.hpp
+++ b/src/yuccaplank/entry/table_watch.hpp
@@ -24,6 +24,8 @@
 class table_watch {
 public:
   virtual ~table_watch() = default;
+  /// Waiting time of the next calls.
+  virtual void setWait(runtime::duration Wait) = 0;
   /// Rows by key as last read.
   [[nodiscard]] virtual const std::map<std::string, platform::store_row> &rows() const = 0;
   /// Whether the last call succeeded.
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -35,6 +35,10 @@
 constexpr std::size_t MaxBodyBytes = 1U << 20U;
 constexpr double ThousandthsOfCore = 1000;
 
+std::uint32_t strength(const platform::settings &Settings) {
+  return static_cast<std::uint32_t>(Settings.CpuShare * ThousandthsOfCore);
+}
+
 std::string incarnationText(const schema::incarnation &Incarnation) {
   return fmt::format("{}.{}", Incarnation.started_ms(), Incarnation.nonce());
 }
@@ -74,7 +78,8 @@
     if (auto Listening = listen(); !Listening)
       return Listening;
     Vm->addSeeds(Settings.Seeds);
-    Directory = makeDirectory(Loop, *Store, *Vm, {Settings.Vm, Settings.PeerAddress, Settings.Domain});
+    Directory = makeDirectory(Loop, *Store, *Vm,
+                              {Settings.Vm, Settings.PeerAddress, Settings.Domain, strength(Settings)});
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
@@ -108,6 +113,8 @@
     Frontend->answer(Job, Answer);
   }
   void termRaised(std::uint32_t Term) override { Directory->setTerm(Term); }
+  void serversNeeded(bool Needed) override { Directory->followServers(Needed); }
+  void registrationStale(const std::string &Name) override { Directory->removeStale(Name); }
   void configurationOffered(const schema::configuration_copy &Copy) override {
     applyConfiguration(*Vm, Copy.document());
   }
@@ -118,7 +125,7 @@
     Result.Vm = Settings.Vm;
     Result.Address = Settings.PeerAddress;
     Result.Domain = Settings.Domain;
-    Result.Strength = static_cast<std::uint32_t>(Settings.CpuShare * ThousandthsOfCore);
+    Result.Strength = strength(Settings);
     applyOwnSettings(Options.Own, Result);
     dispatch::platform_bounds Bounds;
     Bounds.MaxLease = std::chrono::milliseconds(Settings.MaxLeaseMs);
@@ -227,8 +234,8 @@
   void checkDrained() {
     auto Allowed = runtime::fromMs(Settings.GracePeriodS * 1000) - ExitMargin;
     bool TimeIsUp = Loop.clock().now() - DrainStarted >= Allowed;
-    if (TimeIsUp ||
-        (Frontend->pending() == 0 && Callers->pendingRequests() == 0 && Vm->state().Servers.Runs == 0)) {
+    if (TimeIsUp || (Frontend->pending() == 0 && Callers->pendingRequests() == 0 && Vm->state().Jobs == 0 &&
+                     Vm->state().Servers.Runs == 0)) {
       Loop.stop();
       return;
     }
--- a/src/yuccaplank/scenario/script.cpp
+++ b/src/yuccaplank/scenario/script.cpp
@@ -107,6 +107,8 @@
     Options.Vms = static_cast<std::uint32_t>(numberField(Lua, 1, "vms", Options.Vms));
     Options.Domains = static_cast<std::uint32_t>(numberField(Lua, 1, "domains", Options.Domains));
     Options.Servers = static_cast<std::uint32_t>(numberField(Lua, 1, "servers", Options.Servers));
+    Options.DispatchersPerDomain =
+        static_cast<std::uint32_t>(numberField(Lua, 1, "dispatchers", Options.DispatchersPerDomain));
     Options.Seed = static_cast<std::uint64_t>(numberField(Lua, 1, "seed", 1));
   }
   stateOf(Lua).World = std::make_unique<world>(Options);
--- a/src/yuccaplank/scenario/world.hpp
+++ b/src/yuccaplank/scenario/world.hpp
@@ -15,6 +15,7 @@
   std::uint32_t Vms = 4;
   std::uint32_t Domains = 2;
   std::uint32_t Servers = 8;
+  std::uint32_t DispatchersPerDomain = 3;
   std::uint64_t Seed = 1;
 };
 
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -37,6 +37,7 @@
   std::uint32_t Domains = 3;
   std::uint32_t Vms = 4;
   std::uint32_t Servers = 6;
+  std::uint32_t DispatchersPerDomain = 3;
   /// Jobs a second of all callers together, of random sizes; without effect when kinds are given.
   double JobsPerSecond = 10;
   std::vector<job_kind> Kinds;
@@ -54,6 +55,8 @@
   /// lost.
   double LateOrders = 0.02;
   double LostAnswers = 0.02;
+  /// Counts the messages between VMs while there is traffic.
+  bool CountMessages = false;
   /// Prints what happens to standard error.
   bool Trace = false;
 };
@@ -81,6 +84,12 @@
     std::uint64_t TooLate = 0;
   };
   std::map<std::string, credit> Credit;
+  /// Messages that a VM sends in a second, in the mean and at most.
+  double MessagesOfVm = 0;
+  double MostMessagesOfVm = 0;
+  double MostBytesOfVm = 0;
+  /// Messages that the fleet sends in a second, by kind.
+  std::map<std::string, double> MessagesByKind;
 };
 
 simulation_result simulateFleet(const simulation_options &Options);
--- a/src/yuccaplank/simulation/fleet_simulation_test.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation_test.cpp
@@ -120,4 +120,39 @@
   }
 });
 
+simulation_options calmFleet(std::uint32_t Vms) {
+  simulation_options Options = siteWithoutFaults(1);
+  Options.Vms = Vms;
+  Options.Domains = 4;
+  Options.CountMessages = true;
+  for (simulation::job_kind &Kind : Options.Kinds)
+    Kind.JobsPerSecond *= 0.3;
+  return Options;
+}
+
+// Guards against work of a VM that grows with the fleet: heartbeats between all VMs, and contact that ends
+// and begins again without end.
+const story Growth("fleet simulation: messages of a VM in a large fleet", [] {
+  runtime::setLogLevel(runtime::log_level::Error);
+  auto Small = simulateFleet(calmFleet(24));
+  auto Large = simulateFleet(calmFleet(96));
+  runtime::setLogLevel(runtime::log_level::Info);
+  if (auto Then = section("the mean falls, since most VMs talk to three others"))
+    CPPUNIT_ASSERT(Large.MessagesOfVm < Small.MessagesOfVm);
+  if (auto Then = section("the most of one VM grows more slowly than the fleet"))
+    CPPUNIT_ASSERT(Large.MostMessagesOfVm < 2 * Small.MostMessagesOfVm);
+  if (auto Then = section("in a calm fleet no contact begins anew"))
+    CPPUNIT_ASSERT(!Large.MessagesByKind.contains("resume"));
+});
+
+// Guards against two runs at a time when jobs are passed from VM to VM.
+const story Relays("fleet simulation: most VMs relay", [] {
+  simulation_options Options;
+  Options.Vms = 7;
+  Options.Domains = 2;
+  Options.DispatchersPerDomain = 1;
+  for (Options.Seed = 1; Options.Seed <= 20; ++Options.Seed)
+    assertKept(Options);
+});
+
 } // namespace
--- a/src/yuccaplank/simulation/network.cpp
+++ b/src/yuccaplank/simulation/network.cpp
@@ -30,7 +30,18 @@
   return Found == Connections.end() ? nullptr : &Found->second;
 }
 
+void network::count(const std::string &From, const schema::dispatch_message &Message) {
+  const auto *Body = schema::dispatch_message::descriptor()->FindFieldByNumber(Message.body_case());
+  std::uint64_t Bytes = Message.ByteSizeLong();
+  for (message_count *Count : {&Counts->BySender[From], &Counts->ByKind[Body->name()]}) {
+    ++Count->Messages;
+    Count->Bytes += Bytes;
+  }
+}
+
 void network::send(const std::string &From, const std::string &To, const schema::dispatch_message &Message) {
+  if (Counts)
+    count(From, Message);
   if (!find(From, To)) {
     bool Refused = !Ends.contains(To) && !Dark.contains(To);
     bool Unreachable = cut(From, To) || cut(To, From) || !Ends.contains(To);
--- a/src/yuccaplank/simulation/network.hpp
+++ b/src/yuccaplank/simulation/network.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -22,6 +23,18 @@
   std::string Incarnation;
 };
 
+struct message_count {
+  std::uint64_t Messages = 0;
+  std::uint64_t Bytes = 0;
+};
+
+/// Messages that have been sent between VMs.
+struct message_totals {
+  std::map<std::string, message_count> BySender;
+  /// By the name of the message's body.
+  std::map<std::string, message_count> ByKind;
+};
+
 /// VMs are named by their address.
 class network {
 public:
@@ -39,6 +52,10 @@
   [[nodiscard]] bool cut(const std::string &From, const std::string &To) const {
     return Cuts.contains({From, To});
   }
+  /// Counts what is sent from now on; costs time in long simulations.
+  void countMessages() { Counts.emplace(); }
+  /// Empty unless messages are counted.
+  [[nodiscard]] const std::optional<message_totals> &counts() const { return Counts; }
   /// Delay of one way.
   runtime::duration delay();
 
@@ -52,6 +69,7 @@
   static direction pairOf(const std::string &One, const std::string &Other) {
     return One < Other ? direction{One, Other} : direction{Other, One};
   }
+  void count(const std::string &From, const schema::dispatch_message &Message);
   connection *find(const std::string &One, const std::string &Other);
   void deliver(const std::string &From, const std::string &To, std::function<void()> Function);
   void arrive(const std::string &From, const std::string &To, std::uint64_t Connection,
@@ -65,6 +83,7 @@
   std::map<direction, connection> Connections;
   std::set<direction> Cuts;
   std::uint64_t LastConnection = 0;
+  std::optional<message_totals> Counts;
 };
 
 } // namespace yuccaplank::simulation
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -24,6 +24,8 @@
       ("vms", options::value(&Day.Vms)->default_value(Day.Vms), "entry VMs")                          //
       ("domains", options::value(&Day.Domains)->default_value(Day.Domains), "failure domains")        //
       ("servers", options::value(&Day.Servers)->default_value(Day.Servers), "backend servers")        //
+      ("dispatchers", options::value(&Day.DispatchersPerDomain)->default_value(Day.DispatchersPerDomain),
+       "VMs of a domain that dispatch; the others relay") //
       ("late-orders", options::value(&Day.LateOrders)->default_value(Day.LateOrders),
        "share carried out late") //
       ("lost-answers", options::value(&Day.LostAnswers)->default_value(Day.LostAnswers),
@@ -32,6 +34,7 @@
       ("burst", options::value<double>(), "factor of a burst of all kinds in the middle of the day")    //
       ("long-burst", options::value<double>(), "factor of a burst of the longest kind")                 //
       ("slow", options::value(&Day.SlowShare), "share of servers that are slow for a third of the day") //
+      ("messages", "count the messages of the VMs and print them for each day")                         //
       ("trace", "print what happens");
   options::variables_map Given;
   try {
@@ -54,6 +57,7 @@
     Day.Bursts.push_back({"", Day.Seconds * 0.4, Day.Seconds * 0.2, Given["burst"].as<double>()});
   if (Given.count("long-burst") > 0)
     Day.Bursts.push_back({"long", Day.Seconds * 0.4, Day.Seconds * 0.2, Given["long-burst"].as<double>()});
+  Day.CountMessages = Given.count("messages") > 0;
   Day.Trace = Given.count("trace") > 0;
   runtime::setLogLevel(Day.Trace ? runtime::log_level::Info : runtime::log_level::Error);
   simulation::simulation_result Sum;
@@ -62,6 +66,14 @@
     auto Result = simulation::simulateFleet(Day);
     for (const std::string &Breach : Result.Breaches)
       fmt::print("seed {}: {}\n", Day.Seed, Breach);
+    if (Day.CountMessages) {
+      fmt::print("seed {}: a VM sends {:.0f} messages/s, at most {:.0f} messages/s and {:.0f} bytes/s; of "
+                 "the fleet:",
+                 Day.Seed, Result.MessagesOfVm, Result.MostMessagesOfVm, Result.MostBytesOfVm);
+      for (const auto &[Kind, PerSecond] : Result.MessagesByKind)
+        fmt::print(" {} {:.0f}", Kind, PerSecond);
+      fmt::print("\n");
+    }
     Broken += Result.Breaches.empty() ? 0 : 1;
     for (const auto &[Queue, Credit] : Result.Credit) {
       auto &Total = Sum.Credit[Queue];
