--- a/src/yuccaplank/cli/fleet_commands.cpp
+++ b/src/yuccaplank/cli/fleet_commands.cpp
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace yuccaplank::cli {
 namespace {
 
@@ -16,12 +18,28 @@
 
 const char *yesOrNo(bool Value) { return Value ? "yes" : "no"; }
 
-// The fleet as the first VM that answered sees it.
+const char *roleName(schema::vm_role Role) {
+  switch (Role) {
+  case schema::VM_DISPATCHES:
+    return "dispatches";
+  case schema::VM_RETIRES:
+    return "retires";
+  case schema::VM_RELAYS:
+    return "relays";
+  default:
+    return "unknown";
+  }
+}
+
+// The fleet as the VM sees it that has answered and knows most of it; one that relays knows few others.
 std::string vmTable(const fleet_answers &Answers) {
-  std::vector<std::vector<std::string>> Rows{
-      {"VM", "DOMAIN", "ADDRESS", "IN CONTACT", "DRAINING", "PLACING", "REGISTRATION", "CONFIGURATION"}};
-  for (const schema::vm_report &Vm : Answers.Reports.front().vms())
-    Rows.push_back({Vm.vm(), Vm.domain(), Vm.address(), yesOrNo(Vm.in_contact()), yesOrNo(Vm.draining()),
+  const schema::fleet_report &Widest =
+      *std::ranges::max_element(Answers.Reports, {}, [](const auto &Report) { return Report.vms_size(); });
+  std::vector<std::vector<std::string>> Rows{{"VM", "DOMAIN", "ADDRESS", "IN CONTACT", "ROLE", "DRAINING", "PLACING",
+                                              "REGISTRATION", "CONFIGURATION"}};
+  for (const schema::vm_report &Vm : Widest.vms())
+    Rows.push_back({Vm.vm(), Vm.domain(), Vm.address(), yesOrNo(Vm.in_contact()), roleName(Vm.role()),
+                    yesOrNo(Vm.draining()),
                     yesOrNo(Vm.placing()), std::to_string(Vm.registration()),
                     std::to_string(Vm.configuration_version())});
   return formatTable(Rows);
--- a/src/yuccaplank/dispatch/fleet_reports.cpp
+++ b/src/yuccaplank/dispatch/fleet_reports.cpp
@@ -15,6 +15,7 @@
   Report.set_placing(!Placer.empty() && Status.vm() == Placer);
   Report.set_registration(Status.registration());
   Report.set_configuration_version(Status.configuration_version());
+  Report.set_role(Status.role());
   return Report;
 }
 
