--- a/src/yuccaplank/cli/fleet_commands.cpp
+++ b/src/yuccaplank/cli/fleet_commands.cpp
@@ -35,12 +35,11 @@
 std::string vmTable(const fleet_answers &Answers) {
   const schema::fleet_report &Widest =
       *std::ranges::max_element(Answers.Reports, {}, [](const auto &Report) { return Report.vms_size(); });
-  std::vector<std::vector<std::string>> Rows{{"VM", "DOMAIN", "ADDRESS", "IN CONTACT", "ROLE", "DRAINING", "PLACING",
-                                              "REGISTRATION", "CONFIGURATION"}};
+  std::vector<std::vector<std::string>> Rows{{"VM", "DOMAIN", "ADDRESS", "IN CONTACT", "ROLE", "DRAINING",
+                                              "PLACING", "REGISTRATION", "CONFIGURATION"}};
   for (const schema::vm_report &Vm : Widest.vms())
     Rows.push_back({Vm.vm(), Vm.domain(), Vm.address(), yesOrNo(Vm.in_contact()), roleName(Vm.role()),
-                    yesOrNo(Vm.draining()),
-                    yesOrNo(Vm.placing()), std::to_string(Vm.registration()),
+                    yesOrNo(Vm.draining()), yesOrNo(Vm.placing()), std::to_string(Vm.registration()),
                     std::to_string(Vm.configuration_version())});
   return formatTable(Rows);
 }
--- a/src/yuccaplank/cli/fleet_commands_test.cpp
+++ b/src/yuccaplank/cli/fleet_commands_test.cpp
@@ -25,10 +25,22 @@
     CPPUNIT_ASSERT_EQUAL(0, Run.run({"vms", "--operator", "127.0.0.1:1"}));
     CPPUNIT_ASSERT_EQUAL(
         std::string(
-            "VM   DOMAIN  ADDRESS         IN CONTACT  DRAINING  PLACING  REGISTRATION  CONFIGURATION\n"
-            "vm1  d1      127.0.0.1:7300  yes         no        yes      3             7\n"),
+            "VM   DOMAIN  ADDRESS         IN CONTACT  ROLE        DRAINING  PLACING  REGISTRATION  "
+            "CONFIGURATION\n"
+            "vm1  d1      127.0.0.1:7300  yes         dispatches  no        yes      3             7\n"),
         Run.Out);
   }
+  if (auto When =
+          section("when VMs are listed by one that relays and one that knows more, the latter is shown")) {
+    cli_run Two([&](const wire::http_call &Call) {
+      return Call.Address == "127.0.0.1:9"
+                 ? replyWith(200, R"({"vm":"vm9","vms":[{"vm":"vm9","role":"VM_RELAYS"}]})")
+                 : replyWith(200, R"({"vm":"vm1","vms":[{"vm":"vm1"},{"vm":"vm9","role":"VM_RELAYS"}]})");
+    });
+    CPPUNIT_ASSERT_EQUAL(0, Two.run({"vms", "--operator", "127.0.0.1:9,127.0.0.1:1"}));
+    CPPUNIT_ASSERT(Two.Out.find("vm1 ") != std::string::npos);
+    CPPUNIT_ASSERT(Two.Out.find("relays") != std::string::npos);
+  }
   if (auto When = section("when servers are listed by two VMs, of which one does not answer")) {
     CPPUNIT_ASSERT_EQUAL(0, Run.run({"servers", "--operator", "127.0.0.1:9,127.0.0.1:1"}));
     CPPUNIT_ASSERT(Run.Out.ends_with("s1      d1      p     vm1    yes     1.23      2      27 of 64\n"));
