--- a/include/yuccaplank/dispatch/fleet_view.hpp
+++ b/include/yuccaplank/dispatch/fleet_view.hpp
@@ -75,8 +75,9 @@
   virtual void introduceAgain() = 0;
   /// Whether enough is known to claim servers and to place tasks.
   [[nodiscard]] virtual bool introduced() const = 0;
-  /// The dispatching VM that was paused least often, of these the one that registered first; a draining one
-  /// only when there is no other. Empty when there is none.
+  /// The dispatching VM that was paused least often, of these the strongest, since it handles messages for
+  /// each task of the fleet, of these the one that registered first; a draining one only when there is no
+  /// other. Empty when there is none.
   [[nodiscard]] virtual std::string placer() const = 0;
   /// The VM that should own the servers of a rack: one of the rack's failure domain if any lives there, each
   /// in proportion to its strength; a draining one only when there is no other. Empty when there is none.
--- a/src/yuccaplank/dispatch/fleet_view.cpp
+++ b/src/yuccaplank/dispatch/fleet_view.cpp
@@ -134,7 +134,7 @@
 
   [[nodiscard]] std::string placer() const override {
     return best([](const known_vm &, const schema::vm_status &Vm) {
-      return std::tuple(!Vm.draining(), -std::int64_t{Vm.pauses()},
+      return std::tuple(!Vm.draining(), -std::int64_t{Vm.pauses()}, Vm.strength(),
                         -static_cast<std::int64_t>(Vm.registration()));
     });
   }
--- a/src/yuccaplank/dispatch/fleet_view_test.cpp
+++ b/src/yuccaplank/dispatch/fleet_view_test.cpp
@@ -33,6 +33,32 @@
   View->heard(statusOf("b", "d1", 3));
   View->heard(statusOf("c", "d2", 5));
   CPPUNIT_ASSERT_EQUAL(std::string("b"), View->placer());
+  if (auto When =
+          section("given a stronger VM, it places although it registered last, unless it was paused")) {
+    auto Strong = statusOf("d", "d2", 9);
+    Strong.set_strength(500);
+    View->heard(Strong);
+    CPPUNIT_ASSERT_EQUAL(std::string("d"), View->placer());
+    Strong.set_pauses(1);
+    View->heard(Strong);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), View->placer());
+  }
+  if (auto When = section("given VMs that relay or are not registered, they have no role")) {
+    View->lost("b");
+    View->lost("c");
+    auto Relaying = statusOf("d", "d2", 2);
+    Relaying.set_role(schema::VM_RELAYS);
+    View->heard(Relaying);
+    View->heard(statusOf("e", "d2", 0));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), View->placer());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), View->ownerOf("r1", "d2"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), View->dispatcherFor(7, "d1"));
+  }
+  if (auto When = section("given a job to relay, a VM of the own domain takes it, or another one")) {
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), View->dispatcherFor(7, "d1"));
+    View->lost("b");
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), View->dispatcherFor(7, "d1"));
+  }
   if (auto When = section("given racks of a domain with VMs, one of these owns them, each some")) {
     std::map<std::string, int> Racks;
     for (int Rack = 0; Rack < 40; ++Rack)
