--- a/src/yuccaplank/dispatch/bounds_test.cpp
+++ b/src/yuccaplank/dispatch/bounds_test.cpp
@@ -28,6 +28,10 @@
     CPPUNIT_ASSERT(applyBounds(Platform, Options));
     CPPUNIT_ASSERT(Options.Coordinator.OrphanTime < Platform.Resend);
   }
+  if (auto Given = section("given VMs that pass a job on before its former runs have ended")) {
+    Options.Relay.OrphanTime = milliseconds(900);
+    CPPUNIT_ASSERT(!keepsBounds(Platform, Options));
+  }
   if (auto Given = section("given servers that grant short leases")) {
     Platform.MaxLease = milliseconds(400);
     CPPUNIT_ASSERT(applyBounds(Platform, Options));
--- /dev/null
+++ b/src/yuccaplank/entry/directory_test.cpp
@@ -0,0 +1,152 @@
+#include "directory.hpp"
+#include "yuccaplank/testing/story.hpp"
+
+#include <cppunit/TestAssert.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace yuccaplank;
+using namespace yuccaplank::entry;
+using platform::store_page;
+using platform::store_row;
+using runtime::result;
+using std::chrono::milliseconds;
+using testing::section;
+using testing::story;
+
+namespace {
+
+constexpr const char *VmTable = "yuccaplank_vms";
+
+// A store that keeps the calls until the test answers them.
+struct store final : platform::store_client {
+  using page_handler = std::function<void(result<store_page>)>;
+  using write_handler = std::function<void(result<std::uint64_t>)>;
+  struct write {
+    std::string Key;
+    std::uint64_t Version = 0;
+    write_handler OnDone;
+  };
+  std::map<std::string, page_handler> Reads;
+  std::map<std::string, page_handler> Feeds;
+  std::vector<write> Puts;
+  std::vector<write> Removals;
+
+  void rows(const std::string &Table, const std::string &, page_handler OnDone) override {
+    Reads[Table] = std::move(OnDone);
+  }
+  void changes(const std::string &Table, std::uint64_t, runtime::duration, page_handler OnDone) override {
+    Feeds[Table] = std::move(OnDone);
+  }
+  void put(const std::string &, const std::string &Key, const std::string &, write_handler OnDone) override {
+    Puts.push_back({Key, 0, std::move(OnDone)});
+  }
+  void remove(const std::string &, const std::string &Key, std::uint64_t Version,
+              write_handler OnDone) override {
+    Removals.push_back({Key, Version, std::move(OnDone)});
+  }
+
+  void answer(std::map<std::string, page_handler> &Calls, std::vector<store_row> Rows,
+              std::uint64_t Version) {
+    auto Handler = std::move(Calls.at(VmTable));
+    Calls.erase(VmTable);
+    Handler(store_page{std::move(Rows), Version, false});
+  }
+};
+
+store_row row(const std::string &Name, std::uint64_t Version, const std::string &Value) {
+  store_row Row;
+  Row.Key = Name;
+  Row.Version = Version;
+  Row.Value = Value;
+  return Row;
+}
+
+struct no_orders final : dispatch::server_orders {
+  void start(const dispatch::server_target &, dispatch::start_order,
+             std::function<void(dispatch::order_reply)>) override {}
+  void stop(const dispatch::server_target &, const dispatch::run_key &, std::uint64_t,
+            std::function<void(dispatch::order_reply)>) override {}
+  void hold(const dispatch::server_target &, const dispatch::hold_order &,
+            std::function<void(dispatch::hold_reply)>) override {}
+};
+
+struct vm final : dispatch::entry_vm_ports {
+  std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
+  store Store;
+  no_orders Orders;
+  std::vector<std::string> Contacted;
+  std::unique_ptr<dispatch::entry_vm> Entry;
+  std::unique_ptr<directory> Directory;
+
+  vm() {
+    dispatch::entry_vm_options Options;
+    Options.Vm = "vm1";
+    Options.Address = "vm1:1";
+    Entry = dispatch::makeEntryVm(*Executor, *this, Options);
+    Directory = makeDirectory(*Executor, Store, *Entry, {"vm1", "vm1:1", "d1", 500});
+  }
+  void send(const std::string &, const std::string &Address, schema::dispatch_message) override {
+    Contacted.push_back(Address);
+  }
+  void disconnect(const std::string &) override {}
+  dispatch::server_orders &orders() override { return Orders; }
+  void answer(std::uint64_t, const dispatch::job_answer &) override {}
+  void termRaised(std::uint32_t) override {}
+  void serversNeeded(bool Needed) override { Directory->followServers(Needed); }
+  void registrationStale(const std::string &Name) override { Directory->removeStale(Name); }
+  void configurationOffered(const schema::configuration_copy &) override {}
+
+  [[nodiscard]] bool contacted(const std::string &Address) const {
+    return std::ranges::find(Contacted, Address) != Contacted.end();
+  }
+};
+
+constexpr const char *Other = R"({"address":"vm2:1","domain":"d1","strength":500,"term":3})";
+
+// Guards against a VM that stays unknown to the others, and against entries of VMs that are gone.
+const story Entries("directory: entries of VMs", [] {
+  vm Vm;
+  Vm.Store.answer(Vm.Store.Reads, {row("vm2", 4, Other), row("vm3", 5, "not readable")}, 5);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Store.Puts.size());
+  Vm.Store.Puts.front().OnDone(std::uint64_t{6});
+  if (auto Then = section("VMs with an entry that can be read are contacted, others are not known")) {
+    CPPUNIT_ASSERT(Vm.contacted("vm2:1"));
+    CPPUNIT_ASSERT_EQUAL(std::string::npos, Vm.Entry->report().DebugString().find("vm3"));
+  }
+  if (auto When = section("when the own entry is removed by another VM, it is written again")) {
+    Vm.Store.answer(Vm.Store.Feeds, {row("vm1", 6, "{}")}, 6);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Store.Puts.size());
+    Vm.Executor->advance(milliseconds(300));
+    store_row Removed = row("vm1", 9, "");
+    Removed.Deleted = true;
+    Vm.Store.answer(Vm.Store.Feeds, {Removed}, 9);
+    Vm.Executor->advance(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Vm.Store.Puts.size());
+  }
+  if (auto When = section("when a VM is gone for long, its entry is removed once, unless it has changed")) {
+    Vm.Directory->removeStale("vm2");
+    Vm.Directory->removeStale("vm2");
+    Vm.Directory->removeStale("unknown");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Store.Removals.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Vm.Store.Removals.front().Version);
+  }
+});
+
+// Guards against reads of the servers by VMs that do not need them, whose cost grows with both.
+const story Servers("directory: who reads the servers", [] {
+  vm Vm;
+  CPPUNIT_ASSERT(!Vm.Store.Reads.contains("servers"));
+  Vm.Store.answer(Vm.Store.Reads, {row("vm2", 4, Other)}, 5);
+  CPPUNIT_ASSERT(!Vm.Store.Reads.contains("servers"));
+  Vm.Store.Puts.front().OnDone(std::uint64_t{6});
+  if (auto When = section("a VM that is registered for the first time waits for the others' entries"))
+    CPPUNIT_ASSERT(!Vm.Store.Reads.contains("servers"));
+  if (auto When = section("a VM that dispatches reads them")) {
+    Vm.Executor->advance(milliseconds(800));
+    CPPUNIT_ASSERT(Vm.Store.Reads.contains("servers"));
+  }
+});
+
+} // namespace
