Follow a full page of the store's feed at once

Now a full page is followed at once, from the version of its last row, whatever version the store names beside. The test fails without the change.

--- a/include/yuccaplank/platform/store_client.hpp
+++ b/include/yuccaplank/platform/store_client.hpp
@@ -25,6 +25,9 @@
   bool Deleted = false;
 };
 
+/// Rows that one call returns at most.
+inline constexpr std::size_t MaxPageRows = 500;
+
 struct store_page {
   std::vector<store_row> Rows;
   /// Newest version of the store.
--- a/src/yuccaplank/entry/table_watch.cpp
+++ b/src/yuccaplank/entry/table_watch.cpp
@@ -81,12 +81,19 @@
       later(Options.RetryDelay, [this] { follow(); });
       return;
     }
-    Version = std::max(Version, Page.value().Version);
-    for (const store_row &Row : Page.value().Rows)
+    const std::vector<store_row> &Changed = Page.value().Rows;
+    // A full page may end before the newest version, and a watch that waits between full pages falls behind.
+    bool Full = Page.value().HasMore || Changed.size() >= platform::MaxPageRows;
+    bool Partial = Full && !Changed.empty();
+    Version = std::max(Version, Partial ? Changed.back().Version : Page.value().Version);
+    for (const store_row &Row : Changed)
       applyRow(Row);
-    if (!Page.value().Rows.empty())
+    if (!Changed.empty())
       OnChange();
-    followSoon();
+    if (Partial)
+      follow();
+    else
+      followSoon();
   }
 
   void applyRow(const store_row &Row) {
--- a/src/yuccaplank/entry/table_watch_test.cpp
+++ b/src/yuccaplank/entry/table_watch_test.cpp
@@ -2,6 +2,7 @@
 #include "yuccaplank/testing/story.hpp"
 
 #include <cppunit/TestAssert.h>
+#include <fmt/format.h>
 
 #include <deque>
 
@@ -78,6 +79,15 @@
       Executor->advance(milliseconds(20));
       CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, Store.Feeds.front().first);
     }
+    if (auto Then = section(
+            "a full page is followed at once from its last row, so that a large table is kept up with")) {
+      std::vector<store_row> Rows;
+      for (std::uint64_t Index = 0; Index < platform::MaxPageRows; ++Index)
+        Rows.push_back({fmt::format("s{}", Index), "1", 11 + Index});
+      Store.answerFeed(page(Rows, 5000));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Store.Feeds.size());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{510}, Store.Feeds.front().first);
+    }
     if (auto Then = section("an older version of a row is ignored")) {
       Store.answerFeed(page({{"a", "old", 2}}, 11));
       CPPUNIT_ASSERT_EQUAL(std::string("1"), Value("a"));
