--- a/include/yuccaplank/dispatch/contact_plan.hpp
+++ b/include/yuccaplank/dispatch/contact_plan.hpp
@@ -39,8 +39,9 @@
   std::size_t PerDomain = 3;
   /// After a VM's first registration the entries of others that start with it may be missing for this time.
   runtime::duration SettleTime = std::chrono::milliseconds(700);
-  /// Longer than the restart of a VM, which would otherwise move the role twice.
-  runtime::duration ChangeDelay = std::chrono::seconds(5);
+  /// Longer than the drain and the restart of a VM (a grace period of 6 s), which would otherwise move the
+  /// role twice, and to weaker VMs.
+  runtime::duration ChangeDelay = std::chrono::seconds(12);
 };
 
 /// Whether this VM dispatches, from whether it is chosen now.
--- a/src/yuccaplank/simulation/simulated_fleet.cpp
+++ b/src/yuccaplank/simulation/simulated_fleet.cpp
@@ -124,7 +124,7 @@
   Life.Vm->setConfiguration(Configuration, fmt::format("{}", Version));
 }
 
-void simulated_fleet::registerVm(vm_life &Life, std::uint64_t Registration) {
+void simulated_fleet::registerVm(vm_life &Life, std::uint64_t Registration) const {
   configure(Life, 1);
   dispatch::registered_vms Others;
   for (std::uint32_t Index = 0; Index < Layout.Vms; ++Index)
--- a/src/yuccaplank/simulation/simulated_fleet.hpp
+++ b/src/yuccaplank/simulation/simulated_fleet.hpp
@@ -95,7 +95,7 @@
 
 private:
   void addServers();
-  void registerVm(vm_life &Life, std::uint64_t Registration);
+  void registerVm(vm_life &Life, std::uint64_t Registration) const;
 
   runtime::executor &Executor;
   runtime::random &Random;
