Call one piece of code where the last change wrote twins; build heartbeats once

- cancelTimer stood in job_coordinator and job_relay; it is one function beside the executor.
- The stand-in's store and the watch of a table both held the rows of a page as a number; platform::MaxPageRows serves both.
- The function that sends for the roles of entry_vm stood there three times.
- The servers that never answer stood in two tests; they are in testing/no_orders.
- A heartbeat made two statuses, each with a walk over all jobs, also where only one was sent; the contacts of a VM were computed for VMs that do not use them, and twice in each try of the others; whether a VM coordinates was looked up by name in loops that hold it.

--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -1,4 +1,4 @@
-// The coordinator: jobs of the callers that are connected to this VM, from submission to answer.
+// The coordinator: jobs of this VM's callers and of VMs that relay to it, from submission to answer.
 #pragma once
 
 #include "yuccaplank/dispatch/job_desk.hpp"
--- a/include/yuccaplank/runtime/executor.hpp
+++ b/include/yuccaplank/runtime/executor.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace yuccaplank::runtime {
 
@@ -25,6 +26,9 @@
   virtual void cancel(timer_id Timer) = 0;
 };
 
+/// Cancels a timer, if there is one, and forgets it.
+inline void cancelTimer(executor &Executor, timer_id &Timer) { Executor.cancel(std::exchange(Timer, 0)); }
+
 /// Executor for tests: time passes only in advance(), which runs due timers in order.
 class manual_executor : public executor {
 public:
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -31,20 +31,13 @@
       : Executor(Executor), Ports(Ports), Options(std::move(OptionsIn)),
         View(makeFleetView(Executor.clock(), Options.View)),
         Contacts(*View, *this, Self, Options.Dispatching.PerDomain),
-        Queue(makePlacementQueue(
-            Executor.clock(),
-            [this](const std::string &Vm, schema::dispatch_message Message) { send(Vm, std::move(Message)); },
-            Options.Placement)),
+        Queue(makePlacementQueue(Executor.clock(), sender(), Options.Placement)),
         Jobs(makeJobCoordinator(Executor, *this, Options.Coordinator)),
         Owner(makeServerOwner(Executor, *this, Options.Ledger)), RelaySide(*this),
         Relay(makeJobRelay(Executor, RelaySide, Options.Relay)),
-        Waiters(
-            *Jobs,
-            [this](const std::string &Vm, schema::dispatch_message Message) { send(Vm, std::move(Message)); },
-            [this](std::uint64_t Job, const job_answer &Answer) { this->Ports.answer(Job, Answer); }),
-        Router(*Jobs, Waiters, *Relay, [this] { return relaysNewJobs(); }),
-        Cancels(Executor, [this](const std::string &Vm,
-                                 schema::dispatch_message Message) { send(Vm, std::move(Message)); }),
+        Waiters(*Jobs, sender(),
+                [this](std::uint64_t Job, const job_answer &Answer) { this->Ports.answer(Job, Answer); }),
+        Router(*Jobs, Waiters, *Relay, [this] { return relaysNewJobs(); }), Cancels(Executor, sender()),
         Decision(Options.Dispatching) {
     Self.set_role(schema::VM_RELAYS);
     Self.set_vm(Options.Vm);
@@ -225,6 +218,10 @@
     entry_vm_impl &Vm;
   };
 
+  send_function sender() {
+    return [this](const std::string &Vm, schema::dispatch_message Message) { send(Vm, std::move(Message)); };
+  }
+
   // Ports of the roles.
 
   void send(const std::string &Vm, schema::dispatch_message Message) override {
--- a/src/yuccaplank/dispatch/fleet_contacts.cpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.cpp
@@ -1,6 +1,7 @@
 #include "fleet_contacts.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace yuccaplank::dispatch {
 namespace {
@@ -8,6 +9,8 @@
 // Lists of the VMs heard from grow with their number and change rarely.
 constexpr std::uint64_t HeartbeatsToPeerList = 10;
 
+bool mayCoordinate(const known_vm &Vm) { return Vm.Alive && Vm.Status.role() != schema::VM_RELAYS; }
+
 } // namespace
 
 void fillQueues(const queue_lengths &Lengths,
@@ -28,14 +31,13 @@
 
 bool fleet_contacts::coordinates(const std::string &Vm) const {
   auto Found = View.others().find(Vm);
-  return Found != View.others().end() && Found->second.Alive &&
-         Found->second.Status.role() != schema::VM_RELAYS;
+  return Found != View.others().end() && mayCoordinate(Found->second);
 }
 
 std::vector<std::string> fleet_contacts::coordinatingVms() const {
   std::vector<std::string> Vms;
   for (const auto &[Vm, Known] : View.others())
-    if (coordinates(Vm))
+    if (mayCoordinate(Known))
       Vms.push_back(Vm);
   return Vms;
 }
@@ -65,21 +67,29 @@
 
 void fleet_contacts::sendHeartbeats() {
   bool WithPeers = ++Heartbeats % HeartbeatsToPeerList == 0;
-  schema::dispatch_message ToDispatchers = makeStatus(WithPeers, false);
-  schema::dispatch_message ToRelays = makeStatus(WithPeers, true);
-  std::set<std::string> Contacts = contacts();
+  // A VM that dispatches answers all that contact it.
+  bool ToAll = !relays() || Registered.empty();
+  std::set<std::string> Contacts = ToAll ? std::set<std::string>() : contacts();
+  std::optional<schema::dispatch_message> ToDispatchers;
+  std::optional<schema::dispatch_message> ToRelays;
   for (const auto &[Vm, Known] : View.others()) {
+    if (!Known.Alive || (!ToAll && !Contacts.contains(Vm)))
+      continue;
     bool IsRelay = Known.Status.role() == schema::VM_RELAYS;
-    if (Known.Alive && (!relays() || Registered.empty() || Contacts.contains(Vm)))
-      Ports.sendTo(Vm, Known.Address, IsRelay ? ToRelays : ToDispatchers);
+    std::optional<schema::dispatch_message> &Status = IsRelay ? ToRelays : ToDispatchers;
+    if (!Status)
+      Status = makeStatus(WithPeers, IsRelay);
+    Ports.sendTo(Vm, Known.Address, *Status);
   }
 }
 
 void fleet_contacts::tryOthers() {
-  for (const std::string &Vm : contacts())
+  std::set<std::string> Contacts = contacts();
+  for (const std::string &Vm : Contacts)
     if (auto Found = Registered.find(Vm); Found != Registered.end())
       View.learn(Vm, Found->second.Address);
-  forgetStrangers();
+  if (!Registered.empty())
+    forgetStrangers(Contacts);
   schema::dispatch_message Message = makeStatus(true, false);
   bool AnyAlive = false;
   for (const auto &[Vm, Known] : View.others()) {
@@ -96,10 +106,7 @@
   Ports.sendTo(Vm, Address, makeStatus(true, false));
 }
 
-void fleet_contacts::forgetStrangers() {
-  if (Registered.empty())
-    return;
-  std::set<std::string> Contacts = contacts();
+void fleet_contacts::forgetStrangers(const std::set<std::string> &Contacts) {
   std::vector<std::string> Strangers;
   for (const auto &[Vm, Known] : View.others())
     if (!Known.Alive && !Contacts.contains(Vm))
@@ -137,7 +144,7 @@
   schema::vm_status &Status = *Message.mutable_status();
   Status = Self;
   for (const auto &[Name, Known] : View.others())
-    if (WithPeers && coordinates(Name)) {
+    if (WithPeers && mayCoordinate(Known)) {
       schema::vm_address &Peer = *Status.add_peers();
       Peer.set_vm(Name);
       Peer.set_address(Known.Address);
--- a/src/yuccaplank/dispatch/fleet_contacts.hpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.hpp
@@ -68,7 +68,7 @@
 
 private:
   [[nodiscard]] std::set<std::string> contacts() const;
-  void forgetStrangers();
+  void forgetStrangers(const std::set<std::string> &Contacts);
   [[nodiscard]] schema::dispatch_message makeStatus(bool WithPeers, bool ForRelay) const;
 
   fleet_view &View;
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -192,7 +192,7 @@
   void onPlacerChanged() override {
     for (auto &[Id, Job] : Jobs)
       if (!Ports.placer().empty()) {
-        cancelTimer(Job.PlacerTimer);
+        runtime::cancelTimer(Executor, Job.PlacerTimer);
         placeWaiting(Job);
       }
   }
@@ -207,7 +207,7 @@
     Resume = std::move(Begun);
     for (const run_key &Run : runsWhere([&](const task_state &Task) { return Task.Owner == Vm; })) {
       task_state &Task = *taskOf(*jobOf(Run), Run);
-      cancelTimer(Task.OrphanTimer);
+      runtime::cancelTimer(Executor, Task.OrphanTimer);
       Task.Phase = task_phase::Ordered;
       schema::counted_run &Counted = *Resume.add_runs();
       *Counted.mutable_task() = toMessage(Run);
@@ -284,7 +284,7 @@
   }
 
   void placeAgain(coordinated_job &Job, task_state &Task) {
-    cancelTimer(Task.OrphanTimer);
+    runtime::cancelTimer(Executor, Task.OrphanTimer);
     Task.Phase = task_phase::Waiting;
     Task.Owner.clear();
     Task.Server.clear();
@@ -352,7 +352,7 @@
   }
 
   void onDone(coordinated_job &Job, task_state &Task) {
-    cancelTimer(Task.OrphanTimer);
+    runtime::cancelTimer(Executor, Task.OrphanTimer);
     Task.Phase = task_phase::Done;
     if (++Job.DoneTasks == Job.Tasks.size())
       finish(Job, {job_outcome::Completed, end_reason::None, 0, {}, false});
@@ -376,7 +376,7 @@
 
   void claimRun(coordinated_job &Job, task_state &Task, const run_key &Run, const std::string &Owner,
                 std::uint64_t Token, schema::adopt_reply &Reply) {
-    cancelTimer(Task.OrphanTimer);
+    runtime::cancelTimer(Executor, Task.OrphanTimer);
     Task.Phase = task_phase::Ordered;
     Task.Owner = Owner;
     Task.Token = Token;
@@ -527,16 +527,11 @@
     ++(Counters.*Members.at(static_cast<std::size_t>(Outcome)));
   }
 
-  void cancelTimer(runtime::timer_id &Timer) {
-    if (Timer)
-      Executor.cancel(std::exchange(Timer, 0));
-  }
-
   void cancelTimers(coordinated_job &Job) {
-    cancelTimer(Job.DeadlineTimer);
-    cancelTimer(Job.PlacerTimer);
+    runtime::cancelTimer(Executor, Job.DeadlineTimer);
+    runtime::cancelTimer(Executor, Job.PlacerTimer);
     for (task_state &Task : Job.Tasks)
-      cancelTimer(Task.OrphanTimer);
+      runtime::cancelTimer(Executor, Task.OrphanTimer);
   }
 
   runtime::executor &Executor;
--- a/src/yuccaplank/dispatch/job_relay.cpp
+++ b/src/yuccaplank/dispatch/job_relay.cpp
@@ -115,7 +115,7 @@
     for (auto &[Id, Job] : Jobs) {
       if (Job.Phase == relay_phase::Waiting || Job.Dispatcher != Vm)
         continue;
-      cancelTimer(Job.PhaseTimer);
+      runtime::cancelTimer(Executor, Job.PhaseTimer);
       Job.Phase = relay_phase::Passed;
       Resume.add_relayed(Id);
     }
@@ -136,7 +136,7 @@
   // process may run although it has been cancelled since.
   void endPhaseAfter(relayed_job &Job, runtime::duration Time,
                      void (job_relay_impl::*Handler)(relayed_job &)) {
-    cancelTimer(Job.PhaseTimer);
+    runtime::cancelTimer(Executor, Job.PhaseTimer);
     Job.PhaseEnds = now() + Time;
     Job.PhaseTimer = Executor.after(Time, [this, Id = Job.Request.Job, Phase = Job.Phase, Handler] {
       auto Found = Jobs.find(Id);
@@ -154,7 +154,7 @@
       wait(Job);
       return;
     }
-    cancelTimer(Job.PhaseTimer);
+    runtime::cancelTimer(Executor, Job.PhaseTimer);
     Job.Phase = relay_phase::Passed;
     Job.Dispatcher = Vm;
     Job.Session = Ports.session(Vm);
@@ -227,14 +227,9 @@
          {"took_ms", runtime::toMs(now() - Job.Arrived)}});
   }
 
-  void cancelTimer(runtime::timer_id &Timer) {
-    if (Timer)
-      Executor.cancel(std::exchange(Timer, 0));
-  }
-
   void cancelTimers(relayed_job &Job) {
-    cancelTimer(Job.DeadlineTimer);
-    cancelTimer(Job.PhaseTimer);
+    runtime::cancelTimer(Executor, Job.DeadlineTimer);
+    runtime::cancelTimer(Executor, Job.PhaseTimer);
   }
 
   runtime::executor &Executor;
--- a/src/yuccaplank/entry/directory_test.cpp
+++ b/src/yuccaplank/entry/directory_test.cpp
@@ -1,4 +1,5 @@
 #include "directory.hpp"
+#include "yuccaplank/testing/no_orders.hpp"
 #include "yuccaplank/testing/story.hpp"
 
 #include <cppunit/TestAssert.h>
@@ -63,19 +64,10 @@
   return Row;
 }
 
-struct no_orders final : dispatch::server_orders {
-  void start(const dispatch::server_target &, dispatch::start_order,
-             std::function<void(dispatch::order_reply)>) override {}
-  void stop(const dispatch::server_target &, const dispatch::run_key &, std::uint64_t,
-            std::function<void(dispatch::order_reply)>) override {}
-  void hold(const dispatch::server_target &, const dispatch::hold_order &,
-            std::function<void(dispatch::hold_reply)>) override {}
-};
-
 struct vm final : dispatch::entry_vm_ports {
   std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
   store Store;
-  no_orders Orders;
+  testing::no_orders Orders;
   std::vector<std::string> Contacted;
   std::unique_ptr<dispatch::entry_vm> Entry;
   std::unique_ptr<directory> Directory;
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -1,4 +1,5 @@
 #include "frontend.hpp"
+#include "yuccaplank/testing/no_orders.hpp"
 #include "yuccaplank/testing/story.hpp"
 
 #include <cppunit/TestAssert.h>
@@ -16,19 +17,10 @@
 constexpr const char *Body =
     R"({"specification":"x","best_effort":true,"steps":[{"count":1,"cpu":1000,"estimated_ms":100}]})";
 
-struct no_orders final : dispatch::server_orders {
-  void start(const dispatch::server_target &, dispatch::start_order,
-             std::function<void(dispatch::order_reply)>) override {}
-  void stop(const dispatch::server_target &, const dispatch::run_key &, std::uint64_t,
-            std::function<void(dispatch::order_reply)>) override {}
-  void hold(const dispatch::server_target &, const dispatch::hold_order &,
-            std::function<void(dispatch::hold_reply)>) override {}
-};
-
 // An entry VM without others and without servers.
 struct vm final : dispatch::entry_vm_ports {
   std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
-  no_orders Orders;
+  testing::no_orders Orders;
   std::map<wire::request_token, wire::http_reply> Replies;
   std::unique_ptr<dispatch::entry_vm> Entry;
   std::unique_ptr<frontend> Frontend;
--- a/src/yuccaplank/entry/table_watch.cpp
+++ b/src/yuccaplank/entry/table_watch.cpp
@@ -83,14 +83,13 @@
     }
     const std::vector<store_row> &Changed = Page.value().Rows;
     // A full page may end before the newest version, and a watch that waits between full pages falls behind.
-    bool Full = Page.value().HasMore || Changed.size() >= platform::MaxPageRows;
-    bool Partial = Full && !Changed.empty();
-    Version = std::max(Version, Partial ? Changed.back().Version : Page.value().Version);
+    bool Full = !Changed.empty() && (Page.value().HasMore || Changed.size() >= platform::MaxPageRows);
+    Version = std::max(Version, Full ? Changed.back().Version : Page.value().Version);
     for (const store_row &Row : Changed)
       applyRow(Row);
     if (!Changed.empty())
       OnChange();
-    if (Partial)
+    if (Full)
       follow();
     else
       followSoon();
--- a/src/yuccaplank/standin/row_store.cpp
+++ b/src/yuccaplank/standin/row_store.cpp
@@ -1,13 +1,9 @@
 #include "row_store.hpp"
+#include "yuccaplank/platform/store_client.hpp"
 
 #include <algorithm>
 
 namespace yuccaplank::standin {
-namespace {
-
-constexpr std::size_t MaxRowsOfPage = 500;
-
-} // namespace
 
 std::uint64_t row_store::versionOf(const row_name &Name) const {
   auto Found = Rows.find(Name);
@@ -46,7 +42,7 @@
       break;
     if (Row->second.Deleted)
       continue;
-    if (Page.Rows.size() == MaxRowsOfPage) {
+    if (Page.Rows.size() == platform::MaxPageRows) {
       Page.HasMore = true;
       break;
     }
