--- a/include/yuccaplank/dispatch/entry_vm.hpp
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -28,6 +28,9 @@
   runtime::duration HeartbeatInterval = std::chrono::milliseconds(150);
   /// Interval at which VMs that are out of contact are tried.
   runtime::duration RetryInterval = std::chrono::milliseconds(1000);
+  /// A VM that has lost all others at once is more likely cut off or slow than the last one, and takes over
+  /// servers of other failure domains only after this time.
+  runtime::duration AloneTime = std::chrono::milliseconds(2000);
   /// How long a cancel waits for the other VMs.
   runtime::duration CancelTimeout = std::chrono::milliseconds(400);
   fleet_view_options View;
--- a/include/yuccaplank/dispatch/fleet_view.hpp
+++ b/include/yuccaplank/dispatch/fleet_view.hpp
@@ -13,14 +13,17 @@
 namespace yuccaplank::dispatch {
 
 struct fleet_view_options {
-  /// A VM that has not been heard for this time counts as lost. With the time to stop a run it stays well
-  /// below the 1,300 ms after which a client sends its job again.
-  runtime::duration SilenceLimit = std::chrono::milliseconds(600);
-  /// The same after its connection has broken, which is the usual sign of a dead process.
+  /// Contact with a VM lasts for this time from when this VM *sent* the last heartbeat that the other one has
+  /// answered. The other one has dealt with that heartbeat later than it was sent, and so waits longer before
+  /// it counts on what this VM did for it being over; dispatch/bounds checks the sums.
+  runtime::duration Lease = std::chrono::milliseconds(560);
+  /// Contact ends this long after the connection has broken, which is the usual sign of a dead process.
   runtime::duration ReconnectTime = std::chrono::milliseconds(250);
   /// After a start, servers are claimed and tasks placed only when each VM known then has been heard or found
   /// out of reach, or this time has passed, so that a VM that has just started does not believe itself alone.
   runtime::duration IntroductionTime = std::chrono::milliseconds(700);
+  /// Of the own clock in heartbeats; differs from process to process.
+  std::uint32_t ClockOrigin = 1;
 };
 
 /// A VM that is known from the store, from settings or from another VM.
@@ -29,9 +32,13 @@
   bool Alive = false;
   /// The connection has broken since the VM was last heard.
   bool Broken = false;
-  /// Heard, or found out of reach, since the introduction began.
+  /// In contact, or found out of reach, since the introduction began.
   bool Tried = false;
   runtime::time_point LastHeard{};
+  /// Its clock in the last status that was heard over the present connection; 0 before.
+  std::uint32_t ClockMs = 0;
+  /// When this VM sent the last status that the other one has answered, by the clock that counts suspension.
+  runtime::time_point AnsweredAt = runtime::time_point::min();
   schema::vm_status Status;
 };
 
@@ -59,18 +66,22 @@
   /// The VM has been removed for good.
   virtual void forget(const std::string &Vm) = 0;
   virtual std::vector<view_change> heard(const schema::vm_status &Status) = 0;
+  /// Sets the own clock in a status for the VM, and the echo of that one's clock.
+  virtual void stamp(const std::string &Vm, schema::vm_status &Status) const = 0;
   /// The connection to the VM has broken.
   virtual void broken(const std::string &Vm) = 0;
   /// No connection to an address could be made.
   virtual void unreachable(const std::string &Address) = 0;
   /// The VM is certainly out of reach.
   virtual std::vector<view_change> lost(const std::string &Vm) = 0;
-  /// Applies the silence limit.
+  /// Ends contact with each VM whose time is over; cheap when there is none.
   virtual std::vector<view_change> tick() = 0;
 
   [[nodiscard]] virtual const std::map<std::string, known_vm> &others() const = 0;
   /// Whether the VM is in contact; the own one always is.
   [[nodiscard]] virtual bool alive(const std::string &Vm) const = 0;
+  /// Echoes that belong to no recent heartbeat of this VM.
+  [[nodiscard]] virtual std::uint64_t ignoredEchoes() const = 0;
   /// What was known is old, as after a start.
   virtual void introduceAgain() = 0;
   /// Whether enough is known to claim servers and to place tasks.
--- a/include/yuccaplank/dispatch/job_desk.hpp
+++ b/include/yuccaplank/dispatch/job_desk.hpp
@@ -24,6 +24,8 @@
   runtime::duration Deadline{};
   /// Time since then, when the job comes by way of another VM.
   runtime::duration Age{};
+  /// Whether another VM relays the job.
+  bool Relayed = false;
 };
 
 enum class job_state : std::uint8_t { Queued, Running };
--- a/include/yuccaplank/dispatch/relay_options.hpp
+++ b/include/yuccaplank/dispatch/relay_options.hpp
@@ -6,9 +6,11 @@
 namespace yuccaplank::dispatch {
 
 struct relay_options {
-  /// After losing contact with the dispatching VM, its runs of the job count as gone after this time: it
-  /// stops them within its silence limit, and if it has died, the owners of the servers do.
-  runtime::duration OrphanTime = std::chrono::milliseconds(1200);
+  /// After losing contact with the dispatching VM, its runs of the job count as gone after this time
+  /// (dispatch/bounds).
+  runtime::duration OrphanTime = std::chrono::milliseconds(1300);
+  /// Pause before a job that a dispatching VM has not taken is passed on again.
+  runtime::duration DeclinedTime = std::chrono::milliseconds(30);
   /// Without a dispatching VM in contact, jobs are refused after this time.
   runtime::duration DispatcherWait = std::chrono::milliseconds(800);
   /// The dispatching VM's own answer at the deadline arrives within this time.
--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace yuccaplank::dispatch {
@@ -29,6 +30,13 @@
   /// its servers are claimed, so that its runs go on; dispatch/bounds keeps it below the time of a resent
   /// job.
   runtime::duration Lease = std::chrono::milliseconds(900);
+  /// Times from when this VM sent the last heartbeat that a coordinator has answered. Whatever that one has
+  /// not told yet, its starts reach a server only until the first, and its runs last until the second at
+  /// most; the third holds for jobs that another VM relays to it, since that VM is the first to notice a
+  /// loss.
+  runtime::duration StartLimit = std::chrono::milliseconds(560);
+  runtime::duration RunLimit = std::chrono::milliseconds(1000);
+  runtime::duration RelayedRunLimit = std::chrono::milliseconds(640);
   /// Waiting time of a hold; with the reply time it stays below half of the lease.
   runtime::duration HoldWait = std::chrono::milliseconds(150);
   /// Holds without a reply, one after the other, after which a server counts as silent.
@@ -82,6 +90,9 @@
   virtual void roomChanged(const std::string &Server) = 0;
   /// Token for a claim, higher than Above.
   virtual std::uint64_t fencingToken(std::uint64_t Above) = 0;
+  /// When this VM sent the last heartbeat that the VM has answered, by the clock that counts suspension;
+  /// nothing when it is out of contact, and the greatest time for this VM itself.
+  [[nodiscard]] virtual std::optional<runtime::time_point> answeredAt(const std::string &Vm) const = 0;
   virtual ledger_counters &counters() = 0;
 };
 
@@ -95,6 +106,9 @@
   virtual void claim() = 0;
   /// Another VM has claimed the server; its runs go on. Ignored when the own claim is the later one.
   virtual void onClaimedElsewhere(std::uint64_t ItsToken) = 0;
+  /// Another VM may have ordered the server under an older claim: nothing is started until the server has
+  /// told what runs there, since one that was born again has forgotten the later claim.
+  virtual void lookAgain() = 0;
   /// Gives up the server; its runs go on if their coordinators hear of a new owner in time.
   virtual void release() = 0;
   /// What the platform says of the server has changed.
@@ -114,6 +128,8 @@
   /// gone by the caller.
   virtual void resume(const std::string &Coordinator, const schema::resume_session &Session) = 0;
   [[nodiscard]] virtual bool holds(const run_key &Run) const = 0;
+  /// Whether nothing runs there.
+  [[nodiscard]] virtual bool idle() const = 0;
   /// Highest fencing token of any VM's claim that is known; 0 before the first.
   [[nodiscard]] virtual std::uint64_t token() const = 0;
   /// Whether all runs on the server are known here.
--- a/include/yuccaplank/dispatch/server_owner.hpp
+++ b/include/yuccaplank/dispatch/server_owner.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
   [[nodiscard]] virtual bool shouldOwn(const std::string &Rack, const std::string &Domain) const = 0;
   [[nodiscard]] virtual bool reachable(const std::string &Vm) const = 0;
   /// See ledger_ports.
+  [[nodiscard]] virtual std::optional<runtime::time_point> answeredAt(const std::string &Vm) const = 0;
+  /// See ledger_ports.
   virtual std::uint64_t fencingToken(std::uint64_t Above) = 0;
 };
 
@@ -45,6 +48,9 @@
   /// Another VM has claimed a server or owns it.
   virtual void onClaimedElsewhere(const std::string &NewOwner, const std::string &Server,
                                   std::uint64_t Token) = 0;
+  /// Contact with a VM is back that was lost and has not ended meanwhile, so that it may have ordered servers
+  /// that have forgotten this VM's claim.
+  virtual void onContactBack() = 0;
   /// Tells a VM with which contact begins which servers this one owns.
   virtual void tellOwned(const std::string &Vm) = 0;
   virtual void onResume(const std::string &Coordinator, const schema::resume_session &Session) = 0;
--- a/include/yuccaplank/runtime/clock.hpp
+++ b/include/yuccaplank/runtime/clock.hpp
@@ -23,6 +23,8 @@
   virtual ~clock() = default;
   /// Monotonic; its origin has no meaning.
   [[nodiscard]] virtual time_point now() const = 0;
+  /// Monotonic, and counts the time in which the machine was suspended, which now() leaves out.
+  [[nodiscard]] virtual time_point sinceBoot() const = 0;
   /// Milliseconds since the Unix epoch; may jump.
   [[nodiscard]] virtual std::int64_t unixMs() const = 0;
 };
@@ -35,6 +37,7 @@
 public:
   explicit manual_clock(std::int64_t StartUnixMs = 1'700'000'000'000) : BaseUnixMs(StartUnixMs) {}
   [[nodiscard]] time_point now() const override { return Current; }
+  [[nodiscard]] time_point sinceBoot() const override { return Current; }
   [[nodiscard]] std::int64_t unixMs() const override {
     return BaseUnixMs +
            std::chrono::duration_cast<std::chrono::milliseconds>(Current.time_since_epoch()).count();
--- a/scenarios/relays.lua
+++ b/scenarios/relays.lua
@@ -61,3 +61,39 @@
   check_equal(outcome(outside), "completed")
   check_promises()
 end)
+
+scenario("a dispatcher that lags starts no job that was passed on elsewhere meanwhile", function()
+  given("the dispatcher of a domain, which reads what arrives two seconds late")
+  world(fleet)
+  lag("vm1", 2000, 0)
+  local job = submit("vm7", {tasks = 2, ms = 3000})
+  run(2500)
+  and_then("the job runs on behalf of another one")
+  check_equal(running(job), 2)
+  check_equal(starts(job), 2)
+  when("it has caught up, it takes jobs again")
+  lag("vm1", 0, 0)
+  run(6000)
+  check_equal(outcome(job), "completed")
+  local new = submit("vm7", {tasks = 2, ms = 200})
+  run(400)
+  check_equal(outcome(new), "completed")
+  check_promises()
+end)
+
+scenario("an owner that lags starts nothing for a coordinator that has given it up", function()
+  given("jobs of one VM on a server of another one, which reads what arrives late")
+  world{servers = 2, domains = 1, vms = 3}
+  local victim = owner("s0")
+  local caller = victim == "vm1" and "vm2" or "vm1"
+  lag(victim, 1500, 0)
+  local jobs = {}
+  for index = 1, 6 do
+    jobs[index] = submit(caller, {tasks = 2, ms = 800, cores = 20})
+    run(100)
+  end
+  run(3000)
+  lag(victim, 0, 0)
+  run(6000)
+  check_promises()
+end)
--- a/src/yuccaplank/dispatch/bounds.cpp
+++ b/src/yuccaplank/dispatch/bounds.cpp
@@ -8,61 +8,70 @@
 using runtime::duration;
 using std::chrono::milliseconds;
 
-// One way of a message or an order, with some delay.
-constexpr duration CallTime = milliseconds(100);
-// Orphaned runs are given up this long before the caller sends the job again.
+// Kept between the end of what an earlier submission may run and the next submission.
+constexpr duration Margin = milliseconds(10);
+// Shorter contact does not survive a message that is late.
+constexpr duration ShortestContact = milliseconds(300);
+// Coordinators give up what runs for a job this long before its caller sends it again.
 constexpr duration OrphanMargin = milliseconds(200);
-constexpr duration LeaseMargin = milliseconds(50);
-// Less does not survive a message that is late.
-constexpr duration ShortestSilence = milliseconds(300);
-constexpr duration ShortestAdoption = milliseconds(50);
 
-// When a run has certainly ended whose lease is not renewed.
-duration leaseOver(const ledger_options &Ledger) {
-  return std::chrono::duration_cast<duration>(Ledger.Lease * (1 + Ledger.ClockDrift)) + Ledger.ClockError;
+// When a lease has certainly ended that lasts until this long after a heartbeat was sent.
+duration leaseOver(const ledger_options &Ledger, duration Lease) {
+  return std::chrono::duration_cast<duration>(Lease * (1 + Ledger.ClockDrift)) + Ledger.ClockError;
 }
 
 duration longestLease(const ledger_options &Ledger, duration Over) {
   return std::chrono::duration_cast<duration>((Over - Ledger.ClockError) / (1 + Ledger.ClockDrift));
 }
 
+// When nothing runs any more for a relaying VM, from when it stopped to answer the dispatching VM's
+// heartbeats.
+duration relayedRunsOver(const entry_vm_options &Options) {
+  return Options.View.Lease + leaseOver(Options.Ledger, Options.Ledger.RelayedRunLimit);
+}
+
+void scale(duration &Time, double Factor) { Time = std::chrono::duration_cast<duration>(Time * Factor); }
+
 } // namespace
 
 bool applyBounds(const platform_bounds &Bounds, entry_vm_options &Options) {
-  duration &Orphan = Options.Coordinator.OrphanTime;
-  duration &Silence = Options.View.SilenceLimit;
   ledger_options &Ledger = Options.Ledger;
-  Orphan = std::min(Orphan, duration(Bounds.Resend - OrphanMargin));
-  Ledger.Lease = std::min({Ledger.Lease, Bounds.MaxLease, longestLease(Ledger, Orphan - LeaseMargin)});
-  Silence = std::min(Silence, duration(Orphan - Bounds.StopTime - CallTime - LeaseMargin));
-  Ledger.AdoptionTime = std::min(
-      Ledger.AdoptionTime, duration(Bounds.Resend - Silence - 2 * CallTime - Bounds.StopTime - LeaseMargin));
+  Ledger.Lease = std::min(Ledger.Lease, Bounds.MaxLease);
+  const entry_vm_options Defaults;
+  duration Needed = relayedRunsOver(Defaults) - Ledger.ClockError + 2 * Margin;
+  double Factor = std::min(1.0, (Bounds.Resend - Ledger.ClockError) / std::chrono::duration<double>(Needed));
+  if (Factor < 1)
+    for (duration *Time : {&Options.HeartbeatInterval, &Options.View.Lease, &Options.View.ReconnectTime,
+                           &Ledger.StartLimit, &Ledger.RunLimit, &Ledger.RelayedRunLimit, &Ledger.HoldWait})
+      scale(*Time, Factor);
+  Options.Coordinator.OrphanTime =
+      std::min(Options.Coordinator.OrphanTime, duration(Bounds.Resend - OrphanMargin));
+  Ledger.RunLimit = std::min(Ledger.RunLimit, longestLease(Ledger, Options.Coordinator.OrphanTime - Margin));
+  Options.Relay.OrphanTime = std::min(Options.Relay.OrphanTime, Bounds.Resend);
   return keepsBounds(Bounds, Options);
 }
 
 bool keepsBounds(const platform_bounds &Bounds, const entry_vm_options &Options) {
-  duration Silence = Options.View.SilenceLimit;
+  duration Contact = Options.View.Lease;
   const ledger_options &Ledger = Options.Ledger;
-  bool Useful = Silence >= ShortestSilence && Ledger.AdoptionTime >= ShortestAdoption;
+  // A heartbeat has an answer after two intervals at most, and some time is left for delays.
+  bool Useful = Contact >= ShortestContact && 2 * Options.HeartbeatInterval + Contact / 3 <= Contact;
   bool LeaseGranted = Ledger.Lease <= Bounds.MaxLease;
-  // A lease outlasts one hold that is lost and the next.
-  bool LeaseLasts = 2 * Ledger.HoldWait < Ledger.Lease;
-  // The coordinator dies: owners find out and stop its runs.
-  bool AfterCoordinator = Silence + Bounds.StopTime + CallTime < Bounds.Resend;
-  // Coordinator and owner die together: the lease ends, or the next owner stops what nobody claims.
-  bool AfterBoth = leaseOver(Ledger) < Bounds.Resend &&
-                   Silence + CallTime + Ledger.AdoptionTime + Bounds.StopTime + CallTime < Bounds.Resend;
-  // Coordinator and owner lose each other: the owner stops the runs before the coordinator starts others.
-  bool Apart = Silence + Bounds.StopTime + CallTime < Options.Coordinator.OrphanTime &&
-               leaseOver(Ledger) < Options.Coordinator.OrphanTime;
-  // A relaying VM loses the coordinator, or both the coordinator and an owner die: their runs have ended
-  // before the job is passed on. The relaying VM may notice at once, the owners only by silence.
-  bool Relayed =
-      Silence + Bounds.StopTime + 2 * CallTime < Options.Relay.OrphanTime &&
-      leaseOver(Ledger) < Options.Relay.OrphanTime &&
-      Silence + CallTime + Ledger.AdoptionTime + Bounds.StopTime + CallTime < Options.Relay.OrphanTime;
-  return Useful && LeaseGranted && LeaseLasts && AfterCoordinator && AfterBoth && Apart && Relayed &&
-         Options.Coordinator.OrphanTime < Bounds.Resend;
+  // A lease outlasts one hold that is lost and the next, also when the last answer to a heartbeat is old.
+  bool LeaseLasts = 2 * Ledger.HoldWait < Ledger.Lease &&
+                    2 * Ledger.HoldWait + 2 * Options.HeartbeatInterval < Ledger.RelayedRunLimit &&
+                    Ledger.RelayedRunLimit <= Ledger.RunLimit;
+  // An order that starts a run ends no later than the run may last.
+  bool StartsInTime = Ledger.StartLimit <= Contact && Ledger.StartLimit <= Ledger.RelayedRunLimit;
+  // The coordinator loses the owner, or dies: the owner's runs have ended before it starts others, or before
+  // its caller sends the job again.
+  bool Apart = leaseOver(Ledger, Ledger.RunLimit) < Options.Coordinator.OrphanTime &&
+               Options.Coordinator.OrphanTime < Bounds.Resend;
+  // A relaying VM loses the coordinator, or dies: the coordinator's contact with it ends, then that of each
+  // owner with the coordinator as it was before, with its runs.
+  bool Relayed = relayedRunsOver(Options) + Margin <= Bounds.Resend &&
+                 relayedRunsOver(Options) + Margin <= Options.Relay.OrphanTime;
+  return Useful && LeaseGranted && LeaseLasts && StartsInTime && Apart && Relayed;
 }
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -5,10 +5,13 @@
 #include "job_relay.hpp"
 #include "job_router.hpp"
 #include "job_waiters.hpp"
+#include "relay_messages.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 
 namespace yuccaplank::dispatch {
 namespace {
@@ -45,7 +48,11 @@
     Self.set_domain(Options.Domain);
     Self.set_strength(Options.Strength);
     View->setSelf(Self);
-    every(Options.HeartbeatInterval, [this] { Contacts.sendHeartbeats(); });
+    every(Options.HeartbeatInterval, [this] {
+      // What is given up is told before a heartbeat that prolongs contact with others.
+      endContacts();
+      Contacts.sendHeartbeats();
+    });
     every(Options.RetryInterval, [this] {
       Contacts.tryOthers();
       reportStaleVms();
@@ -104,6 +111,7 @@
     std::string &Known = Incarnations[Vm];
     if (!Known.empty() && Known != Incarnation) {
       log(log_level::Warning, "vm_restarted", {{"vm", Vm}});
+      LostVms.erase(Vm);
       if (!View->lost(Vm).empty())
         forgetSessions(Vm);
     }
@@ -182,8 +190,7 @@
     State.RelayedJobs = Relay->size();
     State.Dispatching = Self.role() == schema::VM_DISPATCHES;
     State.Placing = Placing;
-    State.VmsInContact = static_cast<std::size_t>(
-        std::ranges::count_if(View->others(), [](const auto &Entry) { return Entry.second.Alive; }));
+    State.VmsInContact = vmsInContact();
     return State;
   }
 
@@ -247,6 +254,14 @@
   [[nodiscard]] std::set<std::string> jobHolders() const override { return Relay->dispatchers(); }
   [[nodiscard]] std::string placer() const override { return Placer; }
   [[nodiscard]] bool reachable(const std::string &Vm) const override { return View->alive(Vm); }
+  [[nodiscard]] std::optional<time_point> answeredAt(const std::string &Vm) const override {
+    if (Vm == Options.Vm)
+      return time_point::max();
+    auto Found = View->others().find(Vm);
+    if (Found == View->others().end() || !Found->second.Alive)
+      return std::nullopt;
+    return Found->second.AnsweredAt;
+  }
   [[nodiscard]] std::uint32_t session(const std::string &Vm) const override {
     auto Found = Sessions.find(Vm);
     return Found == Sessions.end() ? 0 : Found->second;
@@ -254,7 +269,7 @@
   void answer(std::uint64_t Job, const job_answer &Answer) override { Waiters.onAnswer(Job, Answer); }
   server_orders &orders() override { return Ports.orders(); }
   [[nodiscard]] bool shouldOwn(const std::string &Rack, const std::string &Domain) const override {
-    if (!View->introduced())
+    if (!View->introduced() || (Domain != Options.Domain && lostAllOfLate()))
       return false;
     // The answer depends on all VMs and is asked for each server all the time.
     if (std::exchange(OwnRacksVersion, View->version()) != View->version())
@@ -284,6 +299,8 @@
   // Messages.
 
   void handle(const std::string &From, const schema::dispatch_message &Message) {
+    // What arrives late must not be dealt with as if its sender still counted on this VM.
+    endContacts();
     switch (Message.body_case()) {
     case schema::dispatch_message::kStatus:
       onStatus(Message.status());
@@ -356,6 +373,8 @@
       // A VM that has been lost counts its jobs as given up.
       if (View->alive(From))
         Waiters.onRelayed(From, Message.relay());
+      else
+        declineRelayed(From, Message.relay());
       break;
     case schema::dispatch_message::kRelayed:
       Relay->onAnswer(From, Message.relayed());
@@ -369,13 +388,26 @@
   }
 
   void onStatus(const schema::vm_status &Status) {
-    apply(View->heard(Status));
+    std::vector<view_change> Changes = View->heard(Status);
+    // Before what the beginning of contact sends, which the other VM takes only when it is in contact.
+    if (Status.vm() != Options.Vm)
+      Contacts.answerGreeting(Status, !Changes.empty());
+    apply(Changes);
     Contacts.learnPeers(Status);
     offerConfiguration(Status);
     if (View->version() != ReviewedVersion)
       reviewRoles();
   }
 
+  void declineRelayed(const std::string &From, const schema::relay_job &Job) {
+    ++DeclinedJobs;
+    log(log_level::Info, "relayed_job_declined",
+        {{"job", formatJob(Job.job())}, {"vm", From}, {"reason", std::string("not_in_contact")}});
+    auto Found = View->others().find(From);
+    if (Found != View->others().end())
+      Ports.send(From, Found->second.Address, makeNotTaken(Job));
+  }
+
   void offerConfiguration(const schema::vm_status &Status) {
     if (!Current || Status.configuration_version() >= Current->Version)
       return;
@@ -421,6 +453,8 @@
       switch (Change.Kind) {
       case view_change::kind::Found:
         log(log_level::Info, "vm_found", {{"vm", Change.Vm}});
+        if (LostVms.erase(Change.Vm) > 0 && Contacts.coordinates(Change.Vm))
+          Owner->onContactBack();
         begin(Change.Vm);
         break;
       case view_change::kind::Resumed:
@@ -462,12 +496,24 @@
 
   void onVmLost(const std::string &Vm) {
     log(log_level::Warning, "vm_lost", {{"vm", Vm}});
+    LostVms.insert(Vm);
+    if (vmsInContact() == 0)
+      LostAllAt = Executor.clock().now();
     Ports.disconnect(Vm);
     forgetSessions(Vm);
     if (!Contacts.wants(Vm))
       View->forget(Vm);
   }
 
+  [[nodiscard]] std::size_t vmsInContact() const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(View->others(), [](const auto &Entry) { return Entry.second.Alive; }));
+  }
+
+  [[nodiscard]] bool lostAllOfLate() const {
+    return LostAllAt && vmsInContact() == 0 && Executor.clock().now() - *LostAllAt < Options.AloneTime;
+  }
+
   void forgetSessions(const std::string &Vm) {
     Queue->dropVm(Vm);
     Owner->onVmLost(Vm);
@@ -576,12 +622,15 @@
   }
 
   void schedule() {
+    endContacts();
     if (Placing)
       Queue->schedule();
   }
 
+  void endContacts() { apply(View->tick()); }
+
   void tick() {
-    apply(View->tick());
+    endContacts();
     reviewDispatching();
     reviewRoles();
     Owner->tick();
@@ -613,6 +662,8 @@
   schema::configuration_copy Copy;
   std::map<std::string, std::string> Incarnations;
   std::map<std::string, std::uint32_t> Sessions;
+  // Out of contact since they were lost, and not known to have ended.
+  std::set<std::string> LostVms;
   std::map<std::string, std::uint64_t> OfferedVersions;
   // Version of the view for which the roles were last looked at.
   std::uint64_t ReviewedVersion = 0;
@@ -623,6 +674,10 @@
   bool Placing = false;
   time_point PlacingSince{};
   bool SchedulePosted = false;
+  // When contact with the last of the others was lost.
+  std::optional<time_point> LostAllAt;
+  // Jobs that arrived from VMs out of contact.
+  std::uint64_t DeclinedJobs = 0;
   runtime::lifetime Lifetime;
 };
 
--- a/src/yuccaplank/dispatch/fleet_contacts.cpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.cpp
@@ -79,7 +79,7 @@
     std::optional<schema::dispatch_message> &Status = IsRelay ? ToRelays : ToDispatchers;
     if (!Status)
       Status = makeStatus(WithPeers, IsRelay);
-    Ports.sendTo(Vm, Known.Address, *Status);
+    sendStatus(Vm, Known.Address, *Status);
   }
 }
 
@@ -95,7 +95,7 @@
   for (const auto &[Vm, Known] : View.others()) {
     AnyAlive |= Known.Alive;
     if (!Known.Alive)
-      Ports.sendTo(Vm, Known.Address, Message);
+      sendStatus(Vm, Known.Address, Message);
   }
   for (const std::string &Seed : Seeds)
     if (!AnyAlive && Seed != Self.address())
@@ -103,7 +103,22 @@
 }
 
 void fleet_contacts::greet(const std::string &Vm, const std::string &Address) {
-  Ports.sendTo(Vm, Address, makeStatus(true, false));
+  sendStatus(Vm, Address, makeStatus(true, false));
+}
+
+void fleet_contacts::answerGreeting(const schema::vm_status &Greeting, bool ContactBegins) {
+  bool InContact = View.alive(Greeting.vm()) && Greeting.echo_ms() > 0;
+  if (!ContactBegins && (InContact || Greeting.answer()))
+    return;
+  schema::dispatch_message Message = makeStatus(true, false);
+  Message.mutable_status()->set_answer(true);
+  sendStatus(Greeting.vm(), Greeting.address(), std::move(Message));
+}
+
+void fleet_contacts::sendStatus(const std::string &Vm, const std::string &Address,
+                                schema::dispatch_message Message) {
+  View.stamp(Vm, *Message.mutable_status());
+  Ports.sendTo(Vm, Address, std::move(Message));
 }
 
 void fleet_contacts::forgetStrangers(const std::set<std::string> &Contacts) {
--- a/src/yuccaplank/dispatch/fleet_contacts.hpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.hpp
@@ -60,6 +60,9 @@
   /// Tries the VMs that contact is wanted with and that are not in contact, and forgets the others.
   void tryOthers();
   void greet(const std::string &Vm, const std::string &Address);
+  /// Answers a status at once where contact has just begun or one side lacks it, so that it begins within a
+  /// round trip.
+  void answerGreeting(const schema::vm_status &Greeting, bool ContactBegins);
 
   /// Dispatching VMs by the store that have been out of contact since Before.
   [[nodiscard]] std::vector<std::string> missingSince(runtime::time_point Before) const;
@@ -69,6 +72,7 @@
 private:
   [[nodiscard]] std::set<std::string> contacts() const;
   void forgetStrangers(const std::set<std::string> &Contacts);
+  void sendStatus(const std::string &Vm, const std::string &Address, schema::dispatch_message Message);
   [[nodiscard]] schema::dispatch_message makeStatus(bool WithPeers, bool ForRelay) const;
 
   fleet_view &View;
--- a/src/yuccaplank/dispatch/fleet_view.cpp
+++ b/src/yuccaplank/dispatch/fleet_view.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/dispatch/fleet_view.hpp"
+#include "contact_clock.hpp"
 
 #include <xxhash.h>
 
@@ -34,7 +35,7 @@
 class fleet_view_impl final : public fleet_view {
 public:
   fleet_view_impl(const runtime::clock &Clock, fleet_view_options Options)
-      : Clock(Clock), Options(Options), StartedAt(Clock.now()) {}
+      : Clock(Clock), Options(Options), OwnClock(Clock, Options.ClockOrigin), StartedAt(Clock.now()) {}
 
   void setSelf(const schema::vm_status &Status) override {
     noteChange(leadingPart(Self) != leadingPart(Status));
@@ -59,11 +60,15 @@
     known_vm &Vm = Others[Status.vm()];
     Vm.Address = Status.address();
     Vm.LastHeard = Clock.now();
+    Vm.ClockMs = Status.clock_ms();
+    Term = std::max(Term, Status.term());
+    noteEcho(Vm, Status);
+    if (!withinLease(Vm))
+      return {};
     Vm.Tried = true;
     noteChange(!Vm.Alive || leadingPart(Vm.Status) != leadingPart(Status));
     bool RoleChanged = Vm.Alive && Vm.Status.role() != Status.role();
     Vm.Status = Status;
-    Term = std::max(Term, Status.term());
     bool WasBroken = std::exchange(Vm.Broken, false);
     if (!std::exchange(Vm.Alive, true))
       return {{view_change::kind::Found, Status.vm()}};
@@ -72,35 +77,57 @@
     return {};
   }
 
+  void stamp(const std::string &Vm, schema::vm_status &Status) const override {
+    Status.set_clock_ms(OwnClock.now());
+    auto Found = Others.find(Vm);
+    if (Found == Others.end())
+      return;
+    const known_vm &Other = Found->second;
+    if (Other.Alive && withinLease(Other))
+      Status.set_echo_ms(Other.ClockMs);
+    else
+      Status.set_greeting_echo_ms(Other.ClockMs);
+  }
+
   void broken(const std::string &Vm) override {
     auto Found = Others.find(Vm);
-    if (Found == Others.end() || !Found->second.Alive)
+    if (Found == Others.end())
+      return;
+    Found->second.ClockMs = 0;
+    if (!Found->second.Alive)
       return;
     Found->second.Broken = true;
     Found->second.LastHeard = Clock.now();
+    noteEnd(Clock.sinceBoot() + Options.ReconnectTime);
   }
 
   std::vector<view_change> lost(const std::string &Vm) override {
     auto Found = Others.find(Vm);
     if (Found == Others.end())
       return {};
-    Found->second.Broken = false;
-    if (!std::exchange(Found->second.Alive, false))
+    if (!end(Found->second))
       return {};
-    noteChange(true);
     return {{view_change::kind::Lost, Vm}};
   }
 
   std::vector<view_change> tick() override {
+    if (Clock.sinceBoot() < NextEnd)
+      return {};
+    NextEnd = time_point::max();
     std::vector<view_change> Changes;
-    for (auto &[Name, Vm] : Others)
-      if (Vm.Alive &&
-          Clock.now() - Vm.LastHeard >= (Vm.Broken ? Options.ReconnectTime : Options.SilenceLimit)) {
-        Vm.Alive = false;
-        Vm.Broken = false;
-        noteChange(true);
+    for (auto &[Name, Vm] : Others) {
+      if (!Vm.Alive)
+        continue;
+      bool GivenUp = Vm.Broken && Clock.now() - Vm.LastHeard >= Options.ReconnectTime;
+      if (GivenUp || !withinLease(Vm)) {
+        end(Vm);
         Changes.push_back({view_change::kind::Lost, Name});
+        continue;
       }
+      noteEnd(Vm.AnsweredAt + Options.Lease);
+      if (Vm.Broken)
+        noteEnd(Clock.sinceBoot() + (Vm.LastHeard + Options.ReconnectTime - Clock.now()));
+    }
     return Changes;
   }
 
@@ -113,6 +140,8 @@
     return Found != Others.end() && Found->second.Alive;
   }
 
+  [[nodiscard]] std::uint64_t ignoredEchoes() const override { return IgnoredEchoes; }
+
   void introduceAgain() override {
     StartedAt = Clock.now();
     for (auto &[Name, Vm] : Others)
@@ -158,6 +187,37 @@
   [[nodiscard]] std::uint32_t highestTerm() const override { return Term; }
 
 private:
+  [[nodiscard]] bool withinLease(const known_vm &Vm) const {
+    return Clock.sinceBoot() < Vm.AnsweredAt + Options.Lease;
+  }
+
+  // Contact with some VM may end at this time.
+  void noteEnd(time_point End) { NextEnd = std::min(NextEnd, End); }
+
+  // What was in contact stays so only by the echo of a VM that counts on this one.
+  void noteEcho(known_vm &Vm, const schema::vm_status &Status) {
+    std::uint32_t Echo = Status.echo_ms() > 0 || Vm.Alive ? Status.echo_ms() : Status.greeting_echo_ms();
+    if (Echo == 0)
+      return;
+    auto ShownAt = OwnClock.shownAt(Echo, Options.Lease);
+    if (!ShownAt) {
+      ++IgnoredEchoes;
+      return;
+    }
+    Vm.AnsweredAt = std::max(Vm.AnsweredAt, *ShownAt);
+    noteEnd(Vm.AnsweredAt + Options.Lease);
+  }
+
+  // Tells whether the VM was in contact.
+  bool end(known_vm &Vm) {
+    Vm.Broken = false;
+    Vm.ClockMs = 0;
+    Vm.AnsweredAt = time_point::min();
+    bool WasAlive = std::exchange(Vm.Alive, false);
+    noteChange(WasAlive);
+    return WasAlive;
+  }
+
   void noteChange(bool Changed) { Version += Changed ? 1 : 0; }
 
   // The dispatching VM of the highest rank; empty when there is none.
@@ -181,7 +241,11 @@
 
   const runtime::clock &Clock;
   fleet_view_options Options;
+  contact_clock OwnClock;
   time_point StartedAt;
+  // No contact ends before, by the clock that counts suspension.
+  time_point NextEnd = time_point::max();
+  std::uint64_t IgnoredEchoes = 0;
   schema::vm_status Self;
   std::uint32_t Term = 0;
   std::uint64_t Version = 1;
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -144,7 +144,8 @@
     run_key Run = keyOf(Event.task());
     coordinated_job *Job = jobOf(Run);
     task_state *Task = Job ? taskOf(*Job, Run) : nullptr;
-    if (!Task || Task->Owner != Owner)
+    // An earlier submission of the job may have used the run's number on another server.
+    if (!Task || Task->Owner != Owner || Task->Server != Event.server())
       return;
     applyEvent(*Job, *Task, Run, Event);
   }
@@ -321,6 +322,7 @@
     Start.set_estimate_ms(Job.Request.EstimateMs);
     Start.set_session(Ports.session(Grant.owner()));
     Start.set_token(Grant.token());
+    Start.set_relayed(Job.Request.Relayed);
     Ports.send(Grant.owner(), std::move(Message));
   }
 
@@ -385,6 +387,7 @@
     *Adopted.mutable_task() = toMessage(Run);
     *Adopted.mutable_size() = Job.Request.TaskSize;
     Adopted.set_estimate_ms(Job.Request.EstimateMs);
+    Adopted.set_relayed(Job.Request.Relayed);
     Adopted.set_age_ms(static_cast<std::uint32_t>(runtime::toMs(now() - Task.OrderedAt)));
   }
 
--- a/src/yuccaplank/dispatch/job_relay.cpp
+++ b/src/yuccaplank/dispatch/job_relay.cpp
@@ -19,6 +19,8 @@
   Passed,
   /// The dispatching VM is out of contact and may still run tasks of the job.
   Orphaned,
+  /// The dispatching VM did not take the job, which is about to be passed on again.
+  Declined,
 };
 
 struct relayed_job {
@@ -92,6 +94,10 @@
     }
     if (Message.session() != AnySession && Message.session() != Job.Session)
       return;
+    if (Message.end() == schema::RELAYED_NOT_TAKEN) {
+      passLater(Job);
+      return;
+    }
     job_answer Answer = answerOf(Message);
     // The refusal says nothing of what an earlier VM has started.
     if (Answer.Outcome == job_outcome::Refused && Job.MayHaveRun)
@@ -113,7 +119,8 @@
 
   void resume(const std::string &Vm, schema::resume_session &Resume) override {
     for (auto &[Id, Job] : Jobs) {
-      if (Job.Phase == relay_phase::Waiting || Job.Dispatcher != Vm)
+      bool Held = Job.Phase == relay_phase::Passed || Job.Phase == relay_phase::Orphaned;
+      if (!Held || Job.Dispatcher != Vm)
         continue;
       runtime::cancelTimer(Executor, Job.PhaseTimer);
       Job.Phase = relay_phase::Passed;
@@ -176,6 +183,12 @@
     endPhaseAfter(Job, Options.OrphanTime, &job_relay_impl::passAgain);
   }
 
+  // Nothing is started because of the job's last pass. The pause keeps it from going to and fro.
+  void passLater(relayed_job &Job) {
+    Job.Phase = relay_phase::Declined;
+    endPhaseAfter(Job, Options.DeclinedTime, &job_relay_impl::pass);
+  }
+
   void passAgain(relayed_job &Job) {
     log(log_level::Warning, "job_passed_again",
         {{"job", formatJob(Job.Request.Job)}, {"former", Job.Dispatcher}});
@@ -193,7 +206,8 @@
       return;
     relayed_job &Job = Found->second;
     Job.DeadlineTimer = 0;
-    bool NotRun = Job.Phase == relay_phase::Waiting && !Job.MayHaveRun;
+    bool WithNoOne = Job.Phase == relay_phase::Waiting || Job.Phase == relay_phase::Declined;
+    bool NotRun = WithNoOne && !Job.MayHaveRun;
     withdraw(Job, end_reason::Deadline);
     finish(Job, {NotRun ? job_outcome::Refused : job_outcome::TimedOut, end_reason::Deadline, 0, {}, false});
   }
--- a/src/yuccaplank/dispatch/lease_clock.hpp
+++ b/src/yuccaplank/dispatch/lease_clock.hpp
@@ -22,11 +22,18 @@
     NotedAt = Now;
   }
 
-  /// Lease end, on the server's clock, for an order that is sent now.
-  std::int64_t extend(runtime::time_point Now, runtime::duration Lease) {
+  /// A lease has been given of this length at most, by this VM or a former owner.
+  void noteLease(runtime::time_point Now, runtime::duration Lease) {
     auto Guard = std::chrono::duration_cast<runtime::duration>(Lease * (1 + Drift)) + Error;
     OverAt = std::max(OverAt, Now + Guard);
-    auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(Now - NotedAt + Lease);
+  }
+
+  /// Lease end, on the server's clock, for an order that is sent now.
+  std::int64_t extend(runtime::time_point Now, runtime::duration Lease) {
+    noteLease(Now, Lease);
+    // A clock that is slow has not gone further than this; after seconds the difference exceeds Error.
+    auto SinceNoted = std::chrono::duration_cast<runtime::duration>((Now - NotedAt) * (1 - Drift));
+    auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(SinceNoted + Lease);
     return ServerMs + Left.count();
   }
 
--- a/src/yuccaplank/dispatch/relay_messages.cpp
+++ b/src/yuccaplank/dispatch/relay_messages.cpp
@@ -43,6 +43,7 @@
   Request.EstimateMs = Message.estimate_ms();
   Request.Deadline = std::chrono::milliseconds(Message.deadline_ms());
   Request.Age = std::chrono::milliseconds(Message.age_ms());
+  Request.Relayed = true;
   return Request;
 }
 
@@ -66,6 +67,15 @@
   return Message;
 }
 
+schema::dispatch_message makeNotTaken(const schema::relay_job &Message) {
+  schema::dispatch_message Answer;
+  schema::relayed_answer &Relayed = *Answer.mutable_relayed();
+  Relayed.set_job(Message.job());
+  Relayed.set_session(Message.session());
+  Relayed.set_end(schema::RELAYED_NOT_TAKEN);
+  return Answer;
+}
+
 job_answer answerOf(const schema::relayed_answer &Message) {
   bool Known = Message.end() >= schema::RELAYED_COMPLETED && Message.end() <= schema::RELAYED_CANCELLED;
   job_answer Answer;
--- a/src/yuccaplank/dispatch/run_table.cpp
+++ b/src/yuccaplank/dispatch/run_table.cpp
@@ -49,6 +49,14 @@
   return Result;
 }
 
+runtime::time_point run_table::allowedUntil() const {
+  runtime::time_point Until = runtime::time_point::max();
+  for (const auto &[Run, State] : Runs)
+    if (State.Phase != run_phase::Voided)
+      Until = std::min(Until, State.AllowedUntil);
+  return Until;
+}
+
 std::vector<run_key> run_table::missingIn(const std::vector<run_key> &Listed,
                                           runtime::time_point Sent) const {
   std::set<run_key> Present(Listed.begin(), Listed.end());
--- a/src/yuccaplank/dispatch/run_table.hpp
+++ b/src/yuccaplank/dispatch/run_table.hpp
@@ -27,6 +27,8 @@
 struct server_run {
   /// Empty when nobody has claimed the run.
   std::string Coordinator;
+  /// Whether the coordinator has the job from a VM that relays.
+  bool Relayed = false;
   schema::task_size Size;
   std::uint32_t EstimateMs = 0;
   run_phase Phase = run_phase::Starting;
@@ -34,6 +36,9 @@
   /// When the server had certainly dealt with the run's latest order; a list made after this that lacks the
   /// run proves that it does not run.
   std::optional<runtime::time_point> SettledAt;
+  /// By this time, on the clock that counts suspension, the run must have ended unless its coordinator is
+  /// heard again; least before one is known.
+  runtime::time_point AllowedUntil = runtime::time_point::min();
   /// Found at a take-over and claimed by no coordinator yet; its size is not known.
   bool Unclaimed = false;
   /// Whether the start may still be carried out, however late.
@@ -65,6 +70,9 @@
   [[nodiscard]] bool anyUnclaimed() const;
   [[nodiscard]] std::set<std::string> coordinators() const;
   [[nodiscard]] std::vector<run_key> keys() const;
+  /// Until when a lease may last that holds for all runs but those that are void; the greatest time without
+  /// runs.
+  [[nodiscard]] runtime::time_point allowedUntil() const;
   /// Runs that a list lacks which was made after Sent, and so do not run.
   [[nodiscard]] std::vector<run_key> missingIn(const std::vector<run_key> &Listed,
                                                runtime::time_point Sent) const;
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -31,6 +32,8 @@
 };
 
 constexpr unsigned MaxFencedSteps = 16;
+// A start order with less time would mostly be refused.
+constexpr auto ShortestStartTime = std::chrono::milliseconds(20);
 
 class server_ledger_impl final : public server_ledger {
 public:
@@ -58,6 +61,12 @@
     release();
   }
 
+  void lookAgain() override {
+    LookSince = now();
+    Ports.roomChanged(Entry.Target.Id);
+    keepHolding();
+  }
+
   void release() override {
     if (Ownership == ownership::None)
       return;
@@ -66,6 +75,7 @@
     yieldRuns();
     Runs.clear();
     HoldPending = false;
+    LookSince.reset();
     Ports.roomChanged(Entry.Target.Id);
   }
 
@@ -93,13 +103,20 @@
       refuse(Coordinator, Run, Refusal);
       return;
     }
+    duration StartTime = timeToStart(Coordinator);
+    if (StartTime < ShortestStartTime) {
+      refuse(Coordinator, Run, "contact_nearly_over");
+      return;
+    }
     server_run &Started = Runs[Run];
     Started.Coordinator = Coordinator;
+    Started.Relayed = Request.relayed();
     Started.Size = Request.size();
     Started.EstimateMs = Request.estimate_ms();
     Started.StartedAt = now();
     ++Ports.counters().Started;
-    start_order Order{Run, Request.specification(), Token, extendLease()};
+    // The server refuses the order when it arrives after its coordinator may have given it up.
+    start_order Order{Run, Request.specification(), Token, Clock.extend(now(), StartTime)};
     Ports.orders().start(Entry.Target, std::move(Order),
                          Tenure.guard([this, Run](const order_reply &Reply) { onStartReply(Run, Reply); }));
     keepHolding();
@@ -121,6 +138,7 @@
       server_run &Run = *Found;
       Run.Unclaimed = false;
       Run.Coordinator = Coordinator;
+      Run.Relayed = Adopted.relayed();
       Run.Size = Adopted.size();
       Run.EstimateMs = Adopted.estimate_ms();
       Run.StartedAt = now() - std::chrono::milliseconds(Adopted.age_ms());
@@ -156,6 +174,7 @@
     }
   }
 
+  [[nodiscard]] bool idle() const override { return Runs.empty(); }
   [[nodiscard]] bool holds(const run_key &Run) const override { return Runs.contains(Run); }
   [[nodiscard]] std::uint64_t token() const override { return std::max(Token, HighestToken); }
   [[nodiscard]] bool owned() const override { return Ownership == ownership::Owned; }
@@ -196,7 +215,8 @@
   }
 
   [[nodiscard]] bool usable() const {
-    return Ownership == ownership::Owned && !Delisted && !Entry.Draining && Answering && Health.usable();
+    return Ownership == ownership::Owned && !LookSince && !Delisted && !Entry.Draining && Answering &&
+           Health.usable();
   }
 
   const char *refusalOf(const schema::start_task &Request) const {
@@ -241,7 +261,38 @@
     Ports.roomChanged(Entry.Target.Id);
   }
 
-  std::int64_t extendLease() { return Clock.extend(now(), Options.Lease); }
+  // How long a start for this coordinator may be under way.
+  [[nodiscard]] duration timeToStart(const std::string &Coordinator) const {
+    auto AnsweredAt = Ports.answeredAt(Coordinator);
+    if (!AnsweredAt)
+      return duration::zero();
+    if (*AnsweredAt == time_point::max())
+      return Options.Lease;
+    return std::min(Options.Lease, duration(*AnsweredAt + Options.StartLimit - sinceBoot()));
+  }
+
+  [[nodiscard]] time_point sinceBoot() const { return Executor.clock().sinceBoot(); }
+
+  // Lease for all runs, as long as each coordinator allows; nothing when that is over for one of them.
+  std::optional<std::int64_t> extendLease() {
+    for (auto &[Run, State] : Runs)
+      noteAllowedTime(State);
+    time_point Until = Runs.allowedUntil();
+    if (Until <= sinceBoot())
+      return std::nullopt;
+    duration Left = Until == time_point::max() ? Options.Lease : duration(Until - sinceBoot());
+    return Clock.extend(now(), std::min(Options.Lease, Left));
+  }
+
+  void noteAllowedTime(server_run &Run) const {
+    auto AnsweredAt = Ports.answeredAt(Run.Coordinator);
+    if (!AnsweredAt)
+      return;
+    if (*AnsweredAt == time_point::max())
+      Run.AllowedUntil = time_point::max();
+    else
+      Run.AllowedUntil = *AnsweredAt + (Run.Relayed ? Options.RelayedRunLimit : Options.RunLimit);
+  }
 
   // Take-over.
 
@@ -288,6 +339,7 @@
 
   void beginAdoption(const hold_reply &Reply) {
     Ownership = ownership::Adopting;
+    Clock.noteLease(now(), Options.Lease);
     Adoption = makeAdoption(Entry.Target.Id, Token, Reply);
     for (const run_key &Run : Reply.Running) {
       server_run &Found = Runs[Run];
@@ -423,7 +475,7 @@
   void keepHolding() {
     if (HoldPending || Ownership != ownership::Owned)
       return;
-    if (Runs.empty() && AcknowledgedEnds >= Observed)
+    if (Runs.empty() && AcknowledgedEnds >= Observed && !LookSince)
       return;
     hold_order Order;
     Order.FencingToken = Token;
@@ -472,9 +524,17 @@
       onEnd(End);
     endMissingRuns(Sent, Reply.Running);
     stopUnknownRuns(Reply.Running);
+    noteLook(Sent);
     keepHolding();
   }
 
+  void noteLook(time_point Sent) {
+    if (!LookSince || Sent < *LookSince)
+      return;
+    LookSince.reset();
+    Ports.roomChanged(Entry.Target.Id);
+  }
+
   void onHoldFailed(order_outcome Outcome) {
     ++Ports.counters().NoAnswers;
     // One reply that is lost or late says little of the server.
@@ -639,6 +699,8 @@
   // When this VM may claim the server again.
   time_point ReclaimAfter{};
   bool HoldPending = false;
+  // A list of what runs on the server is wanted that is asked for after this.
+  std::optional<time_point> LookSince;
   std::uint32_t UnansweredHolds = 0;
   bool Answering = true;
   bool Delisted = false;
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -54,6 +54,8 @@
   std::vector<schema::adopt_request> Adoptions;
   std::uint64_t LastToken = 0;
   ledger_counters Counters;
+  // Of the coordinators' answers; as this VM's own by default.
+  std::optional<runtime::time_point> AnsweredAt = runtime::time_point::max();
   std::unique_ptr<server_ledger> Ledger = makeServerLedger(*Executor, *this, entry());
 
   static server_entry entry() {
@@ -75,6 +77,9 @@
     return LastToken = std::max(LastToken, Above) + 1;
   }
   ledger_counters &counters() override { return Counters; }
+  [[nodiscard]] std::optional<runtime::time_point> answeredAt(const std::string &) const override {
+    return AnsweredAt;
+  }
 
   static hold_reply listed(std::vector<run_key> Running, std::vector<listed_end> Ended = {},
                            std::int64_t Born = 1) {
@@ -206,6 +211,70 @@
   }
 });
 
+// Guards against runs and late starts for a coordinator that has given this owner up, when either of the two
+// lags: whatever it has not told yet, they end in time.
+const story Coordinators("server ledger: a coordinator that no longer answers", [] {
+  owner Owner;
+  Owner.claim();
+  auto Now = [&] { return Owner.Executor->clock().sinceBoot(); };
+  Owner.AnsweredAt = Now();
+  if (auto When = section("a start reaches the server within 560 ms of the heartbeat that was answered")) {
+    Owner.Executor->advance(milliseconds(300));
+    Owner.start(runOf(0));
+    // The server's clock was 1000 when it was claimed; a slow one has not gone further than 294 ms.
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1000 + 294 + 260}, Owner.Orders.Starts.at(0).Order.LeaseEndMs);
+  }
+  if (auto When = section("shortly before that nothing is started")) {
+    Owner.Executor->advance(milliseconds(550));
+    Owner.start(runOf(0));
+    CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+    CPPUNIT_ASSERT_EQUAL(schema::RUN_NOT_STARTED, Owner.lastEvent());
+  }
+  if (auto When = section("nor is when the coordinator is out of contact")) {
+    Owner.AnsweredAt.reset();
+    Owner.start(runOf(0));
+    CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+  }
+  if (auto When = section("its runs last a second from then at most")) {
+    Owner.start(runOf(0));
+    Owner.answerStart(order_outcome::Accepted);
+    Owner.Executor->advance(milliseconds(500));
+    Owner.answerHold(Owner.listed({runOf(0)}));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1000 + 500}, Owner.Orders.Holds.at(0).Order.LeaseEndMs.value());
+    if (auto Then = section("after which no lease is given, until their end is certain")) {
+      Owner.Executor->advance(milliseconds(500));
+      Owner.answerHold(Owner.listed({runOf(0)}));
+      CPPUNIT_ASSERT(!Owner.Orders.Holds.at(0).Order.LeaseEndMs);
+    }
+    if (auto Then = section("unless it answers again")) {
+      Owner.AnsweredAt = Now();
+      Owner.Executor->advance(milliseconds(50));
+      Owner.answerHold(Owner.listed({runOf(0)}));
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{1000 + 900}, Owner.Orders.Holds.at(0).Order.LeaseEndMs.value());
+    }
+  }
+});
+
+// Guards against taking a run for gone whose former owner has given it a longer lease than this one.
+const story FormerLease("server ledger: the lease that a former owner gave", [] {
+  owner Owner;
+  Owner.claim({runOf(0)});
+  schema::adopt_reply Reply;
+  *Reply.add_runs()->mutable_task() = toMessage(runOf(0));
+  Owner.AnsweredAt = Owner.Executor->clock().sinceBoot() - milliseconds(900);
+  Owner.Ledger->adopt("coordinator", Reply);
+  hold_reply NoAnswer;
+  for (int Hold = 0; Hold < 3; ++Hold)
+    if (!Owner.Orders.Holds.empty())
+      Owner.answerHold(NoAnswer);
+  Owner.Executor->advance(milliseconds(800));
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT(Owner.Events.empty());
+  Owner.Executor->advance(milliseconds(200));
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT_EQUAL(schema::RUN_GONE, Owner.lastEvent());
+});
+
 // Guards against a dead owner's runs going on beside their copies, and against losing those that can go on.
 const story TakeOver("server ledger: take-over", [] {
   owner Owner;
@@ -246,6 +315,27 @@
   }
 });
 
+// Guards against starts beyond a server's room when it was born again, has forgotten the later claim, and the
+// VM with the earlier one has ordered it.
+const story EarlierClaim("server ledger: another VM believed itself to own the server", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.Ledger->lookAgain();
+  Owner.start(runOf(0));
+  CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+  Owner.answerHold(Owner.listed({runOf(7)}, {}, 2));
+  if (auto When = section("nothing is started beside what runs there")) {
+    Owner.start(runOf(0));
+    CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+  }
+  if (auto When = section("once that has ended the server is used again")) {
+    Owner.answerStop(order_outcome::Accepted);
+    Owner.answerHold(Owner.listed({}, {{1, runOf(7), run_end::Stopped}}, 2));
+    Owner.start(runOf(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Starts.size());
+  }
+});
+
 // Guards against taking a run for gone that a new incarnation has started, and against unknown runs beyond
 // the room.
 const story Reborn("server ledger: a server that was born again", [] {
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -100,6 +100,13 @@
       runtime::log(runtime::log_level::Info, "server_taken_over", {{"server", Server}, {"owner", NewOwner}});
   }
 
+  // A server in use is heard all the time.
+  void onContactBack() override {
+    for (auto &[Id, Server] : Servers)
+      if (Server.Ledger->owned() && Server.Ledger->idle())
+        Server.Ledger->lookAgain();
+  }
+
   void tellOwned(const std::string &Vm) override {
     schema::dispatch_message Message;
     for (const auto &[Id, Server] : Servers)
@@ -162,6 +169,9 @@
   server_orders &orders() override { return Ports.orders(); }
   void broadcast(const schema::dispatch_message &Message) override { Ports.broadcast(Message); }
   std::uint64_t fencingToken(std::uint64_t Above) override { return Ports.fencingToken(Above); }
+  [[nodiscard]] std::optional<runtime::time_point> answeredAt(const std::string &Vm) const override {
+    return Ports.answeredAt(Vm);
+  }
   ledger_counters &counters() override { return Counters; }
 
   void send(const std::string &Vm, schema::dispatch_message Message) override {
@@ -213,7 +223,8 @@
     if (Ledger && (Ledger->holds(Run) || Ledger->tellAdoption(Coordinator)))
       return;
     schema::dispatch_message Message;
-    auto Ended = std::ranges::find_if(Ends, [&](const auto &End) { return keyOf(End.task()) == Run; });
+    auto Ended = std::ranges::find_if(
+        Ends, [&](const auto &End) { return keyOf(End.task()) == Run && End.server() == Counted.server(); });
     if (Ended != Ends.end()) {
       *Message.mutable_event() = *Ended;
     } else if (Ledger && Ledger->owned()) {
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -125,6 +125,7 @@
     Result.Vm = Settings.Vm;
     Result.Address = Settings.PeerAddress;
     Result.Domain = Settings.Domain;
+    Result.View.ClockOrigin = Identity.nonce();
     Result.Strength = strength(Settings);
     applyOwnSettings(Options.Own, Result);
     dispatch::platform_bounds Bounds;
--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -7,7 +7,6 @@
 #include "yuccaplank/runtime/loop.hpp"
 
 #include <csignal>
-#include <ctime>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -46,7 +45,7 @@
   st_h2o_evloop_t *native() override { return Native; }
 
   void run() override {
-    LastTurn = bootTime();
+    LastTurn = clock().sinceBoot();
     while (!Stopped) {
       checkPause();
       runPosted();
@@ -83,15 +82,8 @@
   }
 
 private:
-  // Counts the time in which the machine was suspended, which the steady clock leaves out.
-  static time_point bootTime() {
-    timespec Now{};
-    clock_gettime(CLOCK_BOOTTIME, &Now);
-    return time_point(std::chrono::seconds(Now.tv_sec) + std::chrono::nanoseconds(Now.tv_nsec));
-  }
-
   void checkPause() {
-    time_point Now = bootTime();
+    time_point Now = clock().sinceBoot();
     duration Gap = Now - LastTurn;
     LastTurn = Now;
     if (PauseHandler && Gap >= PauseThreshold)
--- a/src/yuccaplank/scenario/script.cpp
+++ b/src/yuccaplank/scenario/script.cpp
@@ -145,6 +145,13 @@
   worldOf(Lua).fleet().resumeVm(text(Lua, 1));
   return 0;
 }
+int luaLag(lua_State *Lua) {
+  simulation::vm_lag Lag;
+  Lag.Arrivals = runtime::fromMs(number(Lua, 2));
+  Lag.Sends = runtime::fromMs(number(Lua, 3));
+  worldOf(Lua).fleet().vm(text(Lua, 1)).Executor.setLag(Lag);
+  return 0;
+}
 int luaDrain(lua_State *Lua) {
   vmOf(Lua, 1).Vm->drain();
   return 0;
@@ -318,6 +325,7 @@
     {"kill", luaKill},
     {"pause", luaPause},
     {"resume", luaResume},
+    {"lag", luaLag},
     {"drain", luaDrain},
     {"ready", luaReady},
     {"placing", luaPlacing},
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -51,6 +51,8 @@
   double Seconds = 8;
   /// Faults a second; 0 plays a calm day.
   double FaultsPerSecond = 2;
+  /// Adds VMs and links that lag, rolling restarts, and VMs of unequal strength.
+  bool Lags = false;
   /// Share of orders to servers that get no answer and are carried out 2 to 12 s later, or whose answer is
   /// lost.
   double LateOrders = 0.02;
--- a/src/yuccaplank/simulation/network.cpp
+++ b/src/yuccaplank/simulation/network.cpp
@@ -67,7 +67,9 @@
 void network::deliver(const std::string &From, const std::string &To, std::function<void()> Function) {
   connection &Connection = *find(From, To);
   auto &Last = Connection.LastDelivery[{From, To}];
-  Last = std::max(Last, Executor.clock().now() + delay());
+  auto Extra = ExtraDelays.find({From, To});
+  Last = std::max(Last, Executor.clock().now() + delay() +
+                            (Extra == ExtraDelays.end() ? duration::zero() : Extra->second));
   Executor.after(Last - Executor.clock().now(),
                  [this, From, To, Id = Connection.Id, Function = std::move(Function)] {
                    arrive(From, To, Id, Function);
@@ -86,6 +88,10 @@
     Function();
 }
 
+void network::setExtraDelay(const std::string &From, const std::string &To, duration Time) {
+  ExtraDelays[{From, To}] = Time;
+}
+
 void network::disconnect(const std::string &From, const std::string &To) {
   connection *Connection = find(From, To);
   if (!Connection)
--- a/src/yuccaplank/simulation/network.hpp
+++ b/src/yuccaplank/simulation/network.hpp
@@ -52,6 +52,8 @@
   [[nodiscard]] bool cut(const std::string &From, const std::string &To) const {
     return Cuts.contains({From, To});
   }
+  /// Messages in this direction take this much longer.
+  void setExtraDelay(const std::string &From, const std::string &To, runtime::duration Time);
   /// Counts what is sent from now on; costs time in long simulations.
   void countMessages() { Counts.emplace(); }
   /// Empty unless messages are counted.
@@ -82,6 +84,7 @@
   std::set<std::string> Dark;
   std::map<direction, connection> Connections;
   std::set<direction> Cuts;
+  std::map<direction, runtime::duration> ExtraDelays;
   std::uint64_t LastConnection = 0;
   std::optional<message_totals> Counts;
 };
--- a/src/yuccaplank/simulation/simulated_fleet.hpp
+++ b/src/yuccaplank/simulation/simulated_fleet.hpp
@@ -28,9 +28,13 @@
   void begin(dispatch::entry_vm_options Options);
 
   void send(const std::string &Vm, const std::string &Address, schema::dispatch_message Message) override;
-  void disconnect(const std::string &Other) override { Network.disconnect(Name, Other); }
+  void disconnect(const std::string &Other) override {
+    Executor.sendOut([this, Other] { Network.disconnect(Name, Other); });
+  }
   dispatch::server_orders &orders() override { return *Orders; }
-  void answer(std::uint64_t Job, const dispatch::job_answer &Answer) override { OnAnswer(Job, Answer); }
+  void answer(std::uint64_t Job, const dispatch::job_answer &Answer) override {
+    Executor.sendOut([this, Job, Answer] { OnAnswer(Job, Answer); });
+  }
   void termRaised(std::uint32_t) override {}
   void serversNeeded(bool Needed) override;
   void registrationStale(const std::string &) override {}
@@ -54,6 +58,8 @@
   std::uint32_t DispatchersPerDomain = 3;
   /// Queues beside QueueName.
   std::vector<dispatch::queue_settings> Queues;
+  /// Whether all VMs are of one strength.
+  bool EqualVms = true;
 };
 
 /// VMs "vm0", "vm1", … and servers "s0", "s1", … are spread over the domains "d0", "d1", … in turn; two
@@ -69,6 +75,7 @@
 
   static std::string vmName(std::uint32_t Index);
   [[nodiscard]] std::string domainOf(std::uint32_t Index) const;
+  [[nodiscard]] std::uint32_t strengthOf(std::uint32_t Index) const;
   [[nodiscard]] std::vector<std::string> domains() const;
 
   /// Adds the servers and starts all VMs.
@@ -78,6 +85,8 @@
   /// The process ends; Silent closes no connection.
   void endVm(const std::string &Name, bool Silent);
   void pauseVm(const std::string &Name);
+  /// Messages from one VM to another take this much longer.
+  void setExtraDelay(const std::string &From, const std::string &To, runtime::duration Time);
   void resumeVm(const std::string &Name);
   /// Connections between the two VMs, or of a VM and the servers of a domain, pass nothing in this direction.
   void setCut(const std::string &From, const std::string &To, bool IsCut);
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -29,7 +29,7 @@
 // One VM's calls to the servers.
 class simulated_servers::orders final : public dispatch::server_orders {
 public:
-  orders(simulated_servers &Servers, std::string Vm, runtime::executor &VmExecutor)
+  orders(simulated_servers &Servers, std::string Vm, vm_executor &VmExecutor)
       : All(Servers), Vm(std::move(Vm)), VmExecutor(VmExecutor) {}
 
   void start(const dispatch::server_target &Target, dispatch::start_order Order,
@@ -100,8 +100,8 @@
     duration Delay = All.Network.delay();
     if (IsLate)
       Delay += runtime::fromMs(MinLateMs + All.Random.uniform() * (MaxLateMs - MinLateMs));
-    All.Executor.after(Delay, [Servers = &All, VmName = Vm, Name, Life, Serve, Finish, IsLate, IsLost,
-                               Executor = &VmExecutor] {
+    auto Arrive = [Servers = &All, VmName = Vm, Name, Life, Serve, Finish, IsLate, IsLost,
+                   Executor = &VmExecutor] {
       simulated_server &Server = Servers->Servers.at(Name);
       // What a cut holds up arrives after it at the same life only.
       if (!Server.State || Server.Life != Life)
@@ -116,12 +116,13 @@
         // The VM may have ended meanwhile; its executor then drops the reply.
         Executor->after(Servers->Network.delay(), [Finish, Value] { Finish(Value); });
       });
-    });
+    };
+    VmExecutor.sendOut([this, Delay, Arrive] { All.Executor.after(Delay, Arrive); });
   }
 
   simulated_servers &All;
   std::string Vm;
-  runtime::executor &VmExecutor;
+  vm_executor &VmExecutor;
 };
 
 void simulated_servers::add(const dispatch::server_entry &Entry, double ClockRate, double Slowness) {
@@ -140,7 +141,7 @@
 }
 
 std::unique_ptr<dispatch::server_orders> simulated_servers::ordersOf(const std::string &Vm,
-                                                                     runtime::executor &VmExecutor) {
+                                                                     vm_executor &VmExecutor) {
   return std::make_unique<orders>(*this, Vm, VmExecutor);
 }
 
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "network.hpp"
+#include "vm_executor.hpp"
 #include "yuccaplank/dispatch/server_ledger.hpp"
 #include "yuccaplank/standin/task_server.hpp"
 
@@ -30,7 +31,7 @@
   /// Entries of the servers that are up or whose loss the platform has not noticed.
   [[nodiscard]] std::vector<dispatch::server_entry> entries() const;
   /// Orders as sent by a VM. Callbacks run on the VM's executor.
-  std::unique_ptr<dispatch::server_orders> ordersOf(const std::string &Vm, runtime::executor &VmExecutor);
+  std::unique_ptr<dispatch::server_orders> ordersOf(const std::string &Vm, vm_executor &VmExecutor);
 
   void crash(const std::string &Server);
   void start(const std::string &Server);
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -34,6 +34,7 @@
       ("burst", options::value<double>(), "factor of a burst of all kinds in the middle of the day")    //
       ("long-burst", options::value<double>(), "factor of a burst of the longest kind")                 //
       ("slow", options::value(&Day.SlowShare), "share of servers that are slow for a third of the day") //
+      ("lags", "adds VMs and links that lag, rolling restarts, and VMs of unequal strength")            //
       ("messages", "count the messages of the VMs and print them for each day")                         //
       ("trace", "print what happens");
   options::variables_map Given;
@@ -59,6 +60,7 @@
     Day.Bursts.push_back({"long", Day.Seconds * 0.4, Day.Seconds * 0.2, Given["long-burst"].as<double>()});
   Day.CountMessages = Given.count("messages") > 0;
   Day.Trace = Given.count("trace") > 0;
+  Day.Lags = Given.count("lags") > 0;
   runtime::setLogLevel(Day.Trace ? runtime::log_level::Info : runtime::log_level::Error);
   simulation::simulation_result Sum;
   std::uint64_t Broken = 0;
