--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -424,6 +424,8 @@
   }
 
   void noteRefusal(order_outcome Outcome) {
+    noteNotSent(Outcome);
+    keepHolding();
     if (Outcome == order_outcome::Unhealthy || Outcome == order_outcome::NotSent)
       Health.onFailure(now());
   }
@@ -535,8 +537,15 @@
     Ports.roomChanged(Entry.Target.Id);
   }
 
+  // The server may have ended and been born again, and has forgotten its fence then.
+  void noteNotSent(order_outcome Outcome) {
+    if (Outcome == order_outcome::NotSent)
+      LookSince = now();
+  }
+
   void onHoldFailed(order_outcome Outcome) {
     ++Ports.counters().NoAnswers;
+    noteNotSent(Outcome);
     // One reply that is lost or late says little of the server.
     if (Answering && ++UnansweredHolds < Options.HoldsToSilence) {
       keepHolding();
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -336,6 +336,26 @@
   }
 });
 
+// Guards against the same where an order could not be sent, so that the server may have ended and begun anew.
+const story NotSent("server ledger: an order that could not be sent", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.Executor->advance(milliseconds(1));
+  Owner.answerStart(order_outcome::NotSent);
+  CPPUNIT_ASSERT_EQUAL(schema::RUN_NOT_STARTED, Owner.lastEvent());
+  if (auto When = section("a list that was asked for before does not tell what runs there"))
+    Owner.answerHold(Owner.listed({}));
+  Owner.start(runOf(1));
+  CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+  if (auto When = section("one that was asked for since does")) {
+    Owner.answerHold(Owner.listed({}));
+    Owner.answerHold(Owner.listed({}));
+    Owner.start(runOf(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Starts.size());
+  }
+});
+
 // Guards against taking a run for gone that a new incarnation has started, and against unknown runs beyond
 // the room.
 const story Reborn("server ledger: a server that was born again", [] {
