--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -330,7 +330,6 @@
     Born = Reply.Born;
     FencedClaims = 0;
     Answering = true;
-    UnansweredHolds = 0;
     Observed = 0;
     AcknowledgedEnds = 0;
     for (const listed_end &End : Reply.Ended)
@@ -483,11 +482,12 @@
     hold_order Order;
     Order.FencingToken = Token;
     Order.Observed = Observed;
-    // After a hold without a reply, the next one is to be answered at once. It gives no longer lease, so that
-    // the runs of a server that is gone have an early end that can be computed.
-    if (!Runs.empty() && UnansweredHolds == 0) {
+    if (!Runs.empty()) {
       Order.Wait = Options.HoldWait;
-      Order.LeaseEndMs = extendLease();
+      // A server that does not answer gets no longer lease, so that its runs have an end that can be
+      // computed.
+      if (Answering)
+        Order.LeaseEndMs = extendLease();
     }
     sendHold(Order);
   }
