--- a/include/yuccaplank/dispatch/entry_vm.hpp
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -70,6 +70,12 @@
   std::size_t Jobs = 0;
   std::size_t RelayedJobs = 0;
   std::size_t VmsInContact = 0;
+  /// Age of the oldest heartbeat of this VM whose answer is the latest of some VM in contact.
+  runtime::duration OldestAnswer{};
+  /// Echoes that belong to no recent heartbeat of this VM.
+  std::uint64_t IgnoredEchoes = 0;
+  /// Jobs that arrived from VMs out of contact and were not taken.
+  std::uint64_t DeclinedJobs = 0;
   bool Dispatching = false;
   bool Placing = false;
 };
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -16,6 +16,7 @@
 namespace yuccaplank::dispatch {
 namespace {
 
+using runtime::duration;
 using runtime::log;
 using runtime::log_level;
 using runtime::time_point;
@@ -191,6 +192,12 @@
     State.Dispatching = Self.role() == schema::VM_DISPATCHES;
     State.Placing = Placing;
     State.VmsInContact = vmsInContact();
+    for (const auto &[Vm, Known] : View->others())
+      if (Known.Alive)
+        State.OldestAnswer =
+            std::max(State.OldestAnswer, duration(Executor.clock().sinceBoot() - Known.AnsweredAt));
+    State.IgnoredEchoes = View->ignoredEchoes();
+    State.DeclinedJobs = DeclinedJobs;
     return State;
   }
 
@@ -676,7 +683,6 @@
   bool SchedulePosted = false;
   // When contact with the last of the others was lost.
   std::optional<time_point> LostAllAt;
-  // Jobs that arrived from VMs out of contact.
   std::uint64_t DeclinedJobs = 0;
   runtime::lifetime Lifetime;
 };
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -54,8 +54,12 @@
   }
 
   void onClaimedElsewhere(std::uint64_t ItsToken) override {
-    if (ItsToken < Token)
+    if (ItsToken < Token) {
+      // A server that has taken an earlier claim has forgotten this one.
+      if (Ownership == ownership::Owned)
+        lookAgain();
       return;
+    }
     HighestToken = std::max(HighestToken, ItsToken);
     ReclaimAfter = now() + Options.ReclaimDelayInContact;
     release();
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -320,7 +320,7 @@
 const story EarlierClaim("server ledger: another VM believed itself to own the server", [] {
   owner Owner;
   Owner.claim();
-  Owner.Ledger->lookAgain();
+  Owner.Ledger->onClaimedElsewhere(Owner.Ledger->token() - 1);
   Owner.start(runOf(0));
   CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
   Owner.answerHold(Owner.listed({runOf(7)}, {}, 2));
--- a/src/yuccaplank/entry/vm_metrics.cpp
+++ b/src/yuccaplank/entry/vm_metrics.cpp
@@ -22,6 +22,8 @@
   double (*Value)(const entry_vm_state &);
 };
 
+constexpr double MsPerSecond = 1000;
+
 template <typename Number> double toDouble(Number Value) { return static_cast<double>(Value); }
 
 constexpr auto Metrics = std::to_array<metric_entry>({
@@ -83,6 +85,14 @@
      [](const entry_vm_state &State) { return toDouble(State.Servers.Runs); }},
     {"yuccaplank_vms_in_contact", "Other entry VMs in contact.", MetricType::Gauge,
      [](const entry_vm_state &State) { return toDouble(State.VmsInContact); }},
+    {"yuccaplank_oldest_answer_seconds",
+     "Age of the oldest heartbeat that is the last one answered by a VM in contact; contact ends at 0.56.",
+     MetricType::Gauge,
+     [](const entry_vm_state &State) { return runtime::toMs(State.OldestAnswer) / MsPerSecond; }},
+    {"yuccaplank_echoes_ignored_total", "Answers to heartbeats that were too old or never sent.",
+     MetricType::Counter, [](const entry_vm_state &State) { return toDouble(State.IgnoredEchoes); }},
+    {"yuccaplank_relayed_jobs_declined_total", "Jobs of VMs out of contact, which were not taken.",
+     MetricType::Counter, [](const entry_vm_state &State) { return toDouble(State.DeclinedJobs); }},
     {"yuccaplank_placing", "Whether this VM places tasks.", MetricType::Gauge,
      [](const entry_vm_state &State) { return State.Placing ? 1.0 : 0.0; }},
 });
@@ -120,7 +130,6 @@
   }
 
 private:
-  static constexpr double MsPerSecond = 1000;
   prometheus::Registry Registry;
   prometheus::Family<prometheus::Histogram> &AnswerSeconds;
   std::vector<prometheus::Histogram *> Histograms;
