--- a/include/yuccaplank/dispatch/server_owner.hpp
+++ b/include/yuccaplank/dispatch/server_owner.hpp
@@ -48,9 +48,9 @@
   /// Another VM has claimed a server or owns it.
   virtual void onClaimedElsewhere(const std::string &NewOwner, const std::string &Server,
                                   std::uint64_t Token) = 0;
-  /// Contact with a VM is back that was lost and has not ended meanwhile, so that it may have ordered servers
-  /// that have forgotten this VM's claim.
-  virtual void onContactBack() = 0;
+  /// Contact begins with a VM that may own servers. While the two did not see each other, it may have ordered
+  /// servers that were born again and have forgotten this VM's claim.
+  virtual void onOwnerFound() = 0;
   /// Tells a VM with which contact begins which servers this one owns.
   virtual void tellOwned(const std::string &Vm) = 0;
   virtual void onResume(const std::string &Coordinator, const schema::resume_session &Session) = 0;
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -112,7 +112,6 @@
     std::string &Known = Incarnations[Vm];
     if (!Known.empty() && Known != Incarnation) {
       log(log_level::Warning, "vm_restarted", {{"vm", Vm}});
-      LostVms.erase(Vm);
       if (!View->lost(Vm).empty())
         forgetSessions(Vm);
     }
@@ -460,8 +459,8 @@
       switch (Change.Kind) {
       case view_change::kind::Found:
         log(log_level::Info, "vm_found", {{"vm", Change.Vm}});
-        if (LostVms.erase(Change.Vm) > 0 && Contacts.coordinates(Change.Vm))
-          Owner->onContactBack();
+        if (Contacts.coordinates(Change.Vm))
+          Owner->onOwnerFound();
         begin(Change.Vm);
         break;
       case view_change::kind::Resumed:
@@ -503,7 +502,6 @@
 
   void onVmLost(const std::string &Vm) {
     log(log_level::Warning, "vm_lost", {{"vm", Vm}});
-    LostVms.insert(Vm);
     if (vmsInContact() == 0)
       LostAllAt = Executor.clock().now();
     Ports.disconnect(Vm);
@@ -669,8 +667,6 @@
   schema::configuration_copy Copy;
   std::map<std::string, std::string> Incarnations;
   std::map<std::string, std::uint32_t> Sessions;
-  // Out of contact since they were lost, and not known to have ended.
-  std::set<std::string> LostVms;
   std::map<std::string, std::uint64_t> OfferedVersions;
   // Version of the view for which the roles were last looked at.
   std::uint64_t ReviewedVersion = 0;
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -446,7 +446,9 @@
     if (Found == Jobs.end())
       return;
     coordinated_job &Job = Found->second;
-    Job.PlacerTimer = 0;
+    // A timer that became due while the process stood still may run although it has been cancelled since.
+    if (std::exchange(Job.PlacerTimer, 0) == 0)
+      return;
     finish(Job, {job_outcome::Refused,
                  end_reason::NoPlacer,
                  static_cast<std::uint32_t>(runtime::toMs(Options.PlacerWait)),
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -101,7 +101,7 @@
   }
 
   // A server in use is heard all the time.
-  void onContactBack() override {
+  void onOwnerFound() override {
     for (auto &[Id, Server] : Servers)
       if (Server.Ledger->owned() && Server.Ledger->idle())
         Server.Ledger->lookAgain();
