--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -93,6 +93,8 @@
   /// When this VM sent the last heartbeat that the VM has answered, by the clock that counts suspension;
   /// nothing when it is out of contact, and the greatest time for this VM itself.
   [[nodiscard]] virtual std::optional<runtime::time_point> answeredAt(const std::string &Vm) const = 0;
+  /// Whether a VM that may own servers is out of contact.
+  [[nodiscard]] virtual bool ownerMissing() const = 0;
   virtual ledger_counters &counters() = 0;
 };
 
--- a/include/yuccaplank/dispatch/server_owner.hpp
+++ b/include/yuccaplank/dispatch/server_owner.hpp
@@ -22,6 +22,8 @@
   [[nodiscard]] virtual bool shouldOwn(const std::string &Rack, const std::string &Domain) const = 0;
   [[nodiscard]] virtual bool reachable(const std::string &Vm) const = 0;
   /// See ledger_ports.
+  [[nodiscard]] virtual bool ownerMissing() const = 0;
+  /// See ledger_ports.
   [[nodiscard]] virtual std::optional<runtime::time_point> answeredAt(const std::string &Vm) const = 0;
   /// See ledger_ports.
   virtual std::uint64_t fencingToken(std::uint64_t Above) = 0;
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -286,6 +286,8 @@
     return Known->second;
   }
 
+  [[nodiscard]] bool ownerMissing() const override { return Contacts.ownerMissing(); }
+
   // The term is the high part, so that a VM of an older registration can take over without the store.
   std::uint64_t fencingToken(std::uint64_t Above) override {
     auto TokenOf = [&](std::uint32_t Term) {
--- a/src/yuccaplank/dispatch/fleet_contacts.cpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.cpp
@@ -138,6 +138,10 @@
   return Missing;
 }
 
+bool fleet_contacts::ownerMissing() const {
+  return std::ranges::any_of(Dispatchers, [this](const std::string &Vm) { return !View.alive(Vm); });
+}
+
 queue_lengths fleet_contacts::waitingInFleet() const {
   queue_lengths Lengths = Ports.waitingHere();
   for (const auto &[Vm, Known] : View.others())
--- a/src/yuccaplank/dispatch/fleet_contacts.hpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.hpp
@@ -66,6 +66,8 @@
 
   /// Dispatching VMs by the store that have been out of contact since Before.
   [[nodiscard]] std::vector<std::string> missingSince(runtime::time_point Before) const;
+  /// Whether a VM that may own servers is out of contact.
+  [[nodiscard]] bool ownerMissing() const;
   /// On any VM in contact.
   [[nodiscard]] queue_lengths waitingInFleet() const;
 
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -32,6 +32,8 @@
 };
 
 constexpr unsigned MaxFencedSteps = 16;
+// No server ends and is back in less time.
+constexpr auto ShortestRebirth = std::chrono::milliseconds(100);
 // A start order with less time would mostly be refused.
 constexpr auto ShortestStartTime = std::chrono::milliseconds(20);
 
@@ -103,6 +105,8 @@
 
   void start(const std::string &Coordinator, const schema::start_task &Request) override {
     run_key Run = keyOf(Request.task());
+    if (mayBeForgotten())
+      lookAgain();
     if (const char *Refusal = refusalOf(Request)) {
       refuse(Coordinator, Run, Refusal);
       return;
@@ -223,6 +227,13 @@
            Health.usable();
   }
 
+  // A VM out of contact may have claimed the server after it was born again. A server in use is heard all the
+  // time.
+  [[nodiscard]] bool mayBeForgotten() const {
+    return Ownership == ownership::Owned && Runs.empty() && now() - HeardAt > ShortestRebirth &&
+           Ports.ownerMissing();
+  }
+
   const char *refusalOf(const schema::start_task &Request) const {
     if (!usable())
       return "server_unusable";
@@ -331,6 +342,7 @@
          {"running", static_cast<std::int64_t>(Reply.Running.size())},
          {"ended", static_cast<std::int64_t>(Reply.Ended.size())}});
     Clock.note(now(), Reply.ClockMs);
+    HeardAt = now();
     Born = Reply.Born;
     FencedClaims = 0;
     Answering = true;
@@ -520,6 +532,7 @@
       return;
     }
     Clock.note(now(), Reply.ClockMs);
+    HeardAt = Sent;
     UnansweredHolds = 0;
     setAnswering(true);
     if (Reply.Born != Born)
@@ -712,6 +725,8 @@
   // When this VM may claim the server again.
   time_point ReclaimAfter{};
   bool HoldPending = false;
+  // The server's last list of what runs there was asked for at this time.
+  time_point HeardAt{};
   // A list of what runs on the server is wanted that is asked for after this.
   std::optional<time_point> LookSince;
   std::uint32_t UnansweredHolds = 0;
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -54,6 +54,7 @@
   std::vector<schema::adopt_request> Adoptions;
   std::uint64_t LastToken = 0;
   ledger_counters Counters;
+  bool OwnerMissing = false;
   // Of the coordinators' answers; as this VM's own by default.
   std::optional<runtime::time_point> AnsweredAt = runtime::time_point::max();
   std::unique_ptr<server_ledger> Ledger = makeServerLedger(*Executor, *this, entry());
@@ -77,6 +78,7 @@
     return LastToken = std::max(LastToken, Above) + 1;
   }
   ledger_counters &counters() override { return Counters; }
+  [[nodiscard]] bool ownerMissing() const override { return OwnerMissing; }
   [[nodiscard]] std::optional<runtime::time_point> answeredAt(const std::string &) const override {
     return AnsweredAt;
   }
@@ -336,6 +338,27 @@
   }
 });
 
+// Guards against the same while another owner is out of contact and cannot tell.
+const story MissingOwner("server ledger: another VM that may own the server is out of contact", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.OwnerMissing = true;
+  Owner.Executor->advance(milliseconds(200));
+  Owner.start(runOf(0));
+  CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+  CPPUNIT_ASSERT_EQUAL(schema::RUN_NOT_STARTED, Owner.lastEvent());
+  if (auto When = section("an idle server is used after it has told that nothing runs there")) {
+    Owner.answerHold(Owner.listed({}));
+    Owner.start(runOf(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Starts.size());
+    if (auto Then = section("and at once while something does, since it is heard all the time")) {
+      Owner.Executor->advance(milliseconds(200));
+      Owner.start(runOf(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Owner.Orders.Starts.size());
+    }
+  }
+});
+
 // Guards against the same where an order could not be sent, so that the server may have ended and begun anew.
 const story NotSent("server ledger: an order that could not be sent", [] {
   owner Owner;
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -169,6 +169,7 @@
   server_orders &orders() override { return Ports.orders(); }
   void broadcast(const schema::dispatch_message &Message) override { Ports.broadcast(Message); }
   std::uint64_t fencingToken(std::uint64_t Above) override { return Ports.fencingToken(Above); }
+  [[nodiscard]] bool ownerMissing() const override { return Ports.ownerMissing(); }
   [[nodiscard]] std::optional<runtime::time_point> answeredAt(const std::string &Vm) const override {
     return Ports.answeredAt(Vm);
   }
