--- a/src/yuccaplank/simulation/fleet_simulation_test.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation_test.cpp
@@ -145,6 +145,53 @@
     CPPUNIT_ASSERT(!Large.MessagesByKind.contains("resume"));
 });
 
+simulation_options laggingFleet(std::uint32_t Vms, std::uint32_t DispatchersPerDomain, double Faults) {
+  simulation_options Options;
+  Options.Vms = Vms;
+  Options.Domains = 2;
+  Options.DispatchersPerDomain = DispatchersPerDomain;
+  Options.FaultsPerSecond = Faults;
+  Options.Lags = true;
+  return Options;
+}
+
+// Days with lags on which a promise was broken once, with the cause.
+constexpr auto FormerBreachesOfRelays = std::to_array<former_breach>({
+    {11557, "a lagging VM took a job that had been passed on elsewhere"},
+    {12099, "the same, all tasks of the job"},
+    {101195, "the end of an earlier submission's run was taken for that of the present one"},
+    {101901, "a server that was born again took orders of two owners, in contact one way"},
+    {15001375, "the same, without contact"},
+    {15002580, "the same, after a claim with a lower token"},
+});
+constexpr auto FormerBreachesOfTwo = std::to_array<former_breach>({
+    {21081, "runs were taken for gone under the longer lease of a former owner"},
+    {22224, "a lagging VM took a job that had been passed on elsewhere"},
+    {1200907, "a server that was born again took orders of two owners, after one that could not be sent"},
+    {25001430, "a job was refused as not run by a timer that had been cancelled"},
+});
+
+// Guards against what is dealt with late, by a VM or a link, being taken for fresh.
+const story Lags("fleet simulation: VMs and links that lag, rolling restarts", [] {
+  constexpr std::uint64_t Days = 15;
+  simulation_options Relays = laggingFleet(8, 1, 2);
+  simulation_options Two = laggingFleet(7, 2, 3);
+  for (const former_breach &Breach : FormerBreachesOfRelays) {
+    Relays.Seed = Breach.Seed;
+    assertKept(Relays);
+  }
+  for (const former_breach &Breach : FormerBreachesOfTwo) {
+    Two.Seed = Breach.Seed;
+    assertKept(Two);
+  }
+  for (std::uint64_t Seed = 1; Seed <= Days; ++Seed) {
+    Relays.Seed = Seed;
+    assertKept(Relays);
+    Two.Seed = Seed;
+    assertKept(Two);
+  }
+});
+
 // Guards against two runs at a time when jobs are passed from VM to VM.
 const story Relays("fleet simulation: most VMs relay", [] {
   simulation_options Options;
