--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -1,8 +1,10 @@
 #include "yuccaplank/dispatch/server_ledger.hpp"
 #include "lease_clock.hpp"
 #include "owner_messages.hpp"
+#include "run_limits.hpp"
 #include "run_table.hpp"
 #include "server_health.hpp"
+#include "server_look.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
@@ -32,8 +34,6 @@
 };
 
 constexpr unsigned MaxFencedSteps = 16;
-// No server ends and is back in less time.
-constexpr auto ShortestRebirth = std::chrono::milliseconds(100);
 // A start order with less time would mostly be refused.
 constexpr auto ShortestStartTime = std::chrono::milliseconds(20);
 
@@ -43,7 +43,7 @@
                      ledger_options Options)
       : Executor(Executor), Ports(Ports), Entry(std::move(EntryIn)), Options(Options),
         Health(Options.FailuresToQuarantine, Options.FirstQuarantine, Options.LongestQuarantine),
-        Clock(Options.ClockDrift, Options.ClockError) {}
+        Clock(Options.ClockDrift, Options.ClockError), Limits(Options) {}
   server_ledger_impl(const server_ledger_impl &) = delete;
   server_ledger_impl &operator=(const server_ledger_impl &) = delete;
   ~server_ledger_impl() override = default;
@@ -68,7 +68,7 @@
   }
 
   void lookAgain() override {
-    LookSince = now();
+    Look.want(now());
     Ports.roomChanged(Entry.Target.Id);
     keepHolding();
   }
@@ -81,7 +81,7 @@
     yieldRuns();
     Runs.clear();
     HoldPending = false;
-    LookSince.reset();
+    Look.reset();
     Ports.roomChanged(Entry.Target.Id);
   }
 
@@ -111,7 +111,7 @@
       refuse(Coordinator, Run, Refusal);
       return;
     }
-    duration StartTime = timeToStart(Coordinator);
+    duration StartTime = Limits.timeToStart(Ports.answeredAt(Coordinator), sinceBoot());
     if (StartTime < ShortestStartTime) {
       refuse(Coordinator, Run, "contact_nearly_over");
       return;
@@ -223,15 +223,14 @@
   }
 
   [[nodiscard]] bool usable() const {
-    return Ownership == ownership::Owned && !LookSince && !Delisted && !Entry.Draining && Answering &&
+    return Ownership == ownership::Owned && !Look.wanted() && !Delisted && !Entry.Draining && Answering &&
            Health.usable();
   }
 
   // A VM out of contact may have claimed the server after it was born again. A server in use is heard all the
   // time.
   [[nodiscard]] bool mayBeForgotten() const {
-    return Ownership == ownership::Owned && Runs.empty() && now() - HeardAt > ShortestRebirth &&
-           Ports.ownerMissing();
+    return Ownership == ownership::Owned && Runs.empty() && Look.mayBeReborn(now()) && Ports.ownerMissing();
   }
 
   const char *refusalOf(const schema::start_task &Request) const {
@@ -276,37 +275,16 @@
     Ports.roomChanged(Entry.Target.Id);
   }
 
-  // How long a start for this coordinator may be under way.
-  [[nodiscard]] duration timeToStart(const std::string &Coordinator) const {
-    auto AnsweredAt = Ports.answeredAt(Coordinator);
-    if (!AnsweredAt)
-      return duration::zero();
-    if (*AnsweredAt == time_point::max())
-      return Options.Lease;
-    return std::min(Options.Lease, duration(*AnsweredAt + Options.StartLimit - sinceBoot()));
-  }
-
   [[nodiscard]] time_point sinceBoot() const { return Executor.clock().sinceBoot(); }
 
-  // Lease for all runs, as long as each coordinator allows; nothing when that is over for one of them.
+  // Lease for all runs, as long as each coordinator allows.
   std::optional<std::int64_t> extendLease() {
     for (auto &[Run, State] : Runs)
-      noteAllowedTime(State);
-    time_point Until = Runs.allowedUntil();
-    if (Until <= sinceBoot())
+      Limits.note(State, Ports.answeredAt(State.Coordinator));
+    auto Lease = Limits.lease(Runs.allowedUntil(), sinceBoot());
+    if (!Lease)
       return std::nullopt;
-    duration Left = Until == time_point::max() ? Options.Lease : duration(Until - sinceBoot());
-    return Clock.extend(now(), std::min(Options.Lease, Left));
-  }
-
-  void noteAllowedTime(server_run &Run) const {
-    auto AnsweredAt = Ports.answeredAt(Run.Coordinator);
-    if (!AnsweredAt)
-      return;
-    if (*AnsweredAt == time_point::max())
-      Run.AllowedUntil = time_point::max();
-    else
-      Run.AllowedUntil = *AnsweredAt + (Run.Relayed ? Options.RelayedRunLimit : Options.RunLimit);
+    return Clock.extend(now(), *Lease);
   }
 
   // Take-over.
@@ -342,7 +320,7 @@
          {"running", static_cast<std::int64_t>(Reply.Running.size())},
          {"ended", static_cast<std::int64_t>(Reply.Ended.size())}});
     Clock.note(now(), Reply.ClockMs);
-    HeardAt = now();
+    Look.arrived(now());
     Born = Reply.Born;
     FencedClaims = 0;
     Answering = true;
@@ -493,7 +471,7 @@
   void keepHolding() {
     if (HoldPending || Ownership != ownership::Owned)
       return;
-    if (Runs.empty() && AcknowledgedEnds >= Observed && !LookSince)
+    if (Runs.empty() && AcknowledgedEnds >= Observed && !Look.wanted())
       return;
     hold_order Order;
     Order.FencingToken = Token;
@@ -532,7 +510,6 @@
       return;
     }
     Clock.note(now(), Reply.ClockMs);
-    HeardAt = Sent;
     UnansweredHolds = 0;
     setAnswering(true);
     if (Reply.Born != Born)
@@ -543,21 +520,15 @@
       onEnd(End);
     endMissingRuns(Sent, Reply.Running);
     stopUnknownRuns(Reply.Running);
-    noteLook(Sent);
+    if (Look.arrived(Sent))
+      Ports.roomChanged(Entry.Target.Id);
     keepHolding();
   }
 
-  void noteLook(time_point Sent) {
-    if (!LookSince || Sent < *LookSince)
-      return;
-    LookSince.reset();
-    Ports.roomChanged(Entry.Target.Id);
-  }
-
   // The server may have ended and been born again, and has forgotten its fence then.
   void noteNotSent(order_outcome Outcome) {
     if (Outcome == order_outcome::NotSent)
-      LookSince = now();
+      Look.want(now());
   }
 
   void onHoldFailed(order_outcome Outcome) {
@@ -708,6 +679,7 @@
   ledger_options Options;
   server_health Health;
   lease_clock Clock;
+  run_limits Limits;
   ownership Ownership = ownership::None;
   std::uint64_t Token = 0;
   unsigned FencedClaims = 0;
@@ -725,10 +697,7 @@
   // When this VM may claim the server again.
   time_point ReclaimAfter{};
   bool HoldPending = false;
-  // The server's last list of what runs there was asked for at this time.
-  time_point HeardAt{};
-  // A list of what runs on the server is wanted that is asked for after this.
-  std::optional<time_point> LookSince;
+  server_look Look;
   std::uint32_t UnansweredHolds = 0;
   bool Answering = true;
   bool Delisted = false;
