--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -227,10 +227,10 @@
            Health.usable();
   }
 
-  // A VM out of contact may have claimed the server after it was born again. A server in use is heard all the
-  // time.
+  // A VM out of contact may have claimed the server after it was born again.
   [[nodiscard]] bool mayBeForgotten() const {
-    return Ownership == ownership::Owned && Runs.empty() && Look.mayBeReborn(now()) && Ports.ownerMissing();
+    duration Wait = Runs.empty() ? duration::zero() : Options.HoldWait;
+    return Ownership == ownership::Owned && Look.mayBeReborn(now(), Wait) && Ports.ownerMissing();
   }
 
   const char *refusalOf(const schema::start_task &Request) const {
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -356,6 +356,11 @@
       Owner.start(runOf(1));
       CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Owner.Orders.Starts.size());
     }
+    if (auto Then = section("unless its answer is overdue")) {
+      Owner.Executor->advance(milliseconds(260));
+      Owner.start(runOf(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Starts.size());
+    }
   }
 });
 
--- a/src/yuccaplank/dispatch/server_look.hpp
+++ b/src/yuccaplank/dispatch/server_look.hpp
@@ -23,8 +23,11 @@
   }
   void reset() { WantedSince.reset(); }
 
-  /// Whether the server may have ended and be back since its last list.
-  [[nodiscard]] bool mayBeReborn(runtime::time_point Now) const { return Now - ListedAt > ShortestRebirth; }
+  /// Whether the server may have ended and be back since its last list; Wait is how long a list is waited
+  /// for.
+  [[nodiscard]] bool mayBeReborn(runtime::time_point Now, runtime::duration Wait) const {
+    return Now - ListedAt > Wait + ShortestRebirth;
+  }
 
 private:
   // No server ends and is back in less time.
--- a/src/yuccaplank/simulation/fleet_simulation_test.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation_test.cpp
@@ -184,6 +184,12 @@
     Two.Seed = Breach.Seed;
     assertKept(Two);
   }
+  simulation_options Small = laggingFleet(6, 3, 2);
+  Small.Domains = 3;
+  Small.Servers = 8;
+  // A server that was born again took orders of two owners, of which one waited for its answer.
+  Small.Seed = 87000614;
+  assertKept(Small);
   for (std::uint64_t Seed = 1; Seed <= Days; ++Seed) {
     Relays.Seed = Seed;
     assertKept(Relays);
