--- a/src/yuccaplank/dispatch/bounds.cpp
+++ b/src/yuccaplank/dispatch/bounds.cpp
@@ -24,7 +24,7 @@
   return std::chrono::duration_cast<duration>((Over - Ledger.ClockError) / (1 + Ledger.ClockDrift));
 }
 
-// When nothing runs any more for a relaying VM, from when it stopped to answer the dispatching VM's
+// When nothing runs any more for a relaying VM, from when it stopped answering the dispatching VM's
 // heartbeats.
 duration relayedRunsOver(const entry_vm_options &Options) {
   return Options.View.Lease + leaseOver(Options.Ledger, Options.Ledger.RelayedRunLimit);
