--- a/include/yuccaplank/dispatch/entry_vm.hpp
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -3,6 +3,7 @@
 
 #include "yuccaplank/dispatch/configuration.hpp"
 #include "yuccaplank/dispatch/contact_plan.hpp"
+#include "yuccaplank/dispatch/evacuations.hpp"
 #include "yuccaplank/dispatch/fleet_view.hpp"
 #include "yuccaplank/dispatch/job_coordinator.hpp"
 #include "yuccaplank/dispatch/placement_queue.hpp"
@@ -82,6 +83,8 @@
   std::uint64_t DeclinedJobs = 0;
   bool Dispatching = false;
   bool Placing = false;
+  /// Evacuated failure domains, with the number of runs on their servers that this VM owns.
+  std::map<std::string, std::uint32_t> RunsInEvacuatedDomains = {};
 };
 
 class entry_vm {
@@ -95,6 +98,9 @@
   virtual void observeTerm(std::uint32_t Term) = 0;
   /// Applies the configuration unless the current one is as new or newer. Returns whether it was applied.
   virtual bool setConfiguration(configuration Configuration, std::string Document) = 0;
+  /// Applies the evacuations of one source unless a newer state of it is known. Those in the store are set
+  /// before the first configuration, so that no task starts before they are known.
+  virtual void setEvacuations(const schema::evacuation_state &State) = 0;
   virtual void setServers(const std::vector<server_entry> &Servers) = 0;
   /// Sets the other VMs that are registered in the store.
   virtual void setRegisteredVms(const registered_vms &Vms) = 0;
--- a/include/yuccaplank/dispatch/job_answer.hpp
+++ b/include/yuccaplank/dispatch/job_answer.hpp
@@ -34,7 +34,10 @@
   TaskFailed,
   CallerLeft,
   Cancelled,
+  /// All servers that are large enough for a task are evacuated.
+  Evacuated,
 };
+inline constexpr end_reason LastEndReason = end_reason::Evacuated;
 std::string_view endReasonName(end_reason Reason);
 end_reason toEndReason(schema::reject_reason Reason);
 
--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -121,6 +121,9 @@
   virtual void release() = 0;
   /// Called when the platform's entry for the server has changed.
   virtual void update(const server_entry &Entry) = 0;
+  /// Sets whether the server's failure domain is evacuated. An evacuated server gets no new runs; the runs
+  /// that have begun continue.
+  virtual void setEvacuated(bool IsEvacuated) = 0;
   /// Called when the platform no longer lists the server. Its runs are reported as gone when their lease
   /// expires.
   virtual void delist() = 0;
--- a/include/yuccaplank/dispatch/server_owner.hpp
+++ b/include/yuccaplank/dispatch/server_owner.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,8 @@
   virtual ~server_owner() = default;
   /// Sets the servers that the platform currently lists.
   virtual void setServers(const std::vector<server_entry> &Servers) = 0;
+  /// Sets the failure domains whose servers get no new runs. Ownership and runs are not affected.
+  virtual void setEvacuatedDomains(const std::set<std::string> &Domains) = 0;
   /// Claims the servers that this VM should own but does not; called when the view of the other VMs has
   /// changed.
   virtual void claimAssignedServers() = 0;
--- a/include/yuccaplank/platform/documents.hpp
+++ b/include/yuccaplank/platform/documents.hpp
@@ -17,6 +17,10 @@
 /// Decodes the operators' configuration. Error: errc::MalformedDocument.
 runtime::result<dispatch::configuration> decodeConfiguration(std::string_view Text);
 
+/// Decodes a request to evacuate a failure domain, whose name is in the row's key, and returns the domain.
+/// Error: errc::MalformedDocument.
+runtime::result<std::string> decodeEvacuation(std::string_view Key, std::string_view Text);
+
 /// Decodes the entry that a backend server writes about itself. Error: errc::MalformedDocument if the entry
 /// describes no usable server.
 runtime::result<dispatch::server_entry> decodeServer(const std::string &Id, std::string_view Text);
--- a/include/yuccaplank/platform/settings.hpp
+++ b/include/yuccaplank/platform/settings.hpp
@@ -4,6 +4,7 @@
 #include "yuccaplank/runtime/error.hpp"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,8 @@
   std::string Vm;
   /// Failure domain of the VM.
   std::string Domain;
+  /// All failure domains of the deployment.
+  std::set<std::string> Domains;
   std::string Ip;
   /// Addresses "ip:port" on which the VM serves callers, the platform's readiness checks, and other VMs.
   std::string CallerAddress;
--- a/include/yuccaplank/platform/store_client.hpp
+++ b/include/yuccaplank/platform/store_client.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace yuccaplank::platform {
@@ -15,6 +16,7 @@
 /// Names of the tables that the platform fills, and of keys in them.
 inline constexpr const char *OperatorTable = "op";
 inline constexpr const char *ConfigurationKey = "config";
+inline constexpr std::string_view EvacuationKeyPrefix = "evacuate/";
 inline constexpr const char *ServerTable = "servers";
 
 /// A row of a table. Only rows in the table's part with the empty name are read and written.
--- a/include/yuccaplank/runtime/error.hpp
+++ b/include/yuccaplank/runtime/error.hpp
@@ -31,6 +31,10 @@
   PlatformUnavailable,
   RevisionConflict,
   NotFound,
+  // Evacuations
+  UnknownDomain,
+  AlreadyEvacuated,
+  NotEvacuated,
   Internal,
 };
 
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -42,7 +42,7 @@
         Waiters(*Jobs, makeSender(),
                 [this](std::uint64_t Job, const job_answer &Answer) { this->Ports.answer(Job, Answer); }),
         Router(*Jobs, Waiters, *Relay, [this] { return relaysNewJobs(); }), Cancels(Executor, makeSender()),
-        Decision(Options.Dispatching) {
+        Decision(Options.Dispatching), Evacuations(Executor.clock()) {
     Self.set_role(schema::VM_RELAYS);
     Self.set_vm(Options.Vm);
     Self.set_address(Options.Address);
@@ -95,6 +95,14 @@
     return true;
   }
 
+  void setEvacuations(const schema::evacuation_state &State) override {
+    if (Evacuations.apply(State))
+      Owner->setEvacuatedDomains(Evacuations.domains());
+    Self.clear_evacuations();
+    for (schema::evacuation_state &Known : Evacuations.states())
+      *Self.add_evacuations() = std::move(Known);
+  }
+
   void setServers(const std::vector<server_entry> &Servers) override { Owner->setServers(Servers); }
 
   void setRegisteredVms(const registered_vms &Vms) override {
@@ -199,6 +207,7 @@
                                       duration(Executor.clock().sinceBoot() - OtherVm.LastAnsweredHeartbeat));
     State.IgnoredEchoes = View->ignoredEchoes();
     State.DeclinedJobs = DeclinedJobs;
+    State.RunsInEvacuatedDomains = runsInEvacuatedDomains();
     return State;
   }
 
@@ -215,6 +224,10 @@
     for (const schema::server_state &State : Owner->states())
       *Report.add_servers() = makeServerReport(State, Options.Vm);
     fillQueues(Jobs->queueLengths(), *Report.mutable_queues());
+    auto Runs = runsInEvacuatedDomains();
+    for (const evacuation &Evacuation : Evacuations.list())
+      *Report.add_evacuations() =
+          makeEvacuationReport(Evacuation, Executor.clock().now(), Runs.at(Evacuation.Domain));
     return Report;
   }
 
@@ -373,6 +386,8 @@
       Cancels.onReply(From, Message.cancelled());
       break;
     case schema::dispatch_message::kConfiguration:
+      for (const schema::evacuation_state &State : Message.configuration().evacuations())
+        setEvacuations(State);
       if (!Current || Message.configuration().version() > Current->Version)
         Ports.onConfigurationOffered(Message.configuration());
       break;
@@ -399,6 +414,8 @@
   }
 
   void onStatus(const schema::vm_status &Status) {
+    for (const schema::evacuation_state &State : Status.evacuations())
+      setEvacuations(State);
     std::vector<view_change> Changes = View->onStatus(Status);
     // The reply precedes the messages that the start of contact causes, because the other VM accepts these
     // only when it is in contact.
@@ -429,6 +446,7 @@
     Offered = Current->Version;
     schema::dispatch_message Message;
     *Message.mutable_configuration() = CurrentCopy;
+    *Message.mutable_configuration()->mutable_evacuations() = Self.evacuations();
     send(Status.vm(), std::move(Message));
   }
 
@@ -559,6 +577,18 @@
     updatePlacerAndOwnership();
   }
 
+  [[nodiscard]] std::map<std::string, std::uint32_t> runsInEvacuatedDomains() const {
+    std::map<std::string, std::uint32_t> Runs;
+    for (const std::string &Domain : Evacuations.domains())
+      Runs[Domain] = 0;
+    if (Runs.empty())
+      return Runs;
+    for (const schema::server_state &State : Owner->states())
+      if (auto Found = Runs.find(State.domain()); Found != Runs.end())
+        Found->second += State.tasks();
+    return Runs;
+  }
+
   // Roles.
 
   void updateDispatchers() {
@@ -672,6 +702,7 @@
   job_router Router;
   cancel_exchanges Cancels;
   dispatching_decision Decision;
+  evacuations Evacuations;
   std::unique_ptr<configuration> Current;
   schema::configuration_copy CurrentCopy;
   std::map<std::string, std::string> Incarnations;
--- a/src/yuccaplank/dispatch/fleet_reports.cpp
+++ b/src/yuccaplank/dispatch/fleet_reports.cpp
@@ -33,4 +33,15 @@
   return Report;
 }
 
+schema::evacuation_report makeEvacuationReport(const evacuation &Evacuation, runtime::time_point Now,
+                                               std::uint32_t Runs) {
+  schema::evacuation_report Report;
+  Report.set_domain(Evacuation.Domain);
+  Report.set_source(Evacuation.Source);
+  Report.set_version(Evacuation.Version);
+  Report.set_known_ms(static_cast<std::uint64_t>(runtime::toMs(Now - Evacuation.KnownSince)));
+  Report.set_runs(Runs);
+  return Report;
+}
+
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/job_answer.cpp
+++ b/src/yuccaplank/dispatch/job_answer.cpp
@@ -12,8 +12,8 @@
 // Indexed by end_reason.
 constexpr auto ReasonNames =
     std::to_array<std::string_view>({"", "no_server_large_enough", "no_room_in_time", "no_placer", "deadline",
-                                     "task_failed", "caller_left", "cancelled"});
-static_assert(ReasonNames.size() == static_cast<std::size_t>(end_reason::Cancelled) + 1);
+                                     "task_failed", "caller_left", "cancelled", "evacuated"});
+static_assert(ReasonNames.size() == static_cast<std::size_t>(LastEndReason) + 1);
 
 } // namespace
 
@@ -24,8 +24,14 @@
 std::string_view endReasonName(end_reason Reason) { return ReasonNames.at(static_cast<std::size_t>(Reason)); }
 
 end_reason toEndReason(schema::reject_reason Reason) {
-  return Reason == schema::REJECT_NO_SERVER_LARGE_ENOUGH ? end_reason::NoServerLargeEnough
-                                                         : end_reason::NoRoomInTime;
+  switch (Reason) {
+  case schema::REJECT_NO_SERVER_LARGE_ENOUGH:
+    return end_reason::NoServerLargeEnough;
+  case schema::REJECT_EVACUATED:
+    return end_reason::Evacuated;
+  default:
+    return end_reason::NoRoomInTime;
+  }
 }
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <limits>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -110,6 +111,8 @@
     if (Found != Servers.end() && Found->second.State.pool() != State.pool())
       eraseServer(Found);
     known_server &Server = Servers[State.server()];
+    if (State.evacuated() && !Server.State.evacuated())
+      LastEvacuatedAt[State.pool()] = Clock.now();
     Server.Owner = Owner;
     Server.State = State;
     Server.State.clear_handled();
@@ -183,8 +186,8 @@
   bool rejectIfNotServable(waiting_job &Job, time_point Now) {
     if (Job.Started)
       return false;
-    if (!anyServerLargeEnough(Job.Request)) {
-      reject(Job, schema::REJECT_NO_SERVER_LARGE_ENOUGH, Now);
+    if (auto Reason = capacityRejection(Job.Request)) {
+      reject(Job, *Reason, Now);
       return true;
     }
     auto MaxWait =
@@ -195,10 +198,34 @@
     return true;
   }
 
-  [[nodiscard]] bool anyServerLargeEnough(const schema::place_job &Request) const {
+  // Returns why no server of the pool can run the job's tasks even when it has no other runs.
+  [[nodiscard]] std::optional<schema::reject_reason>
+  capacityRejection(const schema::place_job &Request) const {
     // Until the owners have reported the servers of the pool, their sizes are unknown.
     auto Pool = Pools.find(Request.pool());
-    return Pool == Pools.end() || Pool->second.empty() || Pool->second.anyServerLargeEnough(Request.size());
+    if (Pool == Pools.end() || Pool->second.empty())
+      return std::nullopt;
+    switch (Pool->second.fitOf(Request.size())) {
+    case pool_index::fit::TooLarge:
+      return schema::REJECT_NO_SERVER_LARGE_ENOUGH;
+    case pool_index::fit::OnlyEvacuated:
+      return schema::REJECT_EVACUATED;
+    case pool_index::fit::Fits:
+      break;
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] std::uint32_t retryAfterMs(const waiting_job &Job, schema::reject_reason Reason,
+                                           time_point Now) const {
+    if (Reason != schema::REJECT_EVACUATED)
+      return RetryAfterMs;
+    // Nothing tells how long an evacuation lasts. The longer it has lasted, the longer it is expected to
+    // last.
+    auto Evacuated = LastEvacuatedAt.find(Job.Request.pool());
+    duration Age = Evacuated == LastEvacuatedAt.end() ? duration::zero() : Now - Evacuated->second;
+    return static_cast<std::uint32_t>(
+        runtime::toMs(std::clamp<duration>(Age, MinEvacuationRetryAfter, MaxEvacuationRetryAfter)));
   }
 
   void reject(waiting_job &Job, schema::reject_reason Reason, time_point Now) {
@@ -206,7 +233,7 @@
     schema::reject_job &Rejection = *Message.mutable_reject();
     Rejection.set_job(Job.Request.job());
     Rejection.set_reason(Reason);
-    Rejection.set_retry_after_ms(RetryAfterMs);
+    Rejection.set_retry_after_ms(retryAfterMs(Job, Reason, Now));
     Send(Job.Coordinator, std::move(Message));
     ++Counters.Rejected;
     runtime::log(runtime::log_level::Info, "job_rejected",
@@ -252,7 +279,7 @@
     const schema::server_state &State = Server.State;
     auto [Pool, IsNew] = Pools.try_emplace(State.pool(), Options.SlownessStep);
     Pool->second.set(State.server(), {freeCapacity(Server), toResourceAmounts(State.capacity()),
-                                      State.slowness(), acceptsTasks(Server)});
+                                      State.slowness(), acceptsTasks(Server), State.evacuated()});
   }
 
   server_iterator eraseServer(server_iterator Server) {
@@ -353,6 +380,8 @@
 
   // Most jobs that hold the capacity at the time of a rejection have ended after this time.
   static constexpr std::uint32_t RetryAfterMs = 1000;
+  static constexpr duration MinEvacuationRetryAfter = std::chrono::seconds(1);
+  static constexpr duration MaxEvacuationRetryAfter = std::chrono::seconds(30);
 
   const runtime::clock &Clock;
   send_function Send;
@@ -360,6 +389,8 @@
   std::map<job_key, waiting_job> Jobs;
   std::map<std::string, known_server> Servers;
   std::map<std::string, pool_index> Pools;
+  // When a server of a pool last became evacuated, by pool.
+  std::map<std::string, time_point> LastEvacuatedAt;
   // Task sizes for which a pool had no free capacity during this call of schedule(), by pool.
   std::map<std::string, std::vector<resource_amounts>> UnplaceableSizes;
   std::unordered_map<std::uint64_t, outstanding_grant> Grants;
--- a/src/yuccaplank/dispatch/placement_queue_test.cpp
+++ b/src/yuccaplank/dispatch/placement_queue_test.cpp
@@ -31,8 +31,8 @@
       });
 
   void updateServer(const std::string &Name, double Slowness, std::uint32_t Cpu = 64000,
-                    std::uint32_t Used = 0, std::uint64_t Token = 1,
-                    const std::string &Owner = "owner") const {
+                    std::uint32_t Used = 0, std::uint64_t Token = 1, const std::string &Owner = "owner",
+                    bool Evacuated = false) const {
     schema::server_state State;
     State.set_server(Name);
     State.set_pool("pool");
@@ -40,7 +40,8 @@
     State.mutable_capacity()->set_memory_mb(1000);
     State.mutable_used()->set_cpu(Used);
     State.set_slowness(static_cast<float>(std::log(Slowness)));
-    State.set_usable(true);
+    State.set_usable(!Evacuated);
+    State.set_evacuated(Evacuated);
     State.set_token(Token);
     Queue->updateServer(Owner, State);
   }
@@ -238,4 +239,50 @@
   }
 });
 
+// Guards against jobs that wait to their deadline although every server that could run them is evacuated, and
+// against refusals while another failure domain has room.
+const test_case Evacuation("placement queue: evacuated servers", [] {
+  placer Placer;
+  auto SetEvacuated = [&](const std::string &Server, std::uint32_t Cpu, bool Evacuated) {
+    Placer.updateServer(Server, 1, Cpu, 0, 1, "owner", Evacuated);
+  };
+  SetEvacuated("s1", 96000, true);
+  SetEvacuated("s2", 64000, false);
+  if (auto When = section("given one domain is evacuated, tasks go to the others")) {
+    Placer.enqueue(Placer.makeJob(1, 2, 60));
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Placer.Grants.size());
+    for (const schema::grant &Grant : Placer.Grants)
+      CPPUNIT_ASSERT_EQUAL(std::string("s2"), Grant.server());
+  }
+  if (auto When = section("given only evacuated servers are large enough, the job is refused at once")) {
+    auto Large = Placer.makeJob(1, 1, 60);
+    Large.mutable_size()->set_cpu(80000);
+    Placer.enqueue(Large);
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT(Placer.Rejections.at(0).reason() == schema::REJECT_EVACUATED);
+  }
+  if (auto When = section("given all domains are evacuated, jobs are refused, later ones for longer")) {
+    SetEvacuated("s2", 64000, true);
+    Placer.enqueue(Placer.makeJob(1, 1, 60));
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT(Placer.Rejections.at(0).reason() == schema::REJECT_EVACUATED);
+    CPPUNIT_ASSERT_EQUAL(1000U, Placer.Rejections.at(0).retry_after_ms());
+    Placer.Clock.advance(std::chrono::seconds(8));
+    Placer.enqueue(Placer.makeJob(2, 1, 60));
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT_EQUAL(8000U, Placer.Rejections.at(1).retry_after_ms());
+    Placer.Clock.advance(std::chrono::minutes(8));
+    Placer.enqueue(Placer.makeJob(3, 1, 60));
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT_EQUAL(30000U, Placer.Rejections.at(2).retry_after_ms());
+    if (auto Then = section("until one is taken back")) {
+      SetEvacuated("s2", 64000, false);
+      Placer.enqueue(Placer.makeJob(4, 1, 60));
+      Placer.Queue->schedule();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Placer.Grants.size());
+    }
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/dispatch/pool_index.cpp
+++ b/src/yuccaplank/dispatch/pool_index.cpp
@@ -11,7 +11,9 @@
 
 void pool_index::removeFromIndexes(const std::string &Id, const entry &Entry) {
   capacity_key Capacity{Entry.Capacity.Cpu, Entry.Capacity.MemoryMb, Entry.Capacity.Accelerators};
-  if (--CapacityCounts[Capacity] == 0)
+  capacity_count &Count = CapacityCounts[Capacity];
+  Count.Evacuated -= Entry.Evacuated ? 1 : 0;
+  if (--Count.Servers == 0)
     CapacityCounts.erase(Capacity);
   if (!Entry.AcceptsTasks)
     return;
@@ -27,7 +29,10 @@
   if (!IsNew)
     removeFromIndexes(Id, Server->second);
   Server->second = Entry;
-  ++CapacityCounts[{Entry.Capacity.Cpu, Entry.Capacity.MemoryMb, Entry.Capacity.Accelerators}];
+  capacity_count &Count =
+      CapacityCounts[{Entry.Capacity.Cpu, Entry.Capacity.MemoryMb, Entry.Capacity.Accelerators}];
+  ++Count.Servers;
+  Count.Evacuated += Entry.Evacuated ? 1 : 0;
   if (!Entry.AcceptsTasks)
     return;
   SpeedClasses[toSpeedStep(Entry.Slowness)].emplace(Entry.Free.Cpu, Id);
@@ -42,11 +47,17 @@
   Servers.erase(Found);
 }
 
-bool pool_index::anyServerLargeEnough(const schema::task_size &Size) const {
-  return std::ranges::any_of(CapacityCounts, [&](const auto &Count) {
-    auto [Cpu, MemoryMb, Accelerators] = Count.first;
-    return resource_amounts{Cpu, MemoryMb, Accelerators}.fits(Size);
-  });
+pool_index::fit pool_index::fitOf(const schema::task_size &Size) const {
+  fit Result = fit::TooLarge;
+  for (const auto &[Key, Count] : CapacityCounts) {
+    auto [Cpu, MemoryMb, Accelerators] = Key;
+    if (!resource_amounts{Cpu, MemoryMb, Accelerators}.fits(Size))
+      continue;
+    if (Count.Evacuated < Count.Servers)
+      return fit::Fits;
+    Result = fit::OnlyEvacuated;
+  }
+  return Result;
 }
 
 bool pool_index::anyServerFastEnough(double MaxSlowness) const {
--- a/src/yuccaplank/dispatch/pool_index.hpp
+++ b/src/yuccaplank/dispatch/pool_index.hpp
@@ -25,13 +25,22 @@
     double Slowness = 0;
     /// Whether the server may get another task now; its free capacity is not considered.
     bool AcceptsTasks = false;
+    /// Whether the server's failure domain is evacuated.
+    bool Evacuated = false;
+  };
+  enum class fit : std::uint8_t {
+    /// A server is large enough, even if it accepts no tasks now.
+    Fits,
+    /// All servers that are large enough are evacuated.
+    OnlyEvacuated,
+    TooLarge,
   };
   void set(const std::string &Id, const entry &Entry);
   void erase(const std::string &Id);
   [[nodiscard]] bool empty() const { return Servers.empty(); }
 
-  /// Whether the full capacity of any server, also of one that accepts no tasks now, is large enough.
-  [[nodiscard]] bool anyServerLargeEnough(const schema::task_size &Size) const;
+  /// Compares a task with the full capacities of the servers.
+  [[nodiscard]] fit fitOf(const schema::task_size &Size) const;
   /// Whether any server that accepts tasks is at most this slow, also one without free capacity.
   [[nodiscard]] bool anyServerFastEnough(double MaxSlowness) const;
 
@@ -63,8 +72,12 @@
   std::map<int, speed_class> SpeedClasses;
   // Slowness of each server that accepts tasks.
   std::multiset<double> AcceptingSlownesses;
+  struct capacity_count {
+    std::size_t Servers = 0;
+    std::size_t Evacuated = 0;
+  };
   // Number of servers by capacity. There are few different capacities.
-  std::map<capacity_key, std::size_t> CapacityCounts;
+  std::map<capacity_key, capacity_count> CapacityCounts;
 };
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/pool_index_test.cpp
+++ b/src/yuccaplank/dispatch/pool_index_test.cpp
@@ -75,13 +75,15 @@
   Size.set_cpu(80'000);
   CPPUNIT_ASSERT(Index.empty());
   Index.set("small", {{0, 0, 0}, {64'000, 100, 0}, 0.5, true});
-  CPPUNIT_ASSERT(!Index.anyServerLargeEnough(Size));
+  CPPUNIT_ASSERT(Index.fitOf(Size) == pool_index::fit::TooLarge);
   Index.set("large", {{0, 0, 0}, {96'000, 100, 0}, -0.5, false});
-  CPPUNIT_ASSERT(Index.anyServerLargeEnough(Size));
+  CPPUNIT_ASSERT(Index.fitOf(Size) == pool_index::fit::Fits);
   CPPUNIT_ASSERT(!Index.anyServerFastEnough(0));
   CPPUNIT_ASSERT(Index.anyServerFastEnough(0.5));
+  Index.set("large", {{0, 0, 0}, {96'000, 100, 0}, -0.5, false, true});
+  CPPUNIT_ASSERT(Index.fitOf(Size) == pool_index::fit::OnlyEvacuated);
   Index.erase("large");
-  CPPUNIT_ASSERT(!Index.anyServerLargeEnough(Size));
+  CPPUNIT_ASSERT(Index.fitOf(Size) == pool_index::fit::TooLarge);
 });
 
 } // namespace
--- a/src/yuccaplank/dispatch/relay_messages.cpp
+++ b/src/yuccaplank/dispatch/relay_messages.cpp
@@ -95,8 +95,8 @@
 }
 
 end_reason decodeEndReason(std::uint32_t Value) {
-  return Value <= static_cast<std::uint32_t>(end_reason::Cancelled) ? static_cast<end_reason>(Value)
-                                                                    : end_reason::None;
+  return Value <= static_cast<std::uint32_t>(LastEndReason) ? static_cast<end_reason>(Value)
+                                                            : end_reason::None;
 }
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -95,6 +95,11 @@
       Ports.onCapacityChanged(Entry.Target.Id);
   }
 
+  void setEvacuated(bool IsEvacuated) override {
+    if (std::exchange(Evacuated, IsEvacuated) != IsEvacuated)
+      Ports.onCapacityChanged(Entry.Target.Id);
+  }
+
   void delist() override {
     if (std::exchange(Delisted, true))
       return;
@@ -202,6 +207,7 @@
     State.set_task_limit(Health.onProbation() ? 1 : 0);
     State.set_tasks(static_cast<std::uint32_t>(Runs.size()));
     State.set_token(Token);
+    State.set_evacuated(Evacuated);
     return State;
   }
 
@@ -226,7 +232,7 @@
 
   [[nodiscard]] bool usable() const {
     return Ownership == ownership::Owned && !ListRefresh.pending() && !Delisted && !Entry.Draining &&
-           Responsive && Health.usable();
+           !Evacuated && Responsive && Health.usable();
   }
 
   // Whether the server may have restarted, and so lost its fence, while a VM out of contact may have claimed
@@ -238,6 +244,8 @@
   }
 
   const char *startRefusalReason(const schema::start_task &Request) const {
+    if (Evacuated)
+      return "domain_evacuated";
     if (!usable())
       return "server_unusable";
     if (Request.token() != Token)
@@ -709,6 +717,7 @@
   std::uint32_t UnansweredHolds = 0;
   bool Responsive = true;
   bool Delisted = false;
+  bool Evacuated = false;
   // Drops callbacks of calls that were made before the server was released.
   runtime::lifetime OwnershipLifetime;
 };
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -151,6 +151,38 @@
   }
 });
 
+// Guards against work that begins in an evacuated failure domain: by grants on the way, by orders that are
+// repeated, or after a change of owner.
+const test_case Evacuation("server ledger: an evacuated server", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.answerStart(order_outcome::Accepted);
+  Owner.Ledger->setEvacuated(true);
+  Owner.start(runOf(1));
+  CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+  CPPUNIT_ASSERT_EQUAL(schema::RUN_NOT_STARTED, Owner.lastEvent());
+  CPPUNIT_ASSERT_EQUAL(std::string("domain_evacuated"), Owner.Events.back().reason());
+  CPPUNIT_ASSERT(Owner.Ledger->state().evacuated() && !Owner.Ledger->state().usable());
+  if (auto Then = section("its run continues and ends by itself")) {
+    CPPUNIT_ASSERT(Owner.Orders.Stops.empty());
+    Owner.answerHold(Owner.makeListReply({}, {{1, runOf(0), run_end::Done}}));
+    CPPUNIT_ASSERT_EQUAL(schema::RUN_DONE, Owner.lastEvent());
+  }
+  if (auto When = section("when this VM loses and claims it again, nothing starts there")) {
+    Owner.Ledger->release();
+    Owner.Orders.Holds.clear();
+    Owner.claim();
+    Owner.start(runOf(2));
+    CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+  }
+  if (auto When = section("when the domain is taken back, it gets runs at once")) {
+    Owner.Ledger->setEvacuated(false);
+    Owner.start(runOf(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Starts.size());
+  }
+});
+
 // Guards against two concurrent runs of one task, when an unanswered start is carried out seconds later.
 const test_case LateStart("server ledger: an unanswered start", [] {
   owner Owner;
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -37,6 +37,7 @@
         Server.Ledger->update(Entry);
       else
         Server.Ledger = makeServerLedger(Executor, *this, Entry, Options);
+      Server.Ledger->setEvacuated(EvacuatedDomains.contains(Entry.Domain));
     }
     for (auto &[Id, Server] : Servers)
       if (!Names.contains(Id))
@@ -45,6 +46,12 @@
     claimAssignedServers();
   }
 
+  void setEvacuatedDomains(const std::set<std::string> &Domains) override {
+    EvacuatedDomains = Domains;
+    for (auto &[Id, Server] : Servers)
+      Server.Ledger->setEvacuated(EvacuatedDomains.contains(Server.Entry.Domain));
+  }
+
   void claimAssignedServers() override {
     for (auto &[Id, Server] : Servers)
       if (Server.Ledger->unowned() && Ports.shouldOwn(Server.Entry.Rack, Server.Entry.Domain))
@@ -262,6 +269,7 @@
   ledger_options Options;
   ledger_counters Counters;
   std::map<std::string, owned_server> Servers;
+  std::set<std::string> EvacuatedDomains;
   std::set<std::string> Subscribers;
   std::set<std::string> ChangedServers;
   // Grants whose result is included in the next state of their server, by placer and server.
--- a/src/yuccaplank/entry/directory.cpp
+++ b/src/yuccaplank/entry/directory.cpp
@@ -1,4 +1,5 @@
 #include "directory.hpp"
+#include "evacuation_rows.hpp"
 #include "table_watch.hpp"
 #include "yuccaplank/platform/documents.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
@@ -15,7 +16,8 @@
 using runtime::log;
 using runtime::log_level;
 
-// Table of this product in the platform's store, with one row for each running VM.
+// Table of this product in the platform's store, with one row for each running VM and one for each evacuation
+// that was requested through a VM.
 constexpr const char *VmTable = "yuccaplank_vms";
 constexpr auto ConfigurationPollTimeout = std::chrono::seconds(1);
 // A VM that relays may notice an unresponsive store later, because the dispatchers notify it of a newer
@@ -31,11 +33,13 @@
 public:
   directory_impl(runtime::executor &Executor, platform::store_client &Store, dispatch::entry_vm &Vm,
                  directory_options OptionsIn)
-      : Executor(Executor), Store(Store), Vm(Vm), Options(std::move(OptionsIn)) {
+      : Executor(Executor), Store(Store), Vm(Vm), Options(std::move(OptionsIn)),
+        PlatformEvacuations(schema::EVACUATION_PLATFORM, Options.Domains),
+        OperatorEvacuations(schema::EVACUATION_OPERATOR, Options.Domains) {
     table_watch_options Watch;
     Watch.Table = platform::OperatorTable;
     Watch.LongPollTimeout = RelayConfigurationPollTimeout;
-    Configuration = makeTableWatch(Executor, Store, Watch, [this] { readConfiguration(); });
+    Configuration = makeTableWatch(Executor, Store, Watch, [this] { readOperatorTable(); });
     Watch.Table = VmTable;
     Watch.LongPollTimeout = VmPollTimeout;
     // Many rows may change at once, because all VMs of a fleet may register at the same time.
@@ -76,6 +80,30 @@
       scheduleWrite();
   }
 
+  void setEvacuation(const std::string &Domain, bool Evacuate,
+                     std::function<void(std::error_code)> OnDone) override {
+    std::string Key = evacuation_rows::keyOf(Domain);
+    auto Row = Vms->rows().find(Key);
+    bool Evacuated = Row != Vms->rows().end();
+    if (!OperatorEvacuations.isKnown(Domain)) {
+      OnDone(runtime::errc::UnknownDomain);
+    } else if (Evacuated == Evacuate) {
+      OnDone(Evacuate ? runtime::errc::AlreadyEvacuated : runtime::errc::NotEvacuated);
+    } else {
+      auto OnWritten = [OnDone = std::move(OnDone)](const runtime::result<std::uint64_t> &Version) {
+        OnDone(Version ? std::error_code() : Version.error());
+      };
+      if (Evacuate)
+        Store.put(VmTable, Key, "{}", std::move(OnWritten));
+      else
+        Store.remove(VmTable, Key, Row->second.Version, std::move(OnWritten));
+    }
+  }
+
+  [[nodiscard]] std::uint64_t ignoredEvacuations() const override {
+    return PlatformEvacuations.ignored() + OperatorEvacuations.ignored();
+  }
+
   void unregister(std::function<void()> OnDone) override {
     Unregistering = true;
     if (EntryVersion == 0) {
@@ -86,7 +114,9 @@
   }
 
 private:
-  void readConfiguration() {
+  // Evacuations come before the configuration: a VM that has the configuration may start tasks.
+  void readOperatorTable() {
+    Vm.setEvacuations(PlatformEvacuations.read(Configuration->rows(), Configuration->version()));
     auto Found = Configuration->rows().find(platform::ConfigurationKey);
     if (Found != Configuration->rows().end())
       applyConfiguration(Vm, Found->second.Value);
@@ -194,9 +224,11 @@
   }
 
   void readVms() {
+    Vm.setEvacuations(OperatorEvacuations.read(Vms->rows(), Vms->version()));
     std::erase_if(VmRecords, [this](const auto &Entry) { return !Vms->rows().contains(Entry.first); });
     for (const auto &[Name, Row] : Vms->rows())
-      readVm(Name, Row);
+      if (!evacuation_rows::isEvacuationKey(Name))
+        readVm(Name, Row);
     dispatch::registered_vms Others;
     for (const auto &[Name, Record] : VmRecords)
       if (Record.Entry && Name != Options.Vm)
@@ -266,6 +298,8 @@
   std::unique_ptr<table_watch> Configuration;
   std::unique_ptr<table_watch> Servers;
   std::unique_ptr<table_watch> Vms;
+  evacuation_rows PlatformEvacuations;
+  evacuation_rows OperatorEvacuations;
   std::map<std::string, server_record> ServerRecords;
   std::map<std::string, vm_record> VmRecords;
   runtime::timer_id PublishTimer = 0;
--- a/src/yuccaplank/entry/directory.hpp
+++ b/src/yuccaplank/entry/directory.hpp
@@ -6,8 +6,11 @@
 #include "yuccaplank/platform/store_client.hpp"
 #include "yuccaplank/runtime/executor.hpp"
 
+#include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <system_error>
 
 namespace yuccaplank::entry {
 
@@ -18,6 +21,8 @@
   std::string Domain;
   /// CPU capacity in thousandths of a core.
   std::uint32_t Strength = 0;
+  /// All failure domains. Evacuations of other domains are ignored; if empty, none are.
+  std::set<std::string> Domains;
   /// Servers whose entries expired while the store was unreachable are kept for this time after it becomes
   /// reachable again, so that running servers can re-register.
   runtime::duration ReregistrationTimeout = std::chrono::milliseconds(2500);
@@ -34,6 +39,13 @@
   virtual void removeStaleEntry(const std::string &Name) = 0;
   /// Stores the term of this VM's fencing tokens in its entry; a lower term than the stored one is ignored.
   virtual void setTerm(std::uint32_t Term) = 0;
+  /// Begins or ends an evacuation of a failure domain. OnDone receives errc::UnknownDomain,
+  /// errc::AlreadyEvacuated or errc::NotEvacuated if nothing has been changed, and
+  /// errc::PlatformUnavailable if the store may or may not carry out the change.
+  virtual void setEvacuation(const std::string &Domain, bool Evacuate,
+                             std::function<void(std::error_code)> OnDone) = 0;
+  /// Number of rows in the store that request no evacuation of a known failure domain.
+  [[nodiscard]] virtual std::uint64_t ignoredEvacuations() const = 0;
   /// Removes this VM's entry; OnDone runs even if the removal fails.
   virtual void unregister(std::function<void()> OnDone) = 0;
 };
--- a/src/yuccaplank/entry/directory_test.cpp
+++ b/src/yuccaplank/entry/directory_test.cpp
@@ -48,10 +48,10 @@
     Removals.push_back({Key, Version, std::move(OnDone)});
   }
 
-  void answer(std::map<std::string, page_handler> &Calls, std::vector<store_row> Rows,
-              std::uint64_t Version) {
-    auto Handler = std::move(Calls.at(VmTable));
-    Calls.erase(VmTable);
+  static void answer(std::map<std::string, page_handler> &Calls, std::vector<store_row> Rows,
+                     std::uint64_t Version, const std::string &Table = VmTable) {
+    auto Handler = std::move(Calls.at(Table));
+    Calls.erase(Table);
     Handler(store_page{std::move(Rows), Version, false});
   }
 };
@@ -77,7 +77,7 @@
     Options.Vm = "vm1";
     Options.Address = "vm1:1";
     Entry = dispatch::makeEntryVm(*Executor, *this, Options);
-    Directory = makeDirectory(*Executor, Store, *Entry, {"vm1", "vm1:1", "d1", 500});
+    Directory = makeDirectory(*Executor, Store, *Entry, {"vm1", "vm1:1", "d1", 500, {"d1", "d2"}});
   }
   void send(const std::string &, const std::string &Address, schema::dispatch_message) override {
     Contacted.push_back(Address);
@@ -145,4 +145,80 @@
   }
 });
 
+std::vector<std::string> evacuatedDomains(const vm &Vm) {
+  std::vector<std::string> Domains;
+  schema::fleet_report Report = Vm.Entry->report();
+  for (const schema::evacuation_report &Evacuation : Report.evacuations())
+    Domains.push_back(Evacuation.domain());
+  return Domains;
+}
+
+constexpr const char *Configuration = R"({"version":1,"routes":[],"services":{},"limits":{}})";
+using names = std::vector<std::string>;
+
+// Guards against evacuations that the platform's operators request and this VM does not see, against a
+// configuration that is in force before them, and against rows that stop a domain by mistake.
+const test_case PlatformEvacuations("directory: the platform's evacuations are read", [] {
+  vm Vm;
+  Vm.Store.answer(Vm.Store.Reads, {row("config", 3, Configuration), row("evacuate/d1", 5, "{}")}, 5, "op");
+  CPPUNIT_ASSERT(Vm.Entry->currentConfiguration() != nullptr);
+  CPPUNIT_ASSERT((names{"d1"} == evacuatedDomains(Vm)));
+  store_row Removed = row("evacuate/d1", 9, "");
+  Removed.Deleted = true;
+  if (auto When = section("when the row is removed, the domain is taken back")) {
+    Vm.Store.answer(Vm.Store.Feeds, {Removed}, 9, "op");
+    CPPUNIT_ASSERT(evacuatedDomains(Vm).empty());
+  }
+  if (auto When = section("when the store has forgotten the removal, a read without the row takes it back")) {
+    auto Feed = std::move(Vm.Store.Feeds.at("op"));
+    Feed(make_error_code(runtime::errc::NotFound));
+    Vm.Store.answer(Vm.Store.Reads, {row("config", 3, Configuration)}, 12, "op");
+    CPPUNIT_ASSERT(evacuatedDomains(Vm).empty());
+  }
+  if (auto When =
+          section("when a row names no known domain or cannot be read, it is counted, with no effect")) {
+    Vm.Store.answer(Vm.Store.Feeds, {row("evacuate/d7", 10, "{}"), row("evacuate/d2", 11, "not readable")},
+                    11, "op");
+    CPPUNIT_ASSERT((names{"d1"} == evacuatedDomains(Vm)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Vm.Directory->ignoredEvacuations());
+    Vm.Executor->advance(milliseconds(1000));
+    Vm.Store.answer(Vm.Store.Feeds, {Removed}, 12, "op");
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Vm.Directory->ignoredEvacuations());
+  }
+});
+
+// Guards against evacuations through this VM that change nothing or the wrong row, and against input that is
+// accepted although it means nothing.
+const test_case OperatorEvacuations("directory: evacuations through this VM", [] {
+  vm Vm;
+  Vm.Store.answer(Vm.Store.Reads, {row("evacuate/d2", 4, "{}")}, 4);
+  Vm.Store.Puts.clear();
+  std::error_code Outcome = runtime::errc::Internal;
+  auto Set = [&](const char *Domain, bool Evacuate) {
+    Vm.Directory->setEvacuation(Domain, Evacuate, [&](std::error_code Error) { Outcome = Error; });
+  };
+  CPPUNIT_ASSERT((names{"d2"} == evacuatedDomains(Vm)));
+  if (auto When = section("a domain is evacuated by a row in the store")) {
+    Set("d1", true);
+    CPPUNIT_ASSERT_EQUAL(std::string("evacuate/d1"), Vm.Store.Puts.at(0).Key);
+    Vm.Store.Puts.at(0).OnDone(std::uint64_t{6});
+    CPPUNIT_ASSERT(!Outcome);
+  }
+  if (auto When = section("and taken back by removing the row at the version that was read")) {
+    Set("d2", false);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Vm.Store.Removals.at(0).Version);
+    Vm.Store.Removals.at(0).OnDone(make_error_code(runtime::errc::PlatformUnavailable));
+    CPPUNIT_ASSERT(Outcome == runtime::errc::PlatformUnavailable);
+  }
+  if (auto When = section("a request that changes nothing is refused with the reason")) {
+    Set("d7", true);
+    CPPUNIT_ASSERT(Outcome == runtime::errc::UnknownDomain);
+    Set("d2", true);
+    CPPUNIT_ASSERT(Outcome == runtime::errc::AlreadyEvacuated);
+    Set("d1", false);
+    CPPUNIT_ASSERT(Outcome == runtime::errc::NotEvacuated);
+    CPPUNIT_ASSERT(Vm.Store.Puts.empty() && Vm.Store.Removals.empty());
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/entry/operator_api.cpp
+++ b/src/yuccaplank/entry/operator_api.cpp
@@ -1,7 +1,8 @@
 #include "operator_api.hpp"
-#include "vm_metrics.hpp"
 #include "yuccaplank/wire/document_writer.hpp"
 
+#include <nlohmann/json.hpp>
+
 #include <array>
 
 namespace yuccaplank::entry {
@@ -23,10 +24,21 @@
       Burn->record(Answer.Queue, Answer.WithinObjective);
   }
 
-  http_reply reply(const http_request &Request, std::size_t PendingCallers) override {
+  void serve(const http_request &Request, const process_counts &Counts,
+             std::function<void(http_reply)> OnReply) override {
+    if (Request.Path.starts_with(EvacuationPath))
+      serveEvacuation(Request, std::move(OnReply));
+    else
+      OnReply(makeReport(Request, Counts));
+  }
+
+private:
+  static constexpr std::string_view EvacuationPath = "/v1/evacuations/";
+
+  http_reply makeReport(const http_request &Request, const process_counts &Counts) {
     struct route {
       std::string_view Path;
-      http_reply (operator_api_impl::*Handler)(std::size_t PendingCallers);
+      http_reply (operator_api_impl::*Handler)(const process_counts &Counts);
     };
     static constexpr auto Routes = std::to_array<route>({
         {"/metrics", &operator_api_impl::metrics},
@@ -35,11 +47,33 @@
     });
     for (const route &Route : Routes)
       if (Route.Path == Request.Path)
-        return Request.Method == "GET" ? (this->*Route.Handler)(PendingCallers) : makeErrorReply(405);
+        return Request.Method == "GET" ? (this->*Route.Handler)(Counts) : makeErrorReply(405);
     return makeErrorReply(404);
   }
 
-private:
+  void serveEvacuation(const http_request &Request, std::function<void(http_reply)> OnReply) {
+    bool Begins = Request.Method == "PUT";
+    if (!Begins && Request.Method != "DELETE") {
+      OnReply(makeErrorReply(405));
+      return;
+    }
+    auto OnDone = [OnReply = std::move(OnReply)](std::error_code Error) {
+      http_reply Reply = makeErrorReply(toStatus(Error));
+      if (Error)
+        Reply.Body = nlohmann::json{{"error", Error.message()}}.dump();
+      OnReply(std::move(Reply));
+    };
+    Options.SetEvacuation(Request.Path.substr(EvacuationPath.size()), Begins, std::move(OnDone));
+  }
+
+  static int toStatus(std::error_code Error) {
+    if (!Error)
+      return 200;
+    if (Error == runtime::errc::UnknownDomain)
+      return 404;
+    return Error == runtime::errc::PlatformUnavailable ? 503 : 409;
+  }
+
   static http_reply makeErrorReply(int Status) {
     http_reply Reply;
     Reply.Status = Status;
@@ -52,14 +86,14 @@
     return Reply;
   }
 
-  http_reply metrics(std::size_t PendingCallers) {
+  http_reply metrics(const process_counts &Counts) {
     http_reply Reply;
     Reply.ContentType = "text/plain; version=0.0.4";
-    Reply.Body = Metrics->serialize(Vm.state(), PendingCallers);
+    Reply.Body = Metrics->serialize(Vm.state(), Counts);
     return Reply;
   }
-  http_reply fleet(std::size_t /*PendingCallers*/) { return makeDocumentReply(Vm.report()); }
-  http_reply burn(std::size_t /*PendingCallers*/) {
+  http_reply fleet(const process_counts & /*Counts*/) { return makeDocumentReply(Vm.report()); }
+  http_reply burn(const process_counts & /*Counts*/) {
     schema::burn_counts Counts;
     Counts.set_vm(Options.Vm);
     Counts.set_objective_percent(Options.ObjectivePercent);
--- a/src/yuccaplank/entry/table_watch.cpp
+++ b/src/yuccaplank/entry/table_watch.cpp
@@ -23,6 +23,7 @@
 
   void setLongPollTimeout(runtime::duration Timeout) override { Options.LongPollTimeout = Timeout; }
   [[nodiscard]] const std::map<std::string, store_row> &rows() const override { return Rows; }
+  [[nodiscard]] std::uint64_t version() const override { return Version; }
   [[nodiscard]] bool lastCallSucceeded() const override { return Reachable; }
   [[nodiscard]] runtime::time_point reconnectedAt() const override { return ReconnectedAt; }
 
--- a/src/yuccaplank/entry/table_watch.hpp
+++ b/src/yuccaplank/entry/table_watch.hpp
@@ -29,6 +29,8 @@
   virtual void setLongPollTimeout(runtime::duration Timeout) = 0;
   /// Rows by key, as last read.
   [[nodiscard]] virtual const std::map<std::string, platform::store_row> &rows() const = 0;
+  /// Version of the store that the rows reflect.
+  [[nodiscard]] virtual std::uint64_t version() const = 0;
   /// Whether the last call succeeded.
   [[nodiscard]] virtual bool lastCallSucceeded() const = 0;
   /// Time at which the store last became reachable again after failed calls; the epoch of the clock if it
--- a/src/yuccaplank/entry/vm_metrics.cpp
+++ b/src/yuccaplank/entry/vm_metrics.cpp
@@ -97,6 +97,21 @@
      [](const entry_vm_state &State) { return State.Placing ? 1.0 : 0.0; }},
 });
 
+// Runs that are left on the owned servers of each evacuated failure domain; no value for other domains.
+MetricFamily makeEvacuationFamily(const entry_vm_state &State) {
+  MetricFamily Family{"yuccaplank_evacuated_domain_runs",
+                      "Runs left on the servers of an evacuated domain that this VM owns.",
+                      MetricType::Gauge,
+                      {}};
+  for (const auto &[Domain, Runs] : State.RunsInEvacuatedDomains) {
+    prometheus::ClientMetric Metric;
+    Metric.label = {{"domain", Domain}};
+    Metric.gauge.value = Runs;
+    Family.metric.push_back(Metric);
+  }
+  return Family;
+}
+
 constexpr auto Outcomes = std::to_array({dispatch::job_outcome::Completed, dispatch::job_outcome::Failed,
                                          dispatch::job_outcome::Refused, dispatch::job_outcome::TimedOut,
                                          dispatch::job_outcome::Cancelled});
@@ -119,13 +134,18 @@
     Histograms.at(static_cast<std::size_t>(Outcome))->Observe(runtime::toMs(Latency) / MsPerSecond);
   }
 
-  std::string serialize(const entry_vm_state &State, std::size_t PendingCallers) override {
+  std::string serialize(const entry_vm_state &State, const process_counts &Counts) override {
     std::vector<MetricFamily> Families = Registry.Collect();
     for (const metric_entry &Entry : Metrics)
       Families.push_back(runtime::makeMetricFamily(Entry.Name, Entry.Help, Entry.Type, Entry.Value(State)));
     Families.push_back(runtime::makeMetricFamily("yuccaplank_callers_waiting",
                                                  "Callers that wait for an answer.", MetricType::Gauge,
-                                                 toDouble(PendingCallers)));
+                                                 toDouble(Counts.PendingCallers)));
+    Families.push_back(
+        runtime::makeMetricFamily("yuccaplank_evacuations_ignored_total",
+                                  "Requests for evacuations that cannot be read or name no domain.",
+                                  MetricType::Counter, toDouble(Counts.IgnoredEvacuations)));
+    Families.push_back(makeEvacuationFamily(State));
     return prometheus::TextSerializer().Serialize(Families);
   }
 
--- a/src/yuccaplank/entry/vm_metrics.hpp
+++ b/src/yuccaplank/entry/vm_metrics.hpp
@@ -9,13 +9,21 @@
 
 namespace yuccaplank::entry {
 
+/// Values that the process counts outside the dispatching roles.
+struct process_counts {
+  /// Callers that wait for an answer.
+  std::size_t PendingCallers = 0;
+  /// Rows in the store that request no evacuation of a known failure domain.
+  std::uint64_t IgnoredEvacuations = 0;
+};
+
 class vm_metrics {
 public:
   virtual ~vm_metrics() = default;
   /// Records the answer to a caller; Latency is the time since its request.
   virtual void observeAnswer(dispatch::job_outcome Outcome, runtime::duration Latency) = 0;
-  /// Returns all metrics; PendingCallers is the number of callers that wait for an answer.
-  virtual std::string serialize(const dispatch::entry_vm_state &State, std::size_t PendingCallers) = 0;
+  /// Returns all metrics.
+  virtual std::string serialize(const dispatch::entry_vm_state &State, const process_counts &Counts) = 0;
 };
 
 std::unique_ptr<vm_metrics> makeVmMetrics();
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -76,12 +76,13 @@
       OperatorApi->observeAnswer(Answer, Latency);
     };
     Frontend = makeFrontend(Loop, *Vm, std::move(FrontendHandlers), frontendOptions(Options.OwnSettings));
-    OperatorApi = makeOperatorApi(Loop.clock(), *Vm, {Settings.Vm, objectivePercent(Options.OwnSettings)});
+    OperatorApi = makeOperatorApi(Loop.clock(), *Vm, operatorApiOptions());
     if (auto Listening = listen(); !Listening)
       return Listening;
     Vm->addSeeds(Settings.Seeds);
-    Directory = makeDirectory(Loop, *Store, *Vm,
-                              {Settings.Vm, Settings.PeerAddress, Settings.Domain, toStrength(Settings)});
+    Directory = makeDirectory(
+        Loop, *Store, *Vm,
+        {Settings.Vm, Settings.PeerAddress, Settings.Domain, toStrength(Settings), Settings.Domains});
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
@@ -121,6 +122,13 @@
     applyConfiguration(*Vm, Copy.document());
   }
 
+  [[nodiscard]] operator_api_options operatorApiOptions() {
+    return {Settings.Vm, objectivePercent(Options.OwnSettings),
+            [this](const std::string &Domain, bool Evacuate, std::function<void(std::error_code)> OnDone) {
+              Directory->setEvacuation(Domain, Evacuate, std::move(OnDone));
+            }};
+  }
+
   // Fails if the platform's time limits would allow a resent job to run twice.
   [[nodiscard]] runtime::result<dispatch::entry_vm_options> makeVmOptions() const {
     dispatch::entry_vm_options Result;
@@ -171,7 +179,10 @@
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     wire::http_server_handlers OperatorHandlers;
     OperatorHandlers.OnRequest = [this](const wire::http_request &Request) {
-      OperatorServer->reply(Request.Token, OperatorApi->reply(Request, Frontend->pendingCallers()));
+      OperatorApi->serve(Request, {Frontend->pendingCallers(), Directory->ignoredEvacuations()},
+                         [this, Token = Request.Token](wire::http_reply Reply) {
+                           OperatorServer->reply(Token, std::move(Reply));
+                         });
     };
     return listenHttp(fmt::format("{}:{}", Settings.Ip, Options.OperatorPort), OperatorHandlers,
                       OperatorServer);
--- a/src/yuccaplank/platform/documents.cpp
+++ b/src/yuccaplank/platform/documents.cpp
@@ -1,5 +1,6 @@
 #include "yuccaplank/platform/documents.hpp"
 #include "json_reader.hpp"
+#include "yuccaplank/platform/store_client.hpp"
 
 #include <array>
 #include <charconv>
@@ -81,6 +82,12 @@
   return Configuration;
 }
 
+runtime::result<std::string> decodeEvacuation(std::string_view Key, std::string_view Text) {
+  if (!Key.starts_with(EvacuationKeyPrefix) || !parseJson(Text).is_object())
+    return make_error_code(errc::MalformedDocument);
+  return std::string(Key.substr(EvacuationKeyPrefix.size()));
+}
+
 runtime::result<dispatch::server_entry> decodeServer(const std::string &Id, std::string_view Text) {
   json Document = parseJson(Text);
   std::vector<field_issue> Issues;
--- a/src/yuccaplank/platform/settings.cpp
+++ b/src/yuccaplank/platform/settings.cpp
@@ -33,6 +33,8 @@
   Reader.requiredText("node", Settings.Vm);
   Reader.requiredText("zone", Settings.Domain);
   Reader.requiredText("ip", Settings.Ip);
+  for (const auto &[Domain, Region] : Reader.child("zones", false, false).items())
+    Settings.Domains.insert(Domain);
   readListeners(Reader, Settings, Issues);
   readSeeds(Reader, Settings, Issues);
   object_reader Store(Reader.child("platform", true, false), "platform", Issues);
--- a/src/yuccaplank/runtime/error.cpp
+++ b/src/yuccaplank/runtime/error.cpp
@@ -25,6 +25,9 @@
     "platform_unavailable",
     "revision_conflict",
     "not_found",
+    "unknown_domain",
+    "already_evacuated",
+    "not_evacuated",
     "internal",
 });
 static_assert(Names.size() == static_cast<std::size_t>(errc::Internal) + 1);
--- a/src/yuccaplank/scenario/script.cpp
+++ b/src/yuccaplank/scenario/script.cpp
@@ -197,6 +197,14 @@
   worldOf(Lua).cutLink(textArgument(Lua, 1), textArgument(Lua, 2));
   return 0;
 }
+int luaEvacuate(lua_State *Lua) {
+  worldOf(Lua).setEvacuated(textArgument(Lua, 1), true, luaL_optstring(Lua, 2, ""));
+  return 0;
+}
+int luaTakeBack(lua_State *Lua) {
+  worldOf(Lua).setEvacuated(textArgument(Lua, 1), false, luaL_optstring(Lua, 2, ""));
+  return 0;
+}
 int luaReset(lua_State *Lua) {
   worldOf(Lua).fleet().resetConnection(textArgument(Lua, 1), textArgument(Lua, 2));
   return 0;
@@ -235,6 +243,11 @@
     {"started", [](simulated_servers &Servers, const std::string &Server) { Servers.start(Server); }},
 });
 
+int luaBusy(lua_State *Lua) {
+  lua_pushboolean(Lua, worldOf(Lua).fleet().servers().usedCpu(textArgument(Lua, 1)) > 0 ? 1 : 0);
+  return 1;
+}
+
 int luaServer(lua_State *Lua) {
   std::string ChangeName = textArgument(Lua, 2);
   for (const server_change &Change : ServerChanges)
@@ -339,6 +352,9 @@
     {"cut_link", luaCutLink},
     {"reset", luaReset},
     {"heal", luaHeal},
+    {"evacuate", luaEvacuate},
+    {"take_back", luaTakeBack},
+    {"busy", luaBusy},
     {"server", luaServer},
     {"submit", luaSubmit},
     {"resubmit", luaResubmit},
--- a/src/yuccaplank/scenario/world.cpp
+++ b/src/yuccaplank/scenario/world.cpp
@@ -56,6 +56,12 @@
   Cuts.clear();
 }
 
+void world::setEvacuated(const std::string &Domain, bool IsEvacuated, const std::string &Vm) {
+  Fleet.setEvacuated(Domain, IsEvacuated, [&](const std::string &Name) {
+    return Vm.empty() || Vm == Name ? std::optional(runtime::duration::zero()) : std::nullopt;
+  });
+}
+
 std::string world::ownerOf(const std::string &Server) {
   for (std::uint32_t Index = 0; Index < Fleet.layout().Vms; ++Index) {
     simulated_vm &Process = Fleet.vm(simulation::simulated_fleet::vmName(Index));
--- a/src/yuccaplank/scenario/world.hpp
+++ b/src/yuccaplank/scenario/world.hpp
@@ -57,6 +57,9 @@
   void cutDomain(const std::string &Domain);
   void cutLink(const std::string &From, const std::string &To);
   void heal();
+  /// Begins or ends the evacuation of a domain. Only the given VM reads it from the store; all do if Vm is
+  /// empty.
+  void setEvacuated(const std::string &Domain, bool IsEvacuated, const std::string &Vm);
   /// Returns the VM that owns a server; empty when none does.
   [[nodiscard]] std::string ownerOf(const std::string &Server);
 
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -25,6 +25,8 @@
 // Time after a caller's departure from which no task of its job may start; includes the time that a stop
 // takes.
 constexpr double CancelLimitMs = 3050;
+// Time after the request for an evacuation from which no start may be ordered in the domain.
+constexpr double EvacuationLimitMs = 5000;
 // Time after the end of the traffic in which the remaining jobs have to be answered.
 constexpr auto SettleDelay = std::chrono::seconds(12);
 
@@ -72,6 +74,8 @@
     TrafficEnd = Executor->clock().now() + fromMs(Options.TrafficSeconds * 1000);
     FaultsEnd = Executor->clock().now() + fromMs(Options.TrafficSeconds * 1000 * FaultPhaseShare);
     scheduleTraffic();
+    if (Options.EnableEvacuations)
+      scheduleEvacuations();
     if (Options.FaultsPerSecond > 0)
       scheduleFault();
     if (Options.CountMessages)
@@ -336,6 +340,51 @@
       addViolation(fmt::format("{} starts after its caller left", dispatch::format(Run)));
   }
 
+  // Evacuations
+
+  void scheduleEvacuations() {
+    Fleet.servers().observeStartOrders(
+        [this](const std::string &Vm, const std::string &Server) { onStartOrder(Vm, Server); });
+    std::uint64_t Count = 1 + Random.next() % Options.Domains;
+    for (std::uint64_t Index = 0; Index < Count; ++Index) {
+      std::string Domain = Fleet.domainOf(static_cast<std::uint32_t>(Random.next() % Options.Domains));
+      duration Begin = fromMs(2500 * Random.uniform());
+      // Evacuations that end within a second test the order of changes, longer ones the limit.
+      for (int Repetition = Random.uniform() < 0.3 ? 2 : 0; Repetition > 0; --Repetition) {
+        scheduleEvacuation(Domain, Begin, fromMs(900 * Random.uniform()));
+        Begin += fromMs(1000);
+      }
+      scheduleEvacuation(Domain, Begin, fromMs(5000 + 4000 * Random.uniform()));
+    }
+  }
+
+  void scheduleEvacuation(const std::string &Domain, duration Begin, duration Length) {
+    Executor->after(Begin, [this, Domain] { setEvacuated(Domain, true); });
+    Executor->after(Begin + Length, [this, Domain] { setEvacuated(Domain, false); });
+  }
+
+  // The store turns some VMs away for seconds. These learn of the change from the others.
+  void setEvacuated(const std::string &Domain, bool IsEvacuated) {
+    trace(fmt::format("{} {}", Domain, IsEvacuated ? "is evacuated" : "is taken back"));
+    if (IsEvacuated)
+      EvacuatedAt.try_emplace(Domain, Executor->clock().now());
+    else
+      EvacuatedAt.erase(Domain);
+    Fleet.setEvacuated(Domain, IsEvacuated, [this](const std::string &) {
+      return fromMs(Random.uniform() < 0.3 ? 4000 : 40 * Random.uniform());
+    });
+  }
+
+  void onStartOrder(const std::string &Vm, const std::string &Server) {
+    auto Evacuated = EvacuatedAt.find(Fleet.servers().domainOf(Server));
+    if (Evacuated == EvacuatedAt.end())
+      return;
+    duration Age = Executor->clock().now() - Evacuated->second;
+    if (Age > fromMs(EvacuationLimitMs))
+      addViolation(fmt::format("{} orders a start on {} {:.0f} ms after {} was evacuated", Vm, Server,
+                               runtime::toMs(Age), Evacuated->first));
+  }
+
   // Faults
 
   void scheduleFault() {
@@ -521,6 +570,7 @@
   runtime::random Random;
   simulated_fleet Fleet;
   std::map<std::uint64_t, simulated_job> Jobs;
+  std::map<std::string, time_point> EvacuatedAt;
   time_point TrafficBegin{};
   time_point TrafficEnd{};
   time_point FaultsEnd{};
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -55,6 +55,8 @@
   double FaultsPerSecond = 2;
   /// Adds VMs and links that lag, rolling restarts, and VMs of unequal strength.
   bool EnableLags = false;
+  /// Adds evacuations of domains, some of them repeated or of several domains at once.
+  bool EnableEvacuations = false;
   /// Share of orders to servers that are carried out 2 to 12 s late and get no answer.
   double LateOrderShare = 0.02;
   /// Share of orders to servers that are carried out in time but whose answer is lost.
--- a/src/yuccaplank/simulation/fleet_simulation_test.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation_test.cpp
@@ -75,6 +75,24 @@
   }
 });
 
+// Guards against starts in an evacuated failure domain after the limit, and against evacuations that break
+// another invariant: repeated, of several domains at once, across restarts, pauses, cuts and lags, and while
+// the store turns VMs away.
+const test_case Evacuations("fleet simulation: no violation when domains are evacuated", [] {
+  constexpr std::uint64_t Days = 30;
+  for (std::uint64_t Seed = 1; Seed <= Days; ++Seed) {
+    simulation_options Options;
+    Options.Seed = Seed;
+    Options.EnableEvacuations = true;
+    Options.EnableLags = Seed % 2 == 0;
+    if (Seed % 3 == 0) {
+      Options.Vms = 9;
+      Options.DispatchersPerDomain = 2;
+    }
+    assertNoViolations(Options);
+  }
+});
+
 // Guards against refusals and late answers while there is free capacity: on a fault-free day, 95 % of the
 // jobs have to meet their objective and at most 0.1 % may be refused.
 const test_case FaultFreeDay("fleet simulation: jobs meet their objectives on a fault-free day", [] {
--- a/src/yuccaplank/simulation/simulated_fleet.cpp
+++ b/src/yuccaplank/simulation/simulated_fleet.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <set>
 
 namespace yuccaplank::simulation {
 namespace {
@@ -135,6 +136,7 @@
 }
 
 void simulated_fleet::registerVm(simulated_vm &Process, std::uint64_t Registration) const {
+  Process.Vm->setEvacuations(Evacuations);
   configure(Process, 1);
   dispatch::registered_vms Others;
   for (std::uint32_t Index = 0; Index < Layout.Vms; ++Index)
@@ -149,6 +151,25 @@
   Net.detach(Name, PowerLoss);
 }
 
+void simulated_fleet::setEvacuated(
+    const std::string &Domain, bool IsEvacuated,
+    const std::function<std::optional<runtime::duration>(const std::string &Vm)> &ReadDelay) {
+  std::set<std::string> Domains(Evacuations.domains().begin(), Evacuations.domains().end());
+  if (IsEvacuated)
+    Domains.insert(Domain);
+  else
+    Domains.erase(Domain);
+  Evacuations.set_version(Evacuations.version() + 1);
+  Evacuations.clear_domains();
+  for (const std::string &Evacuated : Domains)
+    Evacuations.add_domains(Evacuated);
+  for (auto &[Name, Process] : Vms)
+    if (auto Delay = ReadDelay(Name))
+      Executor.after(*Delay, Process->Executor.guard([Vm = Process.get(), State = Evacuations] {
+        Vm->Vm->setEvacuations(State);
+      }));
+}
+
 void simulated_fleet::setExtraDelay(const std::string &From, const std::string &To, runtime::duration Delay) {
   Net.setExtraDelay(From, To, Delay);
 }
--- a/src/yuccaplank/simulation/simulated_fleet.hpp
+++ b/src/yuccaplank/simulation/simulated_fleet.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,10 @@
   void forEachLink(const std::string &Domain,
                    const std::function<void(const std::string &From, const std::string &To)> &Cut) const;
   void resetConnection(const std::string &One, const std::string &Other);
+  /// Changes in the store whether a domain is evacuated. Each running VM reads the change after the delay
+  /// that ReadDelay returns for it, and never if that is nothing; a VM that starts later reads it at once.
+  void setEvacuated(const std::string &Domain, bool IsEvacuated,
+                    const std::function<std::optional<runtime::duration>(const std::string &Vm)> &ReadDelay);
   /// Applies a configuration on one VM, as if it had read it from the store.
   void configure(simulated_vm &Process, std::uint64_t Version) const;
 
@@ -116,6 +121,8 @@
   // Processes that have ended; pending functions still refer to them.
   std::vector<std::unique_ptr<simulated_vm>> Ended;
   std::uint64_t LastRegistration = 0;
+  // The evacuations in the store.
+  schema::evacuation_state Evacuations;
 };
 
 /// Returns a queue of the pool with the stretch and latency of the users' sites.
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -36,6 +36,8 @@
 
   void start(const dispatch::server_target &Target, dispatch::start_order Order,
              std::function<void(order_reply)> OnDone) override {
+    if (AllServers.OnStartOrder)
+      AllServers.OnStartOrder(Vm, Target.Id);
     call<order_reply>(Target.Id, {}, std::move(OnDone), [this, Order](const std::string &Name, auto Reply) {
       simulated_server &Server = AllServers.Servers.at(Name);
       runtime::time_point Now = AllServers.Executor.clock().now();
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -37,6 +37,14 @@
   /// executor.
   std::unique_ptr<dispatch::server_orders> makeOrders(const std::string &Vm, vm_executor &VmExecutor);
 
+  /// Calls Observer for each start order when a VM sends it.
+  void observeStartOrders(std::function<void(const std::string &Vm, const std::string &Server)> Observer) {
+    OnStartOrder = std::move(Observer);
+  }
+  [[nodiscard]] const std::string &domainOf(const std::string &Server) const {
+    return Servers.at(Server).Entry.Domain;
+  }
+
   void crash(const std::string &Server);
   void start(const std::string &Server);
   void setCut(const std::string &Server, bool IsCut);
@@ -85,6 +93,7 @@
   runtime::random &Random;
   options Options;
   std::function<void(const std::string &, const dispatch::run_key &)> OnStart;
+  std::function<void(const std::string &, const std::string &)> OnStartOrder;
   std::map<std::string, simulated_server> Servers;
   std::uint64_t LastHold = 0;
 };
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -42,6 +42,7 @@
       ("slow", options::value(&Options.SlowServerShare),
        "share of servers that are slow for a third of the day")                              //
       ("lags", "adds VMs and links that lag, rolling restarts, and VMs of unequal strength") //
+      ("evacuations", "adds evacuations of failure domains")                                 //
       ("messages", "counts the messages of the VMs and prints them for each day")            //
       ("trace", "prints each event to standard error");
   options::variables_map Values;
@@ -70,6 +71,7 @@
   Options.CountMessages = Values.count("messages") > 0;
   Options.Trace = Values.count("trace") > 0;
   Options.EnableLags = Values.count("lags") > 0;
+  Options.EnableEvacuations = Values.count("evacuations") > 0;
   runtime::setLogLevel(Options.Trace ? runtime::log_level::Info : runtime::log_level::Error);
   simulation::simulation_result Total;
   std::uint64_t DaysWithViolations = 0;
