--- a/src/yuccaplank/cli/command.cpp
+++ b/src/yuccaplank/cli/command.cpp
@@ -45,6 +45,12 @@
      command_target::Operator, declareNoOptions, runVms},
     {"servers", "", "Lists the backend servers that the queried VMs own.", "yuccaplank servers --json\n",
      command_target::Operator, declareNoOptions, runServers},
+    {"evacuations", "", "Lists the evacuated failure domains and the runs that are left there.",
+     "yuccaplank evacuations --json\n", command_target::Operator, declareNoOptions, runEvacuations},
+    {"evacuate", "DOMAIN", "Stops sending tasks to the servers of a failure domain; runs go on.",
+     "yuccaplank evacuate north-1\n", command_target::Operator, declareNoOptions, runEvacuate},
+    {"take-back", "DOMAIN", "Ends an evacuation that was requested with 'evacuate'.",
+     "yuccaplank take-back north-1\n", command_target::Operator, declareNoOptions, runTakeBack},
     {"report burn", "", "Reports how well the queues meet their objectives.",
      "yuccaplank report burn\n"
      "yuccaplank report burn --html burn.html\n",
--- a/src/yuccaplank/cli/command.hpp
+++ b/src/yuccaplank/cli/command.hpp
@@ -44,13 +44,17 @@
 exit_status runCli(const std::vector<std::string> &Arguments, const environment &Environment,
                    const console &Console, requester &Requester, std::function<std::string()> MakeJobId);
 
-// Functions that run the commands, defined in job_commands.cpp, fleet_commands.cpp and report_commands.cpp.
+// Functions that run the commands, defined in job_commands.cpp, fleet_commands.cpp, evacuation_commands.cpp
+// and report_commands.cpp.
 exit_status runSubmit(command_context &Context);
 exit_status runState(command_context &Context);
 exit_status runCancel(command_context &Context);
 exit_status runWaiting(command_context &Context);
 exit_status runVms(command_context &Context);
 exit_status runServers(command_context &Context);
+exit_status runEvacuations(command_context &Context);
+exit_status runEvacuate(command_context &Context);
+exit_status runTakeBack(command_context &Context);
 exit_status runReportBurn(command_context &Context);
 exit_status runTop(command_context &Context);
 
--- a/src/yuccaplank/entry/fleet_test.cpp
+++ b/src/yuccaplank/entry/fleet_test.cpp
@@ -272,4 +272,55 @@
   Fleet.assertNoViolation();
 });
 
+// Guards against evacuations that are decided but lost on the way between the store, the VMs and the
+// operators' interface.
+const test_case Evacuations("fleet on sockets: a failure domain is evacuated and taken back", [] {
+  fleet Fleet(2);
+  Fleet.waitUntilReady();
+  standin::store_service &Store = Fleet.Site->store();
+  auto Submit = [&](std::size_t Vm) { return Fleet.submit(Vm, Fleet.makeJob(30)); };
+  if (auto When = section("by the platform's operators")) {
+    Store.put("op", "evacuate/d1", "{}");
+    runFor(*Fleet.Loop, milliseconds(300));
+    CPPUNIT_ASSERT(Submit(0) == caller_outcome::Refused && Submit(1) == caller_outcome::Refused);
+    if (auto Then = section("a VM that starts meanwhile knows it")) {
+      Fleet.Settings.push_back(Fleet.makeSettings(2));
+      Fleet.Settings.back().Seeds = {Fleet.Settings.front().PeerAddress};
+      Fleet.startVm(Fleet.Settings.back());
+      Fleet.waitUntilReady();
+      CPPUNIT_ASSERT(Submit(2) == caller_outcome::Refused);
+    }
+    Store.remove("op", "evacuate/d1");
+    runFor(*Fleet.Loop, milliseconds(300));
+    CPPUNIT_ASSERT(Submit(0) == caller_outcome::Completed);
+  }
+  if (auto When = section("through a VM")) {
+    Fleet.Settings.push_back(Fleet.makeSettings(2));
+    entry::vm_process_options Options;
+    Options.Settings = Fleet.Settings.back();
+    Options.OperatorPort = freePort();
+    auto Created = entry::makeVmProcess(*Fleet.Loop, Options);
+    CPPUNIT_ASSERT(Created);
+    Fleet.waitUntilReady();
+    wire::http_call Call;
+    Call.Address = fmt::format("127.0.0.1:{}", Options.OperatorPort);
+    Call.Path = "/v1/evacuations/d1";
+    Call.Method = "PUT";
+    CPPUNIT_ASSERT_EQUAL(200, Fleet.exchange(Call).Status);
+    runFor(*Fleet.Loop, milliseconds(500));
+    CPPUNIT_ASSERT(Submit(0) == caller_outcome::Refused);
+    CPPUNIT_ASSERT_EQUAL(409, Fleet.exchange(Call).Status);
+    Call.Path = "/metrics";
+    Call.Method = "GET";
+    CPPUNIT_ASSERT(Fleet.exchange(Call).Body.find("yuccaplank_evacuated_domain_runs{domain=\"d1\"} 0") !=
+                   std::string::npos);
+    Call.Path = "/v1/evacuations/d1";
+    Call.Method = "DELETE";
+    CPPUNIT_ASSERT_EQUAL(200, Fleet.exchange(Call).Status);
+    runFor(*Fleet.Loop, milliseconds(500));
+    CPPUNIT_ASSERT(Submit(0) == caller_outcome::Completed);
+  }
+  Fleet.assertNoViolation();
+});
+
 } // namespace
