Ask a server's list as soon as a reply is overdue, instead of waiting for fixed timeouts

Cause: a start without a reply was given up after 250 ms, a hold after 400 ms, whatever the servers' replies usually take (2 ms). A job of tasks of 60 ms has 156 ms in all, so every lost reply made it late; one lost hold reply delayed the ends of all runs of its server; and past a share of 0.2 the fleet stopped serving.

The owner learns the reply time of its servers (RFC 6298's estimator, 30 to 250 ms). An overdue start is looked up in a list that does not wait for an end: a run that is there goes on; one that is not is stopped, since it may still start late, and placed again once a later list lacks it. The next hold is sent beside an overdue one. Lists that overtake each other are ordered by the server's clock, and what a list proves by the number of the hold that asked for it, where equal times of two events proved nothing before.

Ruled out: a shorter timeout of the HTTP call (closes the connection, which is dear, and loses the reply that tells that the server is only slow); a stop at once without the list (throws away the work of starts whose reply alone was lost).

--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -55,6 +55,11 @@
   runtime::duration ReclaimDelayInContact = std::chrono::milliseconds(150);
   /// Delay before a fenced claim is repeated under a higher token.
   runtime::duration FencedClaimDelay = std::chrono::milliseconds(10);
+  /// Limits of the learnt time after which an order without a reply counts as probably lost, and its value
+  /// before the first reply.
+  runtime::duration MinReplyTimeout = std::chrono::milliseconds(30);
+  runtime::duration InitialReplyTimeout = std::chrono::milliseconds(100);
+  runtime::duration MaxReplyTimeout = std::chrono::milliseconds(250);
   /// Delay before an unanswered order is repeated.
   runtime::duration OrderRetryDelay = std::chrono::milliseconds(100);
   /// Longest time after which an unanswered order may still be carried out.
@@ -78,9 +83,14 @@
   std::uint64_t Stops = 0;
   std::uint64_t Holds = 0;
   std::uint64_t UnansweredOrders = 0;
+  /// Starts whose reply was late, and of these the ones that the server's list showed to be running.
+  std::uint64_t SuspectedStarts = 0;
+  std::uint64_t ConfirmedStarts = 0;
   std::uint64_t Overdue = 0;
 };
 
+class reply_timeout;
+
 /// The services that a ledger uses.
 class ledger_ports {
 public:
@@ -100,6 +110,8 @@
   /// Returns whether any VM that may own servers is out of contact.
   [[nodiscard]] virtual bool anyOwnerOutOfContact() const = 0;
   virtual ledger_counters &counters() = 0;
+  /// The learnt reply time of this owner's servers.
+  virtual reply_timeout &replyTimeout() = 0;
 };
 
 /// The record of one server. This VM may send orders to the server from claim() until release(). When two VMs
--- /dev/null
+++ b/src/yuccaplank/dispatch/reply_timeout.hpp
@@ -0,0 +1,46 @@
+// Learns after which time without a reply an order to a backend server has probably been lost or delayed.
+#pragma once
+
+#include "yuccaplank/runtime/clock.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace yuccaplank::dispatch {
+
+/// Estimates the mean and the deviation of the reply times of all servers of an owner, as TCP's
+/// retransmission timer does (RFC 6298). A reply that arrives after the timeout still counts, so that an
+/// owner or a link that has become slow raises the timeout. A reply that never arrives does not.
+class reply_timeout {
+public:
+  reply_timeout(runtime::duration Min, runtime::duration Initial, runtime::duration Max)
+      : Min(Min), Initial(Initial), Max(Max) {}
+
+  void onReply(runtime::duration Took) {
+    if (!Mean) {
+      Mean = Took;
+      Deviation = Took / 2;
+      return;
+    }
+    runtime::duration Error = Took > *Mean ? Took - *Mean : *Mean - Took;
+    Deviation += (Error - Deviation) / DeviationDivisor;
+    *Mean += (Took - *Mean) / MeanDivisor;
+  }
+
+  [[nodiscard]] runtime::duration value() const {
+    return Mean ? std::clamp(*Mean + DeviationFactor * Deviation, Min, Max) : Initial;
+  }
+
+private:
+  static constexpr int MeanDivisor = 8;
+  static constexpr int DeviationDivisor = 4;
+  static constexpr int DeviationFactor = 4;
+
+  runtime::duration Min;
+  runtime::duration Initial;
+  runtime::duration Max;
+  std::optional<runtime::duration> Mean;
+  runtime::duration Deviation{};
+};
+
+} // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/run_table.cpp
+++ b/src/yuccaplank/dispatch/run_table.cpp
@@ -57,16 +57,23 @@
   return Until;
 }
 
-std::vector<run_key> run_table::missingFrom(const std::vector<run_key> &Listed,
-                                            runtime::time_point Sent) const {
+std::vector<run_key> run_table::missingFrom(const std::vector<run_key> &Listed, std::uint64_t Hold) const {
   std::set<run_key> Present(Listed.begin(), Listed.end());
   std::vector<run_key> Result;
   for (const auto &[Run, State] : Runs)
-    if (State.ConfirmedAt && *State.ConfirmedAt < Sent && !Present.contains(Run))
+    if (State.ConfirmedAfterHold && *State.ConfirmedAfterHold < Hold && !Present.contains(Run))
       Result.push_back(Run);
   return Result;
 }
 
+bool run_table::anyAwaitsList() const {
+  return std::ranges::any_of(Runs, [](const auto &Entry) {
+    const server_run &Run = Entry.second;
+    return Run.Phase == run_phase::StopConfirmed ||
+           (Run.Phase == run_phase::Starting && Run.SuspectedAfterHold);
+  });
+}
+
 std::vector<run_key> run_table::endingWithLease(bool IncludePendingStarts) const {
   std::vector<run_key> Result;
   for (const auto &[Run, State] : Runs)
--- a/src/yuccaplank/dispatch/run_table.hpp
+++ b/src/yuccaplank/dispatch/run_table.hpp
@@ -33,9 +33,9 @@
   std::uint32_t EstimateMs = 0;
   run_phase Phase = run_phase::Starting;
   runtime::time_point StartedAt;
-  /// When the server had certainly processed the run's latest order. If a list that was requested later lacks
-  /// the run, the run has ended or never started.
-  std::optional<runtime::time_point> ConfirmedAt;
+  /// Set when the server has certainly processed the run's latest order: the number of the last hold that was
+  /// sent before. If the list of a later hold lacks the run, the run has ended or never started.
+  std::optional<std::uint64_t> ConfirmedAfterHold;
   /// The run must have ended by this time, on the clock that counts suspension, unless its coordinator
   /// answers another heartbeat. time_point::min() until a first value is known.
   runtime::time_point AllowedUntil = runtime::time_point::min();
@@ -43,6 +43,9 @@
   bool Unclaimed = false;
   /// Whether the server may still carry out the start order.
   bool StartPending = true;
+  /// Set when the reply to the start order is overdue: the number of the last hold that was sent before. The
+  /// list of a later hold tells whether the server has carried out the order.
+  std::optional<std::uint64_t> SuspectedAfterHold;
   std::string StopReason;
 };
 
@@ -73,9 +76,11 @@
   /// Latest end of a lease that is valid for all runs except those whose stop is confirmed; time_point::max()
   /// without runs.
   [[nodiscard]] runtime::time_point allowedUntil() const;
-  /// Runs that certainly do not run, because a list that was requested at Sent lacks them.
+  /// Runs that certainly do not run, because the list of this hold lacks them.
   [[nodiscard]] std::vector<run_key> missingFrom(const std::vector<run_key> &Listed,
-                                                 runtime::time_point Sent) const;
+                                                 std::uint64_t Hold) const;
+  /// Whether any run needs a list: its stop is confirmed, or the reply to its start is overdue.
+  [[nodiscard]] bool anyAwaitsList() const;
   /// Runs that end when the lease expires. Runs whose start is pending are included only on request.
   [[nodiscard]] std::vector<run_key> endingWithLease(bool IncludePendingStarts) const;
 
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -1,6 +1,7 @@
 #include "yuccaplank/dispatch/server_ledger.hpp"
 #include "lease_clock.hpp"
 #include "owner_messages.hpp"
+#include "reply_timeout.hpp"
 #include "run_limits.hpp"
 #include "run_list_refresh.hpp"
 #include "run_table.hpp"
@@ -80,7 +81,9 @@
     OwnershipLifetime.renew();
     sendYields();
     Runs.clear();
-    HoldPending = false;
+    AwaitedHold = 0;
+    ProbeScheduled = false;
+    ListRequested = false;
     ListRefresh.reset();
     Ports.onCapacityChanged(Entry.Target.Id);
   }
@@ -130,9 +133,12 @@
     ++Ports.counters().Started;
     // The server rejects the order if it arrives after the coordinator may have given up the run.
     start_order Order{Run, Request.specification(), Token, Clock.extend(now(), ArrivalLimit)};
-    Ports.orders().start(
-        Entry.Target, std::move(Order),
-        OwnershipLifetime.guard([this, Run](const order_reply &Reply) { onStartReply(Run, Reply); }));
+    Ports.orders().start(Entry.Target, std::move(Order),
+                         OwnershipLifetime.guard([this, Run, Sent = now()](const order_reply &Reply) {
+                           recordReplyTime(Sent, Reply.Outcome);
+                           onStartReply(Run, Reply);
+                         }));
+    runAfter(Ports.replyTimeout().value(), [this, Run] { onStartOverdue(Run); });
     sendHoldIfNeeded();
   }
 
@@ -336,6 +342,7 @@
     Clock.setServerClock(now(), Reply.ClockMs);
     ListRefresh.onList(now());
     IncarnationStartMs = Reply.IncarnationStartMs;
+    LatestListMs = Reply.ClockMs.value_or(0);
     FencedClaims = 0;
     Responsive = true;
     LastObservedEnd = 0;
@@ -355,7 +362,7 @@
       State.Phase = run_phase::Running;
       State.StartPending = false;
       State.StartedAt = now();
-      State.ConfirmedAt = now();
+      State.ConfirmedAfterHold = LastHold;
     }
     Ports.broadcast(AdoptRequest);
     if (Runs.empty()) {
@@ -412,15 +419,15 @@
     server_run &State = *Found;
     if (Reply.Outcome == order_outcome::Accepted) {
       State.StartPending = false;
-      State.ConfirmedAt = now();
+      State.ConfirmedAfterHold = LastHold;
       if (State.Phase == run_phase::Starting)
         State.Phase = run_phase::Running;
       return;
     }
     if (Reply.Outcome == order_outcome::NoAnswer) {
       ++Ports.counters().UnansweredOrders;
-      UnansweredStarts[Run] = now();
-      stopRun(Run, State, "start_unanswered");
+      if (State.StartPending)
+        stopUnansweredStart(Run, State);
       return;
     }
     if (Reply.Outcome == order_outcome::OtherIncarnation) {
@@ -432,6 +439,44 @@
     endRun(Run, schema::RUN_NOT_STARTED, orderOutcomeName(Reply.Outcome));
   }
 
+  void recordReplyTime(time_point Sent, order_outcome Outcome) const {
+    if (Outcome != order_outcome::NoAnswer && Outcome != order_outcome::NotSent)
+      Ports.replyTimeout().onReply(now() - Sent);
+  }
+
+  // Without a reply, the server's list tells whether the order was carried out. Stopping the run at once
+  // would waste the work of those of which only the reply was lost or late.
+  void onStartOverdue(const run_key &Run) {
+    server_run *Found = Runs.find(Run);
+    if (!Found || Found->Phase != run_phase::Starting)
+      return;
+    ++Ports.counters().SuspectedStarts;
+    Found->SuspectedAfterHold = LastHold;
+    requestListNow();
+  }
+
+  // A start that is not in a later list may still be carried out, unless a stop voids it.
+  void resolveSuspectedStarts(std::uint64_t Hold, const std::vector<run_key> &Running) {
+    for (auto &[Run, State] : Runs) {
+      if (State.Phase != run_phase::Starting || !State.SuspectedAfterHold ||
+          *State.SuspectedAfterHold >= Hold)
+        continue;
+      if (std::ranges::find(Running, Run) == Running.end()) {
+        stopUnansweredStart(Run, State);
+        continue;
+      }
+      ++Ports.counters().ConfirmedStarts;
+      State.Phase = run_phase::Running;
+      State.StartPending = false;
+      State.ConfirmedAfterHold = LastHold;
+    }
+  }
+
+  void stopUnansweredStart(const run_key &Run, server_run &State) {
+    UnansweredStarts[Run] = now();
+    stopRun(Run, State, "start_unanswered");
+  }
+
   void onStartRefused(order_outcome Outcome) {
     requestRunListIfNotSent(Outcome);
     sendHoldIfNeeded();
@@ -446,7 +491,7 @@
       return;
     State.Phase = run_phase::Stopping;
     State.StopReason = Reason;
-    State.ConfirmedAt.reset();
+    State.ConfirmedAfterHold.reset();
     log(log_level::Info, "run_stop",
         {{"run", format(Run)}, {"server", Entry.Target.Id}, {"reason", std::string(Reason)}});
     sendStop(Run);
@@ -454,9 +499,11 @@
 
   void sendStop(const run_key &Run) {
     ++Ports.counters().Stops;
-    Ports.orders().stop(
-        Entry.Target, Run, Token,
-        OwnershipLifetime.guard([this, Run](const order_reply &Reply) { onStopReply(Run, Reply); }));
+    Ports.orders().stop(Entry.Target, Run, Token,
+                        OwnershipLifetime.guard([this, Run, Sent = now()](const order_reply &Reply) {
+                          recordReplyTime(Sent, Reply.Outcome);
+                          onStopReply(Run, Reply);
+                        }));
     sendHoldIfNeeded();
   }
 
@@ -467,8 +514,9 @@
     if (Reply.Outcome == order_outcome::Accepted || Reply.Outcome == order_outcome::Superseded) {
       Found->Phase = run_phase::StopConfirmed;
       Found->StartPending = false;
-      Found->ConfirmedAt = now();
-      sendHoldIfNeeded();
+      Found->ConfirmedAfterHold = LastHold;
+      // The hold that waits for an end is not answered if the run never started.
+      requestListNow();
       return;
     }
     if (Reply.Outcome == order_outcome::OtherIncarnation) {
@@ -485,7 +533,7 @@
   // Holds renew the lease, report ended runs and acknowledge these reports.
 
   void sendHoldIfNeeded() {
-    if (HoldPending || Ownership != ownership::Owned)
+    if (AwaitedHold != 0 || ProbeScheduled || Ownership != ownership::Owned)
       return;
     if (Runs.empty() && LastAcknowledgedEnd >= LastObservedEnd && !ListRefresh.pending())
       return;
@@ -498,20 +546,47 @@
       if (Responsive)
         Order.LeaseEndMs = extendLease();
     }
-    sendHold(Order);
+    awaitHold(Order);
   }
 
-  void sendHold(const hold_order &Order) {
-    HoldPending = true;
+  // Only one hold is awaited at a time. When its reply is overdue, the next one is sent beside it, so that a
+  // lost reply does not delay the reports of all ends.
+  void awaitHold(const hold_order &Order) {
+    AwaitedHold = sendHold(Order);
+    runAfter(Order.Wait + Ports.replyTimeout().value(), [this, Hold = AwaitedHold] {
+      if (AwaitedHold != Hold || !Responsive)
+        return;
+      AwaitedHold = 0;
+      sendHoldIfNeeded();
+    });
+  }
+
+  // Requests a list that is not delayed until a run ends, and repeats this while runs wait for one.
+  void requestListNow() {
+    if (!Responsive || Ownership != ownership::Owned || std::exchange(ListRequested, true))
+      return;
+    sendHold({Token, extendLease(), LastObservedEnd, {}});
+    runAfter(Ports.replyTimeout().value(), [this] {
+      ListRequested = false;
+      if (Runs.anyAwaitsList())
+        requestListNow();
+    });
+  }
+
+  // Returns the number of the hold.
+  std::uint64_t sendHold(const hold_order &Order) {
+    std::uint64_t Hold = ++LastHold;
     ++Ports.counters().Holds;
     Ports.orders().hold(Entry.Target, Order,
-                        OwnershipLifetime.guard([this, Sent = now(), Order](const hold_reply &Reply) {
-                          onHoldReply(Sent, Order, Reply);
+                        OwnershipLifetime.guard([this, Hold, Sent = now(), Order](const hold_reply &Reply) {
+                          onHoldReply(Hold, Sent, Order, Reply);
                         }));
+    return Hold;
   }
 
-  void onHoldReply(time_point Sent, const hold_order &Order, const hold_reply &Reply) {
-    HoldPending = false;
+  void onHoldReply(std::uint64_t Hold, time_point Sent, const hold_order &Order, const hold_reply &Reply) {
+    if (AwaitedHold == Hold)
+      AwaitedHold = 0;
     if (Reply.Outcome == order_outcome::Fenced) {
       loseOwnership();
       return;
@@ -521,7 +596,16 @@
       return;
     }
     if (Reply.Outcome != order_outcome::Accepted) {
-      onHoldFailed(Reply.Outcome);
+      // A hold that was sent later has been answered, so the server is responsive.
+      if (Hold < LatestAnsweredHold)
+        sendHoldIfNeeded();
+      else
+        onHoldFailed(Reply.Outcome);
+      return;
+    }
+    LatestAnsweredHold = std::max(LatestAnsweredHold, Hold);
+    if (isOutdated(Reply)) {
+      sendHoldIfNeeded();
       return;
     }
     Clock.setServerClock(now(), Reply.ClockMs);
@@ -533,13 +617,25 @@
       LastAcknowledgedEnd = std::max(LastAcknowledgedEnd, Order.Observed);
     for (const listed_end &End : Reply.Ended)
       onListedEnd(End);
-    endMissingRuns(Sent, Reply.Running);
+    endMissingRuns(Hold, Reply.Running);
+    resolveSuspectedStarts(Hold, Reply.Running);
     stopUnknownRuns(Reply.Running);
     if (ListRefresh.onList(Sent))
       Ports.onCapacityChanged(Entry.Target.Id);
     sendHoldIfNeeded();
   }
 
+  // Replies on different connections may overtake each other. A run that has ended since must not be taken
+  // for an unknown one.
+  bool isOutdated(const hold_reply &Reply) {
+    if (Reply.IncarnationStartMs != IncarnationStartMs || !Reply.ClockMs)
+      return false;
+    if (*Reply.ClockMs < LatestListMs)
+      return true;
+    LatestListMs = *Reply.ClockMs;
+    return false;
+  }
+
   // If an order could not be sent, the server may have restarted and lost its fence.
   void requestRunListIfNotSent(order_outcome Outcome) {
     if (Outcome == order_outcome::NotSent)
@@ -561,10 +657,12 @@
            {"runs", static_cast<std::int64_t>(Runs.size())},
            {"lease_left_ms", runtime::toMs(Clock.expiresAt() - now())}});
     setResponsive(false);
-    HoldPending = true;
+    if (std::exchange(ProbeScheduled, true))
+      return;
     runAfter(Options.OrderRetryDelay, [this] {
-      HoldPending = false;
-      probeUnresponsiveServer();
+      ProbeScheduled = false;
+      if (AwaitedHold == 0)
+        probeUnresponsiveServer();
     });
   }
 
@@ -574,7 +672,7 @@
       sendHoldIfNeeded();
       return;
     }
-    sendHold({Token, std::nullopt, LastObservedEnd, {}});
+    AwaitedHold = sendHold({Token, std::nullopt, LastObservedEnd, {}});
   }
 
   void setResponsive(bool IsResponsive) {
@@ -614,8 +712,8 @@
          {"times", std::int64_t{Health.quarantines()}}});
   }
 
-  void endMissingRuns(time_point Sent, const std::vector<run_key> &Running) {
-    for (const run_key &Run : Runs.missingFrom(Running, Sent))
+  void endMissingRuns(std::uint64_t Hold, const std::vector<run_key> &Running) {
+    for (const run_key &Run : Runs.missingFrom(Running, Hold))
       endRun(Run, schema::RUN_GONE, "not_listed");
   }
 
@@ -628,6 +726,7 @@
          {"runs", static_cast<std::int64_t>(Runs.size())},
          {"running", static_cast<std::int64_t>(Reply.Running.size())}});
     IncarnationStartMs = Reply.IncarnationStartMs;
+    LatestListMs = Reply.ClockMs.value_or(0);
     LastObservedEnd = 0;
     LastAcknowledgedEnd = 0;
     for (const auto &[Run, Ordered] : UnansweredStarts)
@@ -707,12 +806,21 @@
   // unanswered.
   std::map<run_key, time_point> UnansweredStarts;
   std::int64_t IncarnationStartMs = 0;
+  // Clock of the server in its newest list.
+  std::int64_t LatestListMs = 0;
   std::uint64_t LastObservedEnd = 0;
   // Number of the latest end whose acknowledgement the server has certainly received.
   std::uint64_t LastAcknowledgedEnd = 0;
   // Earliest time at which this VM may claim the server again.
   time_point ReclaimAfter{};
-  bool HoldPending = false;
+  // Number of the hold whose reply is awaited; 0 if there is none.
+  std::uint64_t AwaitedHold = 0;
+  std::uint64_t LastHold = 0;
+  std::uint64_t LatestAnsweredHold = 0;
+  // Whether a hold to an unresponsive server is scheduled.
+  bool ProbeScheduled = false;
+  // Whether a list was requested within the last reply timeout that was not to wait for an end.
+  bool ListRequested = false;
   run_list_refresh ListRefresh;
   std::uint32_t UnansweredHolds = 0;
   bool Responsive = true;
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -1,3 +1,4 @@
+#include "reply_timeout.hpp"
 #include "yuccaplank/dispatch/server_ledger.hpp"
 #include "yuccaplank/testing/test_case.hpp"
 
@@ -54,6 +55,7 @@
   std::vector<schema::adopt_request> Adoptions;
   std::uint64_t LastToken = 0;
   ledger_counters Counters;
+  reply_timeout ReplyTimeout{milliseconds(30), milliseconds(100), milliseconds(250)};
   bool AnyOwnerOutOfContact = false;
   // The same for all coordinators; by default the value of this VM itself.
   std::optional<runtime::time_point> LastAnsweredHeartbeat = runtime::time_point::max();
@@ -78,6 +80,7 @@
     return LastToken = std::max(LastToken, Above) + 1;
   }
   ledger_counters &counters() override { return Counters; }
+  reply_timeout &replyTimeout() override { return ReplyTimeout; }
   [[nodiscard]] bool anyOwnerOutOfContact() const override { return AnyOwnerOutOfContact; }
   [[nodiscard]] std::optional<runtime::time_point> lastAnsweredHeartbeat(const std::string &) const override {
     return LastAnsweredHeartbeat;
@@ -98,6 +101,15 @@
     Orders.Holds.pop_front();
     Hold.Reply(Reply);
   }
+  // Answers the holds that are open now, in steps shorter than the time after which a hold is repeated.
+  void advanceWithLists(milliseconds Time, const std::vector<run_key> &Running) {
+    constexpr milliseconds Step{100};
+    for (milliseconds Passed{}; Passed < Time; Passed += Step) {
+      Executor->advance(Step);
+      for (std::size_t Count = Orders.Holds.size(); Count > 0; --Count)
+        answerHold(makeListReply(Running));
+    }
+  }
   void answerStart(order_outcome Outcome) {
     auto Start = std::move(Orders.Starts.front());
     Orders.Starts.pop_front();
@@ -210,6 +222,59 @@
   }
 });
 
+// Guards against jobs that wait for a lost reply for longer than their tasks take, and against work that is
+// thrown away because only the reply was lost.
+const test_case OverdueReply("server ledger: the reply to a start is overdue", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  auto InitialTimeout = Owner.ReplyTimeout.value();
+  std::size_t Holds = Owner.Orders.Holds.size();
+  Owner.Executor->advance(std::chrono::duration_cast<milliseconds>(InitialTimeout));
+  CPPUNIT_ASSERT_EQUAL(Holds + 1, Owner.Orders.Holds.size());
+  CPPUNIT_ASSERT(Owner.Orders.Holds.back().Order.Wait == runtime::duration::zero());
+  auto AnswerNewestHold = [&](const std::vector<run_key> &Running) {
+    auto Hold = std::move(Owner.Orders.Holds.back());
+    Owner.Orders.Holds.pop_back();
+    Hold.Reply(Owner.makeListReply(Running));
+  };
+  if (auto When =
+          section("when the list contains the run, it continues, also after the reply has timed out")) {
+    AnswerNewestHold({runOf(0)});
+    Owner.answerStart(order_outcome::NoAnswer);
+    CPPUNIT_ASSERT(Owner.Orders.Stops.empty() && Owner.Events.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Owner.Counters.ConfirmedStarts);
+  }
+  if (auto When = section("when the list lacks the run, it is stopped at once, because it may start late")) {
+    AnswerNewestHold({});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Stops.size());
+    CPPUNIT_ASSERT(Owner.Events.empty());
+    if (auto Then = section("and gone when a list that is requested after the stop lacks it")) {
+      Owner.answerStop(order_outcome::Accepted);
+      Owner.Executor->advance(milliseconds(100));
+      AnswerNewestHold({});
+      CPPUNIT_ASSERT_EQUAL(schema::RUN_GONE, Owner.lastEvent());
+    }
+  }
+  if (auto When = section("when the list is lost too, another one is requested")) {
+    Owner.Executor->advance(std::chrono::duration_cast<milliseconds>(InitialTimeout));
+    CPPUNIT_ASSERT(Owner.Orders.Holds.size() > Holds + 1);
+  }
+  if (auto When =
+          section("when an older list arrives after a newer one, its runs are not taken for unknown")) {
+    Owner.answerStart(order_outcome::Accepted);
+    auto Newer = Owner.makeListReply({}, {{1, runOf(0), run_end::Done}});
+    Newer.ClockMs = 1200;
+    auto Hold = std::move(Owner.Orders.Holds.back());
+    Owner.Orders.Holds.pop_back();
+    Hold.Reply(Newer);
+    CPPUNIT_ASSERT_EQUAL(schema::RUN_DONE, Owner.lastEvent());
+    Owner.answerHold(Owner.makeListReply({runOf(0)}));
+    CPPUNIT_ASSERT(Owner.Orders.Stops.empty());
+    CPPUNIT_ASSERT_EQUAL(0U, Owner.Ledger->state().used().cpu());
+  }
+});
+
 // Guards against runs that outlive their owner, and against retries of a task whose run may still exist. Both
 // happen when the end of a lease is computed wrongly for an unresponsive server.
 const test_case Leases("server ledger: an unresponsive server", [] {
@@ -277,12 +342,10 @@
   if (auto When = section("its runs end within 1 s of the answered heartbeat")) {
     Owner.start(runOf(0));
     Owner.answerStart(order_outcome::Accepted);
-    Owner.Executor->advance(milliseconds(500));
-    Owner.answerHold(Owner.makeListReply({runOf(0)}));
+    Owner.advanceWithLists(milliseconds(500), {runOf(0)});
     CPPUNIT_ASSERT_EQUAL(std::int64_t{1000 + 500}, Owner.Orders.Holds.at(0).Order.LeaseEndMs.value());
     if (auto Then = section("after 1 s the lease is not extended any more")) {
-      Owner.Executor->advance(milliseconds(500));
-      Owner.answerHold(Owner.makeListReply({runOf(0)}));
+      Owner.advanceWithLists(milliseconds(500), {runOf(0)});
       CPPUNIT_ASSERT(!Owner.Orders.Holds.at(0).Order.LeaseEndMs);
     }
     if (auto Then = section("when it answers again, the lease is extended")) {
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -1,5 +1,6 @@
 #include "yuccaplank/dispatch/server_owner.hpp"
 #include "owner_messages.hpp"
+#include "reply_timeout.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
@@ -22,7 +23,8 @@
 class server_owner_impl final : public server_owner, ledger_ports {
 public:
   server_owner_impl(runtime::executor &Executor, owner_ports &Ports, ledger_options Options)
-      : Executor(Executor), Ports(Ports), Options(Options) {}
+      : Executor(Executor), Ports(Ports), Options(Options),
+        ReplyTimeout(Options.MinReplyTimeout, Options.InitialReplyTimeout, Options.MaxReplyTimeout) {}
   server_owner_impl(const server_owner_impl &) = delete;
   server_owner_impl &operator=(const server_owner_impl &) = delete;
   ~server_owner_impl() override = default;
@@ -182,6 +184,7 @@
     return Ports.lastAnsweredHeartbeat(Vm);
   }
   ledger_counters &counters() override { return Counters; }
+  reply_timeout &replyTimeout() override { return ReplyTimeout; }
 
   void send(const std::string &Vm, schema::dispatch_message Message) override {
     if (Message.has_event())
@@ -267,6 +270,7 @@
   runtime::executor &Executor;
   owner_ports &Ports;
   ledger_options Options;
+  reply_timeout ReplyTimeout;
   ledger_counters Counters;
   std::map<std::string, owned_server> Servers;
   std::set<std::string> EvacuatedDomains;
