Ask for ends more often while replies get lost, and repeat an overdue stop

Cause: a lost hold reply hides the ends of all runs of a server until the hold, which waits up to 150 ms for an end, is overdue; a lost reply to a stop cost 350 ms before it was repeated.

While more than 1.5 % of the latest hundred orders are overdue, holds wait 40 ms; a stop, which is idempotent, is repeated after the learnt reply time.

--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -41,6 +41,9 @@
   /// How long a server may delay its reply to a hold. Together with the reply time it is less than half of
   /// the lease.
   runtime::duration HoldWait = std::chrono::milliseconds(150);
+  /// The same while replies get lost: a lost reply hides the ends of runs for this time and the reply
+  /// timeout.
+  runtime::duration ShortHoldWait = std::chrono::milliseconds(40);
   /// Consecutive holds without a reply after which a server is treated as unresponsive.
   std::uint32_t UnansweredHoldLimit = 2;
   /// Relative drift of a server's clock, and the error of this VM's estimate of that clock.
--- a/src/yuccaplank/dispatch/reply_timeout.hpp
+++ b/src/yuccaplank/dispatch/reply_timeout.hpp
@@ -1,4 +1,5 @@
-// Learns after which time without a reply an order to a backend server has probably been lost or delayed.
+// Learns after which time without a reply an order to a backend server has probably been lost or delayed, and
+// how often that happens.
 #pragma once
 
 #include "yuccaplank/runtime/clock.hpp"
@@ -27,6 +28,11 @@
     *Mean += (Took - *Mean) / MeanDivisor;
   }
 
+  /// Records whether the reply to an order was overdue.
+  void recordOutcome(bool Overdue) { OverdueShare += OutcomeWeight * ((Overdue ? 1.0 : 0.0) - OverdueShare); }
+  /// Whether so many of the latest replies were overdue that waiting for another one is a bad plan.
+  [[nodiscard]] bool repliesGetLost() const { return OverdueShare > MaxOverdueShare; }
+
   [[nodiscard]] runtime::duration value() const {
     return Mean ? std::clamp(*Mean + DeviationFactor * Deviation, Min, Max) : Initial;
   }
@@ -35,12 +41,16 @@
   static constexpr int MeanDivisor = 8;
   static constexpr int DeviationDivisor = 4;
   static constexpr int DeviationFactor = 4;
+  // Limits the memory to about a hundred orders.
+  static constexpr double OutcomeWeight = 0.01;
+  static constexpr double MaxOverdueShare = 0.015;
 
   runtime::duration Min;
   runtime::duration Initial;
   runtime::duration Max;
   std::optional<runtime::duration> Mean;
   runtime::duration Deviation{};
+  double OverdueShare = 0;
 };
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -418,6 +418,8 @@
       return;
     server_run &State = *Found;
     if (Reply.Outcome == order_outcome::Accepted) {
+      if (!State.SuspectedAfterHold)
+        Ports.replyTimeout().recordOutcome(false);
       State.StartPending = false;
       State.ConfirmedAfterHold = LastHold;
       if (State.Phase == run_phase::Starting)
@@ -451,6 +453,7 @@
     if (!Found || Found->Phase != run_phase::Starting)
       return;
     ++Ports.counters().SuspectedStarts;
+    Ports.replyTimeout().recordOutcome(true);
     Found->SuspectedAfterHold = LastHold;
     requestListNow();
   }
@@ -504,9 +507,17 @@
                           recordReplyTime(Sent, Reply.Outcome);
                           onStopReply(Run, Reply);
                         }));
+    runAfter(Ports.replyTimeout().value(), [this, Run] { repeatOverdueStop(Run); });
     sendHoldIfNeeded();
   }
 
+  // A stop is idempotent, so it is sent again without waiting until its connection is given up.
+  void repeatOverdueStop(const run_key &Run) {
+    server_run *Found = Runs.find(Run);
+    if (Found && Found->Phase == run_phase::Stopping && Responsive)
+      sendStop(Run);
+  }
+
   void onStopReply(const run_key &Run, const order_reply &Reply) {
     server_run *Found = processOrderReply(Run, Reply);
     if (!Found)
@@ -524,6 +535,8 @@
       return;
     }
     ++Ports.counters().UnansweredOrders;
+    if (Found->Phase != run_phase::Stopping || Responsive)
+      return;
     runAfter(Options.OrderRetryDelay, [this, Run] {
       if (Runs.contains(Run))
         sendStop(Run);
@@ -541,7 +554,7 @@
     Order.FencingToken = Token;
     Order.Observed = LastObservedEnd;
     if (!Runs.empty()) {
-      Order.Wait = Options.HoldWait;
+      Order.Wait = Ports.replyTimeout().repliesGetLost() ? Options.ShortHoldWait : Options.HoldWait;
       // The lease of an unresponsive server is not extended, so that the end of its runs can be computed.
       if (Responsive)
         Order.LeaseEndMs = extendLease();
@@ -556,6 +569,7 @@
     runAfter(Order.Wait + Ports.replyTimeout().value(), [this, Hold = AwaitedHold] {
       if (AwaitedHold != Hold || !Responsive)
         return;
+      Ports.replyTimeout().recordOutcome(true);
       AwaitedHold = 0;
       sendHoldIfNeeded();
     });
@@ -585,8 +599,10 @@
   }
 
   void onHoldReply(std::uint64_t Hold, time_point Sent, const hold_order &Order, const hold_reply &Reply) {
-    if (AwaitedHold == Hold)
+    if (AwaitedHold == Hold) {
       AwaitedHold = 0;
+      Ports.replyTimeout().recordOutcome(Reply.Outcome == order_outcome::NoAnswer);
+    }
     if (Reply.Outcome == order_outcome::Fenced) {
       loseOwnership();
       return;
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -275,6 +275,38 @@
   }
 });
 
+// Guards against ends that stay unknown for long because every lost reply hides them, against holds that are
+// short for no reason, and against stops that wait until their connection is given up.
+const test_case LostReplies("server ledger: replies get lost", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.answerStart(order_outcome::Accepted);
+  ledger_options Options;
+  if (auto Given = section("given one lost reply, holds wait as long as before")) {
+    Owner.answerHold(hold_reply{});
+    CPPUNIT_ASSERT(Owner.Orders.Holds.back().Order.Wait == Options.HoldWait);
+  }
+  if (auto Given = section("given several, holds wait for a shorter time, until replies arrive again")) {
+    for (int Lost = 0; Lost < 3; ++Lost)
+      Owner.ReplyTimeout.recordOutcome(true);
+    Owner.answerHold(Owner.makeListReply({runOf(0)}));
+    CPPUNIT_ASSERT(Owner.Orders.Holds.back().Order.Wait == Options.ShortHoldWait);
+    for (int Answered = 0; Answered < 200; ++Answered)
+      Owner.answerHold(Owner.makeListReply({runOf(0)}));
+    CPPUNIT_ASSERT(Owner.Orders.Holds.back().Order.Wait == Options.HoldWait);
+  }
+  if (auto Given = section("given a stop without a reply, it is repeated after the learnt time")) {
+    Owner.Ledger->stop("coordinator", runOf(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Stops.size());
+    Owner.Executor->advance(std::chrono::duration_cast<milliseconds>(Owner.ReplyTimeout.value()));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Owner.Orders.Stops.size());
+    Owner.answerStop(order_outcome::Accepted);
+    Owner.Executor->advance(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Stops.size());
+  }
+});
+
 // Guards against runs that outlive their owner, and against retries of a task whose run may still exist. Both
 // happen when the end of a lease is computed wrongly for an unresponsive server.
 const test_case Leases("server ledger: an unresponsive server", [] {
