Let the number of dispatching VMs grow with a domain, and bound the greetings of a lost fleet

Three VMs a domain carried 250 servers each, whatever the size of the domain, and a relaying VM without contact greeted all dispatching VMs every second: each dealt with 288 greetings at once, answered late, so that contact ended, and was greeted again.

A domain has one dispatching VM for twelve VMs, at least three; a relaying VM contacts three of its domain, chosen by rendezvous hashing, and without contact six more with each attempt. Up to 36 VMs a domain the dispatching VMs are the same as before, which holds for all deployments in use.

--- a/include/yuccaplank/dispatch/contact_plan.hpp
+++ b/include/yuccaplank/dispatch/contact_plan.hpp
@@ -25,19 +25,13 @@
 
 using registered_vms = std::map<std::string, registered_vm>;
 
-/// Returns the names of the PerDomain strongest VMs of each failure domain.
-std::set<std::string> chooseDispatchers(const registered_vms &Vms, std::size_t PerDomain);
-
-/// Returns the VMs that a relaying VM of a failure domain keeps in contact with: the dispatchers of its
-/// domain, or all dispatchers while none of these is in contact.
-std::set<std::string> contactsOfRelay(const registered_vms &Vms, const std::set<std::string> &Dispatchers,
-                                      const std::string &Domain,
-                                      const std::function<bool(const std::string &Vm)> &InContact);
-
 struct dispatching_options {
-  /// Number of dispatching VMs of a failure domain. They share its servers; with three, the domain can lose
-  /// one during a burst of jobs.
+  /// Smallest number of dispatching VMs of a failure domain. They share its servers; with three, the domain
+  /// can lose one during a burst of jobs.
   std::size_t PerDomain = 3;
+  /// A domain with more VMs has one dispatching VM for this number, so that the servers and callers of each
+  /// do not grow with the domain.
+  std::size_t VmsPerDispatcher = 12;
   /// Delay after a VM's first registration, because entries of other VMs that start at the same time may be
   /// missing until then.
   runtime::duration SettleDelay = std::chrono::milliseconds(700);
@@ -46,6 +40,25 @@
   runtime::duration RoleChangeDelay = std::chrono::seconds(12);
 };
 
+/// Returns the names of the strongest VMs of each failure domain.
+std::set<std::string> chooseDispatchers(const registered_vms &Vms, const dispatching_options &Options = {});
+
+/// A relaying VM, and how many dispatchers it contacts.
+struct relay_contact_plan {
+  std::string Vm;
+  std::string Domain;
+  /// Dispatchers of its own domain.
+  std::size_t Preferred = 3;
+  /// Further dispatchers while none of these is in contact.
+  std::size_t Fallback = 6;
+};
+
+/// Returns the VMs that a relaying VM keeps in contact with. They differ between relaying VMs, so that each
+/// dispatcher has about equally many.
+std::set<std::string> contactsOfRelay(const registered_vms &Vms, const std::set<std::string> &Dispatchers,
+                                      const relay_contact_plan &Plan,
+                                      const std::function<bool(const std::string &Vm)> &InContact);
+
 /// Decides whether this VM dispatches. Changes of the choice take effect with a delay.
 class dispatching_decision {
 public:
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -34,7 +34,7 @@
   entry_vm_impl(runtime::executor &Executor, entry_vm_ports &Ports, entry_vm_options OptionsIn)
       : Executor(Executor), Ports(Ports), Options(std::move(OptionsIn)),
         View(makeFleetView(Executor.clock(), Options.View)),
-        Contacts(*View, *this, Self, Options.Dispatching.PerDomain),
+        Contacts(*View, *this, Self, Options.Dispatching),
         Queue(makePlacementQueue(Executor.clock(), makeSender(), Options.Placement)),
         Jobs(makeJobCoordinator(Executor, *this, Options.Coordinator)),
         Owner(makeServerOwner(Executor, *this, Options.Ledger)), RelayAdapter(*this),
--- a/src/yuccaplank/dispatch/fleet_contacts.cpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.cpp
@@ -8,6 +8,9 @@
 
 // Lists of VMs in contact grow with the fleet and change rarely, so only some heartbeats include one.
 constexpr std::uint64_t HeartbeatsPerPeerList = 10;
+// Further dispatching VMs that a relaying VM without contact greets with each attempt. If all greeted all,
+// the greetings after a loss of the whole fleet would keep the dispatching VMs from their work.
+constexpr std::size_t FallbackContacts = 6;
 
 bool mayCoordinate(const known_vm &Vm) { return Vm.InContact && Vm.Status.role() != schema::VM_RELAYS; }
 
@@ -26,7 +29,7 @@
   registered_vms Vms = Registered;
   if (Self.registration() > 0)
     Vms[Self.vm()] = {Self.address(), Self.domain(), Self.strength()};
-  Dispatchers = dispatch::chooseDispatchers(Vms, PerDomain);
+  Dispatchers = dispatch::chooseDispatchers(Vms, Options);
 }
 
 bool fleet_contacts::coordinates(const std::string &Vm) const {
@@ -45,7 +48,9 @@
 std::set<std::string> fleet_contacts::contacts() const {
   std::set<std::string> Names = Dispatchers;
   if (isRelay()) {
-    Names = contactsOfRelay(Registered, Dispatchers, Self.domain(),
+    relay_contact_plan Plan{Self.vm(), Self.domain(), Options.PerDomain,
+                            FallbackContacts * (1 + RetriesWithoutContact)};
+    Names = contactsOfRelay(Registered, Dispatchers, Plan,
                             [this](const std::string &Vm) { return View.inContact(Vm); });
     Names.merge(Ports.jobCoordinators());
   }
@@ -97,6 +102,7 @@
     if (!OtherVm.InContact)
       sendStatus(Vm, OtherVm.Address, Message);
   }
+  RetriesWithoutContact = AnyInContact ? 0 : RetriesWithoutContact + 1;
   for (const std::string &Seed : Seeds)
     if (!AnyInContact && Seed != Self.address())
       sendGreeting("", Seed);
--- a/src/yuccaplank/dispatch/fleet_contacts.hpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.hpp
@@ -33,8 +33,9 @@
 class fleet_contacts {
 public:
   /// Self is this VM's status as sent to other VMs. Self, View and Ports must outlive this object.
-  fleet_contacts(fleet_view &View, contact_ports &Ports, const schema::vm_status &Self, std::size_t PerDomain)
-      : View(View), Ports(Ports), Self(Self), PerDomain(PerDomain) {}
+  fleet_contacts(fleet_view &View, contact_ports &Ports, const schema::vm_status &Self,
+                 const dispatching_options &Options)
+      : View(View), Ports(Ports), Self(Self), Options(Options) {}
 
   /// Sets the other VMs that are registered in the store.
   void setRegistered(registered_vms Vms) { Registered = std::move(Vms); }
@@ -81,12 +82,14 @@
   fleet_view &View;
   contact_ports &Ports;
   const schema::vm_status &Self;
-  std::size_t PerDomain;
+  dispatching_options Options;
   registered_vms Registered;
   // Chosen dispatching VMs; may include this VM.
   std::set<std::string> Dispatchers;
   std::vector<std::string> Seeds;
   std::uint64_t Heartbeats = 0;
+  // Attempts to contact others since this VM has had no other VM in contact.
+  std::size_t RetriesWithoutContact = 0;
 };
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/entry/operator_api.cpp
+++ b/src/yuccaplank/entry/operator_api.cpp
@@ -51,7 +51,7 @@
     return makeErrorReply(404);
   }
 
-  void serveEvacuation(const http_request &Request, std::function<void(http_reply)> OnReply) {
+  void serveEvacuation(const http_request &Request, std::function<void(http_reply)> OnReply) const {
     bool Begins = Request.Method == "PUT";
     if (!Begins && Request.Method != "DELETE") {
       OnReply(makeErrorReply(405));
