Repeat a stop also when its server was unresponsive in between

Cause, found when reading the change: a stop was repeated after the learnt reply time only while its server was responsive, and after the failure of its call only while it was not. A server that changed from one to the other between the two got no further stop, so its run would have stayed for good. Now each stop has a number, and the latest one of a run is repeated after either, so repeats neither end nor multiply.

--- a/include/yuccaplank/dispatch/evacuations.hpp
+++ b/include/yuccaplank/dispatch/evacuations.hpp
@@ -33,7 +33,6 @@
   /// Applies the evacuations of one source unless a newer state of that source is known. Returns whether the
   /// evacuated domains have changed.
   bool apply(const schema::evacuation_state &State);
-  [[nodiscard]] bool contains(const std::string &Domain) const;
   /// Returns the evacuated domains of all sources.
   [[nodiscard]] std::set<std::string> domains() const;
   /// Returns the evacuations in the order of the domains' names.
--- a/src/yuccaplank/dispatch/evacuations.cpp
+++ b/src/yuccaplank/dispatch/evacuations.cpp
@@ -40,11 +40,6 @@
   return Changed;
 }
 
-bool evacuations::contains(const std::string &Domain) const {
-  return std::ranges::any_of(Sources,
-                             [&](const source_state &Source) { return Source.Domains.contains(Domain); });
-}
-
 std::set<std::string> evacuations::domains() const {
   std::set<std::string> Result;
   for (const source_state &Source : Sources)
--- a/src/yuccaplank/dispatch/evacuations_test.cpp
+++ b/src/yuccaplank/dispatch/evacuations_test.cpp
@@ -26,7 +26,7 @@
   runtime::manual_clock Clock;
   evacuations Evacuations(Clock);
   CPPUNIT_ASSERT(Evacuations.apply(makeState(10, {"d1"})));
-  CPPUNIT_ASSERT(Evacuations.contains("d1"));
+  CPPUNIT_ASSERT(Evacuations.domains().contains("d1"));
   if (auto When = section("when a VM reports an older state, it has no effect")) {
     CPPUNIT_ASSERT(!Evacuations.apply(makeState(9, {"d2"})));
     CPPUNIT_ASSERT((std::set<std::string>{"d1"} == Evacuations.domains()));
@@ -36,7 +36,7 @@
     CPPUNIT_ASSERT(Evacuations.apply(makeState(11, {})));
     CPPUNIT_ASSERT(Evacuations.apply(makeState(12, {"d1"})));
     CPPUNIT_ASSERT(!Evacuations.apply(makeState(11, {})));
-    CPPUNIT_ASSERT(Evacuations.contains("d1"));
+    CPPUNIT_ASSERT(Evacuations.domains().contains("d1"));
   }
   if (auto When = section("when a newer state evacuates another domain too, the first keeps its time")) {
     Clock.advance(std::chrono::seconds(2));
@@ -49,9 +49,9 @@
   if (auto When = section("when one of two sources takes the domain back, it stays evacuated")) {
     Evacuations.apply(makeState(5, {"d1"}, schema::EVACUATION_OPERATOR));
     Evacuations.apply(makeState(13, {}));
-    CPPUNIT_ASSERT(Evacuations.contains("d1"));
+    CPPUNIT_ASSERT(Evacuations.domains().contains("d1"));
     Evacuations.apply(makeState(14, {}, schema::EVACUATION_OPERATOR));
-    CPPUNIT_ASSERT(!Evacuations.contains("d1"));
+    CPPUNIT_ASSERT(!Evacuations.domains().contains("d1"));
   }
 });
 
--- a/src/yuccaplank/dispatch/run_table.hpp
+++ b/src/yuccaplank/dispatch/run_table.hpp
@@ -47,6 +47,8 @@
   /// list of a later hold tells whether the server has carried out the order.
   std::optional<std::uint64_t> SuspectedAfterHold;
   std::string StopReason;
+  /// Number of stop orders sent.
+  std::uint32_t Stops = 0;
 };
 
 class run_table {
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -497,28 +497,31 @@
     State.ConfirmedAfterHold.reset();
     log(log_level::Info, "run_stop",
         {{"run", format(Run)}, {"server", Entry.Target.Id}, {"reason", std::string(Reason)}});
-    sendStop(Run);
+    sendStop(Run, State);
   }
 
-  void sendStop(const run_key &Run) {
+  void sendStop(const run_key &Run, server_run &State) {
     ++Ports.counters().Stops;
+    std::uint32_t Number = ++State.Stops;
     Ports.orders().stop(Entry.Target, Run, Token,
-                        OwnershipLifetime.guard([this, Run, Sent = now()](const order_reply &Reply) {
+                        OwnershipLifetime.guard([this, Run, Number, Sent = now()](const order_reply &Reply) {
                           recordReplyTime(Sent, Reply.Outcome);
-                          onStopReply(Run, Reply);
+                          onStopReply(Run, Number, Reply);
                         }));
-    runAfter(Ports.replyTimeout().value(), [this, Run] { repeatOverdueStop(Run); });
+    // A stop is idempotent, so it is sent again without waiting until its connection is given up.
+    if (Responsive)
+      runAfter(Ports.replyTimeout().value(), [this, Run, Number] { repeatStop(Run, Number); });
     sendHoldIfNeeded();
   }
 
-  // A stop is idempotent, so it is sent again without waiting until its connection is given up.
-  void repeatOverdueStop(const run_key &Run) {
+  // Only the latest stop of a run is repeated, so that repeats do not multiply.
+  void repeatStop(const run_key &Run, std::uint32_t Number) {
     server_run *Found = Runs.find(Run);
-    if (Found && Found->Phase == run_phase::Stopping && Responsive)
-      sendStop(Run);
+    if (Found && Found->Phase == run_phase::Stopping && Found->Stops == Number)
+      sendStop(Run, *Found);
   }
 
-  void onStopReply(const run_key &Run, const order_reply &Reply) {
+  void onStopReply(const run_key &Run, std::uint32_t Number, const order_reply &Reply) {
     server_run *Found = processOrderReply(Run, Reply);
     if (!Found)
       return;
@@ -535,12 +538,7 @@
       return;
     }
     ++Ports.counters().UnansweredOrders;
-    if (Found->Phase != run_phase::Stopping || Responsive)
-      return;
-    runAfter(Options.OrderRetryDelay, [this, Run] {
-      if (Runs.contains(Run))
-        sendStop(Run);
-    });
+    runAfter(Options.OrderRetryDelay, [this, Run, Number] { repeatStop(Run, Number); });
   }
 
   // Holds renew the lease, report ended runs and acknowledge these reports.
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -296,14 +296,33 @@
       Owner.answerHold(Owner.makeListReply({runOf(0)}));
     CPPUNIT_ASSERT(Owner.Orders.Holds.back().Order.Wait == Options.HoldWait);
   }
+  if (auto Given = section(
+          "given a server that is unresponsive when a stop is sent, it is repeated once responsive")) {
+    Owner.answerHold(hold_reply{});
+    Owner.answerHold(hold_reply{});
+    CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
+    Owner.Ledger->stop("coordinator", runOf(0));
+    Owner.Executor->advance(milliseconds(120));
+    Owner.answerHold(Owner.makeListReply({runOf(0)}));
+    Owner.answerStop(order_outcome::NoAnswer);
+    Owner.Executor->advance(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Stops.size());
+  }
   if (auto Given = section("given a stop without a reply, it is repeated after the learnt time")) {
     Owner.Ledger->stop("coordinator", runOf(0));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Stops.size());
     Owner.Executor->advance(std::chrono::duration_cast<milliseconds>(Owner.ReplyTimeout.value()));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Owner.Orders.Stops.size());
-    Owner.answerStop(order_outcome::Accepted);
-    Owner.Executor->advance(milliseconds(500));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Stops.size());
+    if (auto Then = section("once for each of these times, also when the earlier ones fail")) {
+      Owner.answerStop(order_outcome::NoAnswer);
+      Owner.Executor->advance(std::chrono::duration_cast<milliseconds>(Owner.ReplyTimeout.value()));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Owner.Orders.Stops.size());
+    }
+    if (auto Then = section("until it is confirmed")) {
+      Owner.answerStop(order_outcome::Accepted);
+      Owner.Executor->advance(milliseconds(500));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Stops.size());
+    }
   }
 });
 
