--- a/scenarios/evacuations.lua
+++ b/scenarios/evacuations.lua
@@ -1,5 +1,10 @@
 -- Guarantee: an evacuated failure domain gets no new work, its runs end by themselves, and jobs go elsewhere.
 
+-- Whether tasks run on any server of d0.
+local function d0_busy()
+  return busy("s0") or busy("s2") or busy("s4") or busy("s6")
+end
+
 -- Guards against work in a domain that operators empty, and against runs that the evacuation stops.
 scenario("runs of an evacuated domain end there, new jobs run elsewhere", function()
   world{}
@@ -16,7 +21,7 @@
   for number = 1, 8 do
     submit("vm" .. number % 4, {tasks = 2, ms = 400})
     run(100)
-    check(not busy("s0") and not busy("s2") and not busy("s4") and not busy("s6"), "a run in the evacuated domain")
+    check(not d0_busy(), "a run in the evacuated domain")
   end
   run(3000)
   check_promises()
@@ -29,7 +34,7 @@
   run(400)
   local job = submit("vm0", {tasks = 4, ms = 300, cores = 30})
   run(100)
-  check(not busy("s0") and not busy("s2") and not busy("s4") and not busy("s6"), "a run in the evacuated domain")
+  check(not d0_busy(), "a run in the evacuated domain")
   run(2000)
   check_equal(outcome(job), "completed")
   and_then("it also learns that the domain is taken back")
@@ -37,7 +42,7 @@
   run(400)
   submit("vm0", {tasks = 12, ms = 300, cores = 30})
   run(100)
-  check(busy("s0") or busy("s2") or busy("s4") or busy("s6"), "no run after the domain was taken back")
+  check(d0_busy(), "no run after the domain was taken back")
   run(2000)
   check_promises()
 end)
@@ -53,7 +58,7 @@
   for number = 1, 20 do
     run(100)
     submit("vm" .. number % 4, {tasks = 2, ms = 200})
-    check(not busy("s0") and not busy("s2") and not busy("s4") and not busy("s6"), "a run in the evacuated domain")
+    check(not d0_busy(), "a run in the evacuated domain")
   end
   run(5000)
   check_promises()
@@ -93,7 +98,7 @@
   run(700)
   local job = submit("vm1", {tasks = 8, ms = 300, cores = 30})
   run(100)
-  check(not busy("s0") and not busy("s2") and not busy("s4") and not busy("s6"), "a run in the evacuated domain")
+  check(not d0_busy(), "a run in the evacuated domain")
   run(3000)
   check_equal(outcome(job), "completed")
   check_promises()
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -579,10 +579,10 @@
 
 } // namespace
 
-std::vector<job_kind> siteJobKinds() {
-  return {{"short", 0, 34.4, 8, 60, 27000, 0.0291},
-          {"long", 2, 6.25, 4, 900, 27000, 0.16},
-          {"middle", 1, 100, 2, 200, 27000, 0.01}};
+std::vector<job_kind> siteJobKinds(double Load) {
+  return {{"short", 0, 34.4 * Load, 8, 60, 27000, 0.0291},
+          {"long", 2, 6.25 * Load, 4, 900, 27000, 0.16},
+          {"middle", 1, 100 * Load, 2, 200, 27000, 0.01}};
 }
 
 simulation_result simulateFleet(const simulation_options &Options) { return simulated_day(Options).run(); }
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -23,8 +23,8 @@
   double MeanCredit = 1;
 };
 
-/// Returns the three kinds of jobs of the users' two sites, with their ordinary rates.
-std::vector<job_kind> siteJobKinds();
+/// Returns the three kinds of jobs of the users' two sites, at a share of their ordinary rates.
+std::vector<job_kind> siteJobKinds(double Load = 1);
 
 /// Multiplies the rate of one kind of jobs, or of all kinds when Queue is empty, for a time.
 struct load_burst {
--- a/src/yuccaplank/simulation/fleet_simulation_test.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation_test.cpp
@@ -1,5 +1,5 @@
 #include "fleet_simulation.hpp"
-#include "yuccaplank/runtime/log.hpp"
+#include "yuccaplank/testing/simulated_days.hpp"
 #include "yuccaplank/testing/test_case.hpp"
 
 #include <cppunit/TestAssert.h>
@@ -8,36 +8,21 @@
 #include <array>
 
 using namespace yuccaplank;
-using simulation::simulateFleet;
 using simulation::simulation_options;
 using testing::section;
+using testing::simulateQuietly;
+using testing::siteWithoutFaults;
 using testing::test_case;
 
 namespace {
 
 void assertNoViolations(const simulation_options &Options) {
-  runtime::setLogLevel(runtime::log_level::Error);
-  auto Result = simulateFleet(Options);
-  runtime::setLogLevel(runtime::log_level::Info);
+  auto Result = simulateQuietly(Options);
   std::string First =
       Result.Violations.empty() ? "" : fmt::format("seed {}: {}", Options.Seed, Result.Violations.front());
   CPPUNIT_ASSERT_EQUAL(std::string(), First);
 }
 
-// Returns a fleet of the size and load of the users' sites.
-simulation_options siteWithoutFaults(double Seconds) {
-  simulation_options Options;
-  Options.Vms = 6;
-  Options.Domains = 4;
-  Options.Servers = 48;
-  Options.FaultsPerSecond = 0;
-  Options.LateOrderShare = 0;
-  Options.LostAnswerShare = 0;
-  Options.TrafficSeconds = Seconds;
-  Options.Kinds = simulation::siteJobKinds();
-  return Options;
-}
-
 // Days on which an earlier version violated an invariant, with the cause.
 struct former_violation {
   std::uint64_t Seed;
@@ -96,12 +81,8 @@
 // Guards against refusals and late answers while there is free capacity: on a fault-free day, 95 % of the
 // jobs have to meet their objective and at most 0.1 % may be refused.
 const test_case FaultFreeDay("fleet simulation: jobs meet their objectives on a fault-free day", [] {
-  simulation_options Options = siteWithoutFaults(10);
-  for (simulation::job_kind &Kind : Options.Kinds)
-    Kind.JobsPerSecond *= 0.57;
-  runtime::setLogLevel(runtime::log_level::Error);
-  auto Result = simulateFleet(Options);
-  runtime::setLogLevel(runtime::log_level::Info);
+  simulation_options Options = siteWithoutFaults(10, 0.57);
+  auto Result = simulateQuietly(Options);
   std::uint64_t InTime = 0;
   for (const auto &[Queue, Credit] : Result.CreditByQueue)
     InTime += Credit.InTime;
@@ -115,9 +96,7 @@
 const test_case Overload("fleet simulation: credit on days with bursts or slow servers", [] {
   simulation_options Options = siteWithoutFaults(12);
   auto CreditShare = [&] {
-    runtime::setLogLevel(runtime::log_level::Error);
-    auto Result = simulateFleet(Options);
-    runtime::setLogLevel(runtime::log_level::Info);
+    auto Result = simulateQuietly(Options);
     double Earned = 0;
     double Attainable = 0;
     for (const auto &[Queue, Credit] : Result.CreditByQueue) {
@@ -141,22 +120,18 @@
 });
 
 simulation_options faultFreeFleet(std::uint32_t Vms) {
-  simulation_options Options = siteWithoutFaults(1);
+  simulation_options Options = siteWithoutFaults(1, 0.3);
   Options.Vms = Vms;
   Options.Domains = 4;
   Options.CountMessages = true;
-  for (simulation::job_kind &Kind : Options.Kinds)
-    Kind.JobsPerSecond *= 0.3;
   return Options;
 }
 
 // Guards against message rates of a VM that grow with the fleet, because all VMs exchange heartbeats or
 // because contact is lost and regained over and over.
 const test_case MessageGrowth("fleet simulation: message rate of a VM in a large fleet", [] {
-  runtime::setLogLevel(runtime::log_level::Error);
-  auto Small = simulateFleet(faultFreeFleet(24));
-  auto Large = simulateFleet(faultFreeFleet(96));
-  runtime::setLogLevel(runtime::log_level::Info);
+  auto Small = simulateQuietly(faultFreeFleet(24));
+  auto Large = simulateQuietly(faultFreeFleet(96));
   if (auto Then = section("the mean falls, since most VMs communicate with three others only"))
     CPPUNIT_ASSERT(Large.MeanVmMessagesPerSecond < Small.MeanVmMessagesPerSecond);
   if (auto Then = section("the highest rate of a VM grows more slowly than the fleet"))
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -57,11 +57,8 @@
     std::cout << Description;
     return 0;
   }
-  if (Values.count("load") > 0) {
-    Options.Kinds = simulation::siteJobKinds();
-    for (simulation::job_kind &Kind : Options.Kinds)
-      Kind.JobsPerSecond *= Values["load"].as<double>();
-  }
+  if (Values.count("load") > 0)
+    Options.Kinds = simulation::siteJobKinds(Values["load"].as<double>());
   if (Values.count("burst") > 0)
     Options.Bursts.push_back(
         {"", Options.TrafficSeconds * 0.4, Options.TrafficSeconds * 0.2, Values["burst"].as<double>()});
