--- a/include/yuccaplank/dispatch/evacuations.hpp
+++ b/include/yuccaplank/dispatch/evacuations.hpp
@@ -30,6 +30,8 @@
 public:
   explicit evacuations(const runtime::clock &Clock) : Clock(Clock) {}
 
+  /// Whether applying the state would change nothing.
+  [[nodiscard]] bool knows(const schema::evacuation_state &State) const;
   /// Applies the evacuations of one source unless a newer state of that source is known. Returns whether the
   /// evacuated domains have changed.
   bool apply(const schema::evacuation_state &State);
--- a/src/yuccaplank/cli/evacuation_commands.cpp
+++ b/src/yuccaplank/cli/evacuation_commands.cpp
@@ -48,7 +48,6 @@
         Call.Method = Method;
         Call.Address = Address;
         Call.Path = "/v1/evacuations/" + wire::percentEncode(Domain);
-        Call.Timeout = Context.Invocation.Global.Timeout;
         return Call;
       },
       Context.Invocation.Global.Timeout);
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -96,6 +96,9 @@
   }
 
   void setEvacuations(const schema::evacuation_state &State) override {
+    // Other VMs repeat their state with each heartbeat.
+    if (Evacuations.knows(State))
+      return;
     if (Evacuations.apply(State))
       Owner->setEvacuatedDomains(Evacuations.domains());
     Self.clear_evacuations();
@@ -207,7 +210,7 @@
                                       duration(Executor.clock().sinceBoot() - OtherVm.LastAnsweredHeartbeat));
     State.IgnoredEchoes = View->ignoredEchoes();
     State.DeclinedJobs = DeclinedJobs;
-    State.RunsInEvacuatedDomains = runsInEvacuatedDomains();
+    State.RunsInEvacuatedDomains = runsInEvacuatedDomains(Owner->states());
     return State;
   }
 
@@ -221,10 +224,11 @@
       // The status is empty until the VM has sent one.
       Other.set_vm(Vm);
     }
-    for (const schema::server_state &State : Owner->states())
+    std::vector<schema::server_state> States = Owner->states();
+    for (const schema::server_state &State : States)
       *Report.add_servers() = makeServerReport(State, Options.Vm);
     fillQueues(Jobs->queueLengths(), *Report.mutable_queues());
-    auto Runs = runsInEvacuatedDomains();
+    auto Runs = runsInEvacuatedDomains(States);
     for (const evacuation &Evacuation : Evacuations.list())
       *Report.add_evacuations() =
           makeEvacuationReport(Evacuation, Executor.clock().now(), Runs.at(Evacuation.Domain));
@@ -386,8 +390,7 @@
       Cancels.onReply(From, Message.cancelled());
       break;
     case schema::dispatch_message::kConfiguration:
-      for (const schema::evacuation_state &State : Message.configuration().evacuations())
-        setEvacuations(State);
+      learnEvacuations(Message.configuration().evacuations());
       if (!Current || Message.configuration().version() > Current->Version)
         Ports.onConfigurationOffered(Message.configuration());
       break;
@@ -414,8 +417,7 @@
   }
 
   void onStatus(const schema::vm_status &Status) {
-    for (const schema::evacuation_state &State : Status.evacuations())
-      setEvacuations(State);
+    learnEvacuations(Status.evacuations());
     std::vector<view_change> Changes = View->onStatus(Status);
     // The reply precedes the messages that the start of contact causes, because the other VM accepts these
     // only when it is in contact.
@@ -428,6 +430,11 @@
       updatePlacerAndOwnership();
   }
 
+  void learnEvacuations(const google::protobuf::RepeatedPtrField<schema::evacuation_state> &States) {
+    for (const schema::evacuation_state &State : States)
+      setEvacuations(State);
+  }
+
   void declineRelayed(const std::string &From, const schema::relay_job &Job) {
     ++DeclinedJobs;
     log(log_level::Info, "relayed_job_declined",
@@ -577,13 +584,12 @@
     updatePlacerAndOwnership();
   }
 
-  [[nodiscard]] std::map<std::string, std::uint32_t> runsInEvacuatedDomains() const {
+  [[nodiscard]] std::map<std::string, std::uint32_t>
+  runsInEvacuatedDomains(const std::vector<schema::server_state> &States) const {
     std::map<std::string, std::uint32_t> Runs;
     for (const std::string &Domain : Evacuations.domains())
       Runs[Domain] = 0;
-    if (Runs.empty())
-      return Runs;
-    for (const schema::server_state &State : Owner->states())
+    for (const schema::server_state &State : States)
       if (auto Found = Runs.find(State.domain()); Found != Runs.end())
         Found->second += State.tasks();
     return Runs;
--- a/src/yuccaplank/dispatch/evacuations.cpp
+++ b/src/yuccaplank/dispatch/evacuations.cpp
@@ -15,8 +15,15 @@
 
 } // namespace
 
-bool evacuations::apply(const schema::evacuation_state &State) {
+bool evacuations::knows(const schema::evacuation_state &State) const {
   if (!schema::evacuation_source_IsValid(State.source()))
+    return true;
+  const source_state &Source = Sources.at(static_cast<std::size_t>(State.source()));
+  return State.version() <= Source.Version && (Source.Shared || State.domains().empty());
+}
+
+bool evacuations::apply(const schema::evacuation_state &State) {
+  if (knows(State))
     return false;
   source_state &Source = Sources.at(static_cast<std::size_t>(State.source()));
   Source.Shared |= State.domains_size() > 0;
--- a/src/yuccaplank/dispatch/evacuations_test.cpp
+++ b/src/yuccaplank/dispatch/evacuations_test.cpp
@@ -62,6 +62,8 @@
   evacuations Evacuations(Clock);
   Evacuations.apply(makeState(10, {}));
   CPPUNIT_ASSERT(Evacuations.states().empty());
+  CPPUNIT_ASSERT(Evacuations.knows(makeState(10, {})) && !Evacuations.knows(makeState(11, {})));
+  CPPUNIT_ASSERT(!Evacuations.knows(makeState(8, {"d1"})));
   if (auto When =
           section("when another VM still reports an evacuation that has ended, its end is passed on")) {
     CPPUNIT_ASSERT(!Evacuations.apply(makeState(8, {"d1"})));
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -135,8 +135,7 @@
     start_order Order{Run, Request.specification(), Token, Clock.extend(now(), ArrivalLimit)};
     Ports.orders().start(Entry.Target, std::move(Order),
                          OwnershipLifetime.guard([this, Run, Sent = now()](const order_reply &Reply) {
-                           recordReplyTime(Sent, Reply.Outcome);
-                           onStartReply(Run, Reply);
+                           onStartReply(Run, Sent, Reply);
                          }));
     runAfter(Ports.replyTimeout().value(), [this, Run] { onStartOverdue(Run); });
     sendHoldIfNeeded();
@@ -403,7 +402,9 @@
 
   // Processes what all replies to starts and stops have in common. Returns the run that the reply refers to,
   // or null if the run or this VM's ownership has ended.
-  server_run *processOrderReply(const run_key &Run, const order_reply &Reply) {
+  server_run *processOrderReply(const run_key &Run, time_point Sent, const order_reply &Reply) {
+    if (Reply.Outcome != order_outcome::NoAnswer && Reply.Outcome != order_outcome::NotSent)
+      Ports.replyTimeout().onReply(now() - Sent);
     Clock.setServerClock(now(), Reply.ClockMs);
     if (Reply.Outcome == order_outcome::Fenced) {
       loseOwnership();
@@ -412,18 +413,15 @@
     return Runs.find(Run);
   }
 
-  void onStartReply(const run_key &Run, const order_reply &Reply) {
-    server_run *Found = processOrderReply(Run, Reply);
+  void onStartReply(const run_key &Run, time_point Sent, const order_reply &Reply) {
+    server_run *Found = processOrderReply(Run, Sent, Reply);
     if (!Found)
       return;
     server_run &State = *Found;
     if (Reply.Outcome == order_outcome::Accepted) {
       if (!State.SuspectedAfterHold)
         Ports.replyTimeout().recordOutcome(false);
-      State.StartPending = false;
-      State.ConfirmedAfterHold = LastHold;
-      if (State.Phase == run_phase::Starting)
-        State.Phase = run_phase::Running;
+      confirmStart(State);
       return;
     }
     if (Reply.Outcome == order_outcome::NoAnswer) {
@@ -441,9 +439,12 @@
     endRun(Run, schema::RUN_NOT_STARTED, orderOutcomeName(Reply.Outcome));
   }
 
-  void recordReplyTime(time_point Sent, order_outcome Outcome) const {
-    if (Outcome != order_outcome::NoAnswer && Outcome != order_outcome::NotSent)
-      Ports.replyTimeout().onReply(now() - Sent);
+  // Called when the server has certainly carried out the start order. A stop that is under way continues.
+  void confirmStart(server_run &State) const {
+    State.StartPending = false;
+    State.ConfirmedAfterHold = LastHold;
+    if (State.Phase == run_phase::Starting)
+      State.Phase = run_phase::Running;
   }
 
   // Without a reply, the server's list tells whether the order was carried out. Stopping the run at once
@@ -469,9 +470,7 @@
         continue;
       }
       ++Ports.counters().ConfirmedStarts;
-      State.Phase = run_phase::Running;
-      State.StartPending = false;
-      State.ConfirmedAfterHold = LastHold;
+      confirmStart(State);
     }
   }
 
@@ -505,8 +504,7 @@
     std::uint32_t Number = ++State.Stops;
     Ports.orders().stop(Entry.Target, Run, Token,
                         OwnershipLifetime.guard([this, Run, Number, Sent = now()](const order_reply &Reply) {
-                          recordReplyTime(Sent, Reply.Outcome);
-                          onStopReply(Run, Number, Reply);
+                          onStopReply(Run, Number, Sent, Reply);
                         }));
     // A stop is idempotent, so it is sent again without waiting until its connection is given up.
     if (Responsive)
@@ -521,8 +519,8 @@
       sendStop(Run, *Found);
   }
 
-  void onStopReply(const run_key &Run, std::uint32_t Number, const order_reply &Reply) {
-    server_run *Found = processOrderReply(Run, Reply);
+  void onStopReply(const run_key &Run, std::uint32_t Number, time_point Sent, const order_reply &Reply) {
+    server_run *Found = processOrderReply(Run, Sent, Reply);
     if (!Found)
       return;
     if (Reply.Outcome == order_outcome::Accepted || Reply.Outcome == order_outcome::Superseded) {
@@ -625,10 +623,12 @@
     Clock.setServerClock(now(), Reply.ClockMs);
     UnansweredHolds = 0;
     setResponsive(true);
-    if (Reply.IncarnationStartMs != IncarnationStartMs)
+    if (Reply.IncarnationStartMs != IncarnationStartMs) {
       onNewIncarnation(Reply);
-    else
+    } else {
+      LatestListMs = Reply.ClockMs.value_or(LatestListMs);
       LastAcknowledgedEnd = std::max(LastAcknowledgedEnd, Order.Observed);
+    }
     for (const listed_end &End : Reply.Ended)
       onListedEnd(End);
     endMissingRuns(Hold, Reply.Running);
@@ -641,13 +641,8 @@
 
   // Replies on different connections may overtake each other. A run that has ended since must not be taken
   // for an unknown one.
-  bool isOutdated(const hold_reply &Reply) {
-    if (Reply.IncarnationStartMs != IncarnationStartMs || !Reply.ClockMs)
-      return false;
-    if (*Reply.ClockMs < LatestListMs)
-      return true;
-    LatestListMs = *Reply.ClockMs;
-    return false;
+  [[nodiscard]] bool isOutdated(const hold_reply &Reply) const {
+    return Reply.IncarnationStartMs == IncarnationStartMs && Reply.ClockMs && *Reply.ClockMs < LatestListMs;
   }
 
   // If an order could not be sent, the server may have restarted and lost its fence.
--- a/src/yuccaplank/entry/operator_api.cpp
+++ b/src/yuccaplank/entry/operator_api.cpp
@@ -47,18 +47,18 @@
     });
     for (const route &Route : Routes)
       if (Route.Path == Request.Path)
-        return Request.Method == "GET" ? (this->*Route.Handler)(Counts) : makeErrorReply(405);
-    return makeErrorReply(404);
+        return Request.Method == "GET" ? (this->*Route.Handler)(Counts) : makeEmptyReply(405);
+    return makeEmptyReply(404);
   }
 
   void serveEvacuation(const http_request &Request, std::function<void(http_reply)> OnReply) const {
     bool Begins = Request.Method == "PUT";
     if (!Begins && Request.Method != "DELETE") {
-      OnReply(makeErrorReply(405));
+      OnReply(makeEmptyReply(405));
       return;
     }
     auto OnDone = [OnReply = std::move(OnReply)](std::error_code Error) {
-      http_reply Reply = makeErrorReply(toStatus(Error));
+      http_reply Reply = makeEmptyReply(toStatus(Error));
       if (Error)
         Reply.Body = nlohmann::json{{"error", Error.message()}}.dump();
       OnReply(std::move(Reply));
@@ -74,7 +74,7 @@
     return Error == runtime::errc::PlatformUnavailable ? 503 : 409;
   }
 
-  static http_reply makeErrorReply(int Status) {
+  static http_reply makeEmptyReply(int Status) {
     http_reply Reply;
     Reply.Status = Status;
     Reply.Body = "{}";
