Log which runs were lost with a server, and whether the server has crashed

The logs could not tell a server that crashed from one that is cut off (both 'lease_over'), nor how often a task was lost, nor with which others.

Now the HTTP client tells a refused connection from one that is not answered, the owner writes 'server_lost' with the evidence and the runs, the coordinator 'run_lost' with the number of losses of the task, and three counters are served.

--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -39,6 +39,8 @@
   std::uint64_t TasksPlacedAgain = 0;
   std::uint64_t Orphaned = 0;
   std::uint64_t Adopted = 0;
+  /// Runs that ended because their server did.
+  std::uint64_t RunsLost = 0;
 };
 
 /// Gives the coordinator its view of the other VMs, and takes its messages and answers.
--- a/include/yuccaplank/dispatch/messages.hpp
+++ b/include/yuccaplank/dispatch/messages.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace yuccaplank::dispatch {
 
@@ -33,6 +34,8 @@
 
 /// Returns the text for logs: the job as 16 hexadecimal digits, then "/index#run".
 std::string format(const run_key &Run);
+/// Returns the runs' texts, separated by commas.
+std::string formatRuns(const std::vector<run_key> &Runs);
 /// Returns the job's id as 16 hexadecimal digits.
 std::string formatJob(std::uint64_t Job);
 
--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -90,6 +90,9 @@
   std::uint64_t SuspectedStarts = 0;
   std::uint64_t ConfirmedStarts = 0;
   std::uint64_t Overdue = 0;
+  /// Servers with runs that crashed, and that did not reply until the lease of their runs had expired.
+  std::uint64_t ServersCrashed = 0;
+  std::uint64_t ServersSilent = 0;
 };
 
 class reply_timeout;
--- a/include/yuccaplank/dispatch/server_orders.hpp
+++ b/include/yuccaplank/dispatch/server_orders.hpp
@@ -39,10 +39,14 @@
   OtherIncarnation,
   /// Certainly not delivered.
   NotSent,
+  /// Certainly not delivered: no process accepts connections at the server's address.
+  ConnectionRefused,
   /// No answer was received. The order may be carried out now or seconds later.
   NoAnswer,
 };
 std::string_view orderOutcomeName(order_outcome Outcome);
+/// Whether the order certainly has not reached the server.
+bool isUndelivered(order_outcome Outcome);
 
 /// How a run ended, as the server reports it.
 enum class run_end : std::uint8_t { Done, Failed, Stopped, Lapsed, Broken, Alone };
--- a/include/yuccaplank/runtime/error.hpp
+++ b/include/yuccaplank/runtime/error.hpp
@@ -23,7 +23,10 @@
   QueueFull,
   TooManyConnections,
   RequestTimeout,
+  /// The connection was refused.
   ConnectFailed,
+  /// The connection was neither accepted nor refused in time.
+  ConnectTimeout,
   ConnectionLost,
   // Peers and platform
   PeerUnreachable,
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -39,6 +39,8 @@
   // Number of the current run.
   std::uint32_t Run = 1;
   std::uint32_t Failures = 0;
+  // Runs that ended because their server did.
+  std::uint32_t LostRuns = 0;
   std::string Owner;
   std::string Server;
   // Fencing token under which the owner held the server when the run was ordered or adopted.
@@ -352,6 +354,8 @@
       onRunFailed(Job, Task, Run, Event);
       return;
     case schema::RUN_GONE:
+      if (Event.loss() != schema::LOSS_NONE)
+        recordLostRun(Task, Run, Event);
       ++Task.Run;
       Job.ServersToAvoid.insert(Task.Server);
       requeueTask(Job, Task);
@@ -391,6 +395,16 @@
     requeueTask(Job, Task);
   }
 
+  void recordLostRun(task_state &Task, const run_key &Run, const schema::task_event &Event) {
+    ++Task.LostRuns;
+    ++Counters.RunsLost;
+    log(log_level::Info, "run_lost",
+        {{"run", format(Run)},
+         {"server", Event.server()},
+         {"evidence", schema::server_loss_Name(Event.loss())},
+         {"lost_runs", std::int64_t{Task.LostRuns}}});
+  }
+
   void confirmAdoption(coordinated_job &Job, task_state &Task, const run_key &Run, const std::string &Owner,
                        std::uint64_t Token, schema::adopt_reply &Reply) {
     runtime::cancelTimer(Executor, Task.OrphanTimer);
--- a/src/yuccaplank/dispatch/messages.cpp
+++ b/src/yuccaplank/dispatch/messages.cpp
@@ -18,4 +18,14 @@
   return fmt::format("{:016x}/{}#{}", Run.Task.Job, Run.Task.Index, Run.Run);
 }
 
+std::string formatRuns(const std::vector<run_key> &Runs) {
+  std::string Text;
+  for (const run_key &Run : Runs) {
+    if (!Text.empty())
+      Text += ',';
+    Text += format(Run);
+  }
+  return Text;
+}
+
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/owner_messages.cpp
+++ b/src/yuccaplank/dispatch/owner_messages.cpp
@@ -9,9 +9,10 @@
 }
 
 schema::dispatch_message makeTaskEvent(const run_key &Run, schema::run_event Event, const std::string &Server,
-                                       std::string_view Reason) {
+                                       std::string_view Reason, schema::server_loss Loss) {
   schema::dispatch_message Message;
   schema::task_event &Body = *Message.mutable_event();
+  Body.set_loss(Loss);
   *Body.mutable_task() = toMessage(Run);
   Body.set_event(Event);
   Body.set_server(Server);
--- a/src/yuccaplank/dispatch/owner_messages.hpp
+++ b/src/yuccaplank/dispatch/owner_messages.hpp
@@ -14,7 +14,7 @@
 schema::run_event toRunEvent(run_end End);
 
 schema::dispatch_message makeTaskEvent(const run_key &Run, schema::run_event Event, const std::string &Server,
-                                       std::string_view Reason);
+                                       std::string_view Reason, schema::server_loss Loss = schema::LOSS_NONE);
 /// Asks coordinators to adopt the runs that a claim has found on a server.
 schema::dispatch_message makeAdoptRequest(const std::string &Server, std::uint64_t Token,
                                           const hold_reply &Found);
--- a/src/yuccaplank/dispatch/run_table.hpp
+++ b/src/yuccaplank/dispatch/run_table.hpp
@@ -47,6 +47,8 @@
   /// list of a later hold tells whether the server has carried out the order.
   std::optional<std::uint64_t> SuspectedAfterHold;
   std::string StopReason;
+  /// Whether the run was ordered from an incarnation of the server that has ended.
+  bool OnFormerIncarnation = false;
   /// Number of stop orders sent.
   std::uint32_t Stops = 0;
 };
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -85,6 +85,7 @@
     ProbeScheduled = false;
     ListRequested = false;
     ListRefresh.reset();
+    RefusesConnections = false;
     Ports.onCapacityChanged(Entry.Target.Id);
   }
 
@@ -270,17 +271,20 @@
   }
 
   void report(const std::string &Coordinator, const run_key &Run, schema::run_event Event,
-              std::string_view Reason) {
+              std::string_view Reason, schema::server_loss Loss = schema::LOSS_NONE) {
     if (!Coordinator.empty())
-      Ports.send(Coordinator, makeTaskEvent(Run, Event, Entry.Target.Id, Reason));
+      Ports.send(Coordinator, makeTaskEvent(Run, Event, Entry.Target.Id, Reason, Loss));
   }
 
-  // Removes a run that has certainly ended or never started.
-  void endRun(const run_key &Run, schema::run_event Event, std::string_view Reason) {
+  // Removes a run that has certainly ended or never started. Loss tells what the run was lost with.
+  void endRun(const run_key &Run, schema::run_event Event, std::string_view Reason,
+              schema::server_loss Loss = schema::LOSS_NONE) {
     server_run *Found = Runs.find(Run);
     if (!Found)
       return;
     std::string Coordinator = Found->Coordinator;
+    if (Event == schema::RUN_GONE && Found->OnFormerIncarnation)
+      Loss = schema::LOSS_CRASHED;
     Runs.erase(Run);
     if (Event != schema::RUN_DONE)
       log(log_level::Info, "run_ended",
@@ -288,10 +292,18 @@
            {"server", Entry.Target.Id},
            {"end", schema::run_event_Name(Event)},
            {"reason", std::string(Reason)}});
-    report(Coordinator, Run, Event, Reason);
+    report(Coordinator, Run, Event, Reason, Loss);
     Ports.onCapacityChanged(Entry.Target.Id);
   }
 
+  void recordServerLoss(schema::server_loss Loss, const std::vector<run_key> &LostRuns) {
+    ++(Loss == schema::LOSS_CRASHED ? Ports.counters().ServersCrashed : Ports.counters().ServersSilent);
+    log(log_level::Warning, "server_lost",
+        {{"server", Entry.Target.Id},
+         {"evidence", schema::server_loss_Name(Loss)},
+         {"runs", formatRuns(LostRuns)}});
+  }
+
   [[nodiscard]] time_point sinceBoot() const { return Executor.clock().sinceBoot(); }
 
   // Extends the lease of all runs as far as every coordinator allows, and returns its end on the server's
@@ -403,9 +415,10 @@
   // Processes what all replies to starts and stops have in common. Returns the run that the reply refers to,
   // or null if the run or this VM's ownership has ended.
   server_run *processOrderReply(const run_key &Run, time_point Sent, const order_reply &Reply) {
-    if (Reply.Outcome != order_outcome::NoAnswer && Reply.Outcome != order_outcome::NotSent)
+    if (Reply.Outcome != order_outcome::NoAnswer && !isUndelivered(Reply.Outcome))
       Ports.replyTimeout().onReply(now() - Sent);
     Clock.setServerClock(now(), Reply.ClockMs);
+    RefusesConnections |= Reply.Outcome == order_outcome::ConnectionRefused;
     if (Reply.Outcome == order_outcome::Fenced) {
       loseOwnership();
       return nullptr;
@@ -480,9 +493,9 @@
   }
 
   void onStartRefused(order_outcome Outcome) {
-    requestRunListIfNotSent(Outcome);
+    requestRunListIfUndelivered(Outcome);
     sendHoldIfNeeded();
-    if (Outcome == order_outcome::Unhealthy || Outcome == order_outcome::NotSent)
+    if (Outcome == order_outcome::Unhealthy || isUndelivered(Outcome))
       Health.onFailure(now());
   }
 
@@ -622,6 +635,7 @@
     }
     Clock.setServerClock(now(), Reply.ClockMs);
     UnansweredHolds = 0;
+    RefusesConnections = false;
     setResponsive(true);
     if (Reply.IncarnationStartMs != IncarnationStartMs) {
       onNewIncarnation(Reply);
@@ -646,14 +660,15 @@
   }
 
   // If an order could not be sent, the server may have restarted and lost its fence.
-  void requestRunListIfNotSent(order_outcome Outcome) {
-    if (Outcome == order_outcome::NotSent)
+  void requestRunListIfUndelivered(order_outcome Outcome) {
+    if (isUndelivered(Outcome))
       ListRefresh.request(now());
   }
 
   void onHoldFailed(order_outcome Outcome) {
     ++Ports.counters().UnansweredOrders;
-    requestRunListIfNotSent(Outcome);
+    RefusesConnections |= Outcome == order_outcome::ConnectionRefused;
+    requestRunListIfUndelivered(Outcome);
     // A single lost or late reply is no evidence that the server is unresponsive.
     if (Responsive && ++UnansweredHolds < Options.UnansweredHoldLimit) {
       sendHoldIfNeeded();
@@ -738,6 +753,10 @@
     LatestListMs = Reply.ClockMs.value_or(0);
     LastObservedEnd = 0;
     LastAcknowledgedEnd = 0;
+    for (auto &[Run, State] : Runs)
+      State.OnFormerIncarnation = true;
+    if (!Runs.empty())
+      recordServerLoss(schema::LOSS_CRASHED, Runs.keys());
     for (const auto &[Run, Ordered] : UnansweredStarts)
       if (now() - Ordered < Options.MaxOrderDelay && !Runs.contains(Run))
         stopUnknownRun(Run);
@@ -776,8 +795,21 @@
   void endExpiredRuns(time_point Now) {
     if ((Responsive && !Delisted) || Now < Clock.expiresAt())
       return;
-    for (const run_key &Run : Runs.endingWithLease(Delisted))
-      endRun(Run, schema::RUN_GONE, "lease_over");
+    std::vector<run_key> LostRuns = Runs.endingWithLease(Delisted);
+    if (LostRuns.empty())
+      return;
+    schema::server_loss Loss = lossWithoutReply();
+    if (Loss != schema::LOSS_NONE)
+      recordServerLoss(Loss, LostRuns);
+    for (const run_key &Run : LostRuns)
+      endRun(Run, schema::RUN_GONE, "lease_over", Loss);
+  }
+
+  // A responsive server whose runs end because it is no longer listed has left as planned.
+  [[nodiscard]] schema::server_loss lossWithoutReply() const {
+    if (Responsive)
+      return schema::LOSS_NONE;
+    return RefusesConnections ? schema::LOSS_CRASHED : schema::LOSS_SILENT;
   }
 
   void stopOverdueRuns(time_point Now) {
@@ -833,6 +865,8 @@
   run_list_refresh ListRefresh;
   std::uint32_t UnansweredHolds = 0;
   bool Responsive = true;
+  // Whether a connection was refused since the latest reply to a hold.
+  bool RefusesConnections = false;
   bool Delisted = false;
   bool Evacuated = false;
   // Drops callbacks of calls that were made before the server was released.
--- a/src/yuccaplank/platform/server_client.cpp
+++ b/src/yuccaplank/platform/server_client.cpp
@@ -48,10 +48,16 @@
   return order_outcome::Malformed;
 }
 
+order_outcome outcomeOfFailure(const wire::http_call_result &Result) {
+  if (Result.Error == runtime::errc::ConnectFailed)
+    return order_outcome::ConnectionRefused;
+  return Result.Stage == wire::transfer_stage::NothingWritten ? order_outcome::NotSent
+                                                              : order_outcome::NoAnswer;
+}
+
 order_outcome outcomeOf(const wire::http_call_result &Result, const json &Body) {
   if (Result.Error)
-    return Result.Stage == wire::transfer_stage::NothingWritten ? order_outcome::NotSent
-                                                                : order_outcome::NoAnswer;
+    return outcomeOfFailure(Result);
   switch (Result.Status) {
   case 200:
     return order_outcome::Accepted;
--- a/src/yuccaplank/runtime/error.cpp
+++ b/src/yuccaplank/runtime/error.cpp
@@ -19,6 +19,7 @@
     "too_many_connections",
     "request_timeout",
     "connect_failed",
+    "connect_timeout",
     "connection_lost",
     "peer_unreachable",
     "peer_rejected",
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -483,8 +483,9 @@
   }
   void crashServer() {
     std::string Name = randomServer();
-    trace(fmt::format("{} crashes", Name));
-    Fleet.servers().crash(Name);
+    bool MachineDown = Result.Faults % 2 == 0;
+    trace(fmt::format("{} crashes{}", Name, MachineDown ? " with its machine" : ""));
+    Fleet.servers().crash(Name, MachineDown);
     Executor->after(randomFaultDuration(), [this, Name] {
       trace(fmt::format("{} restarts", Name));
       Fleet.servers().start(Name);
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -11,6 +11,8 @@
 
 // Time that a VM waits for a reply, in addition to the waiting time of a hold.
 constexpr auto ReplyTimeout = std::chrono::milliseconds(250);
+// Time until a VM learns that nothing listens at an address.
+constexpr auto RefusalDelay = std::chrono::milliseconds(2);
 constexpr double MinLateDelayMs = 2000;
 constexpr double MaxLateDelayMs = 12000;
 // Run time of a task on a server that hangs; it has to exceed the simulated day.
@@ -78,10 +80,19 @@
     return false;
   }
 
+  [[nodiscard]] bool isCutOff(const simulated_server &Server) const {
+    return Server.Cut || AllServers.Network.isCut(Vm, Server.Entry.Domain) ||
+           AllServers.Network.isCut(Server.Entry.Domain, Vm);
+  }
   [[nodiscard]] bool reachable(const std::string &Name) const {
     const simulated_server &Server = AllServers.Servers.at(Name);
-    return Server.State && !Server.Cut && !AllServers.Network.isCut(Vm, Server.Entry.Domain) &&
-           !AllServers.Network.isCut(Server.Entry.Domain, Vm);
+    return Server.State && !isCutOff(Server);
+  }
+  // The machine of a crashed server refuses connections unless it is down, too.
+  [[nodiscard]] bool refusesConnections(const std::string &Name) const {
+    auto Server = AllServers.Servers.find(Name);
+    return Server != AllServers.Servers.end() && !Server->second.State && !Server->second.MachineDown &&
+           !isCutOff(Server->second);
   }
 
   template <typename Reply>
@@ -93,9 +104,10 @@
         OnDone(Value);
     };
     if (!AllServers.Servers.contains(Name) || !reachable(Name)) {
-      Reply NotSent;
-      NotSent.Outcome = order_outcome::NotSent;
-      VmExecutor.after(ReplyTimeout, [Finish, NotSent] { Finish(NotSent); });
+      bool Refused = refusesConnections(Name);
+      Reply Undelivered;
+      Undelivered.Outcome = Refused ? order_outcome::ConnectionRefused : order_outcome::NotSent;
+      VmExecutor.after(Refused ? RefusalDelay : ReplyTimeout, [Finish, Undelivered] { Finish(Undelivered); });
       return;
     }
     VmExecutor.after(Wait + ReplyTimeout, [Finish] { Finish(Reply{}); });
@@ -151,8 +163,9 @@
   return std::make_unique<orders>(*this, Vm, VmExecutor);
 }
 
-void simulated_servers::crash(const std::string &Name) {
+void simulated_servers::crash(const std::string &Name, bool MachineDown) {
   simulated_server &Server = Servers.at(Name);
+  Server.MachineDown = MachineDown;
   Server.State.reset();
   Server.Holds.clear();
   ++Server.Incarnation;
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -45,7 +45,8 @@
     return Servers.at(Server).Entry.Domain;
   }
 
-  void crash(const std::string &Server);
+  /// Ends the server's process. Its address refuses connections, or is silent if the machine is down, too.
+  void crash(const std::string &Server, bool MachineDown = false);
   void start(const std::string &Server);
   void setCut(const std::string &Server, bool IsCut);
   void setFailing(const std::string &Server, bool IsFailing) { Servers.at(Server).Failing = IsFailing; }
@@ -74,6 +75,7 @@
     double Slowness = 1;
     double Slowdown = 1;
     bool Cut = false;
+    bool MachineDown = false;
     bool Failing = false;
     bool Hanging = false;
     std::vector<pending_hold> Holds;
--- a/src/yuccaplank/wire/http_client.cpp
+++ b/src/yuccaplank/wire/http_client.cpp
@@ -285,7 +285,7 @@
     duration Delay = Connecting ? Options.ConnectTimeout : Exchange.Timeout;
     exchange *Pointer = &Exchange;
     if (Connecting)
-      Exchange.Timer = Loop.after(Delay, [Pointer] { onTimer(*Pointer, errc::ConnectFailed); });
+      Exchange.Timer = Loop.after(Delay, [Pointer] { onTimer(*Pointer, errc::ConnectTimeout); });
     else
       Exchange.Timer = Loop.after(Delay, [Pointer] { onTimer(*Pointer, errc::RequestTimeout); });
   }
