--- /dev/null
+++ b/src/yuccaplank/simulation/crash_checks.cpp
@@ -0,0 +1,30 @@
+#include "crash_checks.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace yuccaplank::simulation {
+
+void crash_checks::onCrash(const std::vector<dispatch::run_key> &Runs) {
+  Crashes += Runs.empty() ? 0 : 1;
+  for (const dispatch::run_key &Run : Runs)
+    ++ByTask[Run.Task].Crashes;
+}
+
+std::optional<std::string> crash_checks::onCrashingStart(const dispatch::run_key &Run) {
+  task_crashes &Task = ByTask[Run.Task];
+  if (Task.Crashes < CountedCrashes || ++Task.LaterStarts < ForbiddenStarts)
+    return std::nullopt;
+  return fmt::format("{} starts although {} servers have crashed under its task", dispatch::format(Run),
+                     Task.Crashes);
+}
+
+std::uint32_t crash_checks::maxCrashesOfTask() const {
+  std::uint32_t Result = 0;
+  for (const auto &[Task, Counts] : ByTask)
+    Result = std::max(Result, Counts.Crashes);
+  return Result;
+}
+
+} // namespace yuccaplank::simulation
--- /dev/null
+++ b/src/yuccaplank/simulation/crash_checks.hpp
@@ -0,0 +1,40 @@
+// Counts the servers that crash under each task of a simulation, and checks how often a task that crashes its
+// servers is started.
+#pragma once
+
+#include "yuccaplank/dispatch/messages.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace yuccaplank::simulation {
+
+class crash_checks {
+public:
+  /// Records that a server has crashed with these runs.
+  void onCrash(const std::vector<dispatch::run_key> &Runs);
+  /// Returns the violation, if starting the run is one: the third start of a task that crashes its servers after
+  /// three servers have crashed under it.
+  std::optional<std::string> onCrashingStart(const dispatch::run_key &Run);
+
+  [[nodiscard]] std::uint64_t crashes() const { return Crashes; }
+  /// The most crashes under one task.
+  [[nodiscard]] std::uint32_t maxCrashesOfTask() const;
+
+private:
+  static constexpr std::uint32_t CountedCrashes = 3;
+  static constexpr std::uint32_t ForbiddenStarts = 3;
+
+  struct task_crashes {
+    std::uint32_t Crashes = 0;
+    // Starts after CountedCrashes crashes.
+    std::uint32_t LaterStarts = 0;
+  };
+  std::uint64_t Crashes = 0;
+  std::map<dispatch::task_key, task_crashes> ByTask;
+};
+
+} // namespace yuccaplank::simulation
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -1,4 +1,5 @@
 #include "fleet_simulation.hpp"
+#include "crash_checks.hpp"
 #include "simulated_fleet.hpp"
 #include "yuccaplank/runtime/random.hpp"
 
@@ -46,6 +47,7 @@
   time_point LeftAt{};
   bool Left = false;
   bool AfterFaults = false;
+  std::optional<std::uint32_t> CrashingTask = std::nullopt;
 };
 
 fleet_layout makeLayout(const simulation_options &Options) {
@@ -70,6 +72,8 @@
 
   simulation_result run() {
     Fleet.start();
+    Fleet.servers().observeCrashes(
+        [this](const std::vector<dispatch::run_key> &Runs) { Crashes.onCrash(Runs); });
     Executor->advance(std::chrono::seconds(2));
     TrafficEnd = Executor->clock().now() + fromMs(Options.TrafficSeconds * 1000);
     FaultsEnd = Executor->clock().now() + fromMs(Options.TrafficSeconds * 1000 * FaultPhaseShare);
@@ -86,6 +90,8 @@
     for (const auto &[Id, Job] : Jobs)
       if (Job.CallerWaits && !Job.Answered)
         addViolation(fmt::format("job {:016x} has no answer", Id));
+    Result.Crashes = Crashes.crashes();
+    Result.MaxCrashesOfTask = Crashes.maxCrashesOfTask();
     return Result;
   }
 
@@ -179,8 +185,10 @@
         static_cast<std::uint32_t>(std::min(Kind.TaskCpu * sampleLogNormal(0.2), 41000.0)));
     Job.Request.TaskSize.set_memory_mb(64);
     Job.Request.EstimateMs = static_cast<std::uint32_t>(Ms * sampleLogNormal(EstimateSpread)) + 1;
-    Job.Request.Specification = standin::encodeWork({Job.Request.TaskSize.cpu(), fromMs(Ms), false});
-    Job.Request.Deadline = fromMs(1800 + 3500 * Random.uniform());
+    Job.CrashingTask = chooseCrashingTask();
+    Job.Request.Specification =
+        standin::encodeWork({Job.Request.TaskSize.cpu(), fromMs(Ms), false, Job.CrashingTask});
+    Job.Request.Deadline = fromMs(Job.CrashingTask ? CrashingJobDeadlineMs : 1800 + 3500 * Random.uniform());
     Job.Objective = fromMs(1.6 * Ms + 60);
     double RelativeWork =
         Job.Request.TaskCount * Ms * Job.Request.TaskSize.cpu() / (Kind.Tasks * Kind.TaskMs * Kind.TaskCpu);
@@ -230,8 +238,10 @@
     Job.Request.TaskSize.set_cpu(20000 + static_cast<std::uint32_t>(Random.uniform() * 14000));
     Job.Request.TaskSize.set_memory_mb(64);
     Job.Request.EstimateMs = static_cast<std::uint32_t>(Ms * (0.7 + 0.6 * Random.uniform()));
-    Job.Request.Specification = standin::encodeWork({Job.Request.TaskSize.cpu(), fromMs(Ms), false});
-    Job.Request.Deadline = fromMs(1800 + 3000 * Random.uniform());
+    Job.CrashingTask = chooseCrashingTask();
+    Job.Request.Specification =
+        standin::encodeWork({Job.Request.TaskSize.cpu(), fromMs(Ms), false, Job.CrashingTask});
+    Job.Request.Deadline = fromMs(Job.CrashingTask ? CrashingJobDeadlineMs : 1800 + 3000 * Random.uniform());
     // 3 s after the end of the fault phase, everything has recovered.
     Job.AfterFaults = Executor->clock().now() > FaultsEnd + std::chrono::seconds(3);
     ++Result.Jobs;
@@ -242,6 +252,18 @@
     Executor->after(Job.Request.Deadline + std::chrono::seconds(4), [this, Id] { leave(Id); });
   }
 
+  // Days without crashing tasks draw no random number, so that their seeds keep their meaning.
+  std::optional<std::uint32_t> chooseCrashingTask() {
+    bool Crashes = Options.CrashingJobShare > 0 && Random.uniform() < Options.CrashingJobShare;
+    Result.HarmlessJobs += Crashes ? 0 : 1;
+    return Crashes ? std::optional<std::uint32_t>(0) : std::nullopt;
+  }
+
+  void recordHarmlessAnswer(const job_answer &Answer) {
+    Result.HarmlessJobsCompleted += Answer.Outcome == job_outcome::Completed ? 1 : 0;
+    Result.HarmlessJobsGivenUp += Answer.Outcome == job_outcome::Failed ? 1 : 0;
+  }
+
   void sendAttempt(std::uint64_t Id) {
     simulated_job &Job = Jobs.at(Id);
     if (!Job.CallerWaits || Job.Answered)
@@ -288,6 +310,8 @@
       return;
     }
     Job.Answered = true;
+    if (!Job.CrashingTask)
+      recordHarmlessAnswer(Answer);
     recordCredit(Job, Answer.Outcome == job_outcome::Completed);
     if (Answer.Outcome == job_outcome::Completed) {
       ++Result.Completed;
@@ -327,6 +351,9 @@
     ++Result.Starts;
     simulated_job &Job = Jobs.at(Run.Task.Job);
     Job.EverStarted = true;
+    if (Job.CrashingTask == Run.Task.Index)
+      if (auto Violation = Crashes.onCrashingStart(Run))
+        addViolation(*Violation);
     trace(fmt::format("{} starts {}", Server, dispatch::format(Run)));
     auto RunningServers = Fleet.servers().serversRunning(Run.Task);
     if (RunningServers.size() > 1)
@@ -551,6 +578,8 @@
     });
   }
 
+  // Long enough for a task to crash more servers than it may.
+  static constexpr double CrashingJobDeadlineMs = 8000;
   static constexpr double RestartIntervalMs = 400;
   static constexpr double DrainDurationMs = 800;
   // Spreads are standard deviations of logarithms.
@@ -571,6 +600,7 @@
   runtime::random Random;
   simulated_fleet Fleet;
   std::map<std::uint64_t, simulated_job> Jobs;
+  crash_checks Crashes;
   std::map<std::string, time_point> EvacuatedAt;
   time_point TrafficBegin{};
   time_point TrafficEnd{};
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -61,6 +61,8 @@
   double LateOrderShare = 0.02;
   /// Share of orders to servers that are carried out in time but whose answer is lost.
   double LostAnswerShare = 0.02;
+  /// Share of the jobs with a task that crashes each server that starts it.
+  double CrashingJobShare = 0;
   /// Counts the messages between VMs during the traffic.
   bool CountMessages = false;
   /// Prints each event to standard error.
@@ -76,6 +78,13 @@
   std::uint64_t Resent = 0;
   std::uint64_t Starts = 0;
   std::uint64_t Faults = 0;
+  /// Servers that crashed under running tasks, and the most of them under one task.
+  std::uint64_t Crashes = 0;
+  std::uint32_t MaxCrashesOfTask = 0;
+  /// Jobs without a crashing task, and how many of these were answered as failed because their servers ended.
+  std::uint64_t HarmlessJobs = 0;
+  std::uint64_t HarmlessJobsGivenUp = 0;
+  std::uint64_t HarmlessJobsCompleted = 0;
   /// Jobs that were submitted more than 3 s after the end of the fault phase.
   std::uint64_t JobsAfterFaults = 0;
   std::uint64_t CompletedAfterFaults = 0;
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -15,6 +15,9 @@
 constexpr auto RefusalDelay = std::chrono::milliseconds(2);
 constexpr double MinLateDelayMs = 2000;
 constexpr double MaxLateDelayMs = 12000;
+// Time that a task takes to crash its server, and the server takes to restart.
+constexpr auto CrashDelay = std::chrono::milliseconds(10);
+constexpr auto CrashRestartDelay = std::chrono::milliseconds(3300);
 // Run time of a task on a server that hangs; it has to exceed the simulated day.
 constexpr auto HangDuration = std::chrono::hours(1);
 
@@ -44,9 +47,12 @@
       simulated_server &Server = AllServers.Servers.at(Name);
       runtime::time_point Now = AllServers.Executor.clock().now();
       bool AlreadyRunning = isRunning(Server, Order.Run);
-      auto Outcome = Server.State->start(Now, Order, AllServers.makeWork(Server, Order.Specification));
-      if (Outcome == order_outcome::Accepted && !AlreadyRunning)
+      standin::run_work Work = AllServers.makeWork(Server, Order.Specification);
+      auto Outcome = Server.State->start(Now, Order, Work);
+      if (Outcome == order_outcome::Accepted && !AlreadyRunning) {
         AllServers.OnStart(Name, Order.Run);
+        AllServers.crashIfTaskDoes(Name, Order.Run, Work);
+      }
       AllServers.scheduleAdvance(Name);
       Reply({Outcome, Server.State->clockMs(Now)});
     });
@@ -165,12 +171,29 @@
 
 void simulated_servers::crash(const std::string &Name, bool MachineDown) {
   simulated_server &Server = Servers.at(Name);
+  if (OnCrash && Server.State) {
+    Server.State->advance(Executor.clock().now());
+    OnCrash(Server.State->running());
+  }
   Server.MachineDown = MachineDown;
   Server.State.reset();
   Server.Holds.clear();
   ++Server.Incarnation;
 }
 
+void simulated_servers::crashIfTaskDoes(const std::string &Name, const dispatch::run_key &Run,
+                                        const standin::run_work &Work) {
+  if (Work.CrashingTask != Run.Task.Index)
+    return;
+  std::uint64_t Incarnation = Servers.at(Name).Incarnation;
+  Executor.after(CrashDelay, [this, Name, Incarnation] {
+    if (Servers.at(Name).Incarnation != Incarnation)
+      return;
+    crash(Name);
+    Executor.after(CrashRestartDelay, [this, Name] { start(Name); });
+  });
+}
+
 void simulated_servers::start(const std::string &Name) {
   simulated_server &Server = Servers.at(Name);
   if (Server.State)
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -41,6 +41,10 @@
   void observeStartOrders(std::function<void(const std::string &Vm, const std::string &Server)> Observer) {
     OnStartOrder = std::move(Observer);
   }
+  /// Calls Observer with the runs of each server that crashes.
+  void observeCrashes(std::function<void(const std::vector<dispatch::run_key> &Runs)> Observer) {
+    OnCrash = std::move(Observer);
+  }
   [[nodiscard]] const std::string &domainOf(const std::string &Server) const {
     return Servers.at(Server).Entry.Domain;
   }
@@ -86,6 +90,8 @@
   static standin::run_work makeWork(const simulated_server &Server, const std::string &Specification);
   void serveHold(const std::string &Name, const dispatch::hold_order &Order,
                  std::function<void(dispatch::hold_reply)> Reply);
+  // Crashes the server if the task of the run is the one that does so, and restarts it seconds later.
+  void crashIfTaskDoes(const std::string &Name, const dispatch::run_key &Run, const standin::run_work &Work);
   // Answers the waiting holds if runs have ended.
   void answerHolds(const std::string &Name);
   void scheduleAdvance(const std::string &Name);
@@ -96,6 +102,7 @@
   options Options;
   std::function<void(const std::string &, const dispatch::run_key &)> OnStart;
   std::function<void(const std::string &, const std::string &)> OnStartOrder;
+  std::function<void(const std::vector<dispatch::run_key> &)> OnCrash;
   std::map<std::string, simulated_server> Servers;
   std::uint64_t LastHold = 0;
 };
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -33,6 +33,8 @@
        "share of orders that servers carry out late") //
       ("lost-answers", options::value(&Options.LostAnswerShare)->default_value(Options.LostAnswerShare),
        "share of orders whose answer is lost") //
+      ("crashing", options::value(&Options.CrashingJobShare),
+       "share of jobs with a task that crashes each server that starts it") //
       ("load", options::value<double>(),
        "submits the users' kinds of jobs at this share of their ordinary rates") //
       ("burst", options::value<double>(),
@@ -102,6 +104,11 @@
     Total.Resent += Result.Resent;
     Total.Starts += Result.Starts;
     Total.Faults += Result.Faults;
+    Total.Crashes += Result.Crashes;
+    Total.MaxCrashesOfTask = std::max(Total.MaxCrashesOfTask, Result.MaxCrashesOfTask);
+    Total.HarmlessJobs += Result.HarmlessJobs;
+    Total.HarmlessJobsGivenUp += Result.HarmlessJobsGivenUp;
+    Total.HarmlessJobsCompleted += Result.HarmlessJobsCompleted;
     Total.JobsAfterFaults += Result.JobsAfterFaults;
     Total.CompletedAfterFaults += Result.CompletedAfterFaults;
   }
@@ -110,6 +117,11 @@
              "faults {} of {} completed\n",
              Days, DaysWithViolations, Total.Jobs, Total.Completed, Total.Refused, Total.Resent, Total.Starts,
              Total.Faults, Total.CompletedAfterFaults, Total.JobsAfterFaults);
+  if (Total.Crashes > 0)
+    fmt::print("{} servers crashed under tasks, at most {} under one; {} jobs without a crashing task, {} completed, "
+               "{} failed\n",
+               Total.Crashes, Total.MaxCrashesOfTask, Total.HarmlessJobs, Total.HarmlessJobsCompleted,
+               Total.HarmlessJobsGivenUp);
   double Earned = 0;
   double Attainable = 0;
   for (const auto &[Queue, Credit] : Total.CreditByQueue) {
--- a/src/yuccaplank/standin/task_server.cpp
+++ b/src/yuccaplank/standin/task_server.cpp
@@ -19,7 +19,8 @@
 } // namespace
 
 std::string encodeWork(const run_work &Work) {
-  return fmt::format("{} {}", Work.Cpu, runtime::toMs(Work.Duration));
+  std::string Text = fmt::format("{} {}", Work.Cpu, runtime::toMs(Work.Duration));
+  return Work.CrashingTask ? fmt::format("{} {}", Text, *Work.CrashingTask) : Text;
 }
 
 run_work decodeWork(const std::string &Specification) {
@@ -28,7 +29,11 @@
   double Ms = 0;
   if (!(Stream >> Cpu >> Ms))
     return {};
-  return {Cpu, runtime::fromMs(Ms), false};
+  run_work Work{Cpu, runtime::fromMs(Ms), false};
+  std::uint32_t CrashingTask = 0;
+  if (Stream >> CrashingTask)
+    Work.CrashingTask = CrashingTask;
+  return Work;
 }
 
 std::int64_t task_server::clockMs(time_point Now) const {
