Count lost servers against the task, on every VM that may coordinate its job

Callers saw: one task took up to 11 servers down, one every 0.95 s until its caller's deadline; tasks beside it were lost with each of them, and its own job held until the deadline.

Cause: a run that ended with its server cost the task no attempt, only the server was blamed. And what a coordinator knew of earlier attempts was lost with it, or when the caller sent the job again to another VM.

Now the owner of a server tells all VMs that may coordinate jobs which runs were lost with it, before it reports them as gone (lost_servers; the VMs exchange what they know when contact begins). dispatch/loss_history counts distinct incarnations by task for 60 s: after two crashes, or four losses of which it is not known whether the server crashed or is cut off, the task is not started again and its job is answered as failed (servers_crashed), also when it is submitted anew. A draining server that ends its runs has left as planned and does not count.

--- a/include/yuccaplank/dispatch/job_answer.hpp
+++ b/include/yuccaplank/dispatch/job_answer.hpp
@@ -11,7 +11,7 @@
 
 enum class job_outcome : std::uint8_t {
   Completed,
-  /// A task failed as often as its queue allows.
+  /// A task failed as often as its queue allows, or crashed its servers.
   Failed,
   /// No task has run, and none will.
   Refused,
@@ -36,8 +36,10 @@
   Cancelled,
   /// All servers that are large enough for a task are evacuated.
   Evacuated,
+  /// The servers that started a task have crashed.
+  ServersCrashed,
 };
-inline constexpr end_reason LastEndReason = end_reason::Evacuated;
+inline constexpr end_reason LastEndReason = end_reason::ServersCrashed;
 std::string_view endReasonName(end_reason Reason);
 end_reason toEndReason(schema::reject_reason Reason);
 
--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -54,6 +54,10 @@
   [[nodiscard]] virtual bool reachable(const std::string &Vm) const = 0;
   /// Number of the current session with the VM. Messages of one session arrive in order.
   [[nodiscard]] virtual std::uint32_t session(const std::string &Vm) const = 0;
+  /// Whether so many servers were lost under the task, or under any task of the job, that it is not started
+  /// again.
+  [[nodiscard]] virtual bool isGivenUp(const task_key &Task) const = 0;
+  [[nodiscard]] virtual bool isAnyTaskGivenUp(std::uint64_t Job) const = 0;
   /// Delivers the answer of a job. It is called once for each job.
   virtual void answer(std::uint64_t Job, const job_answer &Answer) = 0;
 };
--- /dev/null
+++ b/scenarios/crashing_tasks.lua
@@ -0,0 +1,56 @@
+-- Guarantee: a task that crashes the servers that start it is given up, whichever VM coordinates its job.
+
+-- Guards against a task that is started until its caller's deadline, with a crashed server each time.
+scenario("a task under which two servers have crashed is given up", function()
+  world{vms = 4, domains = 2, servers = 8}
+  local job = submit("vm0", {tasks = 1, ms = 100, crashes = 1})
+  run(4000)
+  check_equal(starts(job), 2)
+  check_equal(outcome(job), "failed")
+  check_equal(reason(job), "servers_crashed")
+  and_then("other jobs are served")
+  local other = submit("vm1", {tasks = 4, ms = 100})
+  run(600)
+  check_equal(outcome(other), "completed")
+  check_promises()
+end)
+
+-- Guards against a count that is lost with the VM that coordinates the job: each killed VM would allow more crashes.
+scenario("a task stays given up when its job is sent again after its VM was killed", function()
+  world{vms = 4, domains = 2, servers = 8}
+  local job = submit("vm0", {tasks = 1, ms = 100, crashes = 1})
+  run(1500)
+  check_equal(starts(job), 2)
+  when("its VM is killed after the second start")
+  kill("vm0", true)
+  run(1300)
+  local again = resubmit("vm3", job)
+  run(4000)
+  check_equal(outcome(again), "failed")
+  check_equal(reason(again), "servers_crashed")
+  check(starts(job) <= 3, "no more than one start after the kill")
+  and_then("and a VM that has started since knows it, too")
+  start("vm0")
+  run(1000)
+  local third = resubmit("vm0", job)
+  run(1000)
+  check_equal(outcome(third), "failed")
+  check_equal(starts(job) <= 3, true)
+end)
+
+-- Guards against jobs that are failed because their servers are cut off: nothing has crashed.
+scenario("a task whose servers are cut off is started again and completes", function()
+  world{vms = 4, domains = 2, servers = 4}
+  local job = submit("vm0", {tasks = 1, ms = 600})
+  run(100)
+  for index = 0, 3 do
+    if busy("s" .. index) then server("s" .. index, "cut") end
+  end
+  run(1200)
+  for index = 0, 3 do
+    if busy("s" .. index) then server("s" .. index, "cut") end
+  end
+  run(4000)
+  check_equal(outcome(job), "completed")
+  check_promises()
+end)
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -5,6 +5,7 @@
 #include "job_relay.hpp"
 #include "job_router.hpp"
 #include "job_waiters.hpp"
+#include "loss_history.hpp"
 #include "relay_messages.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
@@ -42,7 +43,7 @@
         Waiters(*Jobs, makeSender(),
                 [this](std::uint64_t Job, const job_answer &Answer) { this->Ports.answer(Job, Answer); }),
         Router(*Jobs, Waiters, *Relay, [this] { return relaysNewJobs(); }), Cancels(Executor, makeSender()),
-        Decision(Options.Dispatching), Evacuations(Executor.clock()) {
+        Decision(Options.Dispatching), Evacuations(Executor.clock()), Losses(Executor.clock()) {
     Self.set_role(schema::VM_RELAYS);
     Self.set_vm(Options.Vm);
     Self.set_address(Options.Address);
@@ -291,6 +292,10 @@
     auto Found = Sessions.find(Vm);
     return Found == Sessions.end() ? 0 : Found->second;
   }
+  [[nodiscard]] bool isGivenUp(const task_key &Task) const override { return Losses.isGivenUp(Task); }
+  [[nodiscard]] bool isAnyTaskGivenUp(std::uint64_t Job) const override {
+    return Losses.isAnyTaskGivenUp(Job);
+  }
   void answer(std::uint64_t Job, const job_answer &Answer) override { Waiters.onAnswer(Job, Answer); }
   server_orders &orders() override { return Ports.orders(); }
   [[nodiscard]] bool shouldOwn(const std::string &Rack, const std::string &Domain) const override {
@@ -411,6 +416,9 @@
     case schema::dispatch_message::kWithdrawRelayed:
       Waiters.onWithdrawRelayed(From, Message.withdraw_relayed());
       break;
+    case schema::dispatch_message::kLostServers:
+      Losses.record(Message.lost_servers());
+      break;
     case schema::dispatch_message::BODY_NOT_SET:
       break;
     }
@@ -511,11 +519,21 @@
   void onContactBegan(const std::string &Vm) {
     sendResume(Vm, false);
     OfferedVersions.erase(Vm);
-    if (Contacts.coordinates(Vm))
+    if (Contacts.coordinates(Vm)) {
       Owner->announceOwnedServers(Vm);
+      sendLosses(Vm);
+    }
     resyncPlacement(Vm);
   }
 
+  // The other VM may have started or been out of contact since.
+  void sendLosses(const std::string &Vm) {
+    schema::dispatch_message Message;
+    *Message.mutable_lost_servers() = Losses.recent();
+    if (Message.lost_servers().servers_size() > 0)
+      send(Vm, std::move(Message));
+  }
+
   void sendResume(const std::string &Vm, bool Answer) {
     schema::resume_session Session;
     Session.set_session(++Sessions[Vm]);
@@ -709,6 +727,7 @@
   cancel_exchanges Cancels;
   dispatching_decision Decision;
   evacuations Evacuations;
+  loss_history Losses;
   std::unique_ptr<configuration> Current;
   schema::configuration_copy CurrentCopy;
   std::map<std::string, std::string> Incarnations;
--- a/src/yuccaplank/dispatch/job_answer.cpp
+++ b/src/yuccaplank/dispatch/job_answer.cpp
@@ -10,9 +10,9 @@
     std::to_array<std::string_view>({"completed", "failed", "refused", "timed_out", "cancelled"});
 
 // Indexed by end_reason.
-constexpr auto ReasonNames =
-    std::to_array<std::string_view>({"", "no_server_large_enough", "no_room_in_time", "no_placer", "deadline",
-                                     "task_failed", "caller_left", "cancelled", "evacuated"});
+constexpr auto ReasonNames = std::to_array<std::string_view>(
+    {"", "no_server_large_enough", "no_room_in_time", "no_placer", "deadline", "task_failed", "caller_left",
+     "cancelled", "evacuated", "servers_crashed"});
 static_assert(ReasonNames.size() == static_cast<std::size_t>(LastEndReason) + 1);
 
 } // namespace
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -90,6 +90,11 @@
     Job.DeadlineTimer =
         Executor.after(Job.Request.Deadline - Job.Request.Age, [this, Id] { onDeadline(Id); });
     ++Counters.Submitted;
+    if (Ports.isAnyTaskGivenUp(Id)) {
+      // The answer follows this call, as for every other job.
+      Executor.post([this, Id] { giveUp(Id); });
+      return true;
+    }
     if (Ports.placer().empty())
       Job.PlacerTimer = Executor.after(Options.PlacerTimeout, [this, Id] { onPlacerTimeout(Id); });
     else
@@ -356,6 +361,10 @@
     case schema::RUN_GONE:
       if (Event.loss() != schema::LOSS_NONE)
         recordLostRun(Task, Run, Event);
+      if (Ports.isGivenUp(Run.Task)) {
+        giveUp(Run.Task.Job);
+        return;
+      }
       ++Task.Run;
       Job.ServersToAvoid.insert(Task.Server);
       requeueTask(Job, Task);
@@ -473,6 +482,12 @@
       finishJob(Job, {job_outcome::Refused, end_reason::Deadline, 0, {}, false});
   }
 
+  void giveUp(std::uint64_t Id) {
+    auto Found = Jobs.find(Id);
+    if (Found != Jobs.end())
+      finishJob(Found->second, {job_outcome::Failed, end_reason::ServersCrashed, 0, {}, false});
+  }
+
   void onPlacerTimeout(std::uint64_t Id) {
     auto Found = Jobs.find(Id);
     if (Found == Jobs.end())
--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -24,6 +24,8 @@
   std::vector<job_answer> Answers;
   std::string Placer = "placer";
   std::set<std::string> Unreachable;
+  // Tasks under which too many servers were lost.
+  std::set<task_key> GivenUp;
   std::unique_ptr<job_coordinator> Jobs = makeJobCoordinator(*Executor, *this);
 
   void send(const std::string &Vm, schema::dispatch_message Message) override {
@@ -32,6 +34,11 @@
   [[nodiscard]] std::string placer() const override { return Placer; }
   [[nodiscard]] bool reachable(const std::string &Vm) const override { return !Unreachable.contains(Vm); }
   [[nodiscard]] std::uint32_t session(const std::string &) const override { return 1; }
+  [[nodiscard]] bool isGivenUp(const task_key &Task) const override { return GivenUp.contains(Task); }
+  [[nodiscard]] bool isAnyTaskGivenUp(std::uint64_t Id) const override {
+    auto First = GivenUp.lower_bound({Id, 0});
+    return First != GivenUp.end() && First->Job == Id;
+  }
   void answer(std::uint64_t, const job_answer &Answer) override { Answers.push_back(Answer); }
 
   void submit(std::uint32_t Tasks) const {
@@ -249,4 +256,26 @@
   }
 });
 
+// Guards against a task that crashes one server after the other because a run that is gone costs no attempt,
+// and against a job that is sent again and starts such a task anew.
+const test_case GivenUp("job coordinator: too many servers were lost under a task", [] {
+  vm Vm;
+  if (auto When = section("when its run is gone, the job fails")) {
+    Vm.submit(2);
+    Vm.grant(runOf(0, 1));
+    Vm.GivenUp.insert({Job, 0});
+    Vm.reportEvent(runOf(0, 1), schema::RUN_GONE);
+    CPPUNIT_ASSERT(Vm.Answers.at(0).Outcome == job_outcome::Failed);
+    CPPUNIT_ASSERT(Vm.Answers.at(0).Reason == end_reason::ServersCrashed);
+    CPPUNIT_ASSERT((std::vector<std::uint32_t>{1} == Vm.requestedRuns()));
+  }
+  if (auto When = section("when the job is submitted, it fails without a start")) {
+    Vm.GivenUp.insert({Job, 1});
+    Vm.submit(2);
+    Vm.Executor->advance(milliseconds(1));
+    CPPUNIT_ASSERT(Vm.Answers.at(0).Outcome == job_outcome::Failed);
+    CPPUNIT_ASSERT(Vm.requestedRuns().empty());
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/dispatch/job_waiters_test.cpp
+++ b/src/yuccaplank/dispatch/job_waiters_test.cpp
@@ -31,6 +31,8 @@
   [[nodiscard]] std::string placer() const override { return "placer"; }
   [[nodiscard]] bool reachable(const std::string &) const override { return true; }
   [[nodiscard]] std::uint32_t session(const std::string &) const override { return 1; }
+  [[nodiscard]] bool isGivenUp(const task_key &) const override { return false; }
+  [[nodiscard]] bool isAnyTaskGivenUp(std::uint64_t) const override { return false; }
   void answer(std::uint64_t Id, const job_answer &Answer) override { Waiters.onAnswer(Id, Answer); }
 
   static job_request request() {
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -1,5 +1,6 @@
 #include "yuccaplank/dispatch/server_ledger.hpp"
 #include "lease_clock.hpp"
+#include "loss_history.hpp"
 #include "owner_messages.hpp"
 #include "reply_timeout.hpp"
 #include "run_limits.hpp"
@@ -296,12 +297,14 @@
     Ports.onCapacityChanged(Entry.Target.Id);
   }
 
-  void recordServerLoss(schema::server_loss Loss, const std::vector<run_key> &LostRuns) {
+  // Tells all coordinators before the runs are reported as gone, so that none places their tasks again first.
+  void announceLoss(schema::server_loss Loss, const std::vector<run_key> &LostRuns) {
     ++(Loss == schema::LOSS_CRASHED ? Ports.counters().ServersCrashed : Ports.counters().ServersSilent);
     log(log_level::Warning, "server_lost",
         {{"server", Entry.Target.Id},
          {"evidence", schema::server_loss_Name(Loss)},
          {"runs", formatRuns(LostRuns)}});
+    Ports.broadcast(makeLostServer(Entry.Target.Id, IncarnationStartMs, Loss, LostRuns));
   }
 
   [[nodiscard]] time_point sinceBoot() const { return Executor.clock().sinceBoot(); }
@@ -749,14 +752,14 @@
          {"born", Reply.IncarnationStartMs},
          {"runs", static_cast<std::int64_t>(Runs.size())},
          {"running", static_cast<std::int64_t>(Reply.Running.size())}});
+    for (auto &[Run, State] : Runs)
+      State.OnFormerIncarnation = std::ranges::find(Reply.Running, Run) == Reply.Running.end();
+    if (!Runs.empty())
+      announceLoss(schema::LOSS_CRASHED, Runs.keys());
     IncarnationStartMs = Reply.IncarnationStartMs;
     LatestListMs = Reply.ClockMs.value_or(0);
     LastObservedEnd = 0;
     LastAcknowledgedEnd = 0;
-    for (auto &[Run, State] : Runs)
-      State.OnFormerIncarnation = true;
-    if (!Runs.empty())
-      recordServerLoss(schema::LOSS_CRASHED, Runs.keys());
     for (const auto &[Run, Ordered] : UnansweredStarts)
       if (now() - Ordered < Options.MaxOrderDelay && !Runs.contains(Run))
         stopUnknownRun(Run);
@@ -800,14 +803,14 @@
       return;
     schema::server_loss Loss = lossWithoutReply();
     if (Loss != schema::LOSS_NONE)
-      recordServerLoss(Loss, LostRuns);
+      announceLoss(Loss, LostRuns);
     for (const run_key &Run : LostRuns)
       endRun(Run, schema::RUN_GONE, "lease_over", Loss);
   }
 
-  // A responsive server whose runs end because it is no longer listed has left as planned.
+  // A server that drains ends all runs when it leaves as planned.
   [[nodiscard]] schema::server_loss lossWithoutReply() const {
-    if (Responsive)
+    if (Responsive || Entry.Draining)
       return schema::LOSS_NONE;
     return RefusesConnections ? schema::LOSS_CRASHED : schema::LOSS_SILENT;
   }
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -53,6 +53,7 @@
   recorded_orders Orders;
   std::vector<schema::task_event> Events;
   std::vector<schema::adopt_request> Adoptions;
+  std::vector<schema::lost_server> Losses;
   std::uint64_t LastToken = 0;
   ledger_counters Counters;
   reply_timeout ReplyTimeout{milliseconds(30), milliseconds(100), milliseconds(250)};
@@ -74,7 +75,12 @@
     if (Message.has_event())
       Events.push_back(Message.event());
   }
-  void broadcast(const schema::dispatch_message &Message) override { Adoptions.push_back(Message.adopt()); }
+  void broadcast(const schema::dispatch_message &Message) override {
+    if (Message.has_adopt())
+      Adoptions.push_back(Message.adopt());
+    for (const schema::lost_server &Lost : Message.lost_servers().servers())
+      Losses.push_back(Lost);
+  }
   void onCapacityChanged(const std::string &) override {}
   std::uint64_t fencingToken(std::uint64_t Above) override {
     return LastToken = std::max(LastToken, Above) + 1;
@@ -612,4 +618,51 @@
   CPPUNIT_ASSERT(runOf(0) == Owner.Orders.Stops.at(0).Run);
 });
 
+// Guards against a crash that nobody counts: a server that crashed and one that is cut off look alike to an
+// owner that only waits for the end of the lease.
+const test_case Loss("server ledger: a server is lost with its runs", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.answerStart(order_outcome::Accepted);
+  Owner.answerHold(Owner.makeListReply({runOf(0)}));
+  auto FailHolds = [&](order_outcome Outcome) {
+    hold_reply Reply;
+    Reply.Outcome = Outcome;
+    for (int Step = 0; Step < 12; ++Step) {
+      Owner.Executor->advance(milliseconds(100));
+      while (!Owner.Orders.Holds.empty())
+        Owner.answerHold(Reply);
+      Owner.Ledger->tick();
+    }
+  };
+  if (auto When = section("when its address refuses connections, it has crashed")) {
+    FailHolds(order_outcome::ConnectionRefused);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_CRASHED, Owner.Losses.at(0).loss());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_CRASHED, Owner.Events.back().loss());
+  }
+  if (auto When = section("when it does not reply, it may be cut off")) {
+    FailHolds(order_outcome::NoAnswer);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_SILENT, Owner.Losses.at(0).loss());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_SILENT, Owner.Events.back().loss());
+  }
+  if (auto When = section("when it has restarted, its former incarnation has crashed")) {
+    Owner.Executor->advance(milliseconds(1));
+    Owner.answerHold(Owner.makeListReply({}, {}, 2));
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_CRASHED, Owner.Losses.at(0).loss());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, Owner.Losses.at(0).incarnation_start_ms());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_CRASHED, Owner.Events.back().loss());
+  }
+  if (auto When = section("when it leaves as planned, nothing is lost with it")) {
+    server_entry Draining = owner::entry();
+    Draining.Draining = true;
+    Owner.Ledger->update(Draining);
+    FailHolds(order_outcome::ConnectionRefused);
+    CPPUNIT_ASSERT_EQUAL(schema::RUN_GONE, Owner.lastEvent());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_NONE, Owner.Events.back().loss());
+    CPPUNIT_ASSERT(Owner.Losses.empty());
+  }
+  CPPUNIT_ASSERT(Owner.Losses.size() <= 1);
+});
+
 } // namespace
--- a/src/yuccaplank/scenario/script.cpp
+++ b/src/yuccaplank/scenario/script.cpp
@@ -270,6 +270,7 @@
   Spec.DeclaredMs = numberField(Lua, 2, "declared_ms", 0);
   Spec.Cores = numberField(Lua, 2, "cores", Spec.Cores);
   Spec.DeadlineMs = numberField(Lua, 2, "deadline_ms", Spec.DeadlineMs);
+  Spec.Crashes = numberField(Lua, 2, "crashes", 0) > 0;
   lua_pushinteger(Lua, static_cast<lua_Integer>(worldOf(Lua).submit(Vm, Spec)));
   return 1;
 }
--- a/src/yuccaplank/scenario/world.cpp
+++ b/src/yuccaplank/scenario/world.cpp
@@ -85,7 +85,10 @@
   Request.TaskSize.set_cpu(static_cast<std::uint32_t>(Spec.Cores * ThousandthsPerCore));
   Request.TaskSize.set_memory_mb(64);
   Request.EstimateMs = static_cast<std::uint32_t>(Spec.DeclaredMs > 0 ? Spec.DeclaredMs : Spec.TaskMs);
-  Request.Specification = standin::encodeWork({Request.TaskSize.cpu(), runtime::fromMs(Spec.TaskMs), false});
+  standin::run_work Work{Request.TaskSize.cpu(), runtime::fromMs(Spec.TaskMs)};
+  if (Spec.Crashes)
+    Work.CrashingTask = 0;
+  Request.Specification = standin::encodeWork(Work);
   Request.Deadline = runtime::fromMs(Spec.DeadlineMs);
   return send(Vm, std::move(Record));
 }
--- a/src/yuccaplank/scenario/world.hpp
+++ b/src/yuccaplank/scenario/world.hpp
@@ -27,6 +27,8 @@
   double DeclaredMs = 0;
   double Cores = 27;
   double DeadlineMs = 10'000;
+  /// Whether the first task crashes each server that starts it.
+  bool Crashes = false;
 };
 
 /// One submission as its caller sees it.
--- a/src/yuccaplank/simulation/crash_checks.hpp
+++ b/src/yuccaplank/simulation/crash_checks.hpp
@@ -16,8 +16,8 @@
 public:
   /// Records that a server has crashed with these runs.
   void onCrash(const std::vector<dispatch::run_key> &Runs);
-  /// Returns the violation, if starting the run is one: the third start of a task that crashes its servers after
-  /// three servers have crashed under it.
+  /// Returns the violation, if starting the run is one: the third start of a task that crashes its servers
+  /// after three servers have crashed under it.
   std::optional<std::string> onCrashingStart(const dispatch::run_key &Run);
 
   [[nodiscard]] std::uint64_t crashes() const { return Crashes; }
--- a/src/yuccaplank/simulation/crashing_tasks_test.cpp
+++ b/src/yuccaplank/simulation/crashing_tasks_test.cpp
@@ -23,7 +23,8 @@
     Options.FaultsPerSecond = 1;
   }
   auto Result = testing::simulateQuietly(Options);
-  CPPUNIT_ASSERT_MESSAGE(Result.Violations.empty() ? "" : Result.Violations.front(), Result.Violations.empty());
+  CPPUNIT_ASSERT_MESSAGE(Result.Violations.empty() ? "" : Result.Violations.front(),
+                         Result.Violations.empty());
 });
 
 } // namespace
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -118,7 +118,8 @@
              Days, DaysWithViolations, Total.Jobs, Total.Completed, Total.Refused, Total.Resent, Total.Starts,
              Total.Faults, Total.CompletedAfterFaults, Total.JobsAfterFaults);
   if (Total.Crashes > 0)
-    fmt::print("{} servers crashed under tasks, at most {} under one; {} jobs without a crashing task, {} completed, "
+    fmt::print("{} servers crashed under tasks, at most {} under one; {} jobs without a crashing task, {} "
+               "completed, "
                "{} failed\n",
                Total.Crashes, Total.MaxCrashesOfTask, Total.HarmlessJobs, Total.HarmlessJobsCompleted,
                Total.HarmlessJobsGivenUp);
--- a/src/yuccaplank/standin/task_server.hpp
+++ b/src/yuccaplank/standin/task_server.hpp
@@ -22,8 +22,8 @@
   std::optional<std::uint32_t> CrashingTask = std::nullopt;
 };
 
-/// Encodes work as a task specification for stand-in servers: "CPU MILLISECONDS", followed by the index of the
-/// crashing task if there is one.
+/// Encodes work as a task specification for stand-in servers: "CPU MILLISECONDS", followed by the index of
+/// the crashing task if there is one.
 std::string encodeWork(const run_work &Work);
 /// Decodes a task specification; returns empty work if it has another form.
 run_work decodeWork(const std::string &Specification);
--- a/src/yuccaplank/testing/run_tests.cpp
+++ b/src/yuccaplank/testing/run_tests.cpp
@@ -1,5 +1,5 @@
-// Runs all tests, or those whose name contains the argument, and prints "N passed, N failed" at the end. A test that
-// KNOWN-RED.txt lists has to fail: its failure does not count, and its success does.
+// Runs all tests, or those whose name contains the argument, and prints "N passed, N failed" at the end. A
+// test that KNOWN-RED.txt lists has to fail: its failure does not count, and its success does.
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestFailure.h>
