Start nothing on a restarted server before its capacity is known

Callers saw nothing yet.

Cause: the owner took the capacity of the former incarnation for that of the new one until it read the new entry, up to 2 s; and a server that restarted while nothing ran there was not noticed at all before its entry changed.

Now a server gets no runs while its entry and its list of runs come from different incarnations, and a server without runs is asked for its list once a second. Not while another owner is out of contact: such a hold showed each of the two that it was fenced off, and they took the servers from each other in turn (the scenarios 'a link that is cut in one direction' and 'a lagging dispatcher' failed with it); the list is then requested before each start, as before.

--- a/src/yuccaplank/dispatch/run_list_refresh.hpp
+++ b/src/yuccaplank/dispatch/run_list_refresh.hpp
@@ -22,6 +22,8 @@
     return true;
   }
   void reset() { RequestedSince.reset(); }
+  /// Returns the time since the last received list was requested.
+  [[nodiscard]] runtime::duration age(runtime::time_point Now) const { return Now - ListedAt; }
 
   /// Returns whether the server may have restarted since its last list was requested. Wait is how long the
   /// server may delay its reply with a list.
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -98,6 +98,9 @@
     Entry = Updated;
     if (Changed)
       Ports.onCapacityChanged(Entry.Target.Id);
+    // The server may have restarted since its latest list.
+    if (Ownership == ownership::Owned && !entryDescribesIncarnation())
+      requestRunList();
   }
 
   void setEvacuated(bool IsEvacuated) override {
@@ -228,6 +231,7 @@
       return;
     endExpiredRuns(Now);
     stopOverdueRuns(Now);
+    refreshIdleList(Now);
     if (Health.endExpiredQuarantine(Now))
       Ports.onCapacityChanged(Entry.Target.Id);
   }
@@ -241,7 +245,13 @@
 
   [[nodiscard]] bool usable() const {
     return Ownership == ownership::Owned && !ListRefresh.pending() && !Delisted && !Entry.Draining &&
-           !Evacuated && Responsive && Health.usable();
+           entryDescribesIncarnation() && !Evacuated && Responsive && Health.usable();
+  }
+
+  // Another incarnation may have another capacity. The entry and the list of runs each may be the older one.
+  [[nodiscard]] bool entryDescribesIncarnation() const {
+    return Entry.IncarnationStartMs == 0 || IncarnationStartMs == 0 ||
+           Entry.IncarnationStartMs == IncarnationStartMs;
   }
 
   // Whether the server may have restarted, and so lost its fence, while a VM out of contact may have claimed
@@ -705,6 +715,17 @@
     AwaitedHold = sendHold({Token, std::nullopt, LastObservedEnd, {}});
   }
 
+  // Servers with runs are asked for their lists all the time. While another owner is out of contact, the list
+  // is requested before each start instead: a hold that shows a claim of that owner would lead to a
+  // counterclaim, and the two would keep taking the server from each other.
+  void refreshIdleList(time_point Now) {
+    bool IsAsked =
+        AwaitedHold != 0 || ProbeScheduled || Delisted || !Responsive || Ports.anyOwnerOutOfContact();
+    if (Ownership == ownership::Owned && Runs.empty() && !IsAsked &&
+        ListRefresh.age(Now) >= Options.IdleListInterval)
+      awaitHold({Token, std::nullopt, LastObservedEnd, {}});
+  }
+
   void setResponsive(bool IsResponsive) {
     if (std::exchange(Responsive, IsResponsive) != IsResponsive)
       Ports.onCapacityChanged(Entry.Target.Id);
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -729,6 +729,50 @@
     Owner.start(runOf(1));
     CPPUNIT_ASSERT_EQUAL(std::string("no_room"), Owner.Events.back().reason());
   }
+  if (auto When =
+          section("when a new incarnation lists its runs, nothing starts before it has told its capacity")) {
+    Owner.claim();
+    Owner.Ledger->requestRunList();
+    Owner.answerHold(Owner.makeListReply({}, {}, 2));
+    CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
+    Owner.start(runOf(0));
+    CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+    SetCapacity(96000, 1000, 2);
+    CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+  }
+  if (auto When = section(
+          "when the platform lists a new incarnation, nothing starts before it has listed its runs")) {
+    Owner.claim();
+    SetCapacity(96000, 1000, 2);
+    CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
+    Owner.answerHold(Owner.makeListReply({}, {}, 2));
+    CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+  }
+});
+
+// Guards against starts on a server that has restarted unnoticed, with another capacity, while nothing ran
+// there.
+const test_case IdleServer("server ledger: a server without runs restarts", [] {
+  owner Owner;
+  server_entry Entry = owner::entry();
+  Entry.IncarnationStartMs = 1;
+  Owner.Ledger->update(Entry);
+  Owner.claim();
+  Owner.Executor->advance(milliseconds(999));
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT(Owner.Orders.Holds.empty());
+  Owner.Executor->advance(milliseconds(1));
+  if (auto When = section("while another owner is out of contact, nothing provokes a counterclaim")) {
+    Owner.AnyOwnerOutOfContact = true;
+    Owner.Ledger->tick();
+    CPPUNIT_ASSERT(Owner.Orders.Holds.empty());
+    Owner.AnyOwnerOutOfContact = false;
+  }
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Holds.size());
+  CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+  Owner.answerHold(Owner.makeListReply({}, {}, 2));
+  CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
 });
 
 } // namespace
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -63,6 +63,8 @@
   double LostAnswerShare = 0.02;
   /// Share of the jobs with a task that crashes each server that starts it.
   double CrashingJobShare = 0;
+  /// Rate at which servers change their capacity, while they run or with a restart.
+  double CapacityChangesPerSecond = 0;
   /// Counts the messages between VMs during the traffic.
   bool CountMessages = false;
   /// Prints each event to standard error.
--- a/src/yuccaplank/simulation/simulated_fleet.cpp
+++ b/src/yuccaplank/simulation/simulated_fleet.cpp
@@ -30,6 +30,9 @@
   return Endpoint;
 }
 
+// Time until the VMs have read the entry of a restarted server.
+constexpr runtime::duration RestartReadDelay = std::chrono::milliseconds(500);
+
 std::uint32_t parseVmIndex(const std::string &VmName) {
   return static_cast<std::uint32_t>(std::stoul(VmName.substr(2)));
 }
@@ -51,6 +54,7 @@
 }
 
 void simulated_vm::onServersNeeded(bool Needed) {
+  ServersNeeded = Needed;
   Vm->setServers(Needed ? Servers.entries() : std::vector<dispatch::server_entry>());
 }
 
@@ -65,7 +69,9 @@
                                  simulated_servers::options ServerOptions, start_function OnStart,
                                  answer_function OnAnswer)
     : Executor(Executor), Random(Random), Layout(std::move(LayoutIn)), Net(Executor, Random),
-      Servers(Executor, Net, Random, ServerOptions, std::move(OnStart)), OnAnswer(std::move(OnAnswer)) {}
+      Servers(Executor, Net, Random, ServerOptions, std::move(OnStart)), OnAnswer(std::move(OnAnswer)) {
+  Servers.observeRestarts([this] { publishServers([] { return RestartReadDelay; }); });
+}
 
 std::string simulated_fleet::vmName(std::uint32_t Index) { return fmt::format("vm{}", Index); }
 
@@ -170,6 +176,14 @@
       }));
 }
 
+void simulated_fleet::publishServers(const std::function<runtime::duration()> &ReadDelay) {
+  for (auto &[Name, Process] : Vms)
+    Executor.after(ReadDelay(), Process->Executor.guard([Vm = Process.get()] {
+      if (Vm->ServersNeeded)
+        Vm->Vm->setServers(Vm->Servers.entries());
+    }));
+}
+
 void simulated_fleet::setExtraDelay(const std::string &From, const std::string &To, runtime::duration Delay) {
   Net.setExtraDelay(From, To, Delay);
 }
--- a/src/yuccaplank/simulation/simulated_fleet.hpp
+++ b/src/yuccaplank/simulation/simulated_fleet.hpp
@@ -48,6 +48,7 @@
   answer_function OnAnswer;
   std::unique_ptr<dispatch::entry_vm> Vm;
   bool Paused = false;
+  bool ServersNeeded = false;
   simulated_servers &Servers;
 };
 
@@ -99,6 +100,8 @@
   /// that ReadDelay returns for it, and never if that is nothing; a VM that starts later reads it at once.
   void setEvacuated(const std::string &Domain, bool IsEvacuated,
                     const std::function<std::optional<runtime::duration>(const std::string &Vm)> &ReadDelay);
+  /// Lets each running VM that needs the servers read their entries, after the delay that ReadDelay returns.
+  void publishServers(const std::function<runtime::duration()> &ReadDelay);
   /// Applies a configuration on one VM, as if it had read it from the store.
   void configure(simulated_vm &Process, std::uint64_t Version) const;
 
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -18,6 +18,8 @@
 // Time that a task takes to crash its server, and the server takes to restart.
 constexpr auto CrashDelay = std::chrono::milliseconds(10);
 constexpr auto CrashRestartDelay = std::chrono::milliseconds(3300);
+// Time after which a smaller capacity binds: the platform's contact timeout and a heartbeat of the server.
+constexpr auto CapacityNotice = std::chrono::milliseconds(4500);
 // Run time of a task on a server that hangs; it has to exceed the simulated day.
 constexpr auto HangDuration = std::chrono::hours(1);
 
@@ -203,6 +205,25 @@
   auto IncarnationStartMs =
       static_cast<std::int64_t>(runtime::toMs(Executor.clock().now().time_since_epoch())) + 1;
   Server.State = std::make_unique<standin::task_server>(IncarnationStartMs, StateOptions);
+  Server.Entry.IncarnationStartMs = IncarnationStartMs;
+  Server.FormerCapacities.clear();
+  if (OnRestart)
+    OnRestart();
+}
+
+void simulated_servers::setCapacity(const std::string &Name, std::uint32_t Cpu) {
+  simulated_server &Server = Servers.at(Name);
+  Server.FormerCapacities.emplace_back(Executor.clock().now(), Server.Entry.Capacity.cpu());
+  Server.Entry.Capacity.set_cpu(Cpu);
+}
+
+std::uint32_t simulated_servers::bindingCapacityCpu(const std::string &Name) const {
+  const simulated_server &Server = Servers.at(Name);
+  std::uint32_t Cpu = Server.Entry.Capacity.cpu();
+  for (const auto &[Until, Former] : Server.FormerCapacities)
+    if (Executor.clock().now() - Until < CapacityNotice)
+      Cpu = std::max(Cpu, Former);
+  return Cpu;
 }
 
 void simulated_servers::setCut(const std::string &Name, bool IsCut) { Servers.at(Name).Cut = IsCut; }
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -45,6 +45,8 @@
   void observeCrashes(std::function<void(const std::vector<dispatch::run_key> &Runs)> Observer) {
     OnCrash = std::move(Observer);
   }
+  /// Calls Observer when a server has restarted.
+  void observeRestarts(std::function<void()> Observer) { OnRestart = std::move(Observer); }
   [[nodiscard]] const std::string &domainOf(const std::string &Server) const {
     return Servers.at(Server).Entry.Domain;
   }
@@ -53,6 +55,8 @@
   void crash(const std::string &Server, bool MachineDown = false);
   void start(const std::string &Server);
   void setCut(const std::string &Server, bool IsCut);
+  /// Changes the capacity that the server tells from now on; what runs there goes on.
+  void setCapacity(const std::string &Server, std::uint32_t Cpu);
   void setFailing(const std::string &Server, bool IsFailing) { Servers.at(Server).Failing = IsFailing; }
   void setSlowdown(const std::string &Server, double Factor) { Servers.at(Server).Slowdown = Factor; }
   void setHanging(const std::string &Server, bool IsHanging) { Servers.at(Server).Hanging = IsHanging; }
@@ -63,6 +67,9 @@
   [[nodiscard]] std::uint32_t capacityCpu(const std::string &Server) const {
     return Servers.at(Server).Entry.Capacity.cpu();
   }
+  /// Returns the largest capacity that the present incarnation has had within the last CapacityNotice: a
+  /// smaller one binds only after the VMs can know of it.
+  [[nodiscard]] std::uint32_t bindingCapacityCpu(const std::string &Server) const;
   [[nodiscard]] std::vector<std::string> names() const;
 
 private:
@@ -83,6 +90,8 @@
     bool Failing = false;
     bool Hanging = false;
     std::vector<pending_hold> Holds;
+    // Capacities of the present incarnation, with the time until which each was the present one.
+    std::vector<std::pair<runtime::time_point, std::uint32_t>> FormerCapacities;
     std::uint64_t Incarnation = 0;
   };
   class orders;
@@ -103,6 +112,7 @@
   std::function<void(const std::string &, const dispatch::run_key &)> OnStart;
   std::function<void(const std::string &, const std::string &)> OnStartOrder;
   std::function<void(const std::vector<dispatch::run_key> &)> OnCrash;
+  std::function<void()> OnRestart;
   std::map<std::string, simulated_server> Servers;
   std::uint64_t LastHold = 0;
 };
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -35,6 +35,8 @@
        "share of orders whose answer is lost") //
       ("crashing", options::value(&Options.CrashingJobShare),
        "share of jobs with a task that crashes each server that starts it") //
+      ("capacity-changes", options::value(&Options.CapacityChangesPerSecond),
+       "changes of a server's capacity per second") //
       ("load", options::value<double>(),
        "submits the users' kinds of jobs at this share of their ordinary rates") //
       ("burst", options::value<double>(),
