Give a task more time on each server after a run of it was overdue

Callers saw: a job whose task takes many times as long as declared never completed. Its run was stopped after five times the declared time, and started again elsewhere with the same limit, until the deadline; each server was blamed as if it had failed.

Cause: the same class as with crashes: a run that ends without a result is blamed on its server, and costs the task nothing. Found by reading for that class, then shown by a scenario: declared 30 ms, takes 1 s, 23 runs in 9 s and no answer.

Now the owner says that it stopped the run as overdue, the coordinator counts such runs and sends the number with the next start, and the limit doubles with each (350, 500, 800, 1,400 ms for a declared 30 ms). Only the first run of a task counts against its server.

--- a/scenarios/jobs.lua
+++ b/scenarios/jobs.lua
@@ -130,3 +130,14 @@
   check_equal(outcome(long), "completed")
   check_promises()
 end)
+
+-- Guards against a task that is stopped and started again until its caller's deadline because each of its runs takes
+-- longer than its declared time allows: a declared 30 ms allow 350 ms, and 23 runs of it were stopped in 9 s.
+scenario("a task that takes much longer than declared completes", function()
+  world{vms = 4, domains = 2, servers = 8}
+  local job = submit("vm0", {tasks = 1, ms = 1000, declared_ms = 30})
+  run(6000)
+  check_equal(outcome(job), "completed")
+  check(starts(job) <= 5, "five starts")
+  check_promises()
+end)
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -41,6 +41,8 @@
   std::uint32_t Failures = 0;
   // Runs that ended because their server did.
   std::uint32_t LostRuns = 0;
+  // Runs that were stopped because they took too long.
+  std::uint32_t OverdueRuns = 0;
   std::string Owner;
   std::string Server;
   // Fencing token under which the owner held the server when the run was ordered or adopted.
@@ -353,6 +355,7 @@
     Start.set_token(Grant.token());
     Start.set_relayed(Job.Request.Relayed);
     Start.set_alone(Grant.alone());
+    Start.set_overdue_runs(Job.Tasks.at(Run.Task.Index).OverdueRuns);
     Ports.send(Grant.owner(), std::move(Message));
   }
 
@@ -370,6 +373,7 @@
     case schema::RUN_GONE:
       if (Event.loss() != schema::LOSS_NONE)
         recordLostRun(Task, Run, Event);
+      Task.OverdueRuns += Event.overdue() ? 1 : 0;
       if (Ports.isGivenUp(Run.Task)) {
         giveUp(Run.Task.Job);
         return;
@@ -436,6 +440,7 @@
     Adopted.set_estimate_ms(Job.Request.EstimateMs);
     Adopted.set_relayed(Job.Request.Relayed);
     Adopted.set_alone(Task.Alone);
+    Adopted.set_overdue_runs(Task.OverdueRuns);
     Adopted.set_age_ms(static_cast<std::uint32_t>(runtime::toMs(now() - Task.StartOrderedAt)));
   }
 
--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -289,4 +289,19 @@
   CPPUNIT_ASSERT_EQUAL(1U, Vm.Sent.back().second.place().suspects(0));
 });
 
+// Guards against a task that takes longer than declared and is stopped after the same time on each server.
+const test_case OverdueRuns("job coordinator: runs of a task took too long", [] {
+  vm Vm;
+  Vm.submit(1);
+  Vm.grant(runOf(0, 1));
+  schema::task_event Event;
+  *Event.mutable_task() = toMessage(runOf(0, 1));
+  Event.set_event(schema::RUN_GONE);
+  Event.set_server("s1");
+  Event.set_overdue(true);
+  Vm.Jobs->onEvent("owner", Event);
+  Vm.grant(runOf(0, 2));
+  CPPUNIT_ASSERT_EQUAL(1U, Vm.Sent.back().second.start().overdue_runs());
+});
+
 } // namespace
--- a/src/yuccaplank/dispatch/run_limits.hpp
+++ b/src/yuccaplank/dispatch/run_limits.hpp
@@ -6,6 +6,7 @@
 #include "yuccaplank/dispatch/server_ledger.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace yuccaplank::dispatch {
@@ -48,7 +49,18 @@
     return std::min(Options.LeaseDuration, runtime::duration(AllowedUntil - SinceBoot));
   }
 
+  /// Returns the time after which a run counts as overdue. It doubles with each earlier run of the task that
+  /// was overdue, so that a task that takes much longer than declared completes.
+  [[nodiscard]] runtime::duration overdueLimit(const server_run &Run, double Slowness) const {
+    double ExpectedMs = Run.EstimateMs * std::exp(std::max(0.0, Slowness));
+    double Factor =
+        std::ldexp(Options.OverdueFactor, static_cast<int>(std::min(Run.OverdueRuns, MaxDoublings)));
+    return runtime::fromMs(ExpectedMs * Factor) + Options.OverdueMargin;
+  }
+
 private:
+  static constexpr std::uint32_t MaxDoublings = 16;
+
   // Runs that this VM coordinates are limited only by the lease.
   static bool isUnlimited(runtime::time_point Time) { return Time == runtime::time_point::max(); }
   [[nodiscard]] runtime::duration runLimit(const server_run &Run) const {
--- a/src/yuccaplank/dispatch/run_table.hpp
+++ b/src/yuccaplank/dispatch/run_table.hpp
@@ -35,6 +35,8 @@
   /// Whether no other run may start on the server.
   bool Alone = false;
   std::uint32_t EstimateMs = 0;
+  /// Earlier runs of the task that were stopped because they took too long.
+  std::uint32_t OverdueRuns = 0;
   run_phase Phase = run_phase::Starting;
   runtime::time_point StartedAt;
   /// Set when the server has certainly processed the run's latest order: the number of the last hold that was
@@ -51,6 +53,8 @@
   /// list of a later hold tells whether the server has carried out the order.
   std::optional<std::uint64_t> SuspectedAfterHold;
   std::string StopReason;
+  /// Whether the run is stopped because it takes too long.
+  bool Overdue = false;
   /// Whether the run was ordered from an incarnation of the server that has ended.
   bool OnFormerIncarnation = false;
   /// Number of stop orders sent.
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -135,6 +135,7 @@
     Started.Size = Request.size();
     Started.Alone = Request.alone();
     Started.EstimateMs = Request.estimate_ms();
+    Started.OverdueRuns = Request.overdue_runs();
     Started.StartedAt = now();
     ++Ports.counters().Started;
     // The server rejects the order if it arrives after the coordinator may have given up the run.
@@ -167,6 +168,7 @@
       Run.Size = Adopted.size();
       Run.Alone = Adopted.alone();
       Run.EstimateMs = Adopted.estimate_ms();
+      Run.OverdueRuns = Adopted.overdue_runs();
       Run.StartedAt = now() - std::chrono::milliseconds(Adopted.age_ms());
     }
     if (!Runs.anyUnclaimed())
@@ -282,13 +284,12 @@
     ++Ports.counters().Refused;
     log(log_level::Info, "start_refused",
         {{"run", format(Run)}, {"server", Entry.Target.Id}, {"reason", std::string(Reason)}});
-    report(Coordinator, Run, schema::RUN_NOT_STARTED, Reason);
+    report(Coordinator, makeTaskEvent(Run, schema::RUN_NOT_STARTED, Entry.Target.Id, Reason));
   }
 
-  void report(const std::string &Coordinator, const run_key &Run, schema::run_event Event,
-              std::string_view Reason, schema::server_loss Loss = schema::LOSS_NONE) {
+  void report(const std::string &Coordinator, schema::dispatch_message Event) {
     if (!Coordinator.empty())
-      Ports.send(Coordinator, makeTaskEvent(Run, Event, Entry.Target.Id, Reason, Loss));
+      Ports.send(Coordinator, std::move(Event));
   }
 
   // Removes a run that has certainly ended or never started. Loss tells what the run was lost with.
@@ -300,6 +301,8 @@
     std::string Coordinator = Found->Coordinator;
     if (Event == schema::RUN_GONE && Found->OnFormerIncarnation)
       Loss = schema::LOSS_CRASHED;
+    schema::dispatch_message Message = makeTaskEvent(Run, Event, Entry.Target.Id, Reason, Loss);
+    Message.mutable_event()->set_overdue(Event == schema::RUN_GONE && Found->Overdue);
     Runs.erase(Run);
     if (Event != schema::RUN_DONE)
       log(log_level::Info, "run_ended",
@@ -307,7 +310,7 @@
            {"server", Entry.Target.Id},
            {"end", schema::run_event_Name(Event)},
            {"reason", std::string(Reason)}});
-    report(Coordinator, Run, Event, Reason, Loss);
+    report(Coordinator, std::move(Message));
     Ports.onCapacityChanged(Entry.Target.Id);
   }
 
@@ -839,15 +842,17 @@
   }
 
   void stopOverdueRuns(time_point Now) {
+    // Nothing is known of the runs of an unresponsive server.
+    if (!Responsive)
+      return;
     for (auto &[Run, State] : Runs) {
-      if (State.Phase != run_phase::Running || State.Unclaimed)
-        continue;
-      double Expected = State.EstimateMs * std::exp(std::max(0.0, Health.slowness()));
-      duration Limit = runtime::fromMs(Expected * Options.OverdueFactor) + Options.OverdueMargin;
-      if (Now - State.StartedAt < Limit)
+      if (State.Phase != run_phase::Running || State.Unclaimed ||
+          Now - State.StartedAt < Limits.overdueLimit(State, Health.slowness()))
         continue;
       ++Ports.counters().Overdue;
-      if (Health.onFailure(Now))
+      State.Overdue = true;
+      // A task that was overdue elsewhere, too, takes longer than declared; the server is not to blame.
+      if (State.OverdueRuns == 0 && Health.onFailure(Now))
         logQuarantine("overdue");
       stopRun(Run, State, "overdue");
       Ports.onCapacityChanged(Entry.Target.Id);
