--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -1,5 +1,8 @@
 #include "fleet_simulation.hpp"
+#include "capacity_changes.hpp"
 #include "crash_checks.hpp"
+#include "fault_injector.hpp"
+#include "simulated_evacuations.hpp"
 #include "simulated_fleet.hpp"
 #include "yuccaplank/runtime/random.hpp"
 
@@ -26,8 +29,6 @@
 // Time after a caller's departure from which no task of its job may start; includes the time that a stop
 // takes.
 constexpr double CancelLimitMs = 3050;
-// Time after the request for an evacuation from which no start may be ordered in the domain.
-constexpr double EvacuationLimitMs = 5000;
 // Time after the end of the traffic in which the remaining jobs have to be answered.
 constexpr auto SettleDelay = std::chrono::seconds(12);
 
@@ -79,11 +80,11 @@
     FaultsEnd = Executor->clock().now() + fromMs(Options.TrafficSeconds * 1000 * FaultPhaseShare);
     scheduleTraffic();
     if (Options.EnableEvacuations)
-      scheduleEvacuations();
+      Evacuations.start();
     if (Options.CapacityChangesPerSecond > 0)
-      scheduleCapacityChange();
+      Capacities.start(TrafficEnd);
     if (Options.FaultsPerSecond > 0)
-      scheduleFault();
+      Faults->start(FaultsEnd);
     if (Options.CountMessages)
       Fleet.net().countMessages();
     Executor->advance(fromMs(Options.TrafficSeconds * 1000));
@@ -92,6 +93,7 @@
     for (const auto &[Id, Job] : Jobs)
       if (Job.CallerWaits && !Job.Answered)
         addViolation(fmt::format("job {:016x} has no answer", Id));
+    Result.Faults = Faults->count();
     Result.Crashes = Crashes.crashes();
     Result.MaxCrashesOfTask = Crashes.maxCrashesOfTask();
     return Result;
@@ -122,10 +124,7 @@
         fmt::format("{:.1f} ms: {}", runtime::toMs(Executor->clock().now().time_since_epoch()), Text));
   }
 
-  void trace(const std::string &Text) const {
-    if (Options.Trace)
-      fmt::print(stderr, "{:9.2f} {}\n", runtime::toMs(Executor->clock().now().time_since_epoch()), Text);
-  }
+  void trace(const std::string &Text) const { Context.trace(Text); }
 
   // Callers
 
@@ -333,6 +332,14 @@
     });
   }
 
+  // The callers of the VM see their connections break.
+  void onVmEnded(const std::string &Vm) {
+    for (auto &[Id, Job] : Jobs)
+      if (Job.Vm == Vm && Job.CallerWaits && !Job.Answered)
+        Executor->after(fromMs(CallerDelayMs),
+                        [this, Id = Id, Attempt = Job.Attempt] { onAttemptFailed(Id, Attempt); });
+  }
+
   void leave(std::uint64_t Id) {
     simulated_job &Job = Jobs.at(Id);
     if (Job.Answered || !Job.CallerWaits)
@@ -369,280 +376,24 @@
       addViolation(fmt::format("{} starts after its caller left", dispatch::format(Run)));
   }
 
-  // Evacuations
-
-  void scheduleEvacuations() {
-    Fleet.servers().observeStartOrders(
-        [this](const std::string &Vm, const std::string &Server) { onStartOrder(Vm, Server); });
-    std::uint64_t Count = 1 + Random.next() % Options.Domains;
-    for (std::uint64_t Index = 0; Index < Count; ++Index) {
-      std::string Domain = Fleet.domainOf(static_cast<std::uint32_t>(Random.next() % Options.Domains));
-      duration Begin = fromMs(2500 * Random.uniform());
-      // Evacuations that end within a second test the order of changes, longer ones the limit.
-      for (int Repetition = Random.uniform() < 0.3 ? 2 : 0; Repetition > 0; --Repetition) {
-        scheduleEvacuation(Domain, Begin, fromMs(900 * Random.uniform()));
-        Begin += fromMs(1000);
-      }
-      scheduleEvacuation(Domain, Begin, fromMs(5000 + 4000 * Random.uniform()));
-    }
-  }
-
-  void scheduleEvacuation(const std::string &Domain, duration Begin, duration Length) {
-    Executor->after(Begin, [this, Domain] { setEvacuated(Domain, true); });
-    Executor->after(Begin + Length, [this, Domain] { setEvacuated(Domain, false); });
-  }
-
-  // The store turns some VMs away for seconds. These learn of the change from the others.
-  void setEvacuated(const std::string &Domain, bool IsEvacuated) {
-    trace(fmt::format("{} {}", Domain, IsEvacuated ? "is evacuated" : "is taken back"));
-    if (IsEvacuated)
-      EvacuatedAt.try_emplace(Domain, Executor->clock().now());
-    else
-      EvacuatedAt.erase(Domain);
-    Fleet.setEvacuated(Domain, IsEvacuated, [this](const std::string &) {
-      return fromMs(Random.uniform() < 0.3 ? 4000 : 40 * Random.uniform());
-    });
-  }
-
-  void onStartOrder(const std::string &Vm, const std::string &Server) {
-    auto Evacuated = EvacuatedAt.find(Fleet.servers().domainOf(Server));
-    if (Evacuated == EvacuatedAt.end())
-      return;
-    duration Age = Executor->clock().now() - Evacuated->second;
-    if (Age > fromMs(EvacuationLimitMs))
-      addViolation(fmt::format("{} orders a start on {} {:.0f} ms after {} was evacuated", Vm, Server,
-                               runtime::toMs(Age), Evacuated->first));
-  }
-
-  // Capacity of servers
-
-  void scheduleCapacityChange() {
-    Executor->after(fromMs(2000 / Options.CapacityChangesPerSecond * Random.uniform()), [this] {
-      if (Executor->clock().now() >= TrafficEnd)
-        return;
-      changeCapacity(randomServer());
-      scheduleCapacityChange();
-    });
-  }
-
-  // Some servers change while they run, others restart with another capacity.
-  void changeCapacity(const std::string &Name) {
-    bool Restarts = Random.uniform() < 0.3;
-    auto Cpu =
-        static_cast<std::uint32_t>(MinCapacityCpu + (MaxCapacityCpu - MinCapacityCpu) * Random.uniform());
-    trace(fmt::format("{} {} with a capacity of {}", Name, Restarts ? "is to restart" : "goes on", Cpu));
-    if (!Restarts) {
-      setCapacity(Name, Cpu);
-      return;
-    }
-    Fleet.servers().crash(Name);
-    Executor->after(fromMs(ServerRestartMs * (1 + Random.uniform())), [this, Name, Cpu] {
-      Fleet.servers().setCapacity(Name, Cpu);
-      Fleet.servers().start(Name);
-      setCapacity(Name, Cpu);
-    });
-  }
-
-  void setCapacity(const std::string &Name, std::uint32_t Cpu) {
-    Fleet.servers().setCapacity(Name, Cpu);
-    Fleet.publishServers([this] { return fromMs(MaxReadDelayMs * Random.uniform()); });
-  }
-
-  // Faults
-
-  void scheduleFault() {
-    Executor->after(fromMs(2000 / Options.FaultsPerSecond * Random.uniform()), [this] {
-      if (Executor->clock().now() >= FaultsEnd)
-        return;
-      ++Result.Faults;
-      std::size_t FaultKindCount = Options.EnableLags ? Faults.size() : Faults.size() - LagFaultCount;
-      (this->*Faults[Random.next() % FaultKindCount])();
-      scheduleFault();
-    });
-  }
-
-  std::string randomVm() {
-    return simulated_fleet::vmName(static_cast<std::uint32_t>(Random.next() % Options.Vms));
-  }
-  std::string randomServer() {
-    auto Names = Fleet.servers().names();
-    return Names[Random.next() % Names.size()];
-  }
-  // Short durations are more likely, so that most faults end before the callers give up.
-  duration randomFaultDuration() { return fromMs(100 + 2500 * Random.uniform() * Random.uniform()); }
-
-  void endRandomVm(bool PowerLoss) {
-    std::string Name = randomVm();
-    simulated_vm &Process = Fleet.vm(Name);
-    if (Process.Executor.alive() && !Process.Paused)
-      endVm(Name, PowerLoss);
-  }
-  void endVm(const std::string &Name, bool PowerLoss) {
-    trace(fmt::format("{} {}", Name, PowerLoss ? "loses power" : "is killed"));
-    Fleet.endVm(Name, PowerLoss);
-    for (auto &[Id, Job] : Jobs)
-      if (Job.Vm == Name && Job.CallerWaits && !Job.Answered)
-        Executor->after(fromMs(CallerDelayMs),
-                        [this, Id = Id, Attempt = Job.Attempt] { onAttemptFailed(Id, Attempt); });
-    Executor->after(randomFaultDuration(), [this, Name] {
-      trace(fmt::format("{} restarts", Name));
-      Fleet.startVm(Name);
-    });
-  }
-  void killVm() { endRandomVm(false); }
-  void powerOff() { endRandomVm(true); }
-
-  void pauseVm() {
-    std::string Name = randomVm();
-    simulated_vm *Process = &Fleet.vm(Name);
-    if (!Process->Executor.alive() || Process->Paused)
-      return;
-    trace(fmt::format("{} is paused", Name));
-    Fleet.pauseVm(Name);
-    Executor->after(randomFaultDuration(), [this, Name, Process] {
-      if (!Process->Executor.alive())
-        return;
-      trace(fmt::format("{} resumes", Name));
-      Fleet.resumeVm(Name);
-    });
-  }
-
-  void cutLink(const std::string &From, const std::string &To, duration Duration) {
-    if (From == To || Fleet.net().isCut(From, To))
-      return;
-    trace(fmt::format("{} to {} is cut for {} ms", From, To, runtime::toMs(Duration)));
-    Fleet.setCut(From, To, true);
-    Executor->after(Duration, [this, From, To] {
-      trace(fmt::format("{} to {} is restored", From, To));
-      Fleet.setCut(From, To, false);
-    });
-  }
-  void cutOneWay() { cutLink(randomVm(), randomVm(), randomFaultDuration()); }
-  void cutPair() {
-    std::string One = randomVm();
-    std::string Other = randomVm();
-    duration Duration = randomFaultDuration();
-    cutLink(One, Other, Duration);
-    cutLink(Other, One, Duration);
-  }
-  void cutDomain() {
-    std::string Domain = Fleet.domainOf(static_cast<std::uint32_t>(Random.next() % Options.Domains));
-    duration Duration = randomFaultDuration();
-    Fleet.forEachLink(Domain, [this, Duration](const std::string &From, const std::string &To) {
-      cutLink(From, To, Duration);
-    });
-  }
-  void resetConnection() {
-    std::string One = randomVm();
-    std::string Other = randomVm();
-    trace(fmt::format("connection of {} and {} is reset", One, Other));
-    Fleet.resetConnection(One, Other);
-  }
-  void cutServer() {
-    std::string Name = randomServer();
-    trace(fmt::format("{} is cut off", Name));
-    Fleet.servers().setCut(Name, true);
-    Executor->after(randomFaultDuration(), [this, Name] { Fleet.servers().setCut(Name, false); });
-  }
-  void crashServer() {
-    std::string Name = randomServer();
-    bool MachineDown = Result.Faults % 2 == 0;
-    trace(fmt::format("{} crashes{}", Name, MachineDown ? " with its machine" : ""));
-    Fleet.servers().crash(Name, MachineDown);
-    Executor->after(randomFaultDuration(), [this, Name] {
-      trace(fmt::format("{} restarts", Name));
-      Fleet.servers().start(Name);
-    });
-  }
-  void failServer() {
-    std::string Name = randomServer();
-    Fleet.servers().setFailing(Name, true);
-    Executor->after(randomFaultDuration(), [this, Name] { Fleet.servers().setFailing(Name, false); });
-  }
-  void hangServer() {
-    std::string Name = randomServer();
-    Fleet.servers().setHanging(Name, true);
-    Executor->after(randomFaultDuration(), [this, Name] { Fleet.servers().setHanging(Name, false); });
-  }
-
-  duration randomLag() { return fromMs(200 + 2800 * Random.uniform() * Random.uniform()); }
-  void lagVm() {
-    std::string Name = randomVm();
-    simulated_vm *Process = &Fleet.vm(Name);
-    if (!Process->Executor.alive())
-      return;
-    vm_lag Lag;
-    std::uint64_t Kind = Random.next() % 4;
-    if (Kind != 0)
-      Lag.ArrivalDelay = randomLag();
-    Lag.DelayTimers = Kind == 2;
-    if (Kind != 1)
-      Lag.SendDelay = randomLag();
-    trace(fmt::format("{} lags: arrivals {} ms{}, sends {} ms", Name, runtime::toMs(Lag.ArrivalDelay),
-                      Lag.DelayTimers ? " and timers" : "", runtime::toMs(Lag.SendDelay)));
-    Process->Executor.setLag(Lag);
-    Executor->after(randomFaultDuration(), [this, Name, Process] {
-      trace(fmt::format("{} no longer lags", Name));
-      Process->Executor.setLag({});
-    });
-  }
-  void lagLink() {
-    std::string From = randomVm();
-    std::string To = randomVm();
-    duration Lag = randomLag();
-    trace(fmt::format("{} to {} is delayed by {} ms", From, To, runtime::toMs(Lag)));
-    Fleet.setExtraDelay(From, To, Lag);
-    Executor->after(randomFaultDuration(), [this, From, To] { Fleet.setExtraDelay(From, To, {}); });
-  }
-  // Drains, ends and restarts half of the VMs, one after the other.
-  void restartVmsInTurn() {
-    auto First = static_cast<std::uint32_t>(Random.next());
-    for (std::uint32_t Index = 0; Index < (Options.Vms + 1) / 2; ++Index)
-      Executor->after(
-          fromMs(RestartIntervalMs * Index),
-          [this, Name = simulated_fleet::vmName((First + Index) % Options.Vms)] { drainAndRestartVm(Name); });
-  }
-  void drainAndRestartVm(const std::string &Name) {
-    simulated_vm *Process = &Fleet.vm(Name);
-    if (!Process->Executor.alive())
-      return;
-    trace(fmt::format("{} drains", Name));
-    Process->Executor.guard([Process] { Process->Vm->drain(); })();
-    Executor->after(fromMs(DrainDurationMs), [this, Name, Process] {
-      if (Process->Executor.alive())
-        endVm(Name, false);
-    });
-  }
-
-  static constexpr double MinCapacityCpu = 20000;
-  static constexpr double MaxCapacityCpu = 96000;
-  // Time until a VM has read a change of a server's entry.
-  static constexpr double MaxReadDelayMs = 2000;
-  static constexpr double ServerRestartMs = 1300;
   // Long enough for a task to crash more servers than it may.
   static constexpr double CrashingJobDeadlineMs = 8000;
-  static constexpr double RestartIntervalMs = 400;
-  static constexpr double DrainDurationMs = 800;
   // Spreads are standard deviations of logarithms.
   static constexpr double SizeSpread = 0.4;
   static constexpr double EstimateSpread = 0.4;
   static constexpr double LateCreditShare = 0.2;
-  static constexpr auto Faults = std::to_array<void (simulated_day::*)()>(
-      {&simulated_day::killVm, &simulated_day::powerOff, &simulated_day::pauseVm, &simulated_day::cutOneWay,
-       &simulated_day::cutPair, &simulated_day::cutDomain, &simulated_day::resetConnection,
-       &simulated_day::cutServer, &simulated_day::crashServer, &simulated_day::failServer,
-       &simulated_day::hangServer, &simulated_day::lagVm, &simulated_day::lagVm, &simulated_day::lagLink,
-       &simulated_day::restartVmsInTurn});
-  // Number of the last entries of Faults that need EnableLags.
-  static constexpr std::size_t LagFaultCount = 4;
 
   const simulation_options &Options;
   std::unique_ptr<runtime::manual_executor> Executor;
   runtime::random Random;
   simulated_fleet Fleet;
+  simulation_context Context{Options, *Executor, Random, Fleet};
+  simulated_evacuations Evacuations{Context, [this](std::string Text) { addViolation(std::move(Text)); }};
+  capacity_changes Capacities{Context};
+  std::unique_ptr<fault_injector> Faults =
+      makeFaultInjector(Context, [this](const std::string &Vm) { onVmEnded(Vm); });
   std::map<std::uint64_t, simulated_job> Jobs;
   crash_checks Crashes;
-  std::map<std::string, time_point> EvacuatedAt;
   time_point TrafficBegin{};
   time_point TrafficEnd{};
   time_point FaultsEnd{};
