--- a/src/yuccaplank/simulation/fault_injector.cpp
+++ b/src/yuccaplank/simulation/fault_injector.cpp
@@ -184,12 +184,6 @@
     });
   }
 
-  static constexpr double MinCapacityCpu = 20000;
-  static constexpr double MaxCapacityCpu = 96000;
-  // Time until a VM has read a change of a server's entry.
-  static constexpr double MaxReadDelayMs = 2000;
-  static constexpr double ServerRestartMs = 1300;
-
   static constexpr double RestartIntervalMs = 400;
   static constexpr double DrainDurationMs = 800;
   static constexpr auto Faults = std::to_array<void (fault_injector_impl::*)()>(
