--- a/src/yuccaplank/dispatch/reply_timeout.hpp
+++ b/src/yuccaplank/dispatch/reply_timeout.hpp
@@ -5,7 +5,7 @@
 #include "yuccaplank/runtime/clock.hpp"
 
 #include <algorithm>
-#include <optional>
+#include <utility>
 
 namespace yuccaplank::dispatch {
 
@@ -18,14 +18,14 @@
       : Min(Min), Initial(Initial), Max(Max) {}
 
   void onReply(runtime::duration Took) {
-    if (!Mean) {
+    if (!std::exchange(HasReply, true)) {
       Mean = Took;
       Deviation = Took / 2;
       return;
     }
-    runtime::duration Error = Took > *Mean ? Took - *Mean : *Mean - Took;
+    runtime::duration Error = Took > Mean ? Took - Mean : Mean - Took;
     Deviation += (Error - Deviation) / DeviationDivisor;
-    *Mean += (Took - *Mean) / MeanDivisor;
+    Mean += (Took - Mean) / MeanDivisor;
   }
 
   /// Records whether the reply to an order was overdue.
@@ -34,7 +34,7 @@
   [[nodiscard]] bool repliesGetLost() const { return OverdueShare > MaxOverdueShare; }
 
   [[nodiscard]] runtime::duration value() const {
-    return Mean ? std::clamp(*Mean + DeviationFactor * Deviation, Min, Max) : Initial;
+    return HasReply ? std::clamp(Mean + DeviationFactor * Deviation, Min, Max) : Initial;
   }
 
 private:
@@ -48,7 +48,9 @@
   runtime::duration Min;
   runtime::duration Initial;
   runtime::duration Max;
-  std::optional<runtime::duration> Mean;
+  // Mean and Deviation are known after the first reply.
+  bool HasReply = false;
+  runtime::duration Mean{};
   runtime::duration Deviation{};
   double OverdueShare = 0;
 };
