--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -138,6 +138,8 @@
 int missedCancel(const std::string &Self, const std::string &Folder) {
   constexpr double FreezeMs = 900, CancelMs = 3000, ContactTimeoutMs = 3000;
   deployment Site(Self, Folder + "/record.txt");
+  for (queue &Queue : Site.Queues)
+    Queue.TimeoutMs = 8000;
   Site.startAll(8, 64000);
   client Client(Site);
   struct round {
