--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # disruption out. review/build.sh and the build of the deploy file come first.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/out/standin ] && [ -x target/yuccaplankd ] || exit 2
-exec review/out/standin smaller-kind review/4
+exec review/out/standin late-stops-killed-vm review/4
