Fix the limit of a run when its stop begins, so that holds no longer prolong it

Cause: the owner computed how far a hold may extend the lease from the coordinators' latest heartbeats, also for a run that it was stopping. That limit moves on with every heartbeat, and the VM's own runs had none.

Test "server ledger: a run that has to end" failed before (assertion AnsweredLeaseEndMs <= LimitMs). Server ledger, bounds and simulation tests pass.

--- a/src/yuccaplank/dispatch/bounds.cpp
+++ b/src/yuccaplank/dispatch/bounds.cpp
@@ -72,12 +72,17 @@
   // before the caller resends the job.
   bool RunsEndBeforeRetry = leaseExpiry(Ledger, Ledger.RunLimit) < Options.Coordinator.OrphanTimeout &&
                             Options.Coordinator.OrphanTimeout < Bounds.ResendDelay;
+  // A stop may stay unanswered while the server answers holds. Then the run ends with the lease that was
+  // given before the stop, or at the limit that the stop sets.
+  bool StoppedRunsEndBeforeRetry =
+      leaseExpiry(Ledger, std::max(Ledger.LeaseDuration, Ledger.RunLimit)) + RunEndMargin <=
+      Bounds.ResendDelay;
   // If a relaying VM dies or loses the coordinator, the coordinator's contact with it ends first, and then
   // the contact of each owner with the coordinator as it was before, and the runs with it.
   bool RelayedRunsEndBeforeRetry = relayedRunsEndTime(Options) + RunEndMargin <= Bounds.ResendDelay &&
                                    relayedRunsEndTime(Options) + RunEndMargin <= Options.Relay.OrphanTimeout;
   return ContactIsLongEnough && LeaseIsGranted && LeaseOutlastsLostHold && StartsInTime &&
-         RunsEndBeforeRetry && RelayedRunsEndBeforeRetry;
+         RunsEndBeforeRetry && StoppedRunsEndBeforeRetry && RelayedRunsEndBeforeRetry;
 }
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/bounds_test.cpp
+++ b/src/yuccaplank/dispatch/bounds_test.cpp
@@ -33,6 +33,13 @@
     Options.Relay.OrphanTimeout = milliseconds(900);
     CPPUNIT_ASSERT(!satisfiesBounds(Platform, Options));
   }
+  if (auto Given =
+          section("given leases that outlast the resend delay if a stop stays unanswered, the bounds "
+                  "are violated")) {
+    Platform.MaxLease = milliseconds(2000);
+    Options.Ledger.LeaseDuration = milliseconds(1250);
+    CPPUNIT_ASSERT(!satisfiesBounds(Platform, Options));
+  }
   if (auto Given = section("given servers that grant short leases, the lease is shortened")) {
     Platform.MaxLease = milliseconds(400);
     CPPUNIT_ASSERT(applyBounds(Platform, Options));
--- a/src/yuccaplank/dispatch/run_limits.hpp
+++ b/src/yuccaplank/dispatch/run_limits.hpp
@@ -29,15 +29,24 @@
                     runtime::duration(*LastAnsweredHeartbeat + Options.StartLimit - SinceBoot));
   }
 
-  /// Updates the time until which a run may continue. While its coordinator is out of contact, the previous
-  /// value stays.
+  /// Updates the time until which a run may continue. The previous value stays while its coordinator is out
+  /// of contact, and once the run is being stopped.
   void updateAllowedUntil(server_run &Run, const heartbeat_time &LastAnsweredHeartbeat) const {
-    if (!LastAnsweredHeartbeat)
+    if (!LastAnsweredHeartbeat || isStopped(Run))
       return;
     Run.AllowedUntil = isUnlimited(*LastAnsweredHeartbeat) ? runtime::time_point::max()
                                                            : *LastAnsweredHeartbeat + runLimit(Run);
   }
 
+  /// Limits a run that has to end. Its caller may send the job again although the coordinator stays in
+  /// contact, so the limit is the one that holds if the coordinator answers no later heartbeat.
+  void limitStoppedRun(server_run &Run, const heartbeat_time &LastAnsweredHeartbeat,
+                       runtime::time_point SinceBoot) const {
+    runtime::time_point Latest =
+        LastAnsweredHeartbeat ? std::min(*LastAnsweredHeartbeat, SinceBoot) : SinceBoot;
+    Run.AllowedUntil = std::min(Run.AllowedUntil, Latest + runLimit(Run));
+  }
+
   /// Length of the lease for a server whose runs may continue until AllowedUntil; nothing if that time has
   /// passed.
   [[nodiscard]] std::optional<runtime::duration> leaseDuration(runtime::time_point AllowedUntil,
@@ -61,6 +70,9 @@
 private:
   static constexpr std::uint32_t MaxDoublings = 16;
 
+  static bool isStopped(const server_run &Run) {
+    return Run.Phase == run_phase::Stopping || Run.Phase == run_phase::StopConfirmed;
+  }
   // Runs that this VM coordinates are limited only by the lease.
   static bool isUnlimited(runtime::time_point Time) { return Time == runtime::time_point::max(); }
   [[nodiscard]] runtime::duration runLimit(const server_run &Run) const {
--- a/src/yuccaplank/dispatch/run_table.hpp
+++ b/src/yuccaplank/dispatch/run_table.hpp
@@ -43,7 +43,7 @@
   /// sent before. If the list of a later hold lacks the run, the run has ended or never started.
   std::optional<std::uint64_t> ConfirmedAfterHold;
   /// The run must have ended by this time, on the clock that counts suspension, unless its coordinator
-  /// answers another heartbeat. time_point::min() until a first value is known.
+  /// answers another heartbeat before the run is stopped. time_point::min() until a first value is known.
   runtime::time_point AllowedUntil = runtime::time_point::min();
   /// Whether the run was found at a takeover and no coordinator has claimed it yet. Its size is not known.
   bool Unclaimed = false;
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -523,6 +523,7 @@
   void stopRun(const run_key &Run, server_run &State, const char *Reason) {
     if (State.Phase == run_phase::Stopping || State.Phase == run_phase::StopConfirmed)
       return;
+    Limits.limitStoppedRun(State, Ports.lastAnsweredHeartbeat(State.Coordinator), sinceBoot());
     State.Phase = run_phase::Stopping;
     State.StopReason = Reason;
     State.ConfirmedAfterHold.reset();
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/TestAssert.h>
 
 #include <deque>
+#include <map>
 
 using namespace yuccaplank;
 using namespace yuccaplank::dispatch;
@@ -57,10 +58,16 @@
   std::uint64_t LastToken = 0;
   ledger_counters Counters;
   std::size_t CapacityChanges = 0;
+  // Clock of the server in its replies. Tests that let it stand still only look at differences to it.
+  std::int64_t ServerClockMs = 1000;
+  // Latest lease end in holds that were answered by advanceWithLists().
+  std::int64_t AnsweredLeaseEndMs = 0;
   reply_timeout ReplyTimeout{milliseconds(30), milliseconds(100), milliseconds(250)};
   bool AnyOwnerOutOfContact = false;
   // The same for all coordinators; by default the value of this VM itself.
   std::optional<runtime::time_point> LastAnsweredHeartbeat = runtime::time_point::max();
+  // Exceptions for single coordinators.
+  std::map<std::string, std::optional<runtime::time_point>> Heartbeats;
   std::unique_ptr<server_ledger> Ledger = makeServerLedger(*Executor, *this, entry());
 
   static server_entry entry() {
@@ -89,15 +96,17 @@
   ledger_counters &counters() override { return Counters; }
   reply_timeout &replyTimeout() override { return ReplyTimeout; }
   [[nodiscard]] bool anyOwnerOutOfContact() const override { return AnyOwnerOutOfContact; }
-  [[nodiscard]] std::optional<runtime::time_point> lastAnsweredHeartbeat(const std::string &) const override {
-    return LastAnsweredHeartbeat;
+  [[nodiscard]] std::optional<runtime::time_point>
+  lastAnsweredHeartbeat(const std::string &Coordinator) const override {
+    auto Found = Heartbeats.find(Coordinator);
+    return Found == Heartbeats.end() ? LastAnsweredHeartbeat : Found->second;
   }
 
-  static hold_reply makeListReply(std::vector<run_key> Running, std::vector<listed_end> Ended = {},
-                                  std::int64_t IncarnationStartMs = 1) {
+  [[nodiscard]] hold_reply makeListReply(std::vector<run_key> Running, std::vector<listed_end> Ended = {},
+                                         std::int64_t IncarnationStartMs = 1) const {
     hold_reply Reply;
     Reply.Outcome = order_outcome::Accepted;
-    Reply.ClockMs = 1000;
+    Reply.ClockMs = ServerClockMs;
     Reply.IncarnationStartMs = IncarnationStartMs;
     Reply.Running = std::move(Running);
     Reply.Ended = std::move(Ended);
@@ -113,6 +122,7 @@
     constexpr milliseconds Step{100};
     for (milliseconds Passed{}; Passed < Time; Passed += Step) {
       Executor->advance(Step);
+      AnsweredLeaseEndMs = std::max(AnsweredLeaseEndMs, latestLeaseEndMs());
       for (std::size_t Count = Orders.Holds.size(); Count > 0; --Count)
         answerHold(makeListReply(Running));
     }
@@ -132,15 +142,26 @@
     Ledger->claim();
     answerHold(makeListReply(Running));
   }
-  void start(const run_key &Run, std::uint32_t Cpu = 30000, bool Alone = false) const {
+  void start(const run_key &Run, std::uint32_t Cpu = 30000, bool Alone = false,
+             const std::string &Coordinator = "coordinator", bool Relayed = false) const {
     schema::start_task Request;
+    Request.set_relayed(Relayed);
     *Request.mutable_task() = toMessage(Run);
     Request.set_server("s1");
     Request.mutable_size()->set_cpu(Cpu);
     Request.set_estimate_ms(100);
     Request.set_alone(Alone);
     Request.set_token(Ledger->highestToken());
-    Ledger->start("coordinator", Request);
+    Ledger->start(Coordinator, Request);
+  }
+  // Latest end of a lease that the orders of this owner have given, on the server's clock.
+  [[nodiscard]] std::int64_t latestLeaseEndMs() const {
+    std::int64_t Latest = 0;
+    for (const recorded_orders::sent_start &Start : Orders.Starts)
+      Latest = std::max(Latest, Start.Order.LeaseEndMs);
+    for (const recorded_orders::sent_hold &Hold : Orders.Holds)
+      Latest = std::max(Latest, Hold.Order.LeaseEndMs.value_or(0));
+    return Latest;
   }
   [[nodiscard]] schema::run_event lastEvent() const {
     return Events.empty() ? schema::RUN_UNKNOWN : Events.back().event();
@@ -416,6 +437,54 @@
   }
 });
 
+// Guards against a run of a job that its caller has sent again. Whatever prolongs a lease prolongs all runs
+// of the server, so while the end of one run is not known, nothing may prolong the lease beyond the time at
+// which that run has to be over.
+const test_case RunThatHasToEnd("server ledger: a run that has to end", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0), 10000);
+  Owner.answerStart(order_outcome::Accepted);
+  // The server's clock runs on, so that lease ends of different times can be compared.
+  auto AdvanceWithLists = [&](int Ms, const std::vector<run_key> &Running) {
+    for (int Passed = 0; Passed < Ms; Passed += 100) {
+      Owner.ServerClockMs += 100;
+      Owner.advanceWithLists(milliseconds(100), Running);
+    }
+  };
+  AdvanceWithLists(300, {runOf(0)});
+  const std::int64_t RunLimitMs = runtime::toMs(ledger_options().RunLimit);
+  std::int64_t LimitMs = Owner.ServerClockMs + RunLimitMs;
+  if (auto Given = section("given a stop that stays unanswered")) {
+    Owner.Ledger->stop("coordinator", runOf(0));
+    if (auto Then = section("holds do not prolong its lease beyond the run's limit")) {
+      AdvanceWithLists(2000, {runOf(0)});
+      CPPUNIT_ASSERT(Owner.AnsweredLeaseEndMs <= LimitMs);
+    }
+    if (auto Then = section("when the run's end is listed, the server is used as before")) {
+      AdvanceWithLists(900, {runOf(0)});
+      Owner.answerHold(Owner.makeListReply({}, {{1, runOf(0), run_end::Stopped}}));
+      Owner.Ledger->tick();
+      CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+      Owner.start(runOf(1), 10000);
+      CPPUNIT_ASSERT(Owner.latestLeaseEndMs() > LimitMs);
+    }
+    if (auto Then = section("when its caller's request is withdrawn later, the earlier limit stays")) {
+      AdvanceWithLists(500, {runOf(0)});
+      Owner.Ledger->stop("coordinator", runOf(0));
+      AdvanceWithLists(2000, {runOf(0)});
+      CPPUNIT_ASSERT(Owner.AnsweredLeaseEndMs <= LimitMs);
+    }
+  }
+  if (auto Given = section("given a run that this owner has stopped as overdue")) {
+    AdvanceWithLists(500, {runOf(0)});
+    Owner.Ledger->tick();
+    LimitMs = Owner.ServerClockMs + RunLimitMs;
+    AdvanceWithLists(2000, {runOf(0)});
+    CPPUNIT_ASSERT(Owner.AnsweredLeaseEndMs <= LimitMs);
+  }
+});
+
 // Guards against reporting a run as gone too early after a takeover, when the former owner has given it a
 // longer lease than this owner may give.
 const test_case FormerLease("server ledger: a lease given by a former owner", [] {
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -49,6 +49,8 @@
   bool Left = false;
   bool AfterFaults = false;
   std::optional<std::uint32_t> CrashingTask = std::nullopt;
+  // Whether all stop orders for its tasks are carried out late.
+  bool LateStops = false;
 };
 
 fleet_layout makeLayout(const simulation_options &Options) {
@@ -75,6 +77,12 @@
     Fleet.start();
     Fleet.servers().observeCrashes(
         [this](const std::vector<dispatch::run_key> &Runs) { Crashes.onCrash(Runs); });
+    if (Options.LateStopShare > 0)
+      Fleet.servers().setLateStops(
+          [this](const dispatch::task_key &Task) { return Jobs.at(Task.Job).LateStops; });
+    Fleet.servers().observeLapses([this](const dispatch::run_key &Run) {
+      Result.LapsedRuns += Jobs.at(Run.Task.Job).LateStops ? 0 : 1;
+    });
     Executor->advance(std::chrono::seconds(2));
     TrafficEnd = Executor->clock().now() + fromMs(Options.TrafficSeconds * 1000);
     FaultsEnd = Executor->clock().now() + fromMs(Options.TrafficSeconds * 1000 * FaultPhaseShare);
@@ -190,6 +198,7 @@
     Job.Request.Specification =
         standin::encodeWork({Job.Request.TaskSize.cpu(), fromMs(Ms), false, Job.CrashingTask});
     Job.Request.Deadline = fromMs(Job.CrashingTask ? CrashingJobDeadlineMs : 1800 + 3500 * Random.uniform());
+    chooseLateStops(Job);
     Job.Objective = fromMs(1.6 * Ms + 60);
     double RelativeWork =
         Job.Request.TaskCount * Ms * Job.Request.TaskSize.cpu() / (Kind.Tasks * Kind.TaskMs * Kind.TaskCpu);
@@ -243,6 +252,7 @@
     Job.Request.Specification =
         standin::encodeWork({Job.Request.TaskSize.cpu(), fromMs(Ms), false, Job.CrashingTask});
     Job.Request.Deadline = fromMs(Job.CrashingTask ? CrashingJobDeadlineMs : 1800 + 3000 * Random.uniform());
+    chooseLateStops(Job);
     // 3 s after the end of the fault phase, everything has recovered.
     Job.AfterFaults = Executor->clock().now() > FaultsEnd + std::chrono::seconds(3);
     ++Result.Jobs;
@@ -260,6 +270,15 @@
     return Crashes ? std::optional<std::uint32_t>(0) : std::nullopt;
   }
 
+  // A job whose stop orders are late has tasks that are still at work when its caller sends it again.
+  void chooseLateStops(simulated_job &Job) {
+    Job.LateStops = Options.LateStopShare > 0 && Random.uniform() < Options.LateStopShare;
+    if (!Job.LateStops)
+      return;
+    duration Work = std::chrono::duration_cast<duration>(Job.Request.Deadline * LateStopWorkFactor);
+    Job.Request.Specification = standin::encodeWork({Job.Request.TaskSize.cpu(), Work, false});
+  }
+
   void recordHarmlessAnswer(const job_answer &Answer) {
     Result.HarmlessJobsCompleted += Answer.Outcome == job_outcome::Completed ? 1 : 0;
     Result.HarmlessJobsGivenUp += Answer.Outcome == job_outcome::Failed ? 1 : 0;
@@ -382,6 +401,8 @@
   static constexpr double SizeSpread = 0.4;
   static constexpr double EstimateSpread = 0.4;
   static constexpr double LateCreditShare = 0.2;
+  // Run time of the tasks of a job whose stop orders are late, in deadlines.
+  static constexpr double LateStopWorkFactor = 2.5;
 
   const simulation_options &Options;
   std::unique_ptr<runtime::manual_executor> Executor;
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -63,6 +63,8 @@
   double LostAnswerShare = 0.02;
   /// Share of the jobs with a task that crashes each server that starts it.
   double CrashingJobShare = 0;
+  /// Share of the jobs whose tasks run on beyond the deadline and whose stop orders are all carried out late.
+  double LateStopShare = 0;
   /// Rate at which servers change their capacity, while they run or with a restart.
   double CapacityChangesPerSecond = 0;
   /// Counts the messages between VMs during the traffic.
@@ -83,6 +85,8 @@
   /// Servers that crashed under running tasks, and the most of them under one task.
   std::uint64_t Crashes = 0;
   std::uint32_t MaxCrashesOfTask = 0;
+  /// Runs whose lease expired, except those of jobs whose stop orders are all carried out late.
+  std::uint64_t LapsedRuns = 0;
   /// Jobs without a crashing task, and how many of these were answered as failed because their servers ended.
   std::uint64_t HarmlessJobs = 0;
   std::uint64_t HarmlessJobsGivenUp = 0;
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -62,14 +62,17 @@
 
   void stop(const dispatch::server_target &Target, const dispatch::run_key &Run, std::uint64_t FencingToken,
             std::function<void(order_reply)> OnDone) override {
-    call<order_reply>(Target.Id, {}, std::move(OnDone),
-                      [this, Run, FencingToken](const std::string &Name, auto Reply) {
-                        simulated_server &Server = AllServers.Servers.at(Name);
-                        runtime::time_point Now = AllServers.Executor.clock().now();
-                        auto Outcome = Server.State->stop(Now, Run, FencingToken);
-                        AllServers.scheduleAdvance(Name);
-                        Reply({Outcome, Server.State->clockMs(Now)});
-                      });
+    bool AlwaysLate = AllServers.HasLateStops && AllServers.HasLateStops(Run.Task);
+    call<order_reply>(
+        Target.Id, {}, std::move(OnDone),
+        [this, Run, FencingToken](const std::string &Name, auto Reply) {
+          simulated_server &Server = AllServers.Servers.at(Name);
+          runtime::time_point Now = AllServers.Executor.clock().now();
+          auto Outcome = Server.State->stop(Now, Run, FencingToken);
+          AllServers.scheduleAdvance(Name);
+          Reply({Outcome, Server.State->clockMs(Now)});
+        },
+        AlwaysLate);
   }
 
   void hold(const dispatch::server_target &Target, const dispatch::hold_order &Order,
@@ -105,7 +108,8 @@
 
   template <typename Reply>
   void call(const std::string &Name, duration Wait, std::function<void(Reply)> OnDone,
-            std::function<void(const std::string &, std::function<void(Reply)>)> Serve) {
+            std::function<void(const std::string &, std::function<void(Reply)>)> Serve,
+            bool AlwaysLate = false) {
     auto Done = std::make_shared<bool>(false);
     auto Finish = [Done, OnDone](const Reply &Value) {
       if (!std::exchange(*Done, true))
@@ -120,7 +124,7 @@
     }
     VmExecutor.after(Wait + ReplyTimeout, [Finish] { Finish(Reply{}); });
     std::uint64_t Incarnation = AllServers.Servers.at(Name).Incarnation;
-    bool IsLate = AllServers.Random.uniform() < AllServers.Options.LateOrderShare;
+    bool IsLate = AllServers.Random.uniform() < AllServers.Options.LateOrderShare || AlwaysLate;
     bool IsLost = AllServers.Random.uniform() < AllServers.Options.LostAnswerShare;
     duration Delay = AllServers.Network.sampleDelay();
     if (IsLate)
@@ -202,6 +206,10 @@
     return;
   standin::task_server_options StateOptions;
   StateOptions.ClockRate = Server.ClockRate;
+  StateOptions.OnLapsed = [this](const dispatch::run_key &Run) {
+    if (OnLapsed)
+      OnLapsed(Run);
+  };
   auto IncarnationStartMs =
       static_cast<std::int64_t>(runtime::toMs(Executor.clock().now().time_since_epoch())) + 1;
   Server.State = std::make_unique<standin::task_server>(IncarnationStartMs, StateOptions);
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -45,6 +45,14 @@
   void observeCrashes(std::function<void(const std::vector<dispatch::run_key> &Runs)> Observer) {
     OnCrash = std::move(Observer);
   }
+  /// Calls Observer for each run that ends because its lease has expired.
+  void observeLapses(std::function<void(const dispatch::run_key &Run)> Observer) {
+    OnLapsed = std::move(Observer);
+  }
+  /// Servers carry out the stops of the tasks for which Predicate returns true late, and do not answer them.
+  void setLateStops(std::function<bool(const dispatch::task_key &Task)> Predicate) {
+    HasLateStops = std::move(Predicate);
+  }
   /// Calls Observer when a server has restarted.
   void observeRestarts(std::function<void()> Observer) { OnRestart = std::move(Observer); }
   [[nodiscard]] const std::string &domainOf(const std::string &Server) const {
@@ -113,6 +121,8 @@
   std::function<void(const std::string &, const std::string &)> OnStartOrder;
   std::function<void(const std::vector<dispatch::run_key> &)> OnCrash;
   std::function<void()> OnRestart;
+  std::function<void(const dispatch::run_key &)> OnLapsed;
+  std::function<bool(const dispatch::task_key &)> HasLateStops;
   std::map<std::string, simulated_server> Servers;
   std::uint64_t LastHold = 0;
 };
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -35,6 +35,8 @@
        "share of orders whose answer is lost") //
       ("crashing", options::value(&Options.CrashingJobShare),
        "share of jobs with a task that crashes each server that starts it") //
+      ("late-stops", options::value(&Options.LateStopShare),
+       "share of jobs that outlast their deadline and whose stops are all carried out late") //
       ("capacity-changes", options::value(&Options.CapacityChangesPerSecond),
        "changes of a server's capacity per second") //
       ("load", options::value<double>(),
@@ -106,6 +108,7 @@
     Total.Resent += Result.Resent;
     Total.Starts += Result.Starts;
     Total.Faults += Result.Faults;
+    Total.LapsedRuns += Result.LapsedRuns;
     Total.Crashes += Result.Crashes;
     Total.MaxCrashesOfTask = std::max(Total.MaxCrashesOfTask, Result.MaxCrashesOfTask);
     Total.HarmlessJobs += Result.HarmlessJobs;
@@ -119,6 +122,8 @@
              "faults {} of {} completed\n",
              Days, DaysWithViolations, Total.Jobs, Total.Completed, Total.Refused, Total.Resent, Total.Starts,
              Total.Faults, Total.CompletedAfterFaults, Total.JobsAfterFaults);
+  if (Options.LateStopShare > 0)
+    fmt::print("{} runs lapsed whose stop orders were not late\n", Total.LapsedRuns);
   if (Total.Crashes > 0)
     fmt::print("{} servers crashed under tasks, at most {} under one; {} jobs without a crashing task, {} "
                "completed, "
--- a/src/yuccaplank/standin/task_server.cpp
+++ b/src/yuccaplank/standin/task_server.cpp
@@ -111,6 +111,8 @@
   std::uint32_t &Highest = HighestEndedRuns[Task->first];
   Highest = std::max(Highest, Task->second.Run);
   Ends.push_back({++LastEndNumber, {Task->first, Task->second.Run}, End});
+  if (End == run_end::Lapsed && Options.OnLapsed)
+    Options.OnLapsed(Ends.back().Run);
   Runs.erase(Task);
 }
 
--- a/src/yuccaplank/standin/task_server.hpp
+++ b/src/yuccaplank/standin/task_server.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,13 +35,15 @@
   runtime::duration StopDelay = std::chrono::milliseconds(20);
   /// Rate of the server's clock relative to real time; 0.98 is 2 % slow.
   double ClockRate = 1;
+  /// Called for each run that ends because its lease has expired; may be empty.
+  std::function<void(const dispatch::run_key &Run)> OnLapsed = nullptr;
 };
 
 /// One incarnation of a server. The caller passes the current time with each call; it must not decrease.
 class task_server {
 public:
   task_server(std::int64_t IncarnationStartMs, task_server_options Options)
-      : IncarnationStartMs(IncarnationStartMs), Options(Options) {}
+      : IncarnationStartMs(IncarnationStartMs), Options(std::move(Options)) {}
 
   /// Executes a start order. The outcome is also Accepted if the run is already running.
   dispatch::order_outcome start(runtime::time_point Now, const dispatch::start_order &Order,
