Limit the lease in a start order by all runs of the server

Cause: the lease in a start followed from the coordinator of the new task alone, but a lease applies to everything on the server and never gets shorter. So each start of a neighbour prolonged the run that had to end. The same held for a run that no coordinator claims after a takeover.

Now a start extends the lease no further than every run allows, or than it was already given. A server that has not confirmed a stop for 300 ms gets no more runs until it has.

--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -68,6 +68,9 @@
   runtime::duration MinReplyTimeout = std::chrono::milliseconds(30);
   runtime::duration InitialReplyTimeout = std::chrono::milliseconds(100);
   runtime::duration MaxReplyTimeout = std::chrono::milliseconds(250);
+  /// A server that has not confirmed a stop for this time gets no new runs: unless it confirms the stop, its
+  /// lease ends at the time at which the stopped run has to be over.
+  runtime::duration StopConfirmTimeout = std::chrono::milliseconds(300);
   /// Delay before an unanswered order is repeated.
   runtime::duration OrderRetryDelay = std::chrono::milliseconds(100);
   /// Longest time after which an unanswered order may still be carried out.
--- a/src/yuccaplank/dispatch/lease_clock.hpp
+++ b/src/yuccaplank/dispatch/lease_clock.hpp
@@ -31,6 +31,7 @@
   /// Extends the lease, and returns its end on the server's clock for an order that is sent now.
   std::int64_t extend(runtime::time_point Now, runtime::duration Lease) {
     onLeaseGranted(Now, Lease);
+    GivenUntil = std::max(GivenUntil, Now + Lease);
     // This assumes the slowest possible clock, so that the lease is not too long. After some seconds without
     // a reply, the difference to the real clock exceeds Error.
     auto SinceUpdate = std::chrono::duration_cast<runtime::duration>((Now - UpdatedAt) * (1 - Drift));
@@ -38,6 +39,12 @@
     return ServerMs + Left.count();
   }
 
+  /// Time left of the longest lease that extend() has given since the last claim; negative if it is over. An
+  /// order with a lease that ends no later prolongs no run.
+  [[nodiscard]] runtime::duration given(runtime::time_point Now) const { return GivenUntil - Now; }
+  /// Forgets the given leases, because a new claim says nothing about the lease of the runs it finds.
+  void onClaimed() { GivenUntil = {}; }
+
   /// Time by which every run has ended unless the lease is extended again.
   [[nodiscard]] runtime::time_point expiresAt() const { return ExpiresAt; }
 
@@ -47,6 +54,7 @@
   std::int64_t ServerMs = 0;
   runtime::time_point UpdatedAt{};
   runtime::time_point ExpiresAt{};
+  runtime::time_point GivenUntil{};
 };
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/run_table.cpp
+++ b/src/yuccaplank/dispatch/run_table.cpp
@@ -62,6 +62,12 @@
   return Until;
 }
 
+bool run_table::anyStopUnconfirmedSince(runtime::time_point Before) const {
+  return std::ranges::any_of(Runs, [Before](const auto &Entry) {
+    return Entry.second.Phase == run_phase::Stopping && Entry.second.StoppedAt < Before;
+  });
+}
+
 std::vector<run_key> run_table::missingFrom(const std::vector<run_key> &Listed, std::uint64_t Hold) const {
   std::set<run_key> Present(Listed.begin(), Listed.end());
   std::vector<run_key> Result;
--- a/src/yuccaplank/dispatch/run_table.hpp
+++ b/src/yuccaplank/dispatch/run_table.hpp
@@ -57,6 +57,8 @@
   bool Overdue = false;
   /// Whether the run was ordered from an incarnation of the server that has ended.
   bool OnFormerIncarnation = false;
+  /// When the first stop order was sent.
+  runtime::time_point StoppedAt;
   /// Number of stop orders sent.
   std::uint32_t Stops = 0;
 };
@@ -89,6 +91,8 @@
   /// Latest end of a lease that is valid for all runs except those whose stop is confirmed; time_point::max()
   /// without runs.
   [[nodiscard]] runtime::time_point allowedUntil() const;
+  /// Whether a stop order that was first sent before this time is not confirmed yet.
+  [[nodiscard]] bool anyStopUnconfirmedSince(runtime::time_point Before) const;
   /// Runs that certainly do not run, because the list of this hold lacks them.
   [[nodiscard]] std::vector<run_key> missingFrom(const std::vector<run_key> &Listed,
                                                  std::uint64_t Hold) const;
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -87,6 +87,7 @@
     ListRequested = false;
     ListRefresh.reset();
     RefusesConnections = false;
+    StopsOverdue = false;
     Ports.onCapacityChanged(Entry.Target.Id);
   }
 
@@ -129,6 +130,11 @@
       refuse(Coordinator, Run, "contact_nearly_over");
       return;
     }
+    duration Lease = std::min(ArrivalLimit, leaseLimit());
+    if (Lease < MinArrivalLimit) {
+      refuse(Coordinator, Run, "lease_nearly_over");
+      return;
+    }
     server_run &Started = Runs[Run];
     Started.Coordinator = Coordinator;
     Started.Relayed = Request.relayed();
@@ -137,9 +143,10 @@
     Started.EstimateMs = Request.estimate_ms();
     Started.OverdueRuns = Request.overdue_runs();
     Started.StartedAt = now();
+    Limits.updateAllowedUntil(Started, Ports.lastAnsweredHeartbeat(Coordinator));
     ++Ports.counters().Started;
     // The server rejects the order if it arrives after the coordinator may have given up the run.
-    start_order Order{Run, Request.specification(), Token, Clock.extend(now(), ArrivalLimit)};
+    start_order Order{Run, Request.specification(), Token, Clock.extend(now(), Lease)};
     Ports.orders().start(Entry.Target, std::move(Order),
                          OwnershipLifetime.guard([this, Run, Sent = now()](const order_reply &Reply) {
                            onStartReply(Run, Sent, Reply);
@@ -233,6 +240,9 @@
       return;
     endExpiredRuns(Now);
     stopOverdueRuns(Now);
+    if (std::exchange(StopsOverdue, Runs.anyStopUnconfirmedSince(Now - Options.StopConfirmTimeout)) !=
+        StopsOverdue)
+      Ports.onCapacityChanged(Entry.Target.Id);
     refreshIdleList(Now);
     if (Health.endExpiredQuarantine(Now))
       Ports.onCapacityChanged(Entry.Target.Id);
@@ -247,7 +257,7 @@
 
   [[nodiscard]] bool usable() const {
     return Ownership == ownership::Owned && !ListRefresh.pending() && !Delisted && !Entry.Draining &&
-           entryDescribesIncarnation() && !Evacuated && Responsive && Health.usable();
+           entryDescribesIncarnation() && !Evacuated && Responsive && !StopsOverdue && Health.usable();
   }
 
   // Another incarnation may have another capacity. The entry and the list of runs each may be the older one.
@@ -326,12 +336,20 @@
 
   [[nodiscard]] time_point sinceBoot() const { return Executor.clock().sinceBoot(); }
 
+  // Returns how far every run allows to extend the lease; nothing if it must not be extended.
+  std::optional<duration> allowedLease() {
+    for (auto &[Run, State] : Runs)
+      Limits.updateAllowedUntil(State, Ports.lastAnsweredHeartbeat(State.Coordinator));
+    return Limits.leaseDuration(Runs.allowedUntil(), sinceBoot());
+  }
+
+  // Longest lease that an order may give without prolonging a run beyond its limit.
+  duration leaseLimit() { return std::max(allowedLease().value_or(duration::zero()), Clock.given(now())); }
+
   // Extends the lease of all runs as far as every coordinator allows, and returns its end on the server's
   // clock.
   std::optional<std::int64_t> extendLease() {
-    for (auto &[Run, State] : Runs)
-      Limits.updateAllowedUntil(State, Ports.lastAnsweredHeartbeat(State.Coordinator));
-    auto Lease = Limits.leaseDuration(Runs.allowedUntil(), sinceBoot());
+    auto Lease = allowedLease();
     if (!Lease)
       return std::nullopt;
     return Clock.extend(now(), *Lease);
@@ -385,6 +403,7 @@
 
   void beginAdoption(const hold_reply &Reply) {
     Ownership = ownership::Adopting;
+    Clock.onClaimed();
     Clock.onLeaseGranted(now(), Options.LeaseDuration);
     AdoptRequest = makeAdoptRequest(Entry.Target.Id, Token, Reply);
     for (const run_key &Run : Reply.Running) {
@@ -526,6 +545,7 @@
     Limits.limitStoppedRun(State, Ports.lastAnsweredHeartbeat(State.Coordinator), sinceBoot());
     State.Phase = run_phase::Stopping;
     State.StopReason = Reason;
+    State.StoppedAt = now();
     State.ConfirmedAfterHold.reset();
     log(log_level::Info, "run_stop",
         {{"run", format(Run)}, {"server", Entry.Target.Id}, {"reason", std::string(Reason)}});
@@ -901,6 +921,8 @@
   bool RefusesConnections = false;
   bool Delisted = false;
   bool Evacuated = false;
+  // Whether a stop has been unconfirmed for so long that the lease may end before it is.
+  bool StopsOverdue = false;
   // Drops callbacks of calls that were made before the server was released.
   runtime::lifetime OwnershipLifetime;
 };
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -461,6 +461,18 @@
       AdvanceWithLists(2000, {runOf(0)});
       CPPUNIT_ASSERT(Owner.AnsweredLeaseEndMs <= LimitMs);
     }
+    if (auto Then =
+            section("a start does not either, and as the limit approaches, the server gets no others")) {
+      AdvanceWithLists(500, {runOf(0)});
+      Owner.start(runOf(1), 10000);
+      CPPUNIT_ASSERT(Owner.latestLeaseEndMs() <= LimitMs);
+      AdvanceWithLists(400, {runOf(0)});
+      Owner.Ledger->tick();
+      CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
+      Owner.start(runOf(2), 10000);
+      CPPUNIT_ASSERT_EQUAL(schema::RUN_NOT_STARTED, Owner.lastEvent());
+      CPPUNIT_ASSERT(Owner.latestLeaseEndMs() <= LimitMs);
+    }
     if (auto Then = section("when the run's end is listed, the server is used as before")) {
       AdvanceWithLists(900, {runOf(0)});
       Owner.answerHold(Owner.makeListReply({}, {{1, runOf(0), run_end::Stopped}}));
@@ -483,6 +495,35 @@
     AdvanceWithLists(2000, {runOf(0)});
     CPPUNIT_ASSERT(Owner.AnsweredLeaseEndMs <= LimitMs);
   }
+  if (auto Given = section("given a run whose coordinator is lost, starts of another do not prolong it")) {
+    Owner.Heartbeats["lost"] = Owner.Executor->clock().sinceBoot();
+    Owner.start(runOf(5), 10000, false, "lost");
+    Owner.answerStart(order_outcome::Accepted);
+    LimitMs = Owner.ServerClockMs + RunLimitMs;
+    AdvanceWithLists(500, {runOf(0), runOf(5)});
+    Owner.Heartbeats["lost"] = std::nullopt;
+    Owner.Ledger->stopRunsOf("lost");
+    for (std::uint32_t Index = 10; Index < 30; ++Index) {
+      Owner.start(runOf(Index), 1000);
+      CPPUNIT_ASSERT(Owner.latestLeaseEndMs() <= LimitMs);
+      AdvanceWithLists(100, {runOf(0), runOf(5)});
+    }
+    CPPUNIT_ASSERT(Owner.AnsweredLeaseEndMs <= LimitMs);
+  }
+});
+
+// Guards against a run that a former owner had to end and that a new owner prolongs.
+const test_case UnclaimedRunLease("server ledger: a run that no coordinator claims after a takeover", [] {
+  owner Owner;
+  Owner.claim({runOf(0), runOf(1)});
+  schema::adopt_reply Reply;
+  *Reply.add_runs()->mutable_task() = toMessage(runOf(1));
+  Owner.Ledger->adopt("coordinator", Reply);
+  Owner.advanceWithLists(milliseconds(300), {runOf(0), runOf(1)});
+  Owner.start(runOf(2), 0);
+  Owner.advanceWithLists(milliseconds(500), {runOf(0), runOf(1)});
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, Owner.AnsweredLeaseEndMs);
+  CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, Owner.latestLeaseEndMs());
 });
 
 // Guards against reporting a run as gone too early after a takeover, when the former owner has given it a
--- a/src/yuccaplank/simulation/fleet_simulation_test.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation_test.cpp
@@ -194,6 +194,22 @@
   }
 });
 
+// Guards against runs that outlast the time after which their caller sends the job again, because their stops
+// stay unanswered while other orders prolong the lease of the server; also when VMs that dispatch or relay
+// the job are lost meanwhile.
+const test_case LateStops("fleet simulation: no violation when the stops of a job are carried out late", [] {
+  simulation_options Options;
+  Options.LateStopShare = 0.1;
+  for (Options.Seed = 1; Options.Seed <= 10; ++Options.Seed) {
+    Options.FaultsPerSecond = Options.Seed % 2 == 0 ? 2 : 0;
+    assertNoViolations(Options);
+  }
+  Options.Vms = 9;
+  Options.DispatchersPerDomain = 2;
+  for (; Options.Seed <= 20; ++Options.Seed)
+    assertNoViolations(Options);
+});
+
 // Guards against two runs of a task at a time that arise when relays pass a job from one dispatcher to
 // another.
 const test_case Relays("fleet simulation: no violation when most VMs relay", [] {
