Call the roll in the store when all VMs that dispatch are lost

Cause: entries of dead VMs keep the places of the VMs that dispatch, and only a VM that places tasks removes them. Without any VM that dispatches none does.

Now a VM that relays and misses all of them for 3 s writes a roll call, every VM that reads it registers again, and 2 s later only entries that are newer than the roll call count. The store's versions decide.

--- a/include/yuccaplank/dispatch/contact_plan.hpp
+++ b/include/yuccaplank/dispatch/contact_plan.hpp
@@ -21,6 +21,8 @@
   std::string Domain;
   /// Thousandths of a core.
   std::uint32_t Strength = 0;
+  /// Version of the entry. It rises when the VM registers again.
+  std::uint64_t Version = 0;
 };
 
 using registered_vms = std::map<std::string, registered_vm>;
@@ -67,6 +69,9 @@
   /// With Returning, the VM had an entry before, so the entries that it has read are those of the whole
   /// fleet.
   void onRegistered(runtime::time_point Now, bool Returning);
+  /// The next decision takes effect without delay. Called when the VMs that are alive have just been found
+  /// out.
+  void decideAnew() { Decided = false; }
   /// Takes whether the VM is chosen at Now, and returns whether it dispatches from now on.
   bool update(runtime::time_point Now, bool Chosen);
 
--- a/include/yuccaplank/dispatch/entry_vm.hpp
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -58,8 +58,11 @@
   /// need it.
   virtual void onServersNeeded(bool Needed) = 0;
   /// Called for a VM that dispatches according to its entry in the store but has been out of contact for
-  /// long.
+  /// long, or that has not answered a roll call.
   virtual void onStaleRegistration(const std::string &Vm) = 0;
+  /// Called when the VMs that dispatch are lost: the roll has to be called in the store, so that every VM
+  /// that is alive registers again.
+  virtual void onRollCallNeeded() = 0;
   /// Called when another VM has a newer configuration. The receiver decodes it.
   virtual void onConfigurationOffered(const schema::configuration_copy &Copy) = 0;
 };
@@ -104,6 +107,8 @@
   virtual void setServers(const std::vector<server_entry> &Servers) = 0;
   /// Sets the other VMs that are registered in the store.
   virtual void setRegisteredVms(const registered_vms &Vms) = 0;
+  /// Sets the version of the latest roll call in the store; 0 if there is none.
+  virtual void setRollCall(std::uint64_t Version) = 0;
   /// Sets addresses at which other VMs may be found.
   virtual void addSeeds(const std::vector<std::string> &Addresses) = 0;
 
--- a/include/yuccaplank/platform/store_client.hpp
+++ b/include/yuccaplank/platform/store_client.hpp
@@ -55,6 +55,9 @@
   /// the write may have been carried out, or may still be carried out later.
   virtual void put(const std::string &Table, const std::string &Key, const std::string &Value,
                    std::function<void(runtime::result<std::uint64_t>)> OnDone) = 0;
+  /// Writes a row like put(), but only if it still has the given version; 0 if it must not exist yet.
+  virtual void replace(const std::string &Table, const std::string &Key, const std::string &Value,
+                       std::uint64_t Version, std::function<void(runtime::result<std::uint64_t>)> OnDone) = 0;
   /// Removes a row if it still has the given version.
   virtual void remove(const std::string &Table, const std::string &Key, std::uint64_t Version,
                       std::function<void(runtime::result<std::uint64_t>)> OnDone) = 0;
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -7,6 +7,7 @@
 #include "job_waiters.hpp"
 #include "loss_history.hpp"
 #include "relay_messages.hpp"
+#include "roll_call.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
@@ -27,6 +28,9 @@
 constexpr auto BusyScheduleDelay = std::chrono::milliseconds(2);
 // A VM that has been out of contact for this time is treated as permanently removed.
 constexpr auto StaleRegistrationTimeout = std::chrono::seconds(15);
+// Entries of VMs that did not answer a roll call are removed at this rate, so that the store is not
+// overloaded.
+constexpr std::size_t MaxRemovalsPerInterval = 10;
 // The queue is processed this often even without messages, so that rejections are not late.
 constexpr auto ScheduleInterval = std::chrono::milliseconds(10);
 
@@ -43,7 +47,8 @@
         Waiters(*Jobs, makeSender(),
                 [this](std::uint64_t Job, const job_answer &Answer) { this->Ports.answer(Job, Answer); }),
         Router(*Jobs, Waiters, *Relay, [this] { return relaysNewJobs(); }), Cancels(Executor, makeSender()),
-        Decision(Options.Dispatching), Evacuations(Executor.clock()), Losses(Executor.clock()) {
+        Decision(Options.Dispatching), Roll(Options.Vm, {}), Evacuations(Executor.clock()),
+        Losses(Executor.clock()) {
     Self.set_role(schema::VM_RELAYS);
     Self.set_vm(Options.Vm);
     Self.set_address(Options.Address);
@@ -110,11 +115,13 @@
   void setServers(const std::vector<server_entry> &Servers) override { Owner->setServers(Servers); }
 
   void setRegisteredVms(const registered_vms &Vms) override {
-    Contacts.setRegistered(Vms);
+    Registered = Vms;
     updateDispatchers();
     Contacts.contactOthers();
   }
 
+  void setRollCall(std::uint64_t Version) override { Roll.setVersion(Version, Executor.clock().now()); }
+
   void addSeeds(const std::vector<std::string> &Addresses) override {
     Contacts.setSeeds(Addresses);
     Contacts.contactOthers();
@@ -594,6 +601,33 @@
       return;
     for (const std::string &Vm : Contacts.dispatchersOutOfContactSince(Before))
       Ports.onStaleRegistration(Vm);
+    std::vector<std::string> Missing = Roll.missingSince(Registered, Before);
+    Missing.resize(std::min(Missing.size(), MaxRemovalsPerInterval));
+    for (const std::string &Vm : Missing)
+      Ports.onStaleRegistration(Vm);
+  }
+
+  // Without a VM that dispatches, nobody removes the entries of lost VMs, which keep the places of others.
+  void callRollIfNeeded() {
+    bool WithoutDispatcher = Self.registration() > 0 && !Contacts.knowsDispatcher();
+    if (!Roll.isDue(WithoutDispatcher, Executor.clock().now()))
+      return;
+    log(log_level::Warning, "roll_call_needed",
+        {{"registered", static_cast<std::int64_t>(Registered.size())},
+         {"dispatchers", static_cast<std::int64_t>(Contacts.dispatcherCount())},
+         {"contacts", static_cast<std::int64_t>(vmsInContact())}});
+    Ports.onRollCallNeeded();
+  }
+
+  void endRollCall() {
+    if (!Roll.hasEnded(Executor.clock().now()))
+      return;
+    updateDispatchers();
+    log(log_level::Info, "roll_call_ended",
+        {{"registered", static_cast<std::int64_t>(Registered.size())},
+         {"answered", static_cast<std::int64_t>(Roll.present(Registered, Executor.clock().now()).size())},
+         {"chosen", Contacts.isChosen()}});
+    Decision.decideAnew();
   }
 
   void onOwnStatusChanged() {
@@ -617,6 +651,7 @@
   // Roles.
 
   void updateDispatchers() {
+    Contacts.setRegistered(Roll.present(Registered, Executor.clock().now()));
     Contacts.chooseDispatchers();
     updateRole();
   }
@@ -700,6 +735,8 @@
 
   void tick() {
     endExpiredContacts();
+    callRollIfNeeded();
+    endRollCall();
     updateRole();
     updatePlacerAndOwnership();
     Owner->tick();
@@ -727,6 +764,9 @@
   job_router Router;
   cancel_exchanges Cancels;
   dispatching_decision Decision;
+  // The other VMs with an entry in the store.
+  registered_vms Registered;
+  roll_call Roll;
   evacuations Evacuations;
   loss_history Losses;
   std::unique_ptr<configuration> Current;
--- a/src/yuccaplank/dispatch/fleet_contacts.cpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.cpp
@@ -144,6 +144,12 @@
   return Missing;
 }
 
+bool fleet_contacts::knowsDispatcher() const {
+  return !isRelay() || std::ranges::any_of(View.others(), [](const auto &Entry) {
+    return Entry.second.InContact && Entry.second.Status.role() == schema::VM_DISPATCHES;
+  });
+}
+
 bool fleet_contacts::anyOwnerOutOfContact() const {
   return std::ranges::any_of(Dispatchers, [this](const std::string &Vm) { return !View.inContact(Vm); });
 }
--- a/src/yuccaplank/dispatch/fleet_contacts.hpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.hpp
@@ -37,7 +37,7 @@
                  const dispatching_options &Options)
       : View(View), Ports(Ports), Self(Self), Options(Options) {}
 
-  /// Sets the other VMs that are registered in the store.
+  /// Sets the other VMs that are registered in the store and may be alive.
   void setRegistered(registered_vms Vms) { Registered = std::move(Vms); }
   /// Sets addresses at which VMs may be found, for use while no VM is in contact.
   void setSeeds(std::vector<std::string> Addresses) { Seeds = std::move(Addresses); }
@@ -66,6 +66,8 @@
   /// within one round trip.
   void answerGreeting(const schema::vm_status &Greeting, bool ContactBegins);
 
+  /// Whether this VM dispatches or a VM that does is in contact.
+  [[nodiscard]] bool knowsDispatcher() const;
   /// Dispatching VMs, according to the store, that have been out of contact since Before.
   [[nodiscard]] std::vector<std::string> dispatchersOutOfContactSince(runtime::time_point Before) const;
   /// Whether any VM that may own servers is out of contact.
--- a/src/yuccaplank/entry/directory.cpp
+++ b/src/yuccaplank/entry/directory.cpp
@@ -16,9 +16,11 @@
 using runtime::log;
 using runtime::log_level;
 
-// Table of this product in the platform's store, with one row for each running VM and one for each evacuation
-// that was requested through a VM.
+// Table of this product in the platform's store, with one row for each running VM, one for each evacuation
+// that was requested through a VM, and one for the latest roll call.
 constexpr const char *VmTable = "yuccaplank_vms";
+// Row of this table that asks all VMs to register again.
+constexpr const char *RollCallKey = "roll_call";
 constexpr auto ConfigurationPollTimeout = std::chrono::seconds(1);
 // A VM that relays may notice an unresponsive store later, because the dispatchers notify it of a newer
 // configuration.
@@ -74,6 +76,19 @@
                  Lifetime.guard([this, Name](const auto &) { PendingRemovals.erase(Name); }));
   }
 
+  void callRoll() override {
+    if (std::exchange(RollCallPending, true))
+      return;
+    nlohmann::json Row{{"called_by", Options.Vm}};
+    Store.replace(VmTable, RollCallKey, Row.dump(), rollCallVersion(),
+                  Lifetime.guard([this](const auto &Version) {
+                    RollCallPending = false;
+                    log(log_level::Warning, "roll_called",
+                        {{"accepted", Version.has_value()},
+                         {"reason", Version ? std::string() : Version.error().message()}});
+                  }));
+  }
+
   void setTerm(std::uint32_t NewTerm) override {
     Term = std::max(Term, NewTerm);
     if (Registered && !WritePending && WrittenTerm != Term)
@@ -184,6 +199,13 @@
       }));
   }
 
+  [[nodiscard]] std::uint64_t rollCallVersion() const { return rowVersion(RollCallKey); }
+  // Version of a row of the VMs' table; 0 if there is none.
+  [[nodiscard]] std::uint64_t rowVersion(const std::string &Key) const {
+    auto Found = Vms->rows().find(Key);
+    return Found == Vms->rows().end() ? 0 : Found->second.Version;
+  }
+
   struct vm_entry {
     dispatch::registered_vm Vm;
     std::uint32_t Term = 0;
@@ -194,7 +216,7 @@
     std::optional<vm_entry> Entry;
   };
 
-  static std::optional<vm_entry> decodeVm(const std::string &Value) {
+  static std::optional<vm_entry> decodeVm(const std::string &Value, std::uint64_t Version) {
     auto Document = nlohmann::json::parse(Value, nullptr, false);
     auto Text = [&](const char *Key) {
       return Document.contains(Key) && Document[Key].is_string() ? Document[Key].get<std::string>()
@@ -206,7 +228,7 @@
     };
     if (!Document.is_object() || Text("address").empty())
       return std::nullopt;
-    return vm_entry{{Text("address"), Text("domain"), Number("strength")}, Number("term")};
+    return vm_entry{{Text("address"), Text("domain"), Number("strength"), Version}, Number("term")};
   }
 
   // An unreadable entry removes the VM that an earlier entry of the same name described.
@@ -214,7 +236,7 @@
     vm_record &Record = VmRecords[Name];
     if (std::exchange(Record.Version, Row.Version) == Row.Version)
       return;
-    Record.Entry = decodeVm(Row.Value);
+    Record.Entry = decodeVm(Row.Value, Row.Version);
     if (!Record.Entry) {
       log(log_level::Warning, "vm_entry_unreadable", {{"vm", Name}});
       return;
@@ -227,21 +249,23 @@
     Vm.setEvacuations(OperatorEvacuations.read(Vms->rows(), Vms->version()));
     std::erase_if(VmRecords, [this](const auto &Entry) { return !Vms->rows().contains(Entry.first); });
     for (const auto &[Name, Row] : Vms->rows())
-      if (!evacuation_rows::isEvacuationKey(Name))
+      if (!evacuation_rows::isEvacuationKey(Name) && Name != RollCallKey)
         readVm(Name, Row);
+    Vm.setRollCall(rollCallVersion());
     dispatch::registered_vms Others;
     for (const auto &[Name, Record] : VmRecords)
       if (Record.Entry && Name != Options.Vm)
         Others[Name] = Record.Entry->Vm;
     Vm.setRegisteredVms(Others);
     bool Listed = Vms->rows().contains(Options.Vm);
+    bool RollCalled = rowVersion(Options.Vm) < rollCallVersion();
     // The entry is written after the first read, so that the term in the former entry is known before it is
     // overwritten.
     if (!std::exchange(FirstReadDone, true)) {
       Returning = Listed;
       writeEntry();
-    } else if (Registered && !Listed && !Unregistering && !WritePending) {
-      // Another VM assumed that this one was gone and removed its entry.
+    } else if (Registered && (!Listed || RollCalled) && !Unregistering && !WritePending) {
+      // Another VM assumed that this one was gone and removed its entry, or has called the roll.
       scheduleWrite();
     }
   }
@@ -313,6 +337,7 @@
   // Names of VMs whose stale entries are being removed.
   std::set<std::string> PendingRemovals;
   bool Registered = false;
+  bool RollCallPending = false;
   // A write is in flight or scheduled.
   bool WritePending = false;
   bool Unregistering = false;
--- a/src/yuccaplank/entry/directory.hpp
+++ b/src/yuccaplank/entry/directory.hpp
@@ -37,6 +37,9 @@
   /// Removes the entry of a VM that has been gone for long without unregistering, unless the entry has
   /// changed since it was read.
   virtual void removeStaleEntry(const std::string &Name) = 0;
+  /// Writes a roll call, unless another VM has written one that this VM has not read yet. Every VM that reads
+  /// it registers again.
+  virtual void callRoll() = 0;
   /// Stores the term of this VM's fencing tokens in its entry; a lower term than the stored one is ignored.
   virtual void setTerm(std::uint32_t Term) = 0;
   /// Begins or ends an evacuation of a failure domain. OnDone receives errc::UnknownDomain,
--- a/src/yuccaplank/entry/directory_test.cpp
+++ b/src/yuccaplank/entry/directory_test.cpp
@@ -32,6 +32,7 @@
   std::map<std::string, page_handler> Reads;
   std::map<std::string, page_handler> Feeds;
   std::vector<write> Puts;
+  std::vector<write> Replacements;
   std::vector<write> Removals;
 
   void rows(const std::string &Table, const std::string &, page_handler OnDone) override {
@@ -43,6 +44,10 @@
   void put(const std::string &, const std::string &Key, const std::string &, write_handler OnDone) override {
     Puts.push_back({Key, 0, std::move(OnDone)});
   }
+  void replace(const std::string &, const std::string &Key, const std::string &, std::uint64_t Version,
+               write_handler OnDone) override {
+    Replacements.push_back({Key, Version, std::move(OnDone)});
+  }
   void remove(const std::string &, const std::string &Key, std::uint64_t Version,
               write_handler OnDone) override {
     Removals.push_back({Key, Version, std::move(OnDone)});
@@ -76,6 +81,7 @@
     dispatch::entry_vm_options Options;
     Options.Vm = "vm1";
     Options.Address = "vm1:1";
+    Options.Domain = "d1";
     Entry = dispatch::makeEntryVm(*Executor, *this, Options);
     Directory = makeDirectory(*Executor, Store, *Entry, {"vm1", "vm1:1", "d1", 500, {"d1", "d2"}});
   }
@@ -88,6 +94,7 @@
   void onTermRaised(std::uint32_t) override {}
   void onServersNeeded(bool Needed) override { Directory->setServerWatch(Needed); }
   void onStaleRegistration(const std::string &Name) override { Directory->removeStaleEntry(Name); }
+  void onRollCallNeeded() override { Directory->callRoll(); }
   void onConfigurationOffered(const schema::configuration_copy &) override {}
 
   [[nodiscard]] bool contacted(const std::string &Address) const {
@@ -128,6 +135,45 @@
   }
 });
 
+// Guards against VMs that stay out of the choice of dispatchers although they are alive, and against roll
+// calls of several VMs that make each other's answers void.
+const test_case RollCalls("directory: a roll call", [] {
+  vm Vm;
+  if (auto When = section("when another VM calls the roll, this VM registers again, once")) {
+    Vm.Store.answer(Vm.Store.Reads, {row("vm2", 4, OtherEntry)}, 5);
+    Vm.Store.Puts.front().OnDone(std::uint64_t{6});
+    Vm.Store.answer(Vm.Store.Feeds, {row("vm1", 6, OtherEntry)}, 6);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Store.Puts.size());
+    Vm.Executor->advance(milliseconds(300));
+    Vm.Store.answer(Vm.Store.Feeds, {row("roll_call", 9, "{}")}, 9);
+    Vm.Executor->advance(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Vm.Store.Puts.size());
+    Vm.Store.Puts.back().OnDone(std::uint64_t{10});
+    Vm.Store.answer(Vm.Store.Feeds, {row("vm1", 10, OtherEntry)}, 10);
+    Vm.Executor->advance(milliseconds(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Vm.Store.Puts.size());
+  }
+  if (auto Given = section("given a place that only dead VMs have")) {
+    std::vector<store_row> Dead;
+    for (const char *Name : {"va", "vb", "vc"})
+      Dead.push_back(row(Name, 4, R"({"address":"dead:1","domain":"d1","strength":2000,"term":3})"));
+    Vm.Store.answer(Vm.Store.Reads, Dead, 5);
+    Vm.Store.Puts.front().OnDone(std::uint64_t{6});
+    Vm.Executor->advance(milliseconds(4500));
+    if (auto Then = section("this VM calls the roll, unless another one has called it meanwhile")) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Store.Replacements.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("roll_call"), Vm.Store.Replacements.at(0).Key);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Vm.Store.Replacements.at(0).Version);
+    }
+    if (auto Then = section("and dispatches when the time to answer is over")) {
+      CPPUNIT_ASSERT(!Vm.Entry->state().Dispatching);
+      Vm.Store.answer(Vm.Store.Feeds, {row("vm1", 6, OtherEntry), row("roll_call", 9, "{}")}, 9);
+      Vm.Executor->advance(milliseconds(2100));
+      CPPUNIT_ASSERT(Vm.Entry->state().Dispatching);
+    }
+  }
+});
+
 // Guards against VMs that read the server table without dispatching: the cost of these reads grows with the
 // number of VMs times the number of servers.
 const test_case Servers("directory: only VMs that dispatch read the servers", [] {
--- a/src/yuccaplank/entry/fleet_test.cpp
+++ b/src/yuccaplank/entry/fleet_test.cpp
@@ -147,6 +147,40 @@
   }
 };
 
+// Guards against a fleet that never serves again after the VMs that dispatch are lost for good: their entries
+// in the store keep the places of VMs that are alive.
+const test_case Replaced("fleet on sockets: the VMs that dispatch are lost and do not come back", [] {
+  // Three VMs of a failure domain dispatch, the fourth one relays.
+  fleet Fleet(4);
+  Fleet.waitUntilReady();
+  Fleet.assertServes(3);
+  auto WaitUntilServed = [&](std::size_t Vm) {
+    // The users' bound for the recovery after a loss of all VMs.
+    constexpr int RecoverySeconds = 12;
+    bool Served = false;
+    for (int Second = 0; Second < RecoverySeconds && !Served; ++Second) {
+      runFor(*Fleet.Loop, std::chrono::seconds(1));
+      Served = Fleet.isReady(Vm) && Fleet.submit(Vm, Fleet.makeJob(30)) == caller_outcome::Completed;
+    }
+    CPPUNIT_ASSERT(Served);
+  };
+  if (auto When = section("when all VMs are replaced by others, these serve")) {
+    Fleet.Vms.clear();
+    for (std::uint32_t Index = 4; Index < 8; ++Index) {
+      Fleet.Settings.push_back(Fleet.makeSettings(Index));
+      Fleet.startVm(Fleet.Settings.back());
+    }
+    WaitUntilServed(7);
+    Fleet.assertNoViolation();
+  }
+  if (auto When = section("when only a relaying VM is left, it serves")) {
+    for (int Dispatcher = 0; Dispatcher < 3; ++Dispatcher)
+      Fleet.Vms.pop_front();
+    WaitUntilServed(3);
+    Fleet.assertNoViolation();
+  }
+});
+
 // Guards against components that pass their own tests but fail together: settings, store, peers, servers and
 // callers.
 const test_case FaultFree("fleet on sockets: fault-free operation", [] {
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -49,6 +49,7 @@
   void onTermRaised(std::uint32_t) override {}
   void onServersNeeded(bool) override {}
   void onStaleRegistration(const std::string &) override {}
+  void onRollCallNeeded() override {}
   void onConfigurationOffered(const schema::configuration_copy &) override {}
 
   void configure(std::uint64_t Version = 1) const {
--- a/src/yuccaplank/entry/table_watch_test.cpp
+++ b/src/yuccaplank/entry/table_watch_test.cpp
@@ -32,6 +32,8 @@
   }
   void put(const std::string &, const std::string &, const std::string &,
            std::function<void(result<std::uint64_t>)>) override {}
+  void replace(const std::string &, const std::string &, const std::string &, std::uint64_t,
+               std::function<void(result<std::uint64_t>)>) override {}
   void remove(const std::string &, const std::string &, std::uint64_t,
               std::function<void(result<std::uint64_t>)>) override {}
 
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -118,6 +118,7 @@
   void onTermRaised(std::uint32_t Term) override { Directory->setTerm(Term); }
   void onServersNeeded(bool Needed) override { Directory->setServerWatch(Needed); }
   void onStaleRegistration(const std::string &Name) override { Directory->removeStaleEntry(Name); }
+  void onRollCallNeeded() override { Directory->callRoll(); }
   void onConfigurationOffered(const schema::configuration_copy &Copy) override {
     applyConfiguration(*Vm, Copy.document());
   }
--- a/src/yuccaplank/platform/store_client.cpp
+++ b/src/yuccaplank/platform/store_client.cpp
@@ -92,19 +92,35 @@
 
   void put(const std::string &Table, const std::string &Key, const std::string &Value,
            std::function<void(result<std::uint64_t>)> OnDone) override {
-    json Row{{"table", Table}, {"part", ""}, {"key", Key}, {"value", encodeBase64(Value)}};
+    json Row = rowName(Table, Key);
+    Row["value"] = encodeBase64(Value);
     sendTransaction(json::array(), json::array({Row}), json::array(), std::move(OnDone));
   }
 
+  void replace(const std::string &Table, const std::string &Key, const std::string &Value,
+               std::uint64_t Version, std::function<void(result<std::uint64_t>)> OnDone) override {
+    json Row = rowName(Table, Key);
+    Row["value"] = encodeBase64(Value);
+    sendTransaction(json::array({expectedRow(Table, Key, Version)}), json::array({Row}), json::array(),
+                    std::move(OnDone));
+  }
+
   void remove(const std::string &Table, const std::string &Key, std::uint64_t Version,
               std::function<void(result<std::uint64_t>)> OnDone) override {
-    json Row{{"table", Table}, {"part", ""}, {"key", Key}};
-    json Expected = Row;
-    Expected["version_number"] = Version;
-    sendTransaction(json::array({Expected}), json::array(), json::array({Row}), std::move(OnDone));
+    sendTransaction(json::array({expectedRow(Table, Key, Version)}), json::array(),
+                    json::array({rowName(Table, Key)}), std::move(OnDone));
   }
 
 private:
+  static json rowName(const std::string &Table, const std::string &Key) {
+    return {{"table", Table}, {"part", ""}, {"key", Key}};
+  }
+  static json expectedRow(const std::string &Table, const std::string &Key, std::uint64_t Version) {
+    json Row = rowName(Table, Key);
+    Row["version_number"] = Version;
+    return Row;
+  }
+
   void sendTransaction(const json &Expected, const json &Puts, const json &Removed,
                        std::function<void(result<std::uint64_t>)> OnDone) {
     json Body{{"expected_revision", Expected}, {"puts", Puts}, {"remove", Removed}};
--- a/src/yuccaplank/simulation/simulated_fleet.hpp
+++ b/src/yuccaplank/simulation/simulated_fleet.hpp
@@ -39,6 +39,7 @@
   void onTermRaised(std::uint32_t) override {}
   void onServersNeeded(bool Needed) override;
   void onStaleRegistration(const std::string &) override {}
+  void onRollCallNeeded() override {}
   void onConfigurationOffered(const schema::configuration_copy &Copy) override;
 
   vm_executor Executor;
