--- a/include/yuccaplank/dispatch/fleet_view.hpp
+++ b/include/yuccaplank/dispatch/fleet_view.hpp
@@ -36,7 +36,7 @@
   bool ConnectionBroken = false;
   /// Whether the VM has been in contact or was found unreachable since discovery began.
   bool DiscoveryDone = false;
-  /// When its last status was received or its connection broke.
+  /// When its last status was received, its connection broke, or it became known.
   runtime::time_point LastActiveAt{};
   /// Clock value in the last status received over the present connection; 0 if there is none.
   std::uint32_t ClockMs = 0;
--- a/src/yuccaplank/dispatch/fleet_view.cpp
+++ b/src/yuccaplank/dispatch/fleet_view.cpp
@@ -44,8 +44,13 @@
   }
 
   void addAddress(const std::string &Vm, const std::string &Address) override {
-    if (Vm != Self.vm())
-      Others[Vm].Address = Address;
+    if (Vm == Self.vm())
+      return;
+    auto [Entry, IsNew] = Others.try_emplace(Vm);
+    Entry->second.Address = Address;
+    // A VM that has not been heard yet is silent only since it became known.
+    if (IsNew)
+      Entry->second.LastActiveAt = Clock.now();
   }
 
   void removeVm(const std::string &Vm) override {
--- a/src/yuccaplank/entry/directory_test.cpp
+++ b/src/yuccaplank/entry/directory_test.cpp
@@ -102,6 +102,7 @@
   }
 };
 
+constexpr const char *Configuration = R"({"version":1,"routes":[],"services":{},"limits":{}})";
 constexpr const char *OtherEntry = R"({"address":"vm2:1","domain":"d1","strength":500,"term":3})";
 
 // Guards against a VM that the others cannot discover because its entry is missing, and against entries that
@@ -174,6 +175,25 @@
   }
 });
 
+// Guards against the removal of an entry whose VM this one has just read of and cannot have heard yet.
+const test_case NewEntry("directory: the entry of a VM that starts", [] {
+  vm Vm;
+  Vm.Store.answer(Vm.Store.Reads, {row("config", 3, Configuration)}, 5, "op");
+  Vm.Store.answer(Vm.Store.Reads, {}, 5);
+  Vm.Store.Puts.front().OnDone(std::uint64_t{6});
+  Vm.Executor->advance(milliseconds(20'000));
+  CPPUNIT_ASSERT(Vm.Entry->state().Placing);
+  Vm.Store.answer(Vm.Store.Feeds, {row("vm2", 7, OtherEntry)}, 7);
+  if (auto Then = section("it is not removed before its VM has had time to answer")) {
+    Vm.Executor->advance(milliseconds(14'000));
+    CPPUNIT_ASSERT(Vm.Store.Removals.empty());
+  }
+  if (auto Then = section("and removed if its VM stays silent")) {
+    Vm.Executor->advance(milliseconds(16'000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Store.Removals.size());
+  }
+});
+
 // Guards against VMs that read the server table without dispatching: the cost of these reads grows with the
 // number of VMs times the number of servers.
 const test_case Servers("directory: only VMs that dispatch read the servers", [] {
@@ -199,7 +219,6 @@
   return Domains;
 }
 
-constexpr const char *Configuration = R"({"version":1,"routes":[],"services":{},"limits":{}})";
 using names = std::vector<std::string>;
 
 // Guards against evacuations that the platform's operators request and this VM does not see, against a
