Ignore terms, addresses and numbers out of range in odd entries

Operators of similar systems saw machines that end or stop following a list because of one odd entry. Here the cause was harmless reading but harmful use: a VM's entry with the term made every VM take over that term for good, and the term after it overflows to 0; a server's entry with a port out of range was claimed over and over; integers were compared with a limit that is not exact as a double.

Now a term above 2^20 is ignored, a number that does not fit counts as missing, and an entry whose address is no IP number with a port names no server. Deeply nested documents were rejected before, too; that has a test now.

--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -15,6 +15,10 @@
 /// Position of the term in a fencing token. The bits below it hold the registration of the VM that made the
 /// claim.
 inline constexpr unsigned TermShift = 32;
+/// Highest term that is taken over from the store or from another VM: tokens stay below 2^53, the range of
+/// exact integers on the platform. A higher one comes from an entry of another writer, and the terms that
+/// follow it would overflow.
+inline constexpr std::uint32_t MaxTerm = 1U << 20U;
 
 /// A backend server as listed by the platform.
 struct server_entry {
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -80,7 +80,7 @@
   }
 
   void observeTerm(std::uint32_t Term) override {
-    if (Term <= View->highestTerm())
+    if (Term <= View->highestTerm() || Term > MaxTerm)
       return;
     Self.set_term(Term);
     View->setSelf(Self);
--- a/src/yuccaplank/dispatch/fleet_view.cpp
+++ b/src/yuccaplank/dispatch/fleet_view.cpp
@@ -1,5 +1,6 @@
 #include "yuccaplank/dispatch/fleet_view.hpp"
 #include "contact_clock.hpp"
+#include "yuccaplank/dispatch/server_ledger.hpp"
 
 #include <xxhash.h>
 
@@ -66,7 +67,8 @@
     Vm.Address = Status.address();
     Vm.LastActiveAt = Clock.now();
     Vm.ClockMs = Status.clock_ms();
-    Term = std::max(Term, Status.term());
+    if (Status.term() <= MaxTerm)
+      Term = std::max(Term, Status.term());
     processEcho(Vm, Status);
     if (!withinLease(Vm))
       return {};
--- a/src/yuccaplank/entry/directory.cpp
+++ b/src/yuccaplank/entry/directory.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
 #include <map>
 #include <set>
 
@@ -222,9 +223,12 @@
       return Document.contains(Key) && Document[Key].is_string() ? Document[Key].get<std::string>()
                                                                  : std::string();
     };
+    // A number that does not fit counts as missing.
     auto Number = [&](const char *Key) {
-      bool Fits = Document.contains(Key) && Document[Key].is_number_unsigned();
-      return Fits ? Document[Key].get<std::uint32_t>() : 0U;
+      if (!Document.contains(Key) || !Document[Key].is_number_unsigned())
+        return 0U;
+      auto Value = Document[Key].get<std::uint64_t>();
+      return Value <= std::numeric_limits<std::uint32_t>::max() ? static_cast<std::uint32_t>(Value) : 0U;
     };
     if (!Document.is_object() || Text("address").empty())
       return std::nullopt;
@@ -241,6 +245,11 @@
       log(log_level::Warning, "vm_entry_unreadable", {{"vm", Name}});
       return;
     }
+    if (Record.Entry->Term > dispatch::MaxTerm) {
+      log(log_level::Warning, "vm_term_ignored",
+          {{"vm", Name}, {"term", static_cast<std::int64_t>(Record.Entry->Term)}});
+      return;
+    }
     Vm.observeTerm(Record.Entry->Term);
     Term = std::max(Term, Record.Entry->Term);
   }
--- a/src/yuccaplank/entry/directory_test.cpp
+++ b/src/yuccaplank/entry/directory_test.cpp
@@ -28,6 +28,7 @@
     std::string Key;
     std::uint64_t Version = 0;
     write_handler OnDone;
+    std::string Value = {};
   };
   std::map<std::string, page_handler> Reads;
   std::map<std::string, page_handler> Feeds;
@@ -41,8 +42,9 @@
   void changes(const std::string &Table, std::uint64_t, runtime::duration, page_handler OnDone) override {
     Feeds[Table] = std::move(OnDone);
   }
-  void put(const std::string &, const std::string &Key, const std::string &, write_handler OnDone) override {
-    Puts.push_back({Key, 0, std::move(OnDone)});
+  void put(const std::string &, const std::string &Key, const std::string &Value,
+           write_handler OnDone) override {
+    Puts.push_back({Key, 0, std::move(OnDone), Value});
   }
   void replace(const std::string &, const std::string &Key, const std::string &, std::uint64_t Version,
                write_handler OnDone) override {
@@ -194,6 +196,61 @@
   }
 });
 
+std::string nested(std::size_t Depth) { return std::string(Depth, '[') + std::string(Depth, ']'); }
+
+// Guards against a process that ends, or stops following a table, because of an entry of another writer.
+const test_case OddEntries("directory: odd entries among those of VMs and servers", [] {
+  vm Vm;
+  // A value of the store has up to 65,536 bytes.
+  constexpr std::size_t Depth = 32'000;
+  auto Entry = [](const std::string &Fields) {
+    return R"({"address":"odd:1","domain":"d1",)" + Fields + "}";
+  };
+  if (auto Given = section("given numbers out of range in VMs' entries, this VM's own term stays in range")) {
+    std::vector<store_row> Rows;
+    for (const char *Number : {"4294967295", "4294967296", "9223372036854775808", "18446744073709551615",
+                               "18446744073709551616", "1e300", "-1", "1e999", "0.5", "null", "\"7\""}) {
+      std::string Name = std::string("odd") + Number;
+      Rows.push_back(row(Name + "a", 4, Entry(std::string(R"("strength":500,"term":)") + Number)));
+      Rows.push_back(row(Name + "b", 4, Entry(std::string(R"("term":3,"strength":)") + Number)));
+    }
+    Rows.push_back(row("deep", 4, Entry(R"("term":)" + nested(Depth))));
+    Rows.push_back(row("deeper", 4, nested(Depth)));
+    Vm.Store.answer(Vm.Store.Reads, Rows, 5);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Store.Puts.size());
+    CPPUNIT_ASSERT(Vm.Store.Puts.at(0).Value.find(R"("term":3)") != std::string::npos);
+    Vm.Store.Puts.at(0).OnDone(std::uint64_t{6});
+    if (auto Then = section("and the table is followed")) {
+      Vm.Executor->advance(milliseconds(300));
+      Vm.Store.answer(Vm.Store.Feeds, {row("vm2", 7, R"({"address":"vm2:1","domain":"d2"})")}, 7);
+      Vm.Executor->advance(milliseconds(1000));
+      CPPUNIT_ASSERT(Vm.contacted("vm2:1"));
+    }
+  }
+  if (auto Given = section("given odd entries of servers, the others are used")) {
+    Vm.Store.answer(Vm.Store.Reads, {}, 5);
+    Vm.Store.Puts.at(0).OnDone(std::uint64_t{6});
+    Vm.Executor->advance(milliseconds(800));
+    const std::string Start = R"({"service":"s","zone":"d1","state":"ready",)";
+    std::vector<store_row> Rows{
+        row("good", 4, Start + R"("address":"10.0.0.1:80","capacity":{"cpu":1000,"memory_limit_mb":1}})")};
+    for (const char *Cpu : {"4294967296", "1e300", "-1", "18446744073709551616", "[]"})
+      Rows.push_back(row(std::string("cpu") + Cpu, 4,
+                         Start + R"("address":"10.0.0.2:80","capacity":{"cpu":)" + Cpu + "}}"));
+    for (const char *Born : {"9223372036854775808", "9.3e18", "18446744073709551615", "1e300", "-1"})
+      Rows.push_back(
+          row(std::string("born") + Born, 4,
+              Start + R"("address":"10.0.0.2:80","capacity":{"cpu":1},"born":)" + std::string(Born) + "}"));
+    for (const char *Address : {"10.0.0.2:99999", "10.0.0.2:-1", "10.0.0.2:18446744073709551616", "10.0.0.2",
+                                ":80", "", "10.0.0.2:80:80", "10.0.0.2\\u0000x:80", "[::1:80"})
+      Rows.push_back(row(std::string("at") + Address, 4,
+                         Start + R"("capacity":{"cpu":1},"address":")" + Address + R"("})"));
+    Rows.push_back(row("deep", 4, Start + R"("capacity":)" + nested(Depth) + "}"));
+    Vm.Store.answer(Vm.Store.Reads, Rows, 5, "servers");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Entry->state().Servers.Listed);
+  }
+});
+
 // Guards against VMs that read the server table without dispatching: the cost of these reads grows with the
 // number of VMs times the number of servers.
 const test_case Servers("directory: only VMs that dispatch read the servers", [] {
--- a/src/yuccaplank/platform/documents.cpp
+++ b/src/yuccaplank/platform/documents.cpp
@@ -1,6 +1,7 @@
 #include "yuccaplank/platform/documents.hpp"
 #include "json_reader.hpp"
 #include "yuccaplank/platform/store_client.hpp"
+#include "yuccaplank/wire/socket_address.hpp"
 
 #include <array>
 #include <charconv>
@@ -107,7 +108,8 @@
     Entry.Rack = Id;
   Entry.Draining = State == "draining";
   Reader.optionalInteger("born", Entry.IncarnationStartMs);
-  if (!Issues.empty() || (State != "ready" && State != "draining"))
+  auto Address = wire::parseSocketAddress(Entry.Target.Address);
+  if (!Issues.empty() || (State != "ready" && State != "draining") || !Address || Address.value().port() == 0)
     return make_error_code(errc::MalformedDocument);
   return Entry;
 }
--- a/src/yuccaplank/platform/documents_test.cpp
+++ b/src/yuccaplank/platform/documents_test.cpp
@@ -5,6 +5,8 @@
 
 #include <cppunit/TestAssert.h>
 
+#include <pthread.h>
+
 using namespace yuccaplank;
 using namespace yuccaplank::platform;
 using testing::section;
@@ -50,6 +52,48 @@
   }
 });
 
+// Returns the result of Function, which runs on a thread with a small stack.
+bool callOnSmallStack(bool (*Function)()) {
+  constexpr std::size_t StackBytes = 256 * 1024;
+  struct call {
+    bool (*Function)();
+    bool Result;
+  };
+  call Call{Function, false};
+  pthread_attr_t Attributes;
+  pthread_attr_init(&Attributes);
+  CPPUNIT_ASSERT_EQUAL(0, pthread_attr_setstacksize(&Attributes, StackBytes));
+  pthread_t Thread{};
+  auto Run = [](void *Argument) -> void * {
+    auto &Called = *static_cast<call *>(Argument);
+    Called.Result = Called.Function();
+    return nullptr;
+  };
+  CPPUNIT_ASSERT_EQUAL(0, pthread_create(&Thread, &Attributes, Run, &Call));
+  pthread_join(Thread, nullptr);
+  pthread_attr_destroy(&Attributes);
+  return Call.Result;
+}
+
+// Guards against a process that ends because a deeply nested document of another writer exhausts the stack.
+const test_case DeepDocuments("platform documents: deeply nested ones are rejected on a small stack", [] {
+  CPPUNIT_ASSERT(callOnSmallStack([] {
+    constexpr std::size_t Depth = 500'000;
+    const std::string Lists = std::string(Depth, '[') + std::string(Depth, ']');
+    std::string Objects;
+    for (std::size_t Level = 0; Level < Depth; ++Level)
+      Objects += R"({"a":)";
+    Objects += "1" + std::string(Depth, '}');
+    for (const std::string &Nested : {Lists, Objects, std::string(Depth, '[')}) {
+      const std::string Document = R"({"version":1,"state":"ready","steps":)" + Nested + "}";
+      for (const std::string &Text : {Nested, Document})
+        if (decodeServer("i", Text) || decodeConfiguration(Text) || decodeJob(Text))
+          return false;
+    }
+    return true;
+  }));
+});
+
 // Guards against an invalid configuration or server entry that is accepted, and against fields of a valid one
 // that are lost.
 const test_case Documents("platform documents: configurations and server entries", [] {
--- a/src/yuccaplank/platform/json_reader.hpp
+++ b/src/yuccaplank/platform/json_reader.hpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <cstdint>
 #include <limits>
 #include <string>
@@ -105,7 +106,8 @@
       return;
     }
     Value = Found->get<double>();
-    if (Value < 0 || Value > static_cast<double>(std::numeric_limits<Integer>::max())) {
+    // Unlike the largest value of a 64-bit type, the power of two above it is exact as a double.
+    if (!(Value >= 0 && Value < std::ldexp(1.0, std::numeric_limits<Integer>::digits))) {
       addIssue(runtime::errc::OutOfRange, Name);
       return;
     }
--- a/src/yuccaplank/wire/socket_address.cpp
+++ b/src/yuccaplank/wire/socket_address.cpp
@@ -25,7 +25,8 @@
 runtime::result<socket_address> parseSocketAddress(std::string_view Text) {
   auto Malformed = make_error_code(runtime::errc::MalformedDocument);
   std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos)
+  // The system's functions take what precedes a zero byte for the whole host.
+  if (Colon == std::string_view::npos || Text.find('\0') != std::string_view::npos)
     return Malformed;
   std::string Host(Text.substr(0, Colon));
   std::string_view PortText = Text.substr(Colon + 1);
