Limit the lease of relayed runs on the coordinator's own servers

Cause: where the VM that coordinates a relayed job also owns the server, the run counted as one of the VM's own callers and had leases of 900 ms. The loss of the relaying VM by power is noticed 560 ms later, so with an unanswered stop the run could last 560 + 978 ms, and the caller sends the job again after 1,300 ms.

Now such a run is limited to 640 ms, as on other owners' servers. Test "server ledger: a run that another VM relays to this one" failed with the former sources and passes; server ledger tests: 22 passed.

--- a/src/yuccaplank/dispatch/run_limits.hpp
+++ b/src/yuccaplank/dispatch/run_limits.hpp
@@ -31,11 +31,16 @@
 
   /// Updates the time until which a run may continue. The previous value stays while its coordinator is out
   /// of contact, and once the run is being stopped.
-  void updateAllowedUntil(server_run &Run, const heartbeat_time &LastAnsweredHeartbeat) const {
+  void updateAllowedUntil(server_run &Run, const heartbeat_time &LastAnsweredHeartbeat,
+                          runtime::time_point SinceBoot) const {
     if (!LastAnsweredHeartbeat || isStopped(Run))
       return;
-    Run.AllowedUntil = isUnlimited(*LastAnsweredHeartbeat) ? runtime::time_point::max()
-                                                           : *LastAnsweredHeartbeat + runLimit(Run);
+    // Runs of this VM's own callers are limited only by the lease. Those that another VM relays are limited
+    // as if this VM had just answered itself, since their limit includes the loss of the relaying VM.
+    if (isUnlimited(*LastAnsweredHeartbeat) && !Run.Relayed)
+      Run.AllowedUntil = runtime::time_point::max();
+    else
+      Run.AllowedUntil = std::min(*LastAnsweredHeartbeat, SinceBoot) + runLimit(Run);
   }
 
   /// Limits a run that has to end. Its caller may send the job again although the coordinator stays in
@@ -73,7 +78,7 @@
   static bool isStopped(const server_run &Run) {
     return Run.Phase == run_phase::Stopping || Run.Phase == run_phase::StopConfirmed;
   }
-  // Runs that this VM coordinates are limited only by the lease.
+  // The value for this VM itself.
   static bool isUnlimited(runtime::time_point Time) { return Time == runtime::time_point::max(); }
   [[nodiscard]] runtime::duration runLimit(const server_run &Run) const {
     return Run.Relayed ? Options.RelayedRunLimit : Options.RunLimit;
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -131,6 +131,8 @@
       return;
     }
     duration Lease = std::min(ArrivalLimit, leaseLimit());
+    if (Request.relayed())
+      Lease = std::min(Lease, Options.RelayedRunLimit);
     if (Lease < MinArrivalLimit) {
       refuse(Coordinator, Run, "lease_nearly_over");
       return;
@@ -143,7 +145,7 @@
     Started.EstimateMs = Request.estimate_ms();
     Started.OverdueRuns = Request.overdue_runs();
     Started.StartedAt = now();
-    Limits.updateAllowedUntil(Started, Ports.lastAnsweredHeartbeat(Coordinator));
+    Limits.updateAllowedUntil(Started, Ports.lastAnsweredHeartbeat(Coordinator), sinceBoot());
     ++Ports.counters().Started;
     // The server rejects the order if it arrives after the coordinator may have given up the run.
     start_order Order{Run, Request.specification(), Token, Clock.extend(now(), Lease)};
@@ -339,7 +341,7 @@
   // Returns how far every run allows to extend the lease; nothing if it must not be extended.
   std::optional<duration> allowedLease() {
     for (auto &[Run, State] : Runs)
-      Limits.updateAllowedUntil(State, Ports.lastAnsweredHeartbeat(State.Coordinator));
+      Limits.updateAllowedUntil(State, Ports.lastAnsweredHeartbeat(State.Coordinator), sinceBoot());
     return Limits.leaseDuration(Runs.allowedUntil(), sinceBoot());
   }
 
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -512,6 +512,19 @@
   }
 });
 
+// Guards against a run that its relaying VM can no longer stop: that VM is noticed to be lost after a contact
+// lease only, so the lease of the run has to be shorter than that of a run of this VM's own callers.
+const test_case OwnRelayedRun("server ledger: a run that another VM relays to this one", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0), 10000, false, "coordinator", true);
+  auto Limit = Owner.ServerClockMs + runtime::toMs(ledger_options().RelayedRunLimit);
+  CPPUNIT_ASSERT(static_cast<double>(Owner.latestLeaseEndMs()) <= Limit);
+  Owner.answerStart(order_outcome::Accepted);
+  Owner.advanceWithLists(milliseconds(100), {runOf(0)});
+  CPPUNIT_ASSERT(static_cast<double>(Owner.latestLeaseEndMs()) <= Limit);
+});
+
 // Guards against a run that a former owner had to end and that a new owner prolongs.
 const test_case UnclaimedRunLease("server ledger: a run that no coordinator claims after a takeover", [] {
   owner Owner;
