Forget a job in the frontend when its last caller leaves

The last caller now takes the job with it.

Test "frontend: nothing is kept of callers that leave" failed with the former line and passes; frontend tests: 4 passed.

--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -139,8 +139,11 @@
     JobsByCaller.erase(Found);
     submitted_job &Submitted = Jobs.at(Job);
     Submitted.Callers.erase(Token);
-    if (Submitted.Callers.empty())
-      Vm.jobs().cancel(Job, dispatch::end_reason::CallerLeft);
+    if (!Submitted.Callers.empty())
+      return;
+    Vm.jobs().cancel(Job, dispatch::end_reason::CallerLeft);
+    // No answer follows for a job that nobody awaits.
+    Jobs.erase(Job);
   }
 
   void answer(std::uint64_t Job, const job_answer &Answer) override {
@@ -159,6 +162,7 @@
   }
 
   [[nodiscard]] std::size_t pendingCallers() const override { return JobsByCaller.size(); }
+  [[nodiscard]] std::size_t pendingJobs() const override { return Jobs.size(); }
 
 private:
   void handleJobRequest(const http_request &Request, const queue_settings &Queue, std::uint64_t Job) {
--- a/src/yuccaplank/entry/frontend.hpp
+++ b/src/yuccaplank/entry/frontend.hpp
@@ -26,6 +26,8 @@
   virtual void answer(std::uint64_t Job, const dispatch::job_answer &Answer) = 0;
   /// Number of callers that wait for an answer.
   [[nodiscard]] virtual std::size_t pendingCallers() const = 0;
+  /// Number of jobs with such a caller.
+  [[nodiscard]] virtual std::size_t pendingJobs() const = 0;
 };
 
 struct frontend_handlers {
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -3,6 +3,7 @@
 #include "yuccaplank/testing/unanswered_orders.hpp"
 
 #include <cppunit/TestAssert.h>
+#include <fmt/format.h>
 
 #include <map>
 
@@ -148,6 +149,21 @@
   }
 });
 
+// Guards against memory that grows with each caller that leaves before its answer.
+const test_case LeavingCallers("frontend: nothing is kept of callers that leave", [] {
+  vm Vm;
+  Vm.configure();
+  for (std::uint64_t Id = 1; Id <= 1000; ++Id) {
+    auto Token = Vm.request("POST", fmt::format("/p/{:016x}", Id), Body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Frontend->pendingJobs());
+    Vm.Frontend->onClosed(Token);
+  }
+  Vm.Executor->advance(milliseconds(100));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Vm.Frontend->pendingJobs());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Vm.Frontend->pendingCallers());
+  CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Vm.Entry->jobs().size());
+});
+
 // Guards against an older configuration that replaces a newer one, as a VM that is behind may offer it.
 const test_case Versions("frontend: an older configuration is ignored", [] {
   vm Vm;
