--- a/include/yuccaplank/runtime/loop.hpp
+++ b/include/yuccaplank/runtime/loop.hpp
@@ -25,4 +25,8 @@
 
 std::unique_ptr<loop> makeLoop();
 
+/// Blocks the signals that a loop handles. Called first in a process, so that a signal during its start does
+/// not end it; the handler of the loop receives the signal later.
+void blockSignals();
+
 } // namespace yuccaplank::runtime
--- a/src/yuccaplank/entry/yuccaplankd_main.cpp
+++ b/src/yuccaplank/entry/yuccaplankd_main.cpp
@@ -3,6 +3,7 @@
 #include "vm_process.hpp"
 #include "yuccaplank/runtime/descriptor_limit.hpp"
 #include "yuccaplank/runtime/log.hpp"
+#include "yuccaplank/runtime/loop.hpp"
 #include "yuccaplank/wire/settings_reader.hpp"
 
 #include <boost/program_options.hpp>
@@ -95,6 +96,7 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  runtime::blockSignals();
   const char *FromEnvironment = std::getenv(platform::SettingsVariable);
   options::options_description Description("yuccaplankd [options]");
   Description.add_options()("help,h", "show this text") //
--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -19,6 +19,14 @@
 // Limits each poll, so that a pause of the process is detected even without events.
 constexpr std::int32_t MaxPollMs = 100;
 
+sigset_t handledSignals() {
+  sigset_t Set;
+  sigemptyset(&Set);
+  for (int Signal : {SIGTERM, SIGINT, SIGHUP})
+    sigaddset(&Set, Signal);
+  return Set;
+}
+
 class loop_impl final : public loop {
 public:
   loop_impl() : Native(h2o_evloop_create()) {}
@@ -65,11 +73,8 @@
 
   void setSignalHandler(std::function<void(int)> Handler) override {
     SignalHandler = std::move(Handler);
-    sigset_t Set;
-    sigemptyset(&Set);
-    for (int Signal : {SIGTERM, SIGINT, SIGHUP})
-      sigaddset(&Set, Signal);
-    sigprocmask(SIG_BLOCK, &Set, nullptr);
+    blockSignals();
+    sigset_t Set = handledSignals();
     int Fd = signalfd(-1, &Set, SFD_NONBLOCK | SFD_CLOEXEC);
     SignalSocket = h2o_evloop_socket_create(Native, Fd, H2O_SOCKET_FLAG_DONT_READ);
     SignalSocket->data = this;
@@ -140,6 +145,11 @@
 
 } // namespace
 
+void blockSignals() {
+  sigset_t Set = handledSignals();
+  sigprocmask(SIG_BLOCK, &Set, nullptr);
+}
+
 std::unique_ptr<loop> makeLoop() { return std::make_unique<loop_impl>(); }
 
 } // namespace yuccaplank::runtime
--- a/src/yuccaplank/runtime/loop_test.cpp
+++ b/src/yuccaplank/runtime/loop_test.cpp
@@ -11,6 +11,8 @@
 #include <unistd.h>
 
 #include <array>
+#include <csignal>
+#include <vector>
 
 using namespace yuccaplank;
 using testing::runFor;
@@ -74,4 +76,21 @@
   CPPUNIT_ASSERT_EQUAL(2, Pair.Written);
 });
 
+// Guards against a signal that ends a process because it arrives before the loop handles signals.
+const test_case EarlySignals("loop: signals that arrive before they are handled are received later", [] {
+  sigset_t FormerMask;
+  sigprocmask(SIG_SETMASK, nullptr, &FormerMask);
+  runtime::blockSignals();
+  raise(SIGHUP);
+  raise(SIGTERM);
+  std::vector<int> Received;
+  {
+    auto Loop = runtime::makeLoop();
+    Loop->setSignalHandler([&](int Signal) { Received.push_back(Signal); });
+    runFor(*Loop, std::chrono::milliseconds(20));
+  }
+  sigprocmask(SIG_SETMASK, &FormerMask, nullptr);
+  CPPUNIT_ASSERT((std::vector<int>{SIGHUP, SIGTERM} == Received));
+});
+
 } // namespace
