Do not take a roll call that is found at the start for a recent one

A fleet that is lost and replaced for the second time would have served again too late. Found by reading the change.

The test of roll calls has a section for it.

--- a/src/yuccaplank/dispatch/roll_call.cpp
+++ b/src/yuccaplank/dispatch/roll_call.cpp
@@ -18,10 +18,13 @@
 }
 
 void roll_call::setVersion(std::uint64_t NewVersion, time_point Now) {
+  bool IsFirstRead = !std::exchange(VersionKnown, true);
   if (NewVersion <= Version)
     return;
   Version = NewVersion;
   ReadAt = Now;
+  if (!IsFirstRead)
+    RecentCallAt = Now;
   EndReported = false;
 }
 
@@ -32,8 +35,8 @@
   }
   if (!SilentSince)
     SilentSince = Now;
-  bool CalledRecently =
-      (ReadAt && Now - *ReadAt < Options.MinInterval) || (CalledAt && Now - *CalledAt < Options.RetryDelay);
+  bool CalledRecently = (RecentCallAt && Now - *RecentCallAt < Options.MinInterval) ||
+                        (CalledAt && Now - *CalledAt < Options.RetryDelay);
   if (CalledRecently || Now - *SilentSince < Options.SilenceTimeout + OwnDelay)
     return false;
   CalledAt = Now;
--- a/src/yuccaplank/dispatch/roll_call.hpp
+++ b/src/yuccaplank/dispatch/roll_call.hpp
@@ -34,7 +34,7 @@
   /// Vm is the name of this VM.
   roll_call(std::string Vm, roll_call_options Options);
 
-  /// Sets the version of the latest roll call in the store; 0 if there is none.
+  /// Sets the version of the latest roll call in the store; 0 if there is none. Called after each read.
   void setVersion(std::uint64_t NewVersion, runtime::time_point Now);
   /// Takes whether this VM relays and no dispatching VM is in contact. Returns whether it has to call the
   /// roll.
@@ -57,6 +57,9 @@
   runtime::duration OwnDelay;
   std::uint64_t Version = 0;
   std::optional<runtime::time_point> ReadAt;
+  // When a roll call was read that is certainly recent, unlike the one that this VM found at its start.
+  std::optional<runtime::time_point> RecentCallAt;
+  bool VersionKnown = false;
   bool EndReported = true;
   std::optional<runtime::time_point> SilentSince;
   std::optional<runtime::time_point> CalledAt;
--- a/src/yuccaplank/dispatch/roll_call_test.cpp
+++ b/src/yuccaplank/dispatch/roll_call_test.cpp
@@ -42,7 +42,13 @@
     CPPUNIT_ASSERT(!Roll.isDue(false, Clock.now()));
     CPPUNIT_ASSERT(!IsDueWithin(milliseconds(2900)));
   }
+  if (auto Given =
+          section("given a roll call of an earlier loss in the store, it does not delay the next one")) {
+    Roll.setVersion(10, Clock.now());
+    CPPUNIT_ASSERT(IsDueWithin(milliseconds(4200)));
+  }
   if (auto When = section("when the roll has been called, whoever has not registered again has no place")) {
+    Roll.setVersion(0, Clock.now());
     Roll.setVersion(10, Clock.now());
     if (auto Then = section("but not before the time to answer is over")) {
       Clock.advance(milliseconds(1900));
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -242,9 +242,7 @@
       return;
     endExpiredRuns(Now);
     stopOverdueRuns(Now);
-    if (std::exchange(StopsOverdue, Runs.anyStopUnconfirmedSince(Now - Options.StopConfirmTimeout)) !=
-        StopsOverdue)
-      Ports.onCapacityChanged(Entry.Target.Id);
+    updateStopsOverdue(Now);
     refreshIdleList(Now);
     if (Health.endExpiredQuarantine(Now))
       Ports.onCapacityChanged(Entry.Target.Id);
@@ -844,6 +842,12 @@
 
   // Expired leases and overdue runs.
 
+  void updateStopsOverdue(time_point Now) {
+    bool Overdue = Runs.anyStopUnconfirmedSince(Now - Options.StopConfirmTimeout);
+    if (std::exchange(StopsOverdue, Overdue) != Overdue)
+      Ports.onCapacityChanged(Entry.Target.Id);
+  }
+
   void endExpiredRuns(time_point Now) {
     if ((Responsive && !Delisted) || Now < Clock.expiresAt())
       return;
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -467,8 +467,10 @@
       Owner.start(runOf(1), 10000);
       CPPUNIT_ASSERT(Owner.latestLeaseEndMs() <= LimitMs);
       AdvanceWithLists(400, {runOf(0)});
+      std::size_t CapacityChanges = Owner.CapacityChanges;
       Owner.Ledger->tick();
       CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
+      CPPUNIT_ASSERT_EQUAL(CapacityChanges + 1, Owner.CapacityChanges);
       Owner.start(runOf(2), 10000);
       CPPUNIT_ASSERT_EQUAL(schema::RUN_NOT_STARTED, Owner.lastEvent());
       CPPUNIT_ASSERT(Owner.latestLeaseEndMs() <= LimitMs);
