--- a/include/yuccaplank/dispatch/job_answer.hpp
+++ b/include/yuccaplank/dispatch/job_answer.hpp
@@ -38,8 +38,10 @@
   Evacuated,
   /// The servers that started a task have crashed.
   ServersCrashed,
+  /// The jobs before this one take the capacity until it is too late for this one.
+  Backlog,
 };
-inline constexpr end_reason LastEndReason = end_reason::ServersCrashed;
+inline constexpr end_reason LastEndReason = end_reason::Backlog;
 std::string_view endReasonName(end_reason Reason);
 end_reason toEndReason(schema::reject_reason Reason);
 
--- a/include/yuccaplank/dispatch/placement_queue.hpp
+++ b/include/yuccaplank/dispatch/placement_queue.hpp
@@ -2,6 +2,7 @@
 // next.
 #pragma once
 
+#include "yuccaplank/dispatch/admission/admission_options.hpp"
 #include "yuccaplank/dispatch/messages.hpp"
 #include "yuccaplank/runtime/clock.hpp"
 
@@ -28,12 +29,15 @@
   double SlownessStep = 0.15;
   /// Factor on a task's estimated time when deciding whether a server is fast enough for the objective.
   double EstimateMargin = 1.2;
+  admission::admission_options Admission;
 };
 
 /// WaitingTasks and Servers are current numbers, the other members count since the start.
 struct placement_counters {
   std::uint64_t Granted = 0;
   std::uint64_t Rejected = 0;
+  /// Rejected because they would not have begun in time, by prediction.
+  std::uint64_t RejectedByBacklog = 0;
   std::uint64_t GrantsExpired = 0;
   std::size_t WaitingTasks = 0;
   std::size_t Servers = 0;
--- /dev/null
+++ b/src/yuccaplank/dispatch/admission/admission_control.cpp
@@ -0,0 +1,85 @@
+#include "admission_control.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace yuccaplank::dispatch::admission {
+
+using runtime::duration;
+using runtime::time_point;
+
+namespace {
+
+// Callers are asked to come back within this share of the time until the backlog has drained, after it.
+constexpr double RetrySpread = 0.5;
+constexpr std::uint64_t SpreadSteps = 1024;
+
+} // namespace
+
+void admission_control::onServerChange(time_point Now, const std::string &Pool, const core_usage &Former,
+                                       const core_usage &Current) {
+  Pools[Pool].turnover().onChange(Now, Former, Current);
+}
+
+void admission_control::onArrival(time_point Now, const waiting_demand &Demand) {
+  Pools[Demand.Pool].onArrival(Now, Demand.Priority, Demand.Cpu);
+}
+
+void admission_control::beginPass() {
+  AheadCpu.clear();
+  for (auto &[Name, Pool] : Pools)
+    Pool.clearWaiting();
+}
+
+std::optional<duration> admission_control::predictWait(time_point Now, const waiting_demand &Demand) const {
+  auto Pool = Pools.find(Demand.Pool);
+  if (!Options.PredictStarts || Pool == Pools.end())
+    return std::nullopt;
+  auto Ahead = AheadCpu.find(Demand.Pool);
+  return Pool->second.predictWait(Now, Demand.Priority,
+                                  (Ahead == AheadCpu.end() ? 0 : Ahead->second) + Demand.Cpu);
+}
+
+void admission_control::addWaiting(const waiting_demand &Demand) {
+  std::int64_t &Ahead = AheadCpu[Demand.Pool];
+  Ahead += Demand.Cpu;
+  Pools[Demand.Pool].setWaiting(Demand.Priority, Ahead);
+}
+
+std::optional<refusal> admission_control::judge(time_point Now, const waiting_demand &Demand) {
+  pool_load &Pool = Pools[Demand.Pool];
+  std::int64_t &Ahead = AheadCpu[Demand.Pool];
+  auto Wait = Options.PredictStarts ? Pool.predictWait(Now, Demand.Priority, Ahead) : std::nullopt;
+  if (!Wait || runtime::toMs(*Wait) <= Options.WaitMargin * runtime::toMs(Demand.LatestStart - Now))
+    return std::nullopt;
+  duration RetryAfter = Pool.drainTime(Now);
+  Pool.onRefused(Now, Demand.Priority);
+  Ahead -= Demand.Cpu;
+  Pool.setWaiting(Demand.Priority, Ahead);
+  return refusal{*Wait, spreadRetryAfter(RetryAfter, Demand.Job)};
+}
+
+bool admission_control::isOwedShare(time_point Now, const std::string &Pool, const std::string &Queue,
+                                    std::uint32_t Priority) {
+  if (!Shares.covers(Queue, Priority))
+    return false;
+  Shares.accrue(Now, Queue, Priority, Pools[Pool].turnover().usage().Capacity);
+  return Shares.isOwed(Queue);
+}
+
+std::map<std::string, std::vector<backlog_summary>> admission_control::backlogs(time_point Now) const {
+  std::map<std::string, std::vector<backlog_summary>> Result;
+  for (const auto &[Name, Pool] : Pools)
+    if (auto Summaries = Pool.backlogs(Now); !Summaries.empty())
+      Result[Name] = std::move(Summaries);
+  return Result;
+}
+
+duration spreadRetryAfter(duration RetryAfter, std::uint64_t Job) {
+  std::uint64_t Step = XXH64(&Job, sizeof(Job), 0) % SpreadSteps;
+  double Position = static_cast<double>(Step) / static_cast<double>(SpreadSteps);
+  return std::chrono::duration_cast<duration>(RetryAfter * (1 + RetrySpread * Position));
+}
+
+} // namespace yuccaplank::dispatch::admission
--- /dev/null
+++ b/src/yuccaplank/dispatch/admission/guaranteed_shares.cpp
@@ -0,0 +1,40 @@
+#include "guaranteed_shares.hpp"
+
+#include <algorithm>
+
+namespace yuccaplank::dispatch::admission {
+
+double guaranteed_shares::shareOf(const std::string &Queue, std::uint32_t Priority) const {
+  double ByPriority = 0;
+  for (const guaranteed_share &Share : Shares) {
+    if (!Share.Queue.empty() && Share.Queue == Queue)
+      return Share.Share;
+    if (Share.Queue.empty() && Share.Priority == Priority)
+      ByPriority = Share.Share;
+  }
+  return ByPriority;
+}
+
+void guaranteed_shares::accrue(runtime::time_point Now, const std::string &Queue, std::uint32_t Priority,
+                               std::int64_t CapacityCpu) {
+  double CoreRate = shareOf(Queue, Priority) * static_cast<double>(CapacityCpu);
+  auto [Entry, IsNew] = Accounts.try_emplace(Queue);
+  account &Account = Entry->second;
+  double Limit = CoreRate * runtime::toMs(MaxBalance);
+  double Earned = IsNew ? 0 : CoreRate * runtime::toMs(Now - Account.UpdatedAt);
+  Account.Balance = std::clamp(Account.Balance + Earned, -Limit, Limit);
+  Account.UpdatedAt = Now;
+}
+
+bool guaranteed_shares::isOwed(const std::string &Queue) const {
+  auto Found = Accounts.find(Queue);
+  return Found != Accounts.end() && Found->second.Balance > 0;
+}
+
+void guaranteed_shares::charge(const std::string &Queue, std::int64_t Cpu, double EstimateMs) {
+  auto Found = Accounts.find(Queue);
+  if (Found != Accounts.end())
+    Found->second.Balance -= static_cast<double>(Cpu) * EstimateMs;
+}
+
+} // namespace yuccaplank::dispatch::admission
--- /dev/null
+++ b/src/yuccaplank/dispatch/admission/guaranteed_shares.hpp
@@ -0,0 +1,48 @@
+// Minimum shares of a pool's capacity for queues, as a floor under the order by priority.
+#pragma once
+
+#include "yuccaplank/dispatch/admission/admission_options.hpp"
+#include "yuccaplank/runtime/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace yuccaplank::dispatch::admission {
+
+/// Keeps account of the core time that each queue is entitled to and has used. A queue whose jobs wait is
+/// entitled to its share of the capacity; what it does not use while no job of it waits is lost to others.
+class guaranteed_shares {
+public:
+  explicit guaranteed_shares(std::vector<guaranteed_share> Shares) : Shares(std::move(Shares)) {}
+
+  [[nodiscard]] bool empty() const { return Shares.empty(); }
+  /// Whether the queue has a guaranteed share.
+  [[nodiscard]] bool covers(const std::string &Queue, std::uint32_t Priority) const {
+    return shareOf(Queue, Priority) > 0;
+  }
+  /// Called with each queue that has waiting jobs, before its jobs are ordered.
+  void accrue(runtime::time_point Now, const std::string &Queue, std::uint32_t Priority,
+              std::int64_t CapacityCpu);
+  /// Whether the queue has used less than its share, so that its next job comes before those of others.
+  [[nodiscard]] bool isOwed(const std::string &Queue) const;
+  /// The queue has got cores, in thousandths, for an estimated time.
+  void charge(const std::string &Queue, std::int64_t Cpu, double EstimateMs);
+
+private:
+  struct account {
+    // Core time in thousandths of a core times milliseconds; negative when more was used.
+    double Balance = 0;
+    runtime::time_point UpdatedAt{};
+  };
+  // A queue without waiting jobs saves up its share for this time only, and owes what it borrowed no longer.
+  static constexpr runtime::duration MaxBalance = std::chrono::milliseconds(200);
+
+  [[nodiscard]] double shareOf(const std::string &Queue, std::uint32_t Priority) const;
+
+  std::vector<guaranteed_share> Shares;
+  std::map<std::string, account> Accounts;
+};
+
+} // namespace yuccaplank::dispatch::admission
--- /dev/null
+++ b/src/yuccaplank/dispatch/admission/pool_load.cpp
@@ -0,0 +1,71 @@
+#include "pool_load.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace yuccaplank::dispatch::admission {
+
+using runtime::duration;
+using runtime::time_point;
+
+void pool_load::onArrival(time_point Now, std::uint32_t Priority, std::int64_t Cpu) {
+  auto [Rate, IsNew] = Arrivals.try_emplace(Priority, ArrivalTimeConstant);
+  Rate->second.add(Now, static_cast<double>(Cpu));
+}
+
+void pool_load::onRefused(time_point Now, std::uint32_t Priority) {
+  if (!overloaded(Now))
+    OverloadedSince = Now;
+  LastRefusedAt = Now;
+  LastRefusal[Priority] = Now;
+}
+
+bool pool_load::overloaded(time_point Now) const {
+  return OverloadedSince && Now - LastRefusedAt <= OverloadGap;
+}
+
+double pool_load::arrivalRateBefore(time_point Now, std::uint32_t Priority) const {
+  double Rate = 0;
+  for (const auto &[Urgency, Sum] : Arrivals)
+    if (Urgency < Priority)
+      Rate += Sum.ratePerMs(Now);
+  return Rate;
+}
+
+std::optional<duration> pool_load::predictWait(time_point Now, std::uint32_t Priority,
+                                               std::int64_t WaitingAheadCpu) const {
+  auto ReleaseRate = Turnover.releaseRate(Now);
+  if (!ReleaseRate)
+    return std::nullopt;
+  double Available = *ReleaseRate - arrivalRateBefore(Now, Priority);
+  double MaxWaitMs = runtime::toMs(MaxWait);
+  if (Available * MaxWaitMs <= static_cast<double>(WaitingAheadCpu))
+    return MaxWait;
+  return runtime::fromMs(static_cast<double>(WaitingAheadCpu) / Available);
+}
+
+duration pool_load::drainTime(time_point Now) const {
+  std::int64_t Waiting =
+      std::accumulate(WaitingCpu.begin(), WaitingCpu.end(), std::int64_t{0},
+                      [](std::int64_t Most, const auto &Entry) { return std::max(Most, Entry.second); });
+  duration Overload = overloaded(Now) ? duration(Now - *OverloadedSince) : duration::zero();
+  auto Drain = predictWait(Now, std::numeric_limits<std::uint32_t>::max(), Waiting);
+  duration Expected = Drain && *Drain < MaxWait ? *Drain : Overload;
+  return std::clamp<duration>(Expected, MinRetryAfter, MaxWait);
+}
+
+std::vector<backlog_summary> pool_load::backlogs(time_point Now) const {
+  std::vector<backlog_summary> Summaries;
+  for (const auto &[Priority, RefusedAt] : LastRefusal) {
+    if (Now - RefusedAt > OverloadGap)
+      continue;
+    auto Waiting = WaitingCpu.find(Priority);
+    auto Wait = predictWait(Now, Priority, Waiting == WaitingCpu.end() ? 0 : Waiting->second);
+    if (Wait)
+      Summaries.push_back({Priority, *Wait, drainTime(Now)});
+  }
+  return Summaries;
+}
+
+} // namespace yuccaplank::dispatch::admission
--- /dev/null
+++ b/src/yuccaplank/dispatch/admission/pool_load.hpp
@@ -0,0 +1,66 @@
+// Load of one pool of backend servers: demand by priority, turnover of the capacity, and the waits that
+// follow from both.
+#pragma once
+
+#include "capacity_turnover.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace yuccaplank::dispatch::admission {
+
+/// Summary of the backlog for jobs of one priority.
+struct backlog_summary {
+  std::uint32_t Priority = 0;
+  /// Predicted wait of a job that arrives now.
+  runtime::duration Wait{};
+  /// Time until the backlog has drained.
+  runtime::duration Drain{};
+};
+
+class pool_load {
+public:
+  /// Longest wait that is predicted; also stands for a wait without end.
+  static constexpr runtime::duration MaxWait = std::chrono::seconds(30);
+  /// Bounds of the time after which refused callers are asked to come back.
+  static constexpr runtime::duration MinRetryAfter = std::chrono::seconds(1);
+
+  [[nodiscard]] capacity_turnover &turnover() { return Turnover; }
+  /// A new job has arrived that needs so many cores, in thousandths.
+  void onArrival(runtime::time_point Now, std::uint32_t Priority, std::int64_t Cpu);
+  /// A job was refused because it would not begin in time.
+  void onRefused(runtime::time_point Now, std::uint32_t Priority);
+  /// Cores, in thousandths, that jobs of the priority wait for, including those that come before them.
+  void setWaiting(std::uint32_t Priority, std::int64_t Cpu) { WaitingCpu[Priority] = Cpu; }
+  void clearWaiting() { WaitingCpu.clear(); }
+
+  /// Predicts the wait of a task that has WaitingAheadCpu before it, itself included. More urgent jobs that
+  /// arrive meanwhile come before it, too. Returns nothing if too little was observed, and at most MaxWait.
+  [[nodiscard]] std::optional<runtime::duration> predictWait(runtime::time_point Now, std::uint32_t Priority,
+                                                             std::int64_t WaitingAheadCpu) const;
+  /// Time until the backlog has drained, at least MinRetryAfter. While more arrives than becomes free,
+  /// nothing tells how long that lasts; the longer it has lasted, the longer it is expected to.
+  [[nodiscard]] runtime::duration drainTime(runtime::time_point Now) const;
+  /// Whether jobs were refused by prediction lately.
+  [[nodiscard]] bool overloaded(runtime::time_point Now) const;
+  /// The backlogs of the priorities of which jobs were refused lately.
+  [[nodiscard]] std::vector<backlog_summary> backlogs(runtime::time_point Now) const;
+
+private:
+  static constexpr runtime::duration ArrivalTimeConstant = std::chrono::milliseconds(400);
+  // Refusals further apart than this belong to different periods of overload.
+  static constexpr runtime::duration OverloadGap = std::chrono::milliseconds(400);
+
+  [[nodiscard]] double arrivalRateBefore(runtime::time_point Now, std::uint32_t Priority) const;
+
+  capacity_turnover Turnover;
+  std::map<std::uint32_t, decayed_sum> Arrivals;
+  std::map<std::uint32_t, std::int64_t> WaitingCpu;
+  std::map<std::uint32_t, runtime::time_point> LastRefusal;
+  std::optional<runtime::time_point> OverloadedSince;
+  runtime::time_point LastRefusedAt{};
+};
+
+} // namespace yuccaplank::dispatch::admission
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
+#include "admission/admission_control.hpp"
 #include "pool_index.hpp"
 #include "resource_amounts.hpp"
 #include "yuccaplank/dispatch/job_answer.hpp"
@@ -9,6 +10,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -34,13 +36,26 @@
 };
 
 // When a job would end if its tasks started now: within its objective, late but still with value for its
-// caller, or too late. Lower values are served first.
+// caller, or too late.
 enum class prospect : std::uint8_t { InTime, Late, TooLate };
 
+// Position of a job in the order of service; jobs with lower values are served first.
+enum class service_rank : std::uint8_t {
+  // Server time spent on finished tasks has no value until the job's last task ends.
+  Started,
+  // The job's queue has had less than its guaranteed share.
+  OwedShare,
+  InTime,
+  Late,
+  TooLate,
+};
+
 struct known_server {
   std::string Owner;
   schema::server_state State;
   std::vector<std::uint64_t> Grants;
+  // As last reported to admission control.
+  admission::core_usage Usage;
 };
 
 struct outstanding_grant {
@@ -62,7 +77,7 @@
 class placement_queue_impl final : public placement_queue {
 public:
   placement_queue_impl(const runtime::clock &Clock, send_function Send, placement_options Options)
-      : Clock(Clock), Send(std::move(Send)), Options(Options) {}
+      : Clock(Clock), Send(std::move(Send)), Options(Options), Admission(Options.Admission) {}
 
   void enqueue(const std::string &Coordinator, const schema::place_job &Request) override {
     time_point Now = Clock.now();
@@ -79,6 +94,8 @@
     for (const schema::task_run &Task : Request.tasks())
       Job.WaitingRuns[Task.index()] = Task.run();
     Job.Request = Request;
+    if (IsNew)
+      Admission.onArrival(Now, makeDemand(Job, Now));
   }
 
   void withdraw(const std::string &Coordinator, const schema::withdraw_job &Withdrawal) override {
@@ -137,9 +154,14 @@
     expireGrants(Now);
     std::erase_if(UnreachableUntil, [&](const auto &Entry) { return Entry.second <= Now; });
     UnplaceableSizes.clear();
-    for (waiting_job *Job : sortJobs(Now))
-      if (!rejectIfNotServable(*Job, Now))
-        grantTasks(*Job, Now);
+    Admission.beginPass();
+    for (waiting_job *Job : sortJobs(Now)) {
+      if (rejectIfNotServable(*Job, Now))
+        continue;
+      grantTasks(*Job, Now);
+      if (!Job->WaitingRuns.empty())
+        rejectIfBacklogTooLong(*Job, Now);
+    }
     std::erase_if(Jobs, [](const auto &Entry) { return Entry.second.WaitingRuns.empty(); });
   }
 
@@ -161,15 +183,57 @@
     return End <= std::min(Job.UsefulUntil, Job.Deadline) ? prospect::Late : prospect::TooLate;
   }
 
+  // Returns when the job's tasks have to start at the latest: for its objective or, if that is out of reach,
+  // for any value.
+  [[nodiscard]] static time_point latestStart(const waiting_job &Job, time_point Now) {
+    bool InTime = estimateProspect(Job, Now) == prospect::InTime;
+    time_point LatestEnd = InTime ? Job.ObjectiveEndsAt : std::min(Job.UsefulUntil, Job.Deadline);
+    return LatestEnd - milliseconds(Job.Request.estimate_ms());
+  }
+
+  [[nodiscard]] static admission::waiting_demand makeDemand(const waiting_job &Job, time_point Now) {
+    // Late jobs are served after all others.
+    bool InTime = estimateProspect(Job, Now) == prospect::InTime;
+    std::uint32_t Priority = InTime ? Job.Request.priority() : std::numeric_limits<std::uint32_t>::max();
+    return {Job.Request.pool(), Job.Request.job(), Priority,
+            static_cast<std::int64_t>(Job.WaitingRuns.size()) * Job.Request.size().cpu(),
+            latestStart(Job, Now)};
+  }
+
+  [[nodiscard]] static service_rank rankOf(const waiting_job &Job, bool OwedShare, time_point Now) {
+    prospect Prospect = estimateProspect(Job, Now);
+    if (Prospect == prospect::TooLate)
+      return service_rank::TooLate;
+    if (Job.Started)
+      return service_rank::Started;
+    if (Prospect == prospect::Late)
+      return service_rank::Late;
+    return OwedShare ? service_rank::OwedShare : service_rank::InTime;
+  }
+
+  // Returns the names of the queues that have had less than their guaranteed share.
+  std::set<std::string> queuesOwedShare(time_point Now) {
+    std::set<std::string> Owed;
+    if (!Admission.hasShares())
+      return Owed;
+    std::map<std::string, const waiting_job *> Queues;
+    for (const auto &[Key, Job] : Jobs)
+      Queues.emplace(Job.Request.queue(), &Job);
+    for (const auto &[Queue, Job] : Queues)
+      if (Admission.isOwedShare(Now, Job->Request.pool(), Queue, Job->Request.priority()))
+        Owed.insert(Queue);
+    return Owed;
+  }
+
   std::vector<waiting_job *> sortJobs(time_point Now) {
-    std::vector<std::pair<prospect, waiting_job *>> JobsByProspect;
-    JobsByProspect.reserve(Jobs.size());
+    std::set<std::string> OwedQueues = queuesOwedShare(Now);
+    std::vector<std::pair<service_rank, waiting_job *>> RankedJobs;
+    RankedJobs.reserve(Jobs.size());
     for (auto &[Key, Job] : Jobs)
-      JobsByProspect.emplace_back(estimateProspect(Job, Now), &Job);
-    std::ranges::sort(JobsByProspect, [](const auto &Left, const auto &Right) {
+      RankedJobs.emplace_back(rankOf(Job, OwedQueues.contains(Job.Request.queue()), Now), &Job);
+    std::ranges::sort(RankedJobs, [](const auto &Left, const auto &Right) {
       if (Left.first != Right.first)
         return Left.first < Right.first;
-      // Server time spent on finished tasks of a started job has no value until its last task ends.
       if (Left.second->Started != Right.second->Started)
         return Left.second->Started;
       if (Left.second->Request.priority() != Right.second->Request.priority())
@@ -177,8 +241,8 @@
       return Left.second->ArrivedAt < Right.second->ArrivedAt;
     });
     std::vector<waiting_job *> Result;
-    Result.reserve(JobsByProspect.size());
-    for (const auto &[Prospect, Job] : JobsByProspect)
+    Result.reserve(RankedJobs.size());
+    for (const auto &[Rank, Job] : RankedJobs)
       Result.push_back(Job);
     return Result;
   }
@@ -199,6 +263,16 @@
     return true;
   }
 
+  // Rejects a job without a started task if the jobs before it take the capacity until it is too late for it.
+  void rejectIfBacklogTooLong(waiting_job &Job, time_point Now) {
+    admission::waiting_demand Demand = makeDemand(Job, Now);
+    Admission.addWaiting(Demand);
+    if (Job.Started)
+      return;
+    if (auto Refusal = Admission.judge(Now, Demand))
+      reject(Job, schema::REJECT_BACKLOG, Now, Refusal);
+  }
+
   // Returns why no server of the pool can run the job's tasks even when it has no other runs.
   [[nodiscard]] std::optional<schema::reject_reason>
   capacityRejection(const schema::place_job &Request) const {
@@ -220,7 +294,7 @@
   [[nodiscard]] std::uint32_t retryAfterMs(const waiting_job &Job, schema::reject_reason Reason,
                                            time_point Now) const {
     if (Reason != schema::REJECT_EVACUATED)
-      return RetryAfterMs;
+      return DefaultRetryAfterMs;
     // Nothing tells how long an evacuation lasts. The longer it has lasted, the longer it is expected to
     // last.
     auto Evacuated = LastEvacuatedAt.find(Job.Request.pool());
@@ -229,20 +303,26 @@
         runtime::toMs(std::clamp<duration>(Age, MinEvacuationRetryAfter, MaxEvacuationRetryAfter)));
   }
 
-  void reject(waiting_job &Job, schema::reject_reason Reason, time_point Now) {
+  void reject(waiting_job &Job, schema::reject_reason Reason, time_point Now,
+              const std::optional<admission::refusal> &Refusal = std::nullopt) {
+    std::uint32_t RetryAfterMs = Refusal ? static_cast<std::uint32_t>(runtime::toMs(Refusal->RetryAfter))
+                                         : retryAfterMs(Job, Reason, Now);
     schema::dispatch_message Message;
     schema::reject_job &Rejection = *Message.mutable_reject();
     Rejection.set_job(Job.Request.job());
     Rejection.set_reason(Reason);
-    Rejection.set_retry_after_ms(retryAfterMs(Job, Reason, Now));
+    Rejection.set_retry_after_ms(RetryAfterMs);
     Send(Job.Coordinator, std::move(Message));
     ++Counters.Rejected;
+    Counters.RejectedByBacklog += Refusal ? 1 : 0;
     runtime::log(runtime::log_level::Info, "job_rejected",
                  {{"job", formatJob(Job.Request.job())},
                   {"reason", std::string(endReasonName(toEndReason(Reason)))},
                   {"waited_ms", runtime::toMs(Now - Job.ArrivedAt)},
                   {"estimate_ms", std::int64_t{Job.Request.estimate_ms()}},
                   {"objective_left_ms", runtime::toMs(Job.ObjectiveEndsAt - Now)},
+                  {"predicted_wait_ms", Refusal ? runtime::toMs(Refusal->PredictedWait) : 0.0},
+                  {"retry_after_ms", std::int64_t{RetryAfterMs}},
                   {"waiting_jobs", static_cast<std::int64_t>(Jobs.size())},
                   {"servers", static_cast<std::int64_t>(Servers.size())}});
     Job.WaitingRuns.clear();
@@ -287,14 +367,24 @@
 
   using server_iterator = std::map<std::string, known_server>::iterator;
 
-  void updateIndex(const known_server &Server) {
+  void updateIndex(known_server &Server) {
     const schema::server_state &State = Server.State;
+    resource_amounts Free = freeCapacity(Server);
     auto [Pool, IsNew] = Pools.try_emplace(State.pool(), Options.SlownessStep);
-    Pool->second.set(State.server(), {freeCapacity(Server), toResourceAmounts(State.capacity()),
-                                      State.slowness(), acceptsTasks(Server), State.evacuated()});
+    Pool->second.set(State.server(), {Free, toResourceAmounts(State.capacity()), State.slowness(),
+                                      acceptsTasks(Server), State.evacuated()});
+    std::int64_t Capacity = State.capacity().cpu();
+    reportUsage(Server, State.usable() ? admission::core_usage{Capacity, Capacity - Free.Cpu}
+                                       : admission::core_usage{});
+  }
+
+  void reportUsage(known_server &Server, const admission::core_usage &Usage) {
+    Admission.onServerChange(Clock.now(), Server.State.pool(), Server.Usage, Usage);
+    Server.Usage = Usage;
   }
 
   server_iterator eraseServer(server_iterator Server) {
+    reportUsage(Server->second, {});
     Pools.at(Server->second.State.pool()).erase(Server->first);
     return Servers.erase(Server);
   }
@@ -327,9 +417,27 @@
       Choice = Pool->second.chooseServer(Job.Request.size(), MaxSlowness, OwnerUnreachable);
     if (!Choice.Id && UnreachableUntil.empty())
       UnplaceableSizes[Job.Request.pool()].push_back(toResourceAmounts(Job.Request.size()));
-    bool WaitForFasterServer = !Choice.FastEnough && Pool->second.anyServerFastEnough(MaxSlowness);
     // The string that Choice.Id points to is destroyed when the server's entry in the index changes.
-    return Choice.Id && !WaitForFasterServer ? &Servers.find(*Choice.Id)->first : nullptr;
+    const std::string *Server = Choice.Id ? &Servers.find(*Choice.Id)->first : nullptr;
+    bool WaitForFasterServer =
+        !Choice.FastEnough && Pool->second.anyServerFastEnough(MaxSlowness) && paysToWait(Job, Server, Now);
+    return WaitForFasterServer ? nullptr : Server;
+  }
+
+  // Whether a task should leave a slow server to others and wait for a faster one. That does not pay if the
+  // slow server suffices without a safety margin, or if the jobs before this one take the faster servers for
+  // too long.
+  [[nodiscard]] bool paysToWait(const waiting_job &Job, const std::string *SlowServer, time_point Now) const {
+    auto Wait = Admission.predictWait(Now, makeDemand(Job, Now));
+    if (!Wait || !SlowServer)
+      return true;
+    double LeftMs = runtime::toMs(Job.ObjectiveEndsAt - Now);
+    double EstimateMs = Job.Request.estimate_ms();
+    double SlowMs = EstimateMs * std::exp(Servers.at(*SlowServer).State.slowness());
+    double WaitMs = runtime::toMs(*Wait);
+    bool SlowInTime = SlowMs <= LeftMs;
+    bool FastInTime = WaitMs + EstimateMs * Options.EstimateMargin <= LeftMs;
+    return FastInTime && !(SlowInTime && WaitMs > MaxOptionalWaitMs);
   }
 
   // Returns the best server without tasks, or null.
@@ -377,6 +485,7 @@
     updateIndex(Server);
     Job.Started = true;
     ++Counters.Granted;
+    Admission.onGranted(Job.Request.queue(), Job.Request.size().cpu(), Job.Request.estimate_ms());
     schema::dispatch_message Message;
     schema::grant &Grant = *Message.mutable_grant();
     Grant.set_id(Id);
@@ -413,14 +522,17 @@
     updateIndex(Server->second);
   }
 
+  // A task that may be in time on a slow server waits at most this long for a faster one.
+  static constexpr double MaxOptionalWaitMs = 10;
   // Most jobs that hold the capacity at the time of a rejection have ended after this time.
-  static constexpr std::uint32_t RetryAfterMs = 1000;
+  static constexpr std::uint32_t DefaultRetryAfterMs = 1000;
   static constexpr duration MinEvacuationRetryAfter = std::chrono::seconds(1);
   static constexpr duration MaxEvacuationRetryAfter = std::chrono::seconds(30);
 
   const runtime::clock &Clock;
   send_function Send;
   placement_options Options;
+  admission::admission_control Admission;
   std::map<job_key, waiting_job> Jobs;
   std::map<std::string, known_server> Servers;
   std::map<std::string, pool_index> Pools;
