--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -116,16 +116,21 @@
   }
 
   void updateServer(const std::string &Owner, const schema::server_state &State) override {
-    for (std::uint64_t Grant : State.handled())
-      releaseGrant(Grant);
     auto Found = Servers.find(State.server());
+    bool Outdated = Found != Servers.end() && Found->second.Owner != Owner &&
+                    (State.removed() || Found->second.State.token() > State.token());
+    // The state includes the tasks of the handled grants, so that their cores stay in use.
+    for (std::uint64_t Grant : State.handled())
+      eraseGrant(Grant);
+    if (Outdated) {
+      updateIndex(Found->second);
+      return;
+    }
     if (State.removed()) {
-      if (Found != Servers.end() && Found->second.Owner == Owner)
+      if (Found != Servers.end())
         eraseServer(Found);
       return;
     }
-    if (Found != Servers.end() && Found->second.Owner != Owner && Found->second.State.token() > State.token())
-      return;
     if (Found != Servers.end() && Found->second.State.pool() != State.pool())
       eraseServer(Found);
     known_server &Server = Servers[State.server()];
@@ -511,15 +516,21 @@
   }
 
   void releaseGrant(std::uint64_t Id) {
+    auto Server = eraseGrant(Id);
+    if (Server != Servers.end())
+      updateIndex(Server->second);
+  }
+
+  // Returns the server of the grant, whose index entry the caller has to update.
+  server_iterator eraseGrant(std::uint64_t Id) {
     auto Found = Grants.find(Id);
     if (Found == Grants.end())
-      return;
+      return Servers.end();
     auto Server = Servers.find(Found->second.Server);
     Grants.erase(Found);
-    if (Server == Servers.end())
-      return;
-    std::erase(Server->second.Grants, Id);
-    updateIndex(Server->second);
+    if (Server != Servers.end())
+      std::erase(Server->second.Grants, Id);
+    return Server;
   }
 
   // A task that may be in time on a slow server waits at most this long for a faster one.
