Split entry_vm.cpp by what its parts decide

Change: vm_components holds the roles and the status that they share; message_router passes messages to them; contact_sessions applies the begins and ends of contact; vm_roles decides whether the VM dispatches and places, and calls the roll; configuration_exchange keeps the configuration and the evacuations; rack_assignment caches the owner of a rack; vm_reports makes the metrics and the report. entry_vm.cpp composes them and gives the roles their services. Behaviour stays as it was.

--- a/src/yuccaplank/dispatch/fleet_contacts.cpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.cpp
@@ -144,6 +144,11 @@
   return Missing;
 }
 
+std::size_t fleet_contacts::countInContact() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(View.others(), [](const auto &Entry) { return Entry.second.InContact; }));
+}
+
 bool fleet_contacts::knowsDispatcher() const {
   return !isRelay() || std::ranges::any_of(View.others(), [](const auto &Entry) {
     return Entry.second.InContact && Entry.second.Status.role() == schema::VM_DISPATCHES;
--- a/src/yuccaplank/dispatch/fleet_contacts.hpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.hpp
@@ -66,6 +66,8 @@
   /// within one round trip.
   void answerGreeting(const schema::vm_status &Greeting, bool ContactBegins);
 
+  /// Number of VMs in contact.
+  [[nodiscard]] std::size_t countInContact() const;
   /// Whether this VM dispatches or a VM that does is in contact.
   [[nodiscard]] bool knowsDispatcher() const;
   /// Dispatching VMs, according to the store, that have been out of contact since Before.
--- /dev/null
+++ b/src/yuccaplank/dispatch/message_router.hpp
@@ -0,0 +1,43 @@
+// Passes each message of another VM, or of this one, to the role that handles it.
+#pragma once
+
+#include "configuration_exchange.hpp"
+#include "contact_sessions.hpp"
+#include "vm_components.hpp"
+#include "vm_roles.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace yuccaplank::dispatch {
+
+class message_router {
+public:
+  message_router(vm_components &Vm, vm_roles &Roles, contact_sessions &Sessions,
+                 configuration_exchange &Configurations)
+      : Vm(Vm), Roles(Roles), Sessions(Sessions), Configurations(Configurations) {}
+
+  void handle(const std::string &From, const schema::dispatch_message &Message);
+  /// See entry_vm.
+  void cancel(std::uint64_t Job, std::function<void(bool Found)> OnDone);
+  /// Relayed jobs that this VM declined because the sender was out of contact.
+  [[nodiscard]] std::uint64_t declinedJobs() const { return DeclinedJobs; }
+
+private:
+  void onStatus(const schema::vm_status &Status);
+  void onRelay(const std::string &From, const schema::relay_job &Job);
+  void onCancel(const std::string &From, const schema::cancel_submitted &Request);
+  void scheduleSoon();
+
+  vm_components &Vm;
+  vm_roles &Roles;
+  contact_sessions &Sessions;
+  configuration_exchange &Configurations;
+  bool SchedulePosted = false;
+  std::uint64_t DeclinedJobs = 0;
+  runtime::lifetime Lifetime;
+};
+
+} // namespace yuccaplank::dispatch
