--- a/src/yuccaplank/dispatch/admission/admission_control.hpp
+++ b/src/yuccaplank/dispatch/admission/admission_control.hpp
@@ -62,6 +62,11 @@
     Shares.charge(Queue, Cpu, EstimateMs);
   }
 
+  /// Cores of the pool's servers that take tasks.
+  [[nodiscard]] core_usage usage(const std::string &Pool) const {
+    auto Found = Pools.find(Pool);
+    return Found == Pools.end() ? core_usage{} : Found->second.turnover().usage();
+  }
   /// Backlogs of the pools that refuse jobs, by pool.
   [[nodiscard]] std::map<std::string, std::vector<backlog_summary>> backlogs(runtime::time_point Now) const;
 
--- a/src/yuccaplank/dispatch/admission/pool_load.hpp
+++ b/src/yuccaplank/dispatch/admission/pool_load.hpp
@@ -28,6 +28,7 @@
   static constexpr runtime::duration MinRetryAfter = std::chrono::seconds(1);
 
   [[nodiscard]] capacity_turnover &turnover() { return Turnover; }
+  [[nodiscard]] const capacity_turnover &turnover() const { return Turnover; }
   /// A new job has arrived that needs so many cores, in thousandths.
   void onArrival(runtime::time_point Now, std::uint32_t Priority, std::int64_t Cpu);
   /// A job was refused because it would not begin in time.
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -329,6 +329,8 @@
                   {"predicted_wait_ms", Refusal ? runtime::toMs(Refusal->PredictedWait) : 0.0},
                   {"retry_after_ms", std::int64_t{RetryAfterMs}},
                   {"waiting_jobs", static_cast<std::int64_t>(Jobs.size())},
+                  {"busy_cores", Admission.usage(Job.Request.pool()).Busy / ThousandthsPerCore},
+                  {"usable_cores", Admission.usage(Job.Request.pool()).Capacity / ThousandthsPerCore},
                   {"servers", static_cast<std::int64_t>(Servers.size())}});
     Job.WaitingRuns.clear();
   }
@@ -533,6 +535,7 @@
     return Server;
   }
 
+  static constexpr std::int64_t ThousandthsPerCore = 1000;
   // A task that may be in time on a slow server waits at most this long for a faster one.
   static constexpr double MaxOptionalWaitMs = 10;
   // Most jobs that hold the capacity at the time of a rejection have ended after this time.
