Shed load on relaying VMs, bound the wait for a placer, guaranteed shares from settings

Backlogs travel with heartbeats and count for 400 ms. What jobs of a priority get now bounds the predicted wait from above, since the difference of release rate and more urgent arrivals is inaccurate.

--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -27,6 +27,9 @@
   /// New jobs are refused if no placer becomes known within this time. It is longer than the discovery of the
   /// other VMs takes in a fleet that has just started.
   runtime::duration PlacerTimeout = std::chrono::milliseconds(800);
+  /// A job of which nothing has started is refused this long after the latest start at which its answer would
+  /// have had value. The placer refuses it earlier, unless contact with the placer is lost.
+  runtime::duration RefusalMargin = std::chrono::milliseconds(250);
 };
 
 struct coordinator_counters {
--- a/include/yuccaplank/dispatch/placement_queue.hpp
+++ b/include/yuccaplank/dispatch/placement_queue.hpp
@@ -10,6 +10,10 @@
 #include <memory>
 #include <string>
 
+namespace yuccaplank::dispatch::admission {
+class known_backlogs;
+}
+
 namespace yuccaplank::dispatch {
 
 struct placement_options {
@@ -38,6 +42,8 @@
   std::uint64_t Rejected = 0;
   /// Rejected because they would not have begun in time, by prediction.
   std::uint64_t RejectedByBacklog = 0;
+  /// Granted to tasks of queues that had less than their guaranteed share.
+  std::uint64_t GrantedByShare = 0;
   std::uint64_t GrantsExpired = 0;
   std::size_t WaitingTasks = 0;
   std::size_t Servers = 0;
@@ -61,6 +67,8 @@
   virtual void schedule() = 0;
   [[nodiscard]] virtual std::size_t waitingJobs() const = 0;
   [[nodiscard]] virtual placement_counters counters() const = 0;
+  /// Sets the backlogs of the pools with more load than capacity.
+  virtual void predictBacklogs(admission::known_backlogs &Backlogs) const = 0;
 };
 
 std::unique_ptr<placement_queue> makePlacementQueue(const runtime::clock &Clock, send_function Send,
--- a/src/yuccaplank/dispatch/admission/admission_control.cpp
+++ b/src/yuccaplank/dispatch/admission/admission_control.cpp
@@ -68,6 +68,12 @@
   return Shares.isOwed(Queue);
 }
 
+void admission_control::onGranted(time_point Now, const waiting_demand &Demand, const std::string &Queue,
+                                  std::int64_t Cpu, double EstimateMs) {
+  Pools[Demand.Pool].onGranted(Now, Demand.Priority, Cpu);
+  Shares.charge(Queue, Cpu, EstimateMs);
+}
+
 std::map<std::string, std::vector<backlog_summary>> admission_control::backlogs(time_point Now) const {
   std::map<std::string, std::vector<backlog_summary>> Result;
   for (const auto &[Name, Pool] : Pools)
--- a/src/yuccaplank/dispatch/admission/admission_control.hpp
+++ b/src/yuccaplank/dispatch/admission/admission_control.hpp
@@ -57,10 +57,9 @@
   /// Updates the account of a queue with waiting jobs, and returns whether it is served before others.
   [[nodiscard]] bool isOwedShare(runtime::time_point Now, const std::string &Pool, const std::string &Queue,
                                  std::uint32_t Priority);
-  /// A task of the queue has got cores, in thousandths.
-  void onGranted(const std::string &Queue, std::int64_t Cpu, double EstimateMs) {
-    Shares.charge(Queue, Cpu, EstimateMs);
-  }
+  /// A task of a job has got cores, in thousandths.
+  void onGranted(runtime::time_point Now, const waiting_demand &Demand, const std::string &Queue,
+                 std::int64_t Cpu, double EstimateMs);
 
   /// Cores of the pool's servers that take tasks.
   [[nodiscard]] core_usage usage(const std::string &Pool) const {
--- a/src/yuccaplank/dispatch/admission/capacity_turnover.cpp
+++ b/src/yuccaplank/dispatch/admission/capacity_turnover.cpp
@@ -11,6 +11,7 @@
   bool IsUsable = Former.Capacity > 0 && Current.Capacity > 0;
   if (IsUsable && Current.Busy < Former.Busy) {
     Released.add(Now, static_cast<double>(Former.Busy - Current.Busy));
+    Releases.add(Now, 1);
     if (!ObservedSince)
       ObservedSince = Now;
   }
@@ -35,7 +36,7 @@
   double ReleasedCores = Released.value(Now);
   bool Observed = ObservedSince && Now - *ObservedSince >= MinObservation;
   bool Settled = Now - CapacityChangedAt >= SettlingTime;
-  if (!Observed || !Settled || ReleasedCores <= 0 || CoreTime <= 0)
+  if (!Observed || !Settled || Releases.value(Now) < MinReleases || CoreTime <= 0)
     return std::nullopt;
   // By Little's law, CoreTime / ReleasedCores is the mean time for which a core stays in use.
   return static_cast<double>(Usage.Busy) * ReleasedCores / CoreTime;
--- a/src/yuccaplank/dispatch/admission/capacity_turnover.hpp
+++ b/src/yuccaplank/dispatch/admission/capacity_turnover.hpp
@@ -32,6 +32,8 @@
   // use say little about the rate.
   static constexpr runtime::duration SettlingTime = std::chrono::milliseconds(300);
   static constexpr double CapacityTolerance = 0.1;
+  // With fewer releases within the time constant, the rate is too inaccurate to refuse anything.
+  static constexpr double MinReleases = 20;
 
   void setUsage(runtime::time_point Now, const core_usage &Updated);
 
@@ -42,6 +44,8 @@
   // In thousandths of a core times milliseconds.
   decayed_sum BusyTime{TimeConstant};
   decayed_sum Released{TimeConstant};
+  // Number of releases.
+  decayed_sum Releases{TimeConstant};
 };
 
 } // namespace yuccaplank::dispatch::admission
--- a/src/yuccaplank/dispatch/admission/pool_load.cpp
+++ b/src/yuccaplank/dispatch/admission/pool_load.cpp
@@ -10,7 +10,12 @@
 using runtime::time_point;
 
 void pool_load::onArrival(time_point Now, std::uint32_t Priority, std::int64_t Cpu) {
-  auto [Rate, IsNew] = Arrivals.try_emplace(Priority, ArrivalTimeConstant);
+  auto [Rate, IsNew] = Arrivals.try_emplace(Priority, RateTimeConstant);
+  Rate->second.add(Now, static_cast<double>(Cpu));
+}
+
+void pool_load::onGranted(time_point Now, std::uint32_t Priority, std::int64_t Cpu) {
+  auto [Rate, IsNew] = Grants.try_emplace(Priority, RateTimeConstant);
   Rate->second.add(Now, static_cast<double>(Cpu));
 }
 
@@ -33,12 +38,19 @@
   return Rate;
 }
 
+double pool_load::grantRate(time_point Now, std::uint32_t Priority) const {
+  auto Found = Grants.find(Priority);
+  return Found == Grants.end() ? 0 : Found->second.ratePerMs(Now);
+}
+
 std::optional<duration> pool_load::predictWait(time_point Now, std::uint32_t Priority,
                                                std::int64_t WaitingAheadCpu) const {
   auto ReleaseRate = Turnover.releaseRate(Now);
   if (!ReleaseRate)
     return std::nullopt;
-  double Available = *ReleaseRate - arrivalRateBefore(Now, Priority);
+  // The difference is inaccurate when more urgent jobs take most of what is released. What jobs of the
+  // priority get now is a lower bound.
+  double Available = std::max(*ReleaseRate - arrivalRateBefore(Now, Priority), grantRate(Now, Priority));
   double MaxWaitMs = runtime::toMs(MaxWait);
   if (Available * MaxWaitMs <= static_cast<double>(WaitingAheadCpu))
     return MaxWait;
--- a/src/yuccaplank/dispatch/admission/pool_load.hpp
+++ b/src/yuccaplank/dispatch/admission/pool_load.hpp
@@ -31,6 +31,8 @@
   [[nodiscard]] const capacity_turnover &turnover() const { return Turnover; }
   /// A new job has arrived that needs so many cores, in thousandths.
   void onArrival(runtime::time_point Now, std::uint32_t Priority, std::int64_t Cpu);
+  /// A task of the priority has got cores, in thousandths.
+  void onGranted(runtime::time_point Now, std::uint32_t Priority, std::int64_t Cpu);
   /// A job was refused because it would not begin in time.
   void onRefused(runtime::time_point Now, std::uint32_t Priority);
   /// Cores, in thousandths, that jobs of the priority wait for, including those that come before them.
@@ -50,14 +52,16 @@
   [[nodiscard]] std::vector<backlog_summary> backlogs(runtime::time_point Now) const;
 
 private:
-  static constexpr runtime::duration ArrivalTimeConstant = std::chrono::milliseconds(400);
+  static constexpr runtime::duration RateTimeConstant = std::chrono::milliseconds(400);
   // Refusals further apart than this belong to different periods of overload.
   static constexpr runtime::duration OverloadGap = std::chrono::milliseconds(400);
 
   [[nodiscard]] double arrivalRateBefore(runtime::time_point Now, std::uint32_t Priority) const;
+  [[nodiscard]] double grantRate(runtime::time_point Now, std::uint32_t Priority) const;
 
   capacity_turnover Turnover;
   std::map<std::uint32_t, decayed_sum> Arrivals;
+  std::map<std::uint32_t, decayed_sum> Grants;
   std::map<std::uint32_t, std::int64_t> WaitingCpu;
   std::map<std::uint32_t, runtime::time_point> LastRefusal;
   std::optional<runtime::time_point> OverloadedSince;
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -4,6 +4,7 @@
 #include "job_router.hpp"
 #include "message_router.hpp"
 #include "rack_assignment.hpp"
+#include "shedding_job_service.hpp"
 #include "vm_components.hpp"
 #include "vm_reports.hpp"
 #include "vm_roles.hpp"
@@ -28,11 +29,15 @@
       : RelayAdapter(*this), Vm(Executor, Ports, std::move(Options), rolePorts()), Configurations(Vm),
         Roles(Vm), Sessions(Vm, Roles, Configurations), Messages(Vm, Roles, Sessions, Configurations),
         Racks(*Vm.View, Vm.Options.Vm),
-        Router(*Vm.Jobs, Vm.Waiters, *Vm.Relay, [this] { return Roles.relaysNewJobs(); }) {
+        Router(*Vm.Jobs, Vm.Waiters, *Vm.Relay, [this] { return Roles.relaysNewJobs(); }),
+        Shedder(Vm.Executor.clock(), Vm.Backlogs),
+        Shedding(Vm.Executor, Router, Shedder,
+                 [this](std::uint64_t Job, const job_answer &Answer) { Vm.Ports.answer(Job, Answer); }) {
     runEvery(Vm.Options.HeartbeatInterval, [this] {
       // Expired contacts end first, so that the other VMs receive the consequences before a heartbeat that
       // extends contact.
       Sessions.endExpiredContacts();
+      updateBacklogs();
       Vm.Contacts.sendHeartbeats();
     });
     runEvery(Vm.Options.RetryInterval, [this] {
@@ -90,7 +95,7 @@
   [[nodiscard]] bool ready() const override {
     return Configurations.current() && !Vm.Self.draining() && !Vm.View->placer().empty();
   }
-  job_service &jobs() override { return Router; }
+  job_service &jobs() override { return Shedding; }
   void cancel(std::uint64_t Job, std::function<void(bool)> OnDone) override {
     Messages.cancel(Job, std::move(OnDone));
   }
@@ -119,7 +124,9 @@
   }
 
   [[nodiscard]] entry_vm_state state() const override {
-    return makeVmState(Vm, Roles, Configurations, Messages.declinedJobs());
+    entry_vm_state State = makeVmState(Vm, Roles, Configurations, Messages.declinedJobs());
+    State.ShedJobs = Shedder.shedJobs();
+    return State;
   }
   [[nodiscard]] schema::fleet_report report() const override {
     return makeFleetReport(Vm, Roles, Configurations);
@@ -138,14 +145,17 @@
     [[nodiscard]] std::uint32_t session(const std::string &Other) const override {
       return Impl.session(Other);
     }
-    void answer(std::uint64_t Job, const job_answer &Answer) override { Impl.Vm.Ports.answer(Job, Answer); }
+    void answer(std::uint64_t Job, const job_answer &Answer) override { Impl.answerCaller(Job, Answer); }
     entry_vm_impl &Impl;
   };
 
   role_ports rolePorts() {
-    return {
-        *this, *this, *this, RelayAdapter,
-        [this](const std::string &To, schema::dispatch_message Message) { send(To, std::move(Message)); }};
+    return {*this,
+            *this,
+            *this,
+            RelayAdapter,
+            [this](const std::string &To, schema::dispatch_message Message) { send(To, std::move(Message)); },
+            [this](std::uint64_t Job, const job_answer &Answer) { answerCaller(Job, Answer); }};
   }
 
   // Services that the roles use.
@@ -211,6 +221,19 @@
     return TokenOf(Term);
   }
 
+  // Heartbeats tell the other VMs what this one predicts as the placer, or knows from the placer.
+  void updateBacklogs() {
+    if (Roles.placing())
+      Vm.Queue->predictBacklogs(Vm.Backlogs);
+    Vm.Self.clear_backlogs();
+    Vm.Backlogs.addTo(Vm.Executor.clock().now(), *Vm.Self.mutable_backlogs());
+  }
+
+  void answerCaller(std::uint64_t Job, const job_answer &Answer) {
+    Shedder.onAnswer(Answer);
+    Vm.Ports.answer(Job, Answer);
+  }
+
   // Timers.
 
   void schedule() {
@@ -240,6 +263,8 @@
   message_router Messages;
   mutable rack_assignment Racks;
   job_router Router;
+  admission::load_shedder Shedder;
+  shedding_job_service Shedding;
   runtime::lifetime Lifetime;
 };
 
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -67,6 +67,7 @@
   std::set<std::string> ServersToAvoid;
   runtime::timer_id DeadlineTimer = 0;
   runtime::timer_id PlacerTimer = 0;
+  runtime::timer_id StartTimer = 0;
 };
 
 class job_coordinator_impl final : public job_coordinator {
@@ -293,6 +294,16 @@
       return;
     describeJob(Job, Place);
     Ports.send(Placer, std::move(Message));
+    limitWait(Job);
+  }
+
+  // The placer may be cut off, and the job then waits for nothing.
+  void limitWait(coordinated_job &Job) {
+    if (Job.StartTimer || Job.PossiblyStartedRuns > 0)
+      return;
+    duration Left = Job.SubmittedAt + latestStart(Job) - now();
+    Job.StartTimer = Executor.after(std::max(Left, duration::zero()) + Options.RefusalMargin,
+                                    [this, Id = Job.Request.Job] { onStartTimeout(Id); });
   }
 
   void describeJob(const coordinated_job &Job, schema::place_job &Place) const {
@@ -503,6 +514,22 @@
       finishJob(Found->second, {job_outcome::Failed, end_reason::ServersCrashed, 0, {}, false});
   }
 
+  // Returns the time after submission at which the tasks have to start at the latest, so that the answer has
+  // value.
+  [[nodiscard]] duration latestStart(const coordinated_job &Job) const {
+    auto UsefulTime = std::chrono::duration_cast<duration>(Job.Objective * Options.LateFactor);
+    return std::min(UsefulTime, Job.Request.Deadline) - std::chrono::milliseconds(Job.Request.EstimateMs);
+  }
+
+  void onStartTimeout(std::uint64_t Id) {
+    auto Found = Jobs.find(Id);
+    if (Found == Jobs.end() || std::exchange(Found->second.StartTimer, 0) == 0 ||
+        Found->second.PossiblyStartedRuns > 0)
+      return;
+    finishJob(Found->second,
+              {job_outcome::Refused, end_reason::NoRoomInTime, StartTimeoutRetryAfterMs, {}, false});
+  }
+
   void onPlacerTimeout(std::uint64_t Id) {
     auto Found = Jobs.find(Id);
     if (Found == Jobs.end())
@@ -601,10 +628,14 @@
   void cancelTimers(coordinated_job &Job) {
     runtime::cancelTimer(Executor, Job.DeadlineTimer);
     runtime::cancelTimer(Executor, Job.PlacerTimer);
+    runtime::cancelTimer(Executor, Job.StartTimer);
     for (task_state &Task : Job.Tasks)
       runtime::cancelTimer(Executor, Task.OrphanTimer);
   }
 
+  // By then, another VM places tasks if the placer was lost.
+  static constexpr std::uint32_t StartTimeoutRetryAfterMs = 1000;
+
   runtime::executor &Executor;
   coordinator_ports &Ports;
   coordinator_options Options;
--- a/src/yuccaplank/dispatch/message_router.cpp
+++ b/src/yuccaplank/dispatch/message_router.cpp
@@ -104,6 +104,7 @@
 
 void message_router::onStatus(const schema::vm_status &Status) {
   Configurations.learnEvacuations(Status);
+  Vm.Backlogs.learn(Vm.Executor.clock().now(), Status.backlogs());
   std::vector<view_change> Changes = Vm.View->onStatus(Status);
   // The reply precedes the messages that the start of contact causes, because the other VM accepts these
   // only when it is in contact.
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -1,5 +1,6 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
 #include "admission/admission_control.hpp"
+#include "admission/known_backlogs.hpp"
 #include "pool_index.hpp"
 #include "resource_amounts.hpp"
 #include "yuccaplank/dispatch/job_answer.hpp"
@@ -31,6 +32,8 @@
   time_point UsefulUntil;
   time_point Deadline;
   bool Started = false;
+  // Whether the job is served before more urgent ones because of its queue's guaranteed share.
+  bool OwedShare = false;
   // Run numbers of the waiting tasks, by the task's index in the job.
   std::map<std::uint32_t, std::uint32_t> WaitingRuns;
 };
@@ -180,6 +183,10 @@
     return Result;
   }
 
+  void predictBacklogs(admission::known_backlogs &Backlogs) const override {
+    Backlogs.setOwn(Clock.now(), Admission.backlogs(Clock.now()));
+  }
+
 private:
   [[nodiscard]] static prospect estimateProspect(const waiting_job &Job, time_point Now) {
     time_point End = Now + milliseconds(Job.Request.estimate_ms());
@@ -200,6 +207,8 @@
     // Late jobs are served after all others.
     bool InTime = estimateProspect(Job, Now) == prospect::InTime;
     std::uint32_t Priority = InTime ? Job.Request.priority() : std::numeric_limits<std::uint32_t>::max();
+    if (Job.OwedShare)
+      Priority = 0;
     return {Job.Request.pool(), Job.Request.job(), Priority,
             static_cast<std::int64_t>(Job.WaitingRuns.size()) * Job.Request.size().cpu(),
             latestStart(Job, Now)};
@@ -236,6 +245,8 @@
     RankedJobs.reserve(Jobs.size());
     for (auto &[Key, Job] : Jobs)
       RankedJobs.emplace_back(rankOf(Job, OwedQueues.contains(Job.Request.queue()), Now), &Job);
+    for (const auto &[Rank, Job] : RankedJobs)
+      Job->OwedShare = Rank == service_rank::OwedShare;
     std::ranges::sort(RankedJobs, [](const auto &Left, const auto &Right) {
       if (Left.first != Right.first)
         return Left.first < Right.first;
@@ -492,7 +503,9 @@
     updateIndex(Server);
     Job.Started = true;
     ++Counters.Granted;
-    Admission.onGranted(Job.Request.queue(), Job.Request.size().cpu(), Job.Request.estimate_ms());
+    Counters.GrantedByShare += Job.OwedShare ? 1 : 0;
+    Admission.onGranted(Now, makeDemand(Job, Now), Job.Request.queue(), Job.Request.size().cpu(),
+                        Job.Request.estimate_ms());
     schema::dispatch_message Message;
     schema::grant &Grant = *Message.mutable_grant();
     Grant.set_id(Id);
--- /dev/null
+++ b/src/yuccaplank/dispatch/shedding_job_service.hpp
@@ -0,0 +1,59 @@
+// Refuses jobs of this VM's callers at once while the placer refuses most jobs of their kind, and passes on
+// the others.
+#pragma once
+
+#include "admission/load_shedder.hpp"
+#include "yuccaplank/dispatch/job_service.hpp"
+#include "yuccaplank/runtime/executor.hpp"
+#include "yuccaplank/runtime/lifetime.hpp"
+#include "yuccaplank/runtime/log.hpp"
+
+#include "yuccaplank/dispatch/messages.hpp"
+
+#include <functional>
+
+namespace yuccaplank::dispatch {
+
+class shedding_job_service final : public job_service {
+public:
+  /// AnswerCaller is called after submit() has returned.
+  shedding_job_service(runtime::executor &Executor, job_service &Next, admission::load_shedder &Shedder,
+                       std::function<void(std::uint64_t Job, const job_answer &Answer)> AnswerCaller)
+      : Executor(Executor), Next(Next), Shedder(Shedder), AnswerCaller(std::move(AnswerCaller)) {}
+
+  bool submit(const queue_settings &Queue, job_request Request) override {
+    std::optional<runtime::duration> RetryAfter;
+    if (!Next.contains(Request.Job))
+      RetryAfter = Shedder.shed(Queue, Request);
+    if (!RetryAfter)
+      return Next.submit(Queue, std::move(Request));
+    refuse(Queue, Request.Job, *RetryAfter);
+    return true;
+  }
+  bool cancel(std::uint64_t Job, end_reason Reason) override { return Next.cancel(Job, Reason); }
+  [[nodiscard]] bool contains(std::uint64_t Job) const override { return Next.contains(Job); }
+  [[nodiscard]] job_state state(std::uint64_t Job) const override { return Next.state(Job); }
+  [[nodiscard]] std::size_t size() const override { return Next.size(); }
+
+private:
+  void refuse(const queue_settings &Queue, std::uint64_t Job, runtime::duration RetryAfter) {
+    job_answer Answer;
+    Answer.Outcome = job_outcome::Refused;
+    Answer.Reason = end_reason::Backlog;
+    Answer.RetryAfterMs = static_cast<std::uint32_t>(runtime::toMs(RetryAfter));
+    Answer.Queue = Queue.Name;
+    runtime::log(runtime::log_level::Info, "job_shed",
+                 {{"job", formatJob(Job)},
+                  {"queue", Queue.Name},
+                  {"retry_after_ms", std::int64_t{Answer.RetryAfterMs}}});
+    Executor.post(Lifetime.guard([this, Job, Answer] { AnswerCaller(Job, Answer); }));
+  }
+
+  runtime::executor &Executor;
+  job_service &Next;
+  admission::load_shedder &Shedder;
+  std::function<void(std::uint64_t, const job_answer &)> AnswerCaller;
+  runtime::lifetime Lifetime;
+};
+
+} // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/vm_components.hpp
+++ b/src/yuccaplank/dispatch/vm_components.hpp
@@ -1,6 +1,7 @@
 // The roles of one entry VM, and what they share: this VM's status and its view of the other VMs.
 #pragma once
 
+#include "admission/known_backlogs.hpp"
 #include "cancel_exchanges.hpp"
 #include "fleet_contacts.hpp"
 #include "job_relay.hpp"
@@ -8,6 +9,7 @@
 #include "loss_history.hpp"
 #include "yuccaplank/dispatch/entry_vm.hpp"
 
+#include <functional>
 #include <memory>
 
 namespace yuccaplank::dispatch {
@@ -20,6 +22,8 @@
   relay_ports &Relay;
   /// Sends to this VM or to one in contact.
   send_function Send;
+  /// Answers a job of this VM's callers.
+  std::function<void(std::uint64_t Job, const job_answer &Answer)> AnswerCaller;
 };
 
 struct vm_components {
@@ -31,9 +35,7 @@
         Queue(makePlacementQueue(Executor.clock(), Send, Options.Placement)),
         Jobs(makeJobCoordinator(Executor, Roles.Coordinator, Options.Coordinator)),
         Owner(makeServerOwner(Executor, Roles.Owner, Options.Ledger)),
-        Relay(makeJobRelay(Executor, Roles.Relay, Options.Relay)),
-        Waiters(*Jobs, Send,
-                [this](std::uint64_t Job, const job_answer &Answer) { this->Ports.answer(Job, Answer); }),
+        Relay(makeJobRelay(Executor, Roles.Relay, Options.Relay)), Waiters(*Jobs, Send, Roles.AnswerCaller),
         Cancels(Executor, Send), Losses(Executor.clock()) {
     Self.set_role(schema::VM_RELAYS);
     Self.set_vm(Options.Vm);
@@ -68,6 +70,7 @@
   job_waiters Waiters;
   cancel_exchanges Cancels;
   loss_history Losses;
+  admission::known_backlogs Backlogs;
 };
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/entry/own_settings.cpp
+++ b/src/yuccaplank/entry/own_settings.cpp
@@ -29,6 +29,11 @@
   overrideIfSet(Settings.placement().late_factor(), Options.Coordinator.LateFactor);
   overrideIfSet(Settings.placement().max_wait_share(), Options.Placement.MaxWaitShare);
   overrideIfSet(Settings.placement().estimate_margin(), Options.Placement.EstimateMargin);
+  dispatch::admission::admission_options &Admission = Options.Placement.Admission;
+  Admission.PredictStarts = !Settings.admission().accept_without_prediction();
+  overrideIfSet(Settings.admission().wait_margin(), Admission.WaitMargin);
+  for (const schema::guaranteed_share_settings &Share : Settings.admission().guaranteed_shares())
+    Admission.Shares.push_back({Share.queue(), Share.priority(), Share.share()});
 }
 
 frontend_options frontendOptions(const schema::daemon_settings &Settings) {
--- a/src/yuccaplank/wire/settings_reader.cpp
+++ b/src/yuccaplank/wire/settings_reader.cpp
@@ -15,6 +15,8 @@
 
 constexpr auto LogLevels = std::to_array<std::string_view>({"debug", "info", "warning", "error"});
 
+constexpr double MaxGuaranteedShare = 0.9;
+
 struct range_check {
   const char *Path;
   double (*Value)(const schema::daemon_settings &);
@@ -29,6 +31,8 @@
      [](const schema::daemon_settings &Settings) { return Settings.placement().max_wait_share(); }, 1},
     {"placement.estimate_margin",
      [](const schema::daemon_settings &Settings) { return Settings.placement().estimate_margin(); }, 10},
+    {"admission.wait_margin",
+     [](const schema::daemon_settings &Settings) { return Settings.admission().wait_margin(); }, 1},
     {"callers.answer_retention_s",
      [](const schema::daemon_settings &Settings) -> double {
        return Settings.callers().answer_retention_s();
@@ -50,6 +54,10 @@
     if (!(Value >= 0 && Value <= Range.Max))
       Issues.push_back({errc::OutOfRange, Range.Path, 0, fmt::format("0 to {:g}", Range.Max)});
   }
+  for (const schema::guaranteed_share_settings &Share : Settings.admission().guaranteed_shares())
+    if (!(Share.share() > 0 && Share.share() <= MaxGuaranteedShare))
+      Issues.push_back({errc::OutOfRange, "admission.guaranteed_shares", 0,
+                        fmt::format("shares above 0, up to {:g}", MaxGuaranteedShare)});
   const std::string &Level = Settings.log().level();
   if (!Level.empty() && std::ranges::find(LogLevels, Level) == LogLevels.end())
     Issues.push_back(
