Drop requests whose connection has been closed by either side

Change: every connection that the server shuts down is marked, and dispatch() delivers nothing on it. Before a delivery, one poll() of the connection shows whether the peer has closed it. After shutdown(), idle connections stay open for IdleCloseDelay (500 ms), so that an active one ends with a reply and 'Connection: close'. Requests carry MaxUnreadTime, a bound from the iterations of the loop.

--- a/include/yuccaplank/runtime/loop.hpp
+++ b/include/yuccaplank/runtime/loop.hpp
@@ -21,6 +21,12 @@
   /// Makes the loop call Handler before anything else if it has not run for Threshold or longer, for example
   /// after SIGSTOP.
   virtual void setPauseHandler(duration Threshold, std::function<void(duration Pause)> Handler) = 0;
+  /// Number of iterations that have begun. Each iteration polls the sockets once, after posted functions and
+  /// timers.
+  [[nodiscard]] virtual std::uint64_t iterations() const = 0;
+  /// Start of the iteration before the current one, on the clock that includes suspension. What is read now
+  /// arrived later, because that iteration has polled the sockets since.
+  [[nodiscard]] virtual time_point previousIteration() const = 0;
 };
 
 std::unique_ptr<loop> makeLoop();
--- a/include/yuccaplank/wire/http_server.hpp
+++ b/include/yuccaplank/wire/http_server.hpp
@@ -34,6 +34,8 @@
   std::vector<std::pair<std::string, std::string>> Query;
   std::vector<http_header> Headers;
   std::string Body;
+  /// Upper bound of the time that the request spent unread in the socket buffer.
+  runtime::duration MaxUnreadTime{};
 
   /// Returns the value of a header, given its lower-case name; empty if the header is missing.
   [[nodiscard]] std::string_view header(std::string_view Name) const;
@@ -56,6 +58,17 @@
   std::size_t MaxBodyBytes = 1U << 20U;
   std::size_t MaxConnections = 4096;
   runtime::duration RequestTimeout = std::chrono::seconds(5);
+  /// Time after shutdown() during which idle connections stay open: a caller's next request ends its
+  /// connection with a reply, where closing at once would break requests that are under way.
+  runtime::duration IdleCloseDelay = std::chrono::milliseconds(500);
+};
+
+/// Counts since the start of a server.
+struct http_server_counts {
+  /// Requests that were not delivered because the server had closed their connection.
+  std::uint64_t DroppedOnClosing = 0;
+  /// Requests that were not delivered because their caller had closed the connection.
+  std::uint64_t DroppedCallerLeft = 0;
 };
 
 /// HTTP server. Replies to requests whose connection has closed are discarded.
@@ -68,16 +81,19 @@
   virtual void closeWithoutReply(request_token Token) = 0;
   /// Listening port.
   [[nodiscard]] virtual std::uint16_t port() const = 0;
-  /// Stops accepting connections. Requests in progress can still be answered, then their connections close.
+  /// Stops accepting connections. Requests can still be answered, then their connections close; idle
+  /// connections close after IdleCloseDelay.
   virtual void shutdown() = 0;
   /// Number of requests that have not been answered yet.
   [[nodiscard]] virtual std::size_t pendingRequests() const = 0;
   /// Number of open connections, including idle ones.
   [[nodiscard]] virtual std::size_t connections() const = 0;
+  [[nodiscard]] virtual http_server_counts counts() const = 0;
 };
 
-/// Handlers run on the event loop. OnClosed reports that the connection of an unanswered request has closed.
-/// A client that closes only its sending side is treated as disconnected.
+/// Handlers run on the event loop. A request whose connection the caller or the server has closed is not
+/// delivered: its caller may have sent it to another server. OnClosed reports that the connection of an
+/// unanswered request has closed. A client that closes only its sending side is treated as disconnected.
 struct http_server_handlers {
   std::function<void(http_request)> OnRequest;
   std::function<void(request_token)> OnClosed;
--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -88,11 +88,19 @@
     PauseHandler = std::move(Handler);
   }
 
+  [[nodiscard]] std::uint64_t iterations() const override { return Iterations; }
+  [[nodiscard]] time_point previousIteration() const override { return PreviousStart; }
+
 private:
   void checkPause() {
     time_point Now = clock().sinceBoot();
     duration Pause = Now - LastIteration;
     LastIteration = Now;
+    // Unlike LastIteration, these are not reset by run(): sockets are not read between two calls of it
+    // either.
+    PreviousStart = Iterations == 0 ? Now : CurrentStart;
+    CurrentStart = Now;
+    ++Iterations;
     if (PauseHandler && Pause >= PauseThreshold)
       PauseHandler(Pause);
   }
@@ -140,6 +148,9 @@
   duration PauseThreshold{};
   std::function<void(duration)> PauseHandler;
   time_point LastIteration{};
+  time_point CurrentStart{};
+  time_point PreviousStart{};
+  std::uint64_t Iterations = 0;
   bool Stopped = false;
 };
 
--- a/src/yuccaplank/wire/hangup_watch.cpp
+++ b/src/yuccaplank/wire/hangup_watch.cpp
@@ -5,6 +5,7 @@
 
 #include "hangup_watch.hpp"
 
+#include <poll.h>
 #include <sys/epoll.h>
 
 #include <array>
@@ -41,6 +42,11 @@
   epoll_ctl(Fd, EPOLL_CTL_ADD, Connection, &Event);
 }
 
+bool hangup_watch::peerHasClosed(int Connection) {
+  pollfd Poll{Connection, POLLRDHUP, 0};
+  return poll(&Poll, 1, 0) > 0 && (Poll.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void hangup_watch::readEvents() const {
   std::array<epoll_event, MaxEvents> Events{};
   int Count = epoll_wait(Fd, Events.data(), MaxEvents, 0);
--- a/src/yuccaplank/wire/hangup_watch.hpp
+++ b/src/yuccaplank/wire/hangup_watch.hpp
@@ -12,7 +12,7 @@
 
 namespace yuccaplank::wire {
 
-/// Watches all connections with one epoll set: one system call per connection and none per request.
+/// Watches all connections with one epoll set: one system call per connection.
 class hangup_watch {
 public:
   hangup_watch(runtime::loop &Loop, std::function<void(std::uint64_t Id)> OnHangup)
@@ -25,6 +25,8 @@
   runtime::result<void> open();
   /// Watches a connection, given its file descriptor, until it is closed.
   void add(int Connection, std::uint64_t Id) const;
+  /// Returns whether the peer of a connection has closed it, even if the event has not been read yet.
+  static bool peerHasClosed(int Connection);
 
 private:
   void readEvents() const;
--- a/src/yuccaplank/wire/http_server.cpp
+++ b/src/yuccaplank/wire/http_server.cpp
@@ -6,6 +6,7 @@
 }
 
 #include "hangup_watch.hpp"
+#include "unread_bound.hpp"
 #include "yuccaplank/runtime/log.hpp"
 #include "yuccaplank/wire/http_server.hpp"
 #include "yuccaplank/wire/socket_address.hpp"
@@ -48,6 +49,9 @@
   request_token Http1Request = 0;
   bool Http2 = false;
   bool PeerClosed = false;
+  // The server has shut the connection down; h2o still reads what had arrived.
+  bool Closing = false;
+  accept_mark Accepted;
   time_point LastActivity;
 };
 
@@ -118,7 +122,7 @@
 public:
   server_state(runtime::loop &Loop, http_server_options OptionsIn, http_server_handlers HandlersIn)
       : Loop(Loop), Options(std::move(OptionsIn)), Handlers(std::move(HandlersIn)),
-        Hangups(Loop, [this](std::uint64_t Id) { onHangup(Id); }) {
+        Hangups(Loop, [this](std::uint64_t Id) { onHangup(Id); }), UnreadBound(Loop) {
     configure();
     Accept.ctx = &Context;
     Accept.hosts = Config.hosts;
@@ -168,7 +172,7 @@
     auto Found = Requests.find(Token);
     if (Found == Requests.end())
       return;
-    ::shutdown(Found->second->Connection->Fd, SHUT_RDWR);
+    closeConnection(*Found->second->Connection);
     endRequest(Token);
   }
 
@@ -177,7 +181,7 @@
     if (Context.shutdown_requested)
       return;
     h2o_context_request_shutdown(&Context);
-    closeIdle();
+    closeIdleLater();
   }
 
   // Called when the server object is destroyed: no handler is called any more, and all connections close.
@@ -185,7 +189,7 @@
     Handlers = {};
     shutdown();
     for (auto &[Id, Connection] : Connections)
-      ::shutdown(Connection->Fd, SHUT_RDWR);
+      closeConnection(*Connection);
     std::vector<request_token> Tokens;
     for (auto &[Token, Request] : Requests)
       Tokens.push_back(Token);
@@ -200,6 +204,7 @@
   [[nodiscard]] std::uint16_t port() const { return Port; }
   [[nodiscard]] std::size_t pendingRequests() const { return Requests.size(); }
   [[nodiscard]] std::size_t connections() const { return Connections.size(); }
+  [[nodiscard]] http_server_counts counts() const { return Counts; }
 
 private:
   void configure() {
@@ -224,27 +229,31 @@
   }
 
   void acceptConnections() {
+    accept_mark Mark = UnreadBound.beginBatch();
     for (int Count = 0; Count < AcceptBatch && Listener; ++Count) {
       h2o_socket_t *Socket = h2o_evloop_socket_accept(Listener);
-      if (!Socket)
+      if (!Socket) {
+        UnreadBound.onQueueEmptied();
         return;
+      }
       if (Connections.size() >= Options.MaxConnections) {
         h2o_socket_close(Socket);
         log(runtime::log_level::Warning, "too_many_connections",
             {{"port", std::int64_t{Port}}, {"limit", static_cast<std::int64_t>(Options.MaxConnections)}});
         continue;
       }
-      addConnection(Socket);
+      addConnection(Socket, Mark);
       h2o_accept(&Accept, Socket);
     }
   }
 
-  void addConnection(h2o_socket_t *Socket) {
+  void addConnection(h2o_socket_t *Socket, const accept_mark &Mark) {
     auto Added = std::make_unique<connection>();
     Added->Owner = this;
     Added->Socket = Socket;
     Added->Id = ++LastConnection;
     Added->Fd = h2o_socket_get_fd(Socket);
+    Added->Accepted = Mark;
     Added->LastActivity = Loop.clock().now();
     Socket->on_close.data = Added.get();
     Socket->on_close.cb = [](void *Data) {
@@ -264,6 +273,12 @@
       Loop.post([Last = std::move(SelfReference)] {});
   }
 
+  // h2o closes the connection when it reads its end; until then it reads requests that had arrived.
+  static void closeConnection(connection &Connection) {
+    Connection.Closing = true;
+    ::shutdown(Connection.Fd, SHUT_RDWR);
+  }
+
   void onHangup(std::uint64_t Id) {
     auto Found = Connections.find(Id);
     if (Found == Connections.end())
@@ -277,7 +292,7 @@
   // treated the same way, because the two cases cannot be distinguished.
   void endHttp1Request(connection &Connection) {
     request_token Token = Connection.Http1Request;
-    ::shutdown(Connection.Fd, SHUT_RDWR);
+    closeConnection(Connection);
     notifyClosed(Token);
     endRequest(Token);
   }
@@ -313,13 +328,22 @@
     time_point Cutoff = Loop.clock().now() - 2 * Options.RequestTimeout;
     for (auto &[Id, Connection] : Connections)
       if (Connection->Pending == 0 && Connection->LastActivity <= Cutoff)
-        ::shutdown(Connection->Fd, SHUT_RDWR);
-    if (Context.shutdown_requested)
-      closeIdle();
+        closeConnection(*Connection);
     if (!Connections.empty())
       startSweep();
   }
 
+  void closeIdleLater() {
+    Loop.after(Options.IdleCloseDelay, [Weak = weak_from_this()] {
+      auto State = Weak.lock();
+      if (!State)
+        return;
+      State->closeIdle();
+      if (!State->Connections.empty())
+        State->closeIdleLater();
+    });
+  }
+
   // Closes idle HTTP/1.1 connections, unless they have unread input. h2o itself closes HTTP/2 connections
   // with GOAWAY.
   void closeIdle() {
@@ -327,7 +351,7 @@
       char Byte = 0;
       if (!Connection->Http2 && Connection->Pending == 0 && Connection->Socket->input->size == 0 &&
           recv(Connection->Fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
-        ::shutdown(Connection->Fd, SHUT_RDWR);
+        closeConnection(*Connection);
     }
   }
 
@@ -349,15 +373,29 @@
     Connection->Http2 = Native->version >= 0x200;
     if (!Connection->Http2)
       Connection->Http1Request = Request->Token;
-    if (headerBytes(*Native) > MaxHeaderBytes)
+    if (Connection->Closing)
+      drop(*Request, "connection_closing", Counts.DroppedOnClosing);
+    else if (Connection->PeerClosed || hangup_watch::peerHasClosed(Connection->Fd))
+      drop(*Request, "caller_left", Counts.DroppedCallerLeft);
+    else if (headerBytes(*Native) > MaxHeaderBytes)
       replyWithError(*Request, 431);
     else
       deliver(*Request);
-    if (Connection->PeerClosed && Connection->Http1Request)
-      endHttp1Request(*Connection);
     return 0;
   }
 
+  // Ends a request without delivering it. Its caller has seen the connection close without a reply, and may
+  // have sent the request to another server.
+  void drop(const pending_request &Request, const char *Reason, std::uint64_t &Count) {
+    ++Count;
+    log(runtime::log_level::Info, "request_dropped",
+        {{"port", std::int64_t{Port}},
+         {"method", std::string(view(Request.Native->method))},
+         {"reason", std::string(Reason)}});
+    closeConnection(*Request.Connection);
+    replyWithError(Request, 503);
+  }
+
   void deliver(const pending_request &Request) const {
     const h2o_req_t &Native = *Request.Native;
     if (!Handlers.OnRequest)
@@ -377,6 +415,7 @@
     }
     if (Native.entity.base)
       Value.Body = view(Native.entity);
+    Value.MaxUnreadTime = UnreadBound.maxUnreadTime(Request.Connection->Accepted);
     Handlers.OnRequest(std::move(Value));
   }
 
@@ -431,6 +470,8 @@
   h2o_accept_ctx_t Accept{};
   h2o_socket_t *Listener = nullptr;
   hangup_watch Hangups;
+  unread_bound UnreadBound;
+  http_server_counts Counts;
   std::uint16_t Port = 0;
   std::unordered_map<request_token, pending_request *> Requests;
   std::unordered_map<std::uint64_t, std::unique_ptr<connection>> Connections;
@@ -454,6 +495,7 @@
   void shutdown() override { State->shutdown(); }
   [[nodiscard]] std::size_t pendingRequests() const override { return State->pendingRequests(); }
   [[nodiscard]] std::size_t connections() const override { return State->connections(); }
+  [[nodiscard]] http_server_counts counts() const override { return State->counts(); }
 
 private:
   std::shared_ptr<server_state> State;
--- a/src/yuccaplank/wire/http_server_test.cpp
+++ b/src/yuccaplank/wire/http_server_test.cpp
@@ -231,6 +231,52 @@
   }
 });
 
+// Guards against requests that are carried out although their callers have sent them to another server: those
+// read after a pause, and those read from a connection that either side has closed.
+const test_case LateRequests("http server: requests that are read late", [] {
+  http_server_options Options;
+  Options.RequestTimeout = 200ms;
+  server_fixture Fixture(Options);
+  // Runs the function while the loop is held, and then the loop.
+  auto HoldLoop = [&](auto Function) {
+    Fixture.Loop->post([&] {
+      Function();
+      std::this_thread::sleep_for(1200ms);
+    });
+    runFor(*Fixture.Loop, 1300ms);
+  };
+  if (auto When = section("when callers have left, only the request of the one that stays is delivered")) {
+    std::vector<raw_socket> Clients;
+    HoldLoop([&] {
+      for (int Count = 0; Count < 80; ++Count) {
+        Clients.push_back(connectTo(Fixture.Server->port()));
+        Clients.back().send(Get);
+        if (Count < 79)
+          Clients.back().close();
+      }
+    });
+    runUntil(*Fixture.Loop, [&] { return Fixture.Server->connections() == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Fixture.Requests.size());
+    CPPUNIT_ASSERT(Fixture.Requests[0].MaxUnreadTime >= 1200ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{79}, Fixture.Server->counts().DroppedCallerLeft);
+  }
+  if (auto When = section("when the server has closed the connection as idle, the request is dropped")) {
+    raw_socket Client = connectTo(Fixture.Server->port());
+    runFor(*Fixture.Loop, 50ms);
+    HoldLoop([&] { Client.send(Get); });
+    CPPUNIT_ASSERT(Fixture.Requests.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Fixture.Server->counts().DroppedOnClosing);
+    CPPUNIT_ASSERT(Client.closedByPeer());
+  }
+  if (auto When = section("when the loop has not paused, the request is not regarded as late")) {
+    raw_socket Client = connectTo(Fixture.Server->port());
+    runFor(*Fixture.Loop, 150ms);
+    Client.send(Get);
+    runUntil(*Fixture.Loop, [&] { return !Fixture.Requests.empty(); });
+    CPPUNIT_ASSERT(Fixture.Requests[0].MaxUnreadTime < 450ms);
+  }
+});
+
 // Guards against a shutdown that loses requests in progress or leaves connections open.
 const test_case Shutdown("http server: shutdown", [] {
   server_fixture Fixture;
@@ -243,6 +289,14 @@
     assertStatus(200, Fixture.runInThread([&] { return Client.receiveMessage(); }));
     CPPUNIT_ASSERT(Fixture.runInThread([&] { return Client.closedByPeer(); }));
   }
+  if (auto When = section("when a request arrives on an idle connection, it is answered")) {
+    Fixture.AnswerAtOnce = true;
+    runFor(*Fixture.Loop, 100ms);
+    Idle.send(Get);
+    std::string Reply = Fixture.runInThread([&] { return Idle.receiveMessage(); });
+    assertStatus(200, Reply);
+    CPPUNIT_ASSERT(contains(Reply, "Connection: close\r\n"));
+  }
   if (auto When = section("when a connection is idle"))
     CPPUNIT_ASSERT(Fixture.runInThread([&] { return Idle.closedByPeer(); }));
   if (auto When = section("when another server listens on the same port")) {
