Refuse jobs whose requests may have been read late

Cause: after a pause of the loop, a VM read requests that had been in its sockets while other VMs had taken over, and started their jobs. Change: the frontend refuses a new job with 503 (read_late) when its request may have been unread for more than 450 ms, the pause after which leases have expired. A caller of a job in progress still gets its answer, since 'not run' would be wrong. A draining VM waits up to 1 s for its callers' connections to close. Counters: yuccaplank_requests_not_passed_on_total by reason.

--- a/src/yuccaplank/entry/fleet_test.cpp
+++ b/src/yuccaplank/entry/fleet_test.cpp
@@ -218,6 +218,38 @@
   Fleet.assertNoViolation();
 });
 
+// Guards against a job that a VM starts after a pause although its caller has sent it to another VM.
+const test_case Paused("fleet on sockets: requests that a VM reads after a pause start nothing", [] {
+  fleet Fleet(1);
+  Fleet.waitUntilReady();
+  std::vector<testing::raw_socket> Callers;
+  auto Port = static_cast<std::uint16_t>(
+      std::stoi(Fleet.Settings[0].CallerAddress.substr(Fleet.Settings[0].CallerAddress.find(':') + 1)));
+  auto Connect = [&] { Callers.push_back(testing::connectTo(Port)); };
+  // Two callers connect before the pause, two during it; one of each leaves.
+  Connect();
+  Connect();
+  runFor(*Fleet.Loop, milliseconds(100));
+  Fleet.Loop->post([&] {
+    Connect();
+    Connect();
+    for (testing::raw_socket &Caller : Callers) {
+      auto Job = Fleet.makeJob(30);
+      wire::http_call Call = platform::makeSubmitCall("", Fleet.queue(), Job);
+      Caller.send(fmt::format("POST {} HTTP/1.1\r\nhost: {}\r\ncontent-length: {}\r\n\r\n{}", Call.Path,
+                              Fleet.queue().Host, Call.Body.size(), Call.Body));
+    }
+    Callers[1].close();
+    Callers[3].close();
+    std::this_thread::sleep_for(milliseconds(1200));
+  });
+  runFor(*Fleet.Loop, std::chrono::seconds(2));
+  for (std::size_t Staying : {0U, 2U})
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), Callers[Staying].receive(12));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Fleet.Site->starts());
+  Fleet.assertNoViolation();
+});
+
 // Guards against a VM that serves although its settings allow a resent job to run twice: with a resend delay
 // shorter than the leases, the first submission may still run when the second one starts.
 const test_case ShortBounds("fleet on sockets: a VM with a too short resend delay does not start", [] {
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -163,6 +163,7 @@
 
   [[nodiscard]] std::size_t pendingCallers() const override { return JobsByCaller.size(); }
   [[nodiscard]] std::size_t pendingJobs() const override { return Jobs.size(); }
+  [[nodiscard]] std::uint64_t jobsReadLate() const override { return JobsReadLate; }
 
 private:
   void handleJobRequest(const http_request &Request, const queue_settings &Queue, std::uint64_t Job) {
@@ -195,6 +196,12 @@
       Handlers.Reply(Request.Token, makeAnswerReply(Found->second));
       return;
     }
+    // A caller of a job in progress waits for that job's answer: "not run" would be wrong.
+    if (Request.MaxUnreadTime > Options.MaxUnreadTime && !Jobs.contains(Id)) {
+      ++JobsReadLate;
+      refuse(Request, 503, "read_late");
+      return;
+    }
     Jobs[Id].Callers.emplace(Request.Token, Executor.clock().now());
     JobsByCaller[Request.Token] = Id;
     Vm.jobs().submit(Queue, toJobRequest(Decoded.value(), Id, parseDeadline(Request)));
@@ -278,6 +285,7 @@
   std::map<request_token, std::uint64_t> JobsByCaller;
   std::map<std::uint64_t, job_answer> RetainedAnswers;
   std::deque<answer_expiry> AnswerExpiries;
+  std::uint64_t JobsReadLate = 0;
 };
 
 } // namespace
--- a/src/yuccaplank/entry/frontend.hpp
+++ b/src/yuccaplank/entry/frontend.hpp
@@ -14,6 +14,9 @@
   runtime::duration AnswerRetention = std::chrono::seconds(10);
   /// Deadline of a job whose caller sends none.
   runtime::duration DefaultDeadline = std::chrono::seconds(5);
+  /// A job whose request may have been unread for longer is refused: after a pause of this VM its caller may
+  /// have sent the job to another VM.
+  runtime::duration MaxUnreadTime = std::chrono::milliseconds(450);
 };
 
 class frontend {
@@ -28,6 +31,8 @@
   [[nodiscard]] virtual std::size_t pendingCallers() const = 0;
   /// Number of jobs with such a caller.
   [[nodiscard]] virtual std::size_t pendingJobs() const = 0;
+  /// Number of jobs refused because their requests may have been read late.
+  [[nodiscard]] virtual std::uint64_t jobsReadLate() const = 0;
 };
 
 struct frontend_handlers {
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -69,13 +69,14 @@
   }
 
   wire::request_token request(const std::string &Method, const std::string &Path,
-                              const std::string &Text = "") {
+                              const std::string &Text = "", runtime::duration MaxUnreadTime = {}) {
     wire::http_request Request;
     Request.Token = ++LastToken;
     Request.Method = Method;
     Request.Host = "host.example:80";
     Request.Path = Path;
     Request.Body = Text;
+    Request.MaxUnreadTime = MaxUnreadTime;
     Request.Headers = {{"deadline-milliseconds", "2000"}};
     Frontend->onRequest(Request);
     return LastToken;
@@ -149,6 +150,31 @@
   }
 });
 
+// Guards against a job that starts although its caller may have sent it to another VM, and against the reply
+// "not run" for a job that runs.
+const test_case ReadLate("frontend: a job whose request may have been read late is refused", [] {
+  vm Vm;
+  Vm.configure();
+  if (auto When = section("a new job is refused with a retry delay")) {
+    auto Token = Vm.request("POST", JobPath, Body, milliseconds(451));
+    CPPUNIT_ASSERT_EQUAL(503, Vm.statusOf(Token));
+    CPPUNIT_ASSERT_EQUAL(std::string("retry-after"), Vm.Replies.at(Token).Headers.at(0).Name);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Vm.Entry->jobs().size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Vm.Frontend->jobsReadLate());
+  }
+  if (auto When = section("a request at the bound is accepted")) {
+    Vm.request("POST", JobPath, Body, milliseconds(450));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Entry->jobs().size());
+  }
+  if (auto When = section("a caller of a job in progress waits for its answer")) {
+    Vm.request("POST", JobPath, Body);
+    auto Second = Vm.request("POST", JobPath, Body, milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(0, Vm.statusOf(Second));
+    Vm.Frontend->answer(0x5c0e7a21d94b36f8, {});
+    CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(Second));
+  }
+});
+
 // Guards against memory that grows with each caller that leaves before its answer.
 const test_case LeavingCallers("frontend: nothing is kept of callers that leave", [] {
   vm Vm;
--- a/src/yuccaplank/entry/vm_metrics.cpp
+++ b/src/yuccaplank/entry/vm_metrics.cpp
@@ -123,6 +123,24 @@
   return Family;
 }
 
+// Requests that were not passed on, by reason.
+MetricFamily makeDroppedRequestsFamily(const process_counts &Counts) {
+  MetricFamily Family{"yuccaplank_requests_not_passed_on_total",
+                      "Callers' requests that their callers may have sent to another VM.",
+                      MetricType::Counter,
+                      {}};
+  auto Add = [&](const char *Reason, std::uint64_t Count) {
+    prometheus::ClientMetric Metric;
+    Metric.label = {{"reason", Reason}};
+    Metric.counter.value = toDouble(Count);
+    Family.metric.push_back(Metric);
+  };
+  Add("connection_closing", Counts.DroppedOnClosing);
+  Add("caller_left", Counts.DroppedCallerLeft);
+  Add("read_late", Counts.JobsReadLate);
+  return Family;
+}
+
 constexpr auto Outcomes = std::to_array({dispatch::job_outcome::Completed, dispatch::job_outcome::Failed,
                                          dispatch::job_outcome::Refused, dispatch::job_outcome::TimedOut,
                                          dispatch::job_outcome::Cancelled});
@@ -156,6 +174,7 @@
         runtime::makeMetricFamily("yuccaplank_evacuations_ignored_total",
                                   "Requests for evacuations that cannot be read or name no domain.",
                                   MetricType::Counter, toDouble(Counts.IgnoredEvacuations)));
+    Families.push_back(makeDroppedRequestsFamily(Counts));
     Families.push_back(makeEvacuationFamily(State));
     return prometheus::TextSerializer().Serialize(Families);
   }
--- a/src/yuccaplank/entry/vm_metrics.hpp
+++ b/src/yuccaplank/entry/vm_metrics.hpp
@@ -15,6 +15,11 @@
   std::size_t PendingCallers = 0;
   /// Rows in the store that request no evacuation of a known failure domain.
   std::uint64_t IgnoredEvacuations = 0;
+  /// Callers' requests that were not passed on because their connection had been closed by this VM, or by the
+  /// caller, or because they may have been read late.
+  std::uint64_t DroppedOnClosing = 0;
+  std::uint64_t DroppedCallerLeft = 0;
+  std::uint64_t JobsReadLate = 0;
 };
 
 class vm_metrics {
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -29,6 +29,9 @@
 // After a longer pause, the leases that this VM gave have expired and other VMs are about to take over.
 constexpr auto PauseThreshold = std::chrono::milliseconds(450);
 constexpr auto SettingsPollInterval = std::chrono::seconds(2);
+// Callers' idle connections close 0.5 s after the shutdown; a connection that is open after this time belongs
+// to a caller that neither sends a request nor completes one, and is not waited for.
+constexpr auto IdleCallersTimeout = std::chrono::seconds(1);
 constexpr auto DrainPollInterval = std::chrono::milliseconds(50);
 // Servers keep idle connections open for longer than this, and opening a connection costs more than keeping
 // one.
@@ -75,7 +78,9 @@
     FrontendHandlers.OnAnswered = [this](const dispatch::job_answer &Answer, runtime::duration Latency) {
       OperatorApi->observeAnswer(Answer, Latency);
     };
-    Frontend = makeFrontend(Loop, *Vm, std::move(FrontendHandlers), frontendOptions(Options.OwnSettings));
+    frontend_options FrontendOptions = frontendOptions(Options.OwnSettings);
+    FrontendOptions.MaxUnreadTime = PauseThreshold;
+    Frontend = makeFrontend(Loop, *Vm, std::move(FrontendHandlers), FrontendOptions);
     OperatorApi = makeOperatorApi(Loop.clock(), *Vm, operatorApiOptions());
     if (auto Listening = listen(); !Listening)
       return Listening;
@@ -180,10 +185,9 @@
       return BOOST_OUTCOME_V2_NAMESPACE::success();
     wire::http_server_handlers OperatorHandlers;
     OperatorHandlers.OnRequest = [this](const wire::http_request &Request) {
-      OperatorApi->serve(Request, {Frontend->pendingCallers(), Directory->ignoredEvacuations()},
-                         [this, Token = Request.Token](wire::http_reply Reply) {
-                           OperatorServer->reply(Token, std::move(Reply));
-                         });
+      OperatorApi->serve(Request, processCounts(), [this, Token = Request.Token](wire::http_reply Reply) {
+        OperatorServer->reply(Token, std::move(Reply));
+      });
     };
     return listenHttp(fmt::format("{}:{}", Settings.Ip, Options.OperatorPort), OperatorHandlers,
                       OperatorServer);
@@ -216,6 +220,17 @@
     return Handlers;
   }
 
+  [[nodiscard]] process_counts processCounts() const {
+    wire::http_server_counts Callers = CallerServer->counts();
+    process_counts Counts;
+    Counts.PendingCallers = Frontend->pendingCallers();
+    Counts.IgnoredEvacuations = Directory->ignoredEvacuations();
+    Counts.DroppedOnClosing = Callers.DroppedOnClosing;
+    Counts.DroppedCallerLeft = Callers.DroppedCallerLeft;
+    Counts.JobsReadLate = Frontend->jobsReadLate();
+    return Counts;
+  }
+
   void onReadinessCheck(const wire::http_request &Request) {
     wire::http_reply Reply;
     Reply.Status = Vm->ready() ? 200 : 503;
@@ -243,6 +258,7 @@
     Directory->unregister([] {});
     Loop.after(BalancerRemovalDelay, [this] {
       CallerServer->shutdown();
+      CallersShutDownAt = Loop.clock().now();
       checkDrained();
     });
   }
@@ -250,8 +266,11 @@
   void checkDrained() {
     auto DrainTimeout = runtime::fromMs(Settings.GracePeriodS * 1000) - ConnectionCloseMargin;
     bool GracePeriodEnded = Loop.clock().now() - DrainStartedAt >= DrainTimeout;
-    if (GracePeriodEnded || (Frontend->pendingCallers() == 0 && CallerServer->pendingRequests() == 0 &&
-                             Vm->state().Jobs == 0 && Vm->state().Servers.Runs == 0)) {
+    bool CallersGone =
+        CallerServer->connections() == 0 || Loop.clock().now() - CallersShutDownAt >= IdleCallersTimeout;
+    if (GracePeriodEnded ||
+        (CallersGone && Frontend->pendingCallers() == 0 && CallerServer->pendingRequests() == 0 &&
+         Vm->state().Jobs == 0 && Vm->state().Servers.Runs == 0)) {
       Loop.stop();
       return;
     }
@@ -299,6 +318,7 @@
   // Content of the settings files as last read.
   std::string LastSettingsText;
   runtime::time_point DrainStartedAt{};
+  runtime::time_point CallersShutDownAt{};
   bool Draining = false;
   bool WasReady = false;
 };
