--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -54,7 +54,7 @@
             "seeds": seeds,
             "orders": "request",
             "platform": {"address": self.fleet.store_address},
-            "limits": {"cpu_share": 0.25, "memory_mb": 260},
+            "limits": self.fleet.limits,
             "bounds": {"grace_period_s": 6},
         }
 
@@ -83,12 +83,14 @@
 class Fleet:
     """Entry VMs and the stand-in site. The argument domains maps each failure domain to its number of VMs."""
 
-    def __init__(self, directory, domains, server_count, base_port=7100, build="build", seed=1, equal=False):
+    def __init__(self, directory, domains, server_count, base_port=7100, build="build", seed=1, equal=False,
+                 limits=None):
         self.directory = pathlib.Path(directory)
         self.directory.mkdir(parents=True, exist_ok=True)
         self.build = ROOT / build
         self.server_count, self.domains, self.seed, self.equal = server_count, list(domains), seed, equal
         self.base_port = base_port
+        self.limits = limits or {"cpu_share": 0.25, "memory_mb": 260}
         self.store_address = f"127.0.0.1:{base_port}"
         self.control_address = f"127.0.0.1:{base_port + 1}"
         self.processes = []
