--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -170,6 +170,24 @@
   }
 });
 
+// Guards against a job that waits until its deadline because the placer is cut off and decides nothing.
+const test_case SilentPlacer("job coordinator: the placer does not decide", [] {
+  vm Vm;
+  Vm.submit(1);
+  if (auto When = section("the job is refused when its answer would have no value any more")) {
+    Vm.Executor->advance(milliseconds(449));
+    CPPUNIT_ASSERT(Vm.Answers.empty());
+    Vm.Executor->advance(milliseconds(1));
+    CPPUNIT_ASSERT(Vm.Answers.at(0).Outcome == job_outcome::Refused);
+    CPPUNIT_ASSERT(Vm.Answers.at(0).RetryAfterMs > 0);
+  }
+  if (auto When = section("a job that has begun is not refused")) {
+    Vm.grant(runOf(0, 1));
+    Vm.Executor->advance(milliseconds(1000));
+    CPPUNIT_ASSERT(Vm.Answers.empty());
+  }
+});
+
 // Guards against a job that waits until its deadline because no placer is known.
 const test_case NoPlacer("job coordinator: no placer is known", [] {
   vm Vm;
--- a/src/yuccaplank/dispatch/placement_queue_test.cpp
+++ b/src/yuccaplank/dispatch/placement_queue_test.cpp
@@ -2,6 +2,7 @@
 #include "yuccaplank/testing/test_case.hpp"
 
 #include <cppunit/TestAssert.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <cmath>
@@ -240,6 +241,55 @@
   }
 });
 
+// Guards against jobs that are held in a burst until it is too late for them, although the placer sees that
+// all servers stay in use, and against slow servers that idle meanwhile.
+const test_case Overload("placement queue: more load than capacity", [] {
+  placer Placer;
+  constexpr std::uint32_t Servers = 40;
+  auto SetUsed = [&](std::uint32_t Server, std::uint32_t Tasks) {
+    Placer.updateServer(fmt::format("s{}", Server), 1, 2 * TaskCpu, Tasks * TaskCpu);
+  };
+  // Each millisecond, one of 80 tasks ends and another one starts: tasks take 80 ms.
+  auto RunTasks = [&](std::uint32_t Milliseconds) {
+    for (std::uint32_t Step = 0; Step < Milliseconds; ++Step) {
+      Placer.Clock.advance(milliseconds(1));
+      SetUsed(Step % Servers, 1);
+      SetUsed(Step % Servers, 2);
+    }
+  };
+  for (std::uint32_t Server = 0; Server < Servers; ++Server)
+    SetUsed(Server, 2);
+  RunTasks(600);
+  if (auto When =
+          section("a job that would not begin in time is refused at once, one that would be is not")) {
+    for (std::uint64_t Job = 1; Job <= 4; ++Job)
+      Placer.enqueue(Placer.makeJob(Job, 20, 200));
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Placer.Rejections.size());
+    CPPUNIT_ASSERT(Placer.Rejections.at(0).reason() == schema::REJECT_BACKLOG);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Placer.Rejections.at(0).job());
+    CPPUNIT_ASSERT(Placer.Rejections.at(0).retry_after_ms() >= 1000);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Placer.Queue->counters().RejectedByBacklog);
+  }
+  if (auto When = section("a started job is not refused")) {
+    auto Started = Placer.makeJob(1, 80, 60);
+    Started.set_started(true);
+    Placer.enqueue(Started);
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT(Placer.Rejections.empty());
+  }
+  if (auto When = section("a task takes a slow server when the faster ones are in use for too long")) {
+    Placer.updateServer("slow", 1.7, TaskCpu);
+    auto Ahead = Placer.makeJob(1, 40, 200);
+    Ahead.set_started(true);
+    Ahead.mutable_size()->set_memory_mb(2000);
+    Placer.enqueue(Ahead);
+    Placer.enqueue(Placer.makeJob(2, 1, 200));
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT((std::vector<std::uint64_t>{2} == Placer.grantedJobs()));
+  }
+});
+
 // Guards against jobs that wait to their deadline although every server that could run them is evacuated, and
 // against refusals while another failure domain has room.
 const test_case Evacuation("placement queue: evacuated servers", [] {
