Delay the placement of a task that owners refuse twice in a row

Cause: an owner refuses a start with lease_nearly_over while a run on the server has to end, but the server counts as usable.

Change: the second refusal of a task within PlacementRetryDelay (5 ms) delays its next request by that time, and the job avoids the server while another one has room. A single refusal is followed at once as before. This holds for every reason that the server's state does not show. The simulator ends a VM that posts more than 130,000 functions to itself at one instant and reports a violation; the bound is five messages for each of the 26,000 starts a second of the target.

--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -22,7 +22,8 @@
   /// A job has value for its caller up to this many times its objective.
   double LateFactor = 3;
   /// Delay between declining a grant for a task and requesting its placement again, so that a stale view of a
-  /// server does not cause a burst of refusals.
+  /// server does not cause a burst of refusals. It also follows the second refusal of a task by an owner
+  /// within this time.
   runtime::duration PlacementRetryDelay = std::chrono::milliseconds(5);
   /// New jobs are refused if no placer becomes known within this time. It is longer than the discovery of the
   /// other VMs takes in a fleet that has just started.
@@ -37,6 +38,8 @@
   std::uint64_t TimedOut = 0;
   std::uint64_t Cancelled = 0;
   std::uint64_t TasksPlacedAgain = 0;
+  /// Placement requests that were delayed because owners had refused the task twice in a short time.
+  std::uint64_t PlacementsDelayed = 0;
   std::uint64_t Orphaned = 0;
   std::uint64_t Adopted = 0;
   /// Runs that ended because their server did.
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -50,6 +50,10 @@
   // Whether the run was granted a server without other tasks.
   bool Alone = false;
   time_point StartOrderedAt;
+  // When an owner last refused to start the task.
+  std::optional<time_point> RefusedAt = std::nullopt;
+  // Placement is not requested before this time.
+  time_point PlaceAfter{};
   runtime::timer_id OrphanTimer = 0;
 };
 
@@ -282,7 +286,7 @@
     schema::dispatch_message Message;
     schema::place_job &Place = *Message.mutable_place();
     for (std::uint32_t Index = 0; Index < Job.Tasks.size(); ++Index) {
-      if (Job.Tasks[Index].Phase != task_phase::Waiting)
+      if (Job.Tasks[Index].Phase != task_phase::Waiting || Job.Tasks[Index].PlaceAfter > now())
         continue;
       task_key Task{Job.Request.Job, Index};
       *Place.add_tasks() = toMessage({Task, Job.Tasks[Index].Run});
@@ -383,10 +387,7 @@
       requeueTask(Job, Task);
       return;
     case schema::RUN_NOT_STARTED:
-      // An earlier submission of the job may have used up the run number at the server.
-      ++Task.Run;
-      --Job.PossiblyStartedRuns;
-      requeueTask(Job, Task);
+      onStartRefused(Job, Task, Run);
       return;
     default:
       return;
@@ -417,6 +418,24 @@
     requeueTask(Job, Task);
   }
 
+  // The placer may still hold the server for usable: its state does not show every reason for a refusal, such
+  // as a run there whose lease must not be extended. Without a delay, the same server would be chosen again
+  // until that reason ends. A single refusal is not delayed, since a grant by an outdated state is common.
+  void onStartRefused(coordinated_job &Job, task_state &Task, const run_key &Run) {
+    // An earlier submission of the job may have used up the run number at the server.
+    ++Task.Run;
+    --Job.PossiblyStartedRuns;
+    std::optional<time_point> Previous = std::exchange(Task.RefusedAt, now());
+    if (Previous && now() - *Previous < Options.PlacementRetryDelay) {
+      ++Counters.PlacementsDelayed;
+      log(log_level::Info, "placement_delayed", {{"run", format(Run)}, {"server", Task.Server}});
+      Task.PlaceAfter = now() + Options.PlacementRetryDelay;
+      Job.ServersToAvoid.insert(Task.Server);
+      requestPlacementLater({Run.Task, Task.Run});
+    }
+    requeueTask(Job, Task);
+  }
+
   void recordLostRun(task_state &Task, const run_key &Run, const schema::task_event &Event) {
     ++Task.LostRuns;
     ++Counters.RunsLost;
--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -304,4 +304,38 @@
   CPPUNIT_ASSERT_EQUAL(1U, Vm.Sent.back().second.start().overdue_runs());
 });
 
+// Guards against a task that is refused and placed again on the same server without end and without a pause,
+// because the state that the placer has of the server does not show why it refuses.
+const test_case Refused("job coordinator: owners refuse to start a task", [] {
+  vm Vm;
+  Vm.submit(2);
+  Vm.grant(runOf(0, 1));
+  Vm.reportEvent(runOf(0, 1), schema::RUN_NOT_STARTED);
+  if (auto When = section("after a single refusal, it is placed again at once")) {
+    CPPUNIT_ASSERT((std::vector<std::uint32_t>{1, 2} == Vm.requestedRuns()));
+  }
+  if (auto When = section("after the next one within a short time, there is a delay")) {
+    Vm.grant(runOf(0, 2));
+    Vm.reportEvent(runOf(0, 2), schema::RUN_NOT_STARTED);
+    CPPUNIT_ASSERT((std::vector<std::uint32_t>{1, 2} == Vm.requestedRuns()));
+    if (auto Then = section("that requests for other tasks of the job do not end")) {
+      Vm.grant(runOf(1, 1));
+      Vm.reportEvent(runOf(1, 1), schema::RUN_NOT_STARTED);
+      CPPUNIT_ASSERT_EQUAL(1, Vm.Sent.back().second.place().tasks_size());
+      CPPUNIT_ASSERT((std::vector<std::uint32_t>{1, 2} == Vm.requestedRuns()));
+    }
+    if (auto Then = section("after which it is placed on another server if there is one")) {
+      Vm.Executor->advance(coordinator_options().PlacementRetryDelay);
+      CPPUNIT_ASSERT((std::vector<std::uint32_t>{1, 2, 3} == Vm.requestedRuns()));
+      CPPUNIT_ASSERT_EQUAL(std::string("s1"), Vm.Sent.back().second.place().avoid(0));
+    }
+  }
+  if (auto When = section("a refusal long after another one is a single one")) {
+    Vm.Executor->advance(coordinator_options().PlacementRetryDelay);
+    Vm.grant(runOf(0, 2));
+    Vm.reportEvent(runOf(0, 2), schema::RUN_NOT_STARTED);
+    CPPUNIT_ASSERT((std::vector<std::uint32_t>{1, 2, 3} == Vm.requestedRuns()));
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -74,6 +74,13 @@
             }) {}
 
   simulation_result run() {
+    Fleet.observeEndlessInstants([this](const std::string &Vm) {
+      addViolation(fmt::format("{} works without end while no time passes", Vm));
+      Executor->post([this, Vm] {
+        Fleet.endVm(Vm, false);
+        onVmEnded(Vm);
+      });
+    });
     Fleet.start();
     Fleet.servers().observeCrashes(
         [this](const std::vector<dispatch::run_key> &Runs) { Crashes.onCrash(Runs); });
--- a/src/yuccaplank/simulation/fleet_simulation_test.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation_test.cpp
@@ -1,4 +1,5 @@
 #include "fleet_simulation.hpp"
+#include "vm_executor.hpp"
 #include "yuccaplank/testing/simulated_days.hpp"
 #include "yuccaplank/testing/test_case.hpp"
 
@@ -9,6 +10,7 @@
 
 using namespace yuccaplank;
 using simulation::simulation_options;
+using simulation::vm_executor;
 using testing::section;
 using testing::simulateQuietly;
 using testing::siteWithoutFaults;
@@ -221,4 +223,49 @@
     assertNoViolations(Options);
 });
 
+// Guards against a start that is refused and placed again on the same server while no time passes: a run
+// there had to end, so the lease could not be extended for another one, but the server still counted as
+// usable.
+const test_case RepeatedRefusals("fleet simulation: a refused start is not repeated without end", [] {
+  simulation_options Options;
+  Options.FaultsPerSecond = 6;
+  Options.JobsPerSecond = 30;
+  Options.LateOrderShare = 0.3;
+  Options.LostAnswerShare = 0.1;
+  Options.EnableLags = true;
+  Options.CapacityChangesPerSecond = 0.5;
+  for (std::uint64_t Seed : {110023, 112032}) {
+    Options.Seed = Seed;
+    assertNoViolations(Options);
+  }
+});
+
+// Guards against a simulated day that does not end, and so shows no violation, because a VM posts functions
+// to itself while no time passes.
+const test_case EndlessInstant("fleet simulation: a VM that works without end at one instant is ended", [] {
+  auto Executor = runtime::makeManualExecutor();
+  vm_executor Vm(*Executor);
+  int Reports = 0;
+  Vm.observeEndlessInstant([&] { ++Reports; });
+  std::uint64_t Calls = 0;
+  std::function<void()> Repeat = [&] {
+    ++Calls;
+    Vm.post(Repeat);
+  };
+  if (auto When = section("when no time passes, its end is reported once")) {
+    Vm.post(Repeat);
+    Executor->runPosted();
+    CPPUNIT_ASSERT_EQUAL(1, Reports);
+    CPPUNIT_ASSERT(!Vm.alive());
+    CPPUNIT_ASSERT_EQUAL(vm_executor::MaxPostsPerInstant, Calls);
+  }
+  if (auto When = section("the functions of different instants do not add up")) {
+    for (std::uint64_t Call = 0; Call < vm_executor::MaxPostsPerInstant + 2; ++Call) {
+      Vm.post([] {});
+      Executor->advance(std::chrono::nanoseconds(1));
+    }
+    CPPUNIT_ASSERT_EQUAL(0, Reports);
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/simulation/simulated_fleet.cpp
+++ b/src/yuccaplank/simulation/simulated_fleet.cpp
@@ -119,6 +119,10 @@
       Executor, Net, Servers, Name,
       [this, Name](std::uint64_t Job, const dispatch::job_answer &Answer) { OnAnswer(Name, Job, Answer); });
   simulated_vm &Process = *Slot;
+  Process.Executor.observeEndlessInstant([this, Name] {
+    if (OnEndlessInstant)
+      OnEndlessInstant(Name);
+  });
   dispatch::entry_vm_options VmOptions;
   VmOptions.Vm = Name;
   VmOptions.Address = Name;
--- a/src/yuccaplank/simulation/simulated_fleet.hpp
+++ b/src/yuccaplank/simulation/simulated_fleet.hpp
@@ -81,6 +81,10 @@
   [[nodiscard]] std::uint32_t strengthOf(std::uint32_t Index) const;
   [[nodiscard]] std::vector<std::string> domains() const;
 
+  /// Calls Observer with each VM that is ended because it works without end while no time passes.
+  void observeEndlessInstants(std::function<void(const std::string &Vm)> Observer) {
+    OnEndlessInstant = std::move(Observer);
+  }
   /// Adds the servers and starts all VMs.
   void start();
   /// Starts a new process. Pending calls and messages of the former one have no effect any more.
@@ -121,6 +125,7 @@
   network Net;
   simulated_servers Servers;
   answer_function OnAnswer;
+  std::function<void(const std::string &)> OnEndlessInstant;
   std::map<std::string, std::unique_ptr<simulated_vm>> Vms;
   // Processes that have ended; pending functions still refer to them.
   std::vector<std::unique_ptr<simulated_vm>> Ended;
--- a/src/yuccaplank/simulation/vm_executor.hpp
+++ b/src/yuccaplank/simulation/vm_executor.hpp
@@ -5,8 +5,10 @@
 #include "delay_line.hpp"
 #include "yuccaplank/runtime/executor.hpp"
 
+#include <cstdint>
 #include <deque>
 #include <functional>
+#include <utility>
 
 namespace yuccaplank::simulation {
 
@@ -23,11 +25,25 @@
 /// VM is paused run when it resumes; none runs after the VM's end.
 class vm_executor final : public runtime::executor {
 public:
+  /// A VM that posts more functions to itself while no time passes never ends the instant. The whole fleet
+  /// starts 26,000 tasks a second, and a start takes five messages: request, grant, order, event and state.
+  static constexpr std::uint64_t MaxPostsPerInstant = 130'000;
+
   explicit vm_executor(runtime::executor &Executor)
       : Executor(Executor), Incoming(Executor), Outgoing(Executor) {}
   [[nodiscard]] const runtime::clock &clock() const override { return Executor.clock(); }
   // Functions that the VM posts to itself are not subject to the lag.
-  void post(std::function<void()> Function) override { Executor.post(holdWhilePaused(std::move(Function))); }
+  void post(std::function<void()> Function) override {
+    if (std::exchange(Instant, clock().now()) != clock().now())
+      PostsInInstant = 0;
+    if (Alive && ++PostsInInstant > MaxPostsPerInstant) {
+      end();
+      if (OnEndlessInstant)
+        OnEndlessInstant();
+      return;
+    }
+    Executor.post(holdWhilePaused(std::move(Function)));
+  }
   runtime::timer_id after(runtime::duration Delay, std::function<void()> Function) override {
     return Executor.after(Delay, [this, Delayed = guard(Function), Function = holdWhilePaused(Function)] {
       if (DelayTimers)
@@ -52,6 +68,9 @@
   /// Runs Function when a message that the VM sends now reaches the network, unless the VM has ended by then.
   void sendOut(std::function<void()> Function) { Outgoing.add(dropAfterEnd(std::move(Function))); }
 
+  /// Calls Observer when the VM has been ended because it exceeded MaxPostsPerInstant.
+  void observeEndlessInstant(std::function<void()> Observer) { OnEndlessInstant = std::move(Observer); }
+
   void end() { Alive = false; }
   void pause() {
     Paused = true;
@@ -95,6 +114,9 @@
   bool Paused = false;
   runtime::time_point PausedAt{};
   std::deque<std::function<void()>> HeldCalls;
+  runtime::time_point Instant{};
+  std::uint64_t PostsInInstant = 0;
+  std::function<void()> OnEndlessInstant;
 };
 
 } // namespace yuccaplank::simulation
