Keep the answer of a cancelled job for requests that arrive again

Cause: the frontend kept only the answers completed and failed.

Change: the VM that answered the POST as cancelled and the VM that answered the DELETE keep the cancel for AnswerRetention (10 s), so memory stays bounded by the rate of answers. A dispatching VM gives the answer again to a relaying VM that passes a cancelled job once more. A caller that left has not cancelled; its job runs when it is sent again. GET and DELETE of a cancelled job are answered with 410 as before. Repeated answers are logged.

What holds elsewhere: a copy that arrives at a third VM, or at a VM that has restarted since, runs the job, as it does after a completed one. No test shows it.

--- a/src/yuccaplank/dispatch/job_waiters.cpp
+++ b/src/yuccaplank/dispatch/job_waiters.cpp
@@ -37,8 +37,10 @@
   auto Session = Sessions.find(Vm);
   if (Session != Sessions.end() && Message.session() < Session->second)
     return;
+  // A job that merely lost its callers has no answer, so one that was cancelled has had a DELETE.
   if (resendAnswer(Vm, Message.job(), [](job_outcome Outcome) {
-        return Outcome == job_outcome::Completed || Outcome == job_outcome::Failed;
+        return Outcome == job_outcome::Completed || Outcome == job_outcome::Failed ||
+               Outcome == job_outcome::Cancelled;
       }))
     return;
   WaitersByJob[Message.job()].RelayingVms[Vm] = Message.session();
--- a/src/yuccaplank/dispatch/job_waiters_test.cpp
+++ b/src/yuccaplank/dispatch/job_waiters_test.cpp
@@ -122,4 +122,23 @@
   }
 });
 
+// Guards against a job that runs after it was cancelled, because the relaying VM did not receive the answer
+// and relays the job again.
+const test_case Cancelled("job waiters: a job was cancelled", [] {
+  vm Vm;
+  Vm.relay("r1");
+  if (auto When = section("by a caller's request, the VM that relays it again receives the answer")) {
+    Vm.Jobs->cancel(Job, end_reason::Cancelled);
+    Vm.relay("r1", 2);
+    CPPUNIT_ASSERT(!Vm.Jobs->contains(Job));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Vm.Sent.size());
+    CPPUNIT_ASSERT(Vm.lastAnswer().end() == schema::RELAYED_CANCELLED);
+  }
+  if (auto When = section("because its caller left, the job runs when it is relayed again")) {
+    Vm.Waiters.onWithdrawRelayed("r1", makeWithdrawal(Job, end_reason::CallerLeft).withdraw_relayed());
+    Vm.relay("r1");
+    CPPUNIT_ASSERT(Vm.Jobs->contains(Job));
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -192,6 +192,9 @@
       return;
     }
     if (auto Found = RetainedAnswers.find(Id); Found != RetainedAnswers.end()) {
+      log(log_level::Info, "answer_repeated",
+          {{"job", dispatch::formatJob(Id)},
+           {"outcome", std::string(dispatch::jobOutcomeName(Found->second.Outcome))}});
       Handlers.Reply(Request.Token, makeAnswerReply(Found->second));
       return;
     }
@@ -231,7 +234,7 @@
       return;
     }
     auto Found = RetainedAnswers.find(Job);
-    if (Found == RetainedAnswers.end())
+    if (Found == RetainedAnswers.end() || Found->second.Outcome == job_outcome::Cancelled)
       Handlers.Reply(Request.Token, makeReply(410, "{}"));
     else
       Handlers.Reply(Request.Token, makeAnswerReply(Found->second));
@@ -239,6 +242,8 @@
 
   void cancel(const http_request &Request, std::uint64_t Job) {
     Vm.cancel(Job, [this, Token = Request.Token, Job](bool Found) {
+      if (Found)
+        retainAnswer(Job, {job_outcome::Cancelled, dispatch::end_reason::Cancelled, 0, {}, false});
       log(log_level::Info, "cancel_answered", {{"job", dispatch::formatJob(Job)}, {"found", Found}});
       Handlers.Reply(Token, makeReply(Found ? 200 : 410,
                                       Found ? platform::encodeState(caller_job_state::Cancelled) : "{}"));
@@ -257,17 +262,23 @@
                    Status == 503 ? makeRefusal(Status, DefaultRetryAfterMs) : makeReply(Status, "{}"));
   }
 
-  // Keeps answers after which the job must not run again: a caller that resends the job receives them.
+  // Whether the job must not run again. A caller that has left may send its job again, one that has cancelled
+  // it may not.
+  static bool isFinal(const job_answer &Answer) {
+    return Answer.Outcome == job_outcome::Completed || Answer.Outcome == job_outcome::Failed ||
+           (Answer.Outcome == job_outcome::Cancelled && Answer.Reason == dispatch::end_reason::Cancelled);
+  }
+
+  // Keeps final answers: a request for the job that arrives again receives them.
   void retainAnswer(std::uint64_t Job, const job_answer &Answer) {
     runtime::time_point Now = Executor.clock().now();
     while (!AnswerExpiries.empty() && AnswerExpiries.front().ExpiresAt <= Now) {
       RetainedAnswers.erase(AnswerExpiries.front().Job);
       AnswerExpiries.pop_front();
     }
-    if (Answer.Outcome != job_outcome::Completed && Answer.Outcome != job_outcome::Failed)
-      return;
-    RetainedAnswers[Job] = Answer;
-    AnswerExpiries.push_back({Job, Now + Options.AnswerRetention});
+    // A job that was cancelled here is retained twice, by its answer and by that of the cancel.
+    if (isFinal(Answer) && RetainedAnswers.insert_or_assign(Job, Answer).second)
+      AnswerExpiries.push_back({Job, Now + Options.AnswerRetention});
   }
 
   runtime::executor &Executor;
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -149,6 +149,58 @@
   }
 });
 
+// Guards against a job that runs although it was cancelled, because a request for it arrives once more.
+const test_case Cancelled("frontend: a request arrives again after its job was cancelled", [] {
+  vm Vm;
+  Vm.configure();
+  if (auto Given = section("given a VM that has answered the job")) {
+    auto First = Vm.request("POST", JobPath, Body);
+    if (auto When = section("when the job was cancelled here, it stays cancelled")) {
+      Vm.request("DELETE", JobPath);
+      CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"cancelled"})"), Vm.Replies.at(First).Body);
+      auto Late = Vm.request("POST", JobPath, Body);
+      CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"cancelled"})"), Vm.Replies.at(Late).Body);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, Vm.Entry->jobs().size());
+      if (auto Then = section("until the answer is no longer kept")) {
+        Vm.Executor->advance(frontend_options().AnswerRetention);
+        // Answers expire when another one is kept.
+        Vm.request("POST", "/p/0000000000000001", Body);
+        Vm.request("DELETE", "/p/0000000000000001");
+        Vm.request("POST", JobPath, Body);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Entry->jobs().size());
+      }
+    }
+    if (auto When = section("when another VM has cancelled it, it stays cancelled")) {
+      Vm.Frontend->answer(0x5c0e7a21d94b36f8,
+                          {dispatch::job_outcome::Cancelled, dispatch::end_reason::Cancelled, 0, {}, false});
+      CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(First));
+      CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"cancelled"})"),
+                           Vm.Replies.at(Vm.request("POST", JobPath, Body)).Body);
+    }
+    if (auto When = section("when its caller has left, the job runs again")) {
+      Vm.Frontend->onClosed(First);
+      auto Again = Vm.request("POST", JobPath, Body);
+      CPPUNIT_ASSERT_EQUAL(0, Vm.statusOf(Again));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Entry->jobs().size());
+    }
+  }
+  if (auto Given = section("given a VM that has cancelled the job for a caller of another one")) {
+    dispatch::job_request Request;
+    Request.Job = 0x5c0e7a21d94b36f8;
+    Request.TaskCount = 1;
+    Request.Deadline = milliseconds(2000);
+    Vm.Entry->jobs().submit(Vm.Entry->currentConfiguration()->Queues.front(), Request);
+    CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(Vm.request("DELETE", JobPath)));
+    CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"cancelled"})"),
+                         Vm.Replies.at(Vm.request("POST", JobPath, Body)).Body);
+  }
+  if (auto Given = section("given a cancel that found no job, the job runs")) {
+    CPPUNIT_ASSERT_EQUAL(410, Vm.statusOf(Vm.request("DELETE", JobPath)));
+    Vm.request("POST", JobPath, Body);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Entry->jobs().size());
+  }
+});
+
 // Guards against memory that grows with each caller that leaves before its answer.
 const test_case LeavingCallers("frontend: nothing is kept of callers that leave", [] {
   vm Vm;
