Refuse job ids with capital digits with 400

Cause: parseJobId turned an id into its number, and task names were written from the number in lower case.

Change: an id with capitals is refused at the edge with 400 and the body {"error":"id_not_in_lower_case"}, for POST, GET and DELETE; malformed jobs get their reason in the same way. Task names with capitals in a server's list are not taken for those of a job in lower case. The command line says so, too.

Weighed: one identity that keeps the spelling. 16 digits of 22 characters need 72 bits, so the 64-bit id of every message, run list and table would get a second field, also in the messages that older builds send without it; a 64-bit hash of the spelling could be made to collide by callers.

Measured: the tests of the frontend, of documents and of task names pass.

--- a/src/yuccaplank/cli/job_commands.cpp
+++ b/src/yuccaplank/cli/job_commands.cpp
@@ -100,7 +100,7 @@
   auto Id = platform::parseJobId(Context.Invocation.stringOption("ID"));
   auto Queue = parseQueue(Context.Invocation.stringOption("queue"));
   if (!Id)
-    Context.Console.printError("ID must be 16 hexadecimal digits.");
+    Context.Console.printError("ID must be 16 hexadecimal digits in lower case.");
   if (!Queue)
     Context.Console.printError("--queue must be HOST/PATH.");
   if (!Id || !Queue)
@@ -137,7 +137,7 @@
     Id = Context.MakeJobId();
   auto JobId = platform::parseJobId(Id);
   if (!JobId) {
-    Context.Console.printError("--id must be 16 hexadecimal digits.");
+    Context.Console.printError("--id must be 16 hexadecimal digits in lower case.");
     return exit_status::Usage;
   }
   auto Document = readJobFile(Context, Invocation.stringOption("FILE"));
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -124,6 +124,10 @@
       return;
     }
     auto Job = platform::parseJobId(Id);
+    if (platform::isJobIdWithCapitals(Id)) {
+      refuse(Request, 400, "id_not_in_lower_case");
+      return;
+    }
     if (!Job) {
       refuse(Request, 404, "malformed_id");
       return;
@@ -259,7 +263,8 @@
          {"configuration",
           static_cast<std::int64_t>(Vm.currentConfiguration() ? Vm.currentConfiguration()->Version : 0)}});
     Handlers.Reply(Request.Token,
-                   Status == 503 ? makeRefusal(Status, DefaultRetryAfterMs) : makeReply(Status, "{}"));
+                   Status == 503 ? makeRefusal(Status, DefaultRetryAfterMs)
+                                 : makeReply(Status, Status == 400 ? platform::encodeError(Reason) : "{}"));
   }
 
   // Whether the job must not run again. A caller that has left may send its job again, one that has cancelled
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -115,6 +115,21 @@
   }
 });
 
+// Guards against tasks that servers are told under an id that no caller has sent, and against a cancel of
+// another job, because ids that differ only in the case of their digits are taken for one.
+const test_case Capitals("frontend: an id with capitals is refused with its reason", [] {
+  vm Vm;
+  Vm.configure();
+  Vm.request("POST", JobPath, Body);
+  for (const char *Path : {"/p/5C0E7A21D94B36F8", "/p/5c0e7a21d94b36F8"})
+    for (const char *Method : {"POST", "GET", "DELETE"}) {
+      auto Token = Vm.request(Method, Path, Body);
+      CPPUNIT_ASSERT_EQUAL(400, Vm.statusOf(Token));
+      CPPUNIT_ASSERT_EQUAL(std::string(R"({"error":"id_not_in_lower_case"})"), Vm.Replies.at(Token).Body);
+    }
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Entry->jobs().size());
+});
+
 // Guards against a job that runs twice because it was submitted twice, and against jobs that continue after
 // all their callers have left.
 const test_case Callers("frontend: several callers share one job", [] {
--- a/src/yuccaplank/platform/documents.cpp
+++ b/src/yuccaplank/platform/documents.cpp
@@ -3,6 +3,7 @@
 #include "yuccaplank/platform/store_client.hpp"
 #include "yuccaplank/wire/socket_address.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -65,6 +66,20 @@
   return Label.size() >= 4 && Label[0] == 'r' && Label.find('-') != std::string_view::npos;
 }
 
+std::optional<std::uint64_t> parseHexDigits(std::string_view Text) {
+  constexpr std::size_t Digits = 16;
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Stop, Error] = std::from_chars(Text.data(), End, Value, 16);
+  if (Text.size() != Digits || Error != std::errc() || Stop != End)
+    return std::nullopt;
+  return Value;
+}
+
+bool hasCapitals(std::string_view Text) {
+  return std::ranges::any_of(Text, [](char Character) { return Character >= 'A' && Character <= 'Z'; });
+}
+
 } // namespace
 
 runtime::result<dispatch::configuration> decodeConfiguration(std::string_view Text) {
@@ -131,19 +146,17 @@
 }
 
 std::optional<std::uint64_t> parseJobId(std::string_view Text) {
-  constexpr std::size_t Digits = 16;
-  std::uint64_t Value = 0;
-  const char *End = Text.data() + Text.size();
-  auto [Stop, Error] = std::from_chars(Text.data(), End, Value, 16);
-  if (Text.size() != Digits || Error != std::errc() || Stop != End)
-    return std::nullopt;
-  return Value;
+  return hasCapitals(Text) ? std::nullopt : parseHexDigits(Text);
 }
 
+bool isJobIdWithCapitals(std::string_view Text) { return hasCapitals(Text) && parseHexDigits(Text); }
+
 std::string encodeState(caller_job_state State) {
   return json{{"state", StateNames.at(static_cast<std::size_t>(State))}}.dump();
 }
 
+std::string encodeError(const char *Reason) { return json{{"error", Reason}}.dump(); }
+
 std::string encodeWaitingCount(std::uint32_t Waiting) { return json{{"waiting_count", Waiting}}.dump(); }
 
 } // namespace yuccaplank::platform
--- a/src/yuccaplank/platform/server_client_test.cpp
+++ b/src/yuccaplank/platform/server_client_test.cpp
@@ -74,7 +74,7 @@
   CPPUNIT_ASSERT_EQUAL(std::string("0c0e7a21d94b36f8.0.0.17"), taskName(Task));
   CPPUNIT_ASSERT(parseTaskName(taskName(Task)) == Task);
   for (const char *Name : {"", "0c0e7a21d94b36f8.0.0.", "0c0e7a21d94b36f8.0.1.17", "0c0e7a21d94b36f8.1.0.17",
-                           "c0e7a21d94b36f8.0.0.17", "0c0e7a21d94b36f8.0.0.1x"})
+                           "c0e7a21d94b36f8.0.0.17", "0c0e7a21d94b36f8.0.0.1x", "0C0E7A21D94B36F8.0.0.17"})
     CPPUNIT_ASSERT(!parseTaskName(Name));
 });
 
