Expect 1 s of a task without a declared time

Cause: a run is overdue after a multiple of the declared time and a margin. Without a declared time that is the margin alone, 200 ms, and doubling it for each overdue run has no effect, so the task is stopped on each server.

Change: such a task is expected to take 1 s. With the factor of 5, its first run is overdue only after 5.2 s, beyond the default deadline of a job (5 s).

--- a/src/yuccaplank/dispatch/run_limits.hpp
+++ b/src/yuccaplank/dispatch/run_limits.hpp
@@ -64,14 +64,19 @@
   }
 
   /// Returns the time after which a run counts as overdue. It doubles with each earlier run of the task that
-  /// was overdue, so that a task that takes much longer than declared completes.
+  /// was overdue, so that a task that takes much longer than declared completes. A task without a declared
+  /// time is expected to take UndeclaredMs.
   [[nodiscard]] runtime::duration overdueLimit(const server_run &Run, double Slowness) const {
-    double ExpectedMs = Run.EstimateMs * std::exp(std::max(0.0, Slowness));
+    double DeclaredMs = Run.EstimateMs > 0 ? Run.EstimateMs : UndeclaredMs;
+    double ExpectedMs = DeclaredMs * std::exp(std::max(0.0, Slowness));
     double Factor =
         std::ldexp(Options.OverdueFactor, static_cast<int>(std::min(Run.OverdueRuns, MaxDoublings)));
     return runtime::fromMs(ExpectedMs * Factor) + Options.OverdueMargin;
   }
 
+  /// With OverdueFactor, a first run ends as overdue only after the default deadline of a job, 5 s.
+  static constexpr double UndeclaredMs = 1000;
+
 private:
   static constexpr std::uint32_t MaxDoublings = 16;
 
