--- a/src/yuccaplank/simulation/fault_injector.cpp
+++ b/src/yuccaplank/simulation/fault_injector.cpp
@@ -122,15 +122,15 @@
   }
   void failServer() {
     std::string Name = Context.randomServer();
-    Context.Fleet.servers().setFailing(Name, true);
+    Context.Fleet.servers().setFailing(Name, 1);
     Context.Executor.after(randomFaultDuration(),
-                           [this, Name] { Context.Fleet.servers().setFailing(Name, false); });
+                           [this, Name] { Context.Fleet.servers().setFailing(Name, 0); });
   }
   void hangServer() {
     std::string Name = Context.randomServer();
-    Context.Fleet.servers().setHanging(Name, true);
+    Context.Fleet.servers().setHanging(Name, 1);
     Context.Executor.after(randomFaultDuration(),
-                           [this, Name] { Context.Fleet.servers().setHanging(Name, false); });
+                           [this, Name] { Context.Fleet.servers().setHanging(Name, 0); });
   }
 
   duration randomLag() { return fromMs(200 + 2800 * Context.Random.uniform() * Context.Random.uniform()); }
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -67,7 +67,8 @@
   explicit simulated_day(const simulation_options &Options)
       : Options(Options), Executor(runtime::makeManualExecutor()), Random(Options.Seed),
         Fleet(
-            *Executor, Random, makeLayout(Options), {Options.LateOrderShare, Options.LostAnswerShare},
+            *Executor, Random, makeLayout(Options),
+            {Options.LateOrderShare, Options.LostAnswerShare, Options.FailedRunShare, Options.LongTaskShare},
             [this](const std::string &Server, const dispatch::run_key &Run) { onStart(Server, Run); },
             [this](const std::string &Vm, std::uint64_t Job, const job_answer &Answer) {
               onAnswer(Vm, Job, Answer);
@@ -110,6 +111,7 @@
 private:
   // Share of the traffic time in which faults occur; the rest shows whether the fleet recovers.
   static constexpr double FaultPhaseShare = 0.6;
+  static constexpr duration FailingJobsDuration = std::chrono::seconds(3);
 
   void recordMessageRates() {
     const auto &Counts = Fleet.net().counts();
@@ -142,18 +144,48 @@
       scheduleRandomJob();
     for (const job_kind &Kind : Options.Kinds)
       scheduleJobOfKind(Kind);
-    if (Options.SlowServerShare > 0) {
-      Executor->after(fromMs(Options.TrafficSeconds * 1000 / 3),
-                      [this] { setSlowdown(Options.SlowdownFactor); });
-      Executor->after(fromMs(Options.TrafficSeconds * 2000 / 3), [this] { setSlowdown(1); });
-    }
+    Executor->after(fromMs(Options.TrafficSeconds * 1000 / 3), [this] { beginServerFaults(); });
+    Executor->after(fromMs(Options.TrafficSeconds * 2000 / 3), [this] { endServerFaults(); });
   }
 
-  void setSlowdown(double Factor) {
+  // Returns this share of the servers, spread over all of them. Faults with another offset concern others.
+  [[nodiscard]] std::vector<std::string> serverShare(double Share, std::size_t Offset) {
     auto Names = Fleet.servers().names();
-    auto Count = static_cast<std::size_t>(Options.SlowServerShare * static_cast<double>(Names.size()));
+    auto Count = static_cast<std::size_t>(Share * static_cast<double>(Names.size()));
+    std::vector<std::string> Chosen;
     for (std::size_t Index = 0; Index < Count; ++Index)
-      Fleet.servers().setSlowdown(Names[Index * Names.size() / Count], Factor);
+      Chosen.push_back(Names[(Index * Names.size() / Count + Offset) % Names.size()]);
+    return Chosen;
+  }
+
+  void beginServerFaults() {
+    setServerFaults(Options.SlowdownFactor, Options.PartFailing, Options.PartHanging);
+    Fleet.servers().setFailingJobs(Options.FailingJobShare);
+    Executor->after(FailingJobsDuration, [this] { Fleet.servers().setFailingJobs(0); });
+    ServersFlap = true;
+    for (const std::string &Name : serverShare(Options.FlappingServerShare, 3))
+      flap(Name);
+  }
+  void endServerFaults() {
+    setServerFaults(1, 0, 0);
+    ServersFlap = false;
+  }
+  void setServerFaults(double Slowdown, double PartFailing, double PartHanging) {
+    for (const std::string &Name : serverShare(Options.SlowServerShare, 0))
+      Fleet.servers().setSlowdown(Name, Slowdown);
+    for (const std::string &Name : serverShare(Options.FailingServerShare, 1))
+      Fleet.servers().setFailing(Name, PartFailing);
+    for (const std::string &Name : serverShare(Options.HangingServerShare, 2))
+      Fleet.servers().setHanging(Name, PartHanging);
+  }
+
+  // Crashes the server, and restarts it after half of the interval.
+  void flap(const std::string &Name) {
+    if (!ServersFlap)
+      return;
+    Fleet.servers().crash(Name);
+    Executor->after(fromMs(Options.FlapIntervalMs / 2), [this, Name] { Fleet.servers().start(Name); });
+    Executor->after(fromMs(Options.FlapIntervalMs), [this, Name] { flap(Name); });
   }
 
   [[nodiscard]] double burstFactor(const job_kind &Kind) const {
@@ -416,6 +448,7 @@
   std::map<std::uint64_t, simulated_job> Jobs;
   crash_checks Crashes;
   time_point TrafficBegin{};
+  bool ServersFlap = false;
   time_point TrafficEnd{};
   time_point FaultsEnd{};
   simulation_result Result;
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -47,6 +47,20 @@
   /// Share of the servers whose tasks take SlowdownFactor times as long in the middle third of the day.
   double SlowServerShare = 0;
   double SlowdownFactor = 6;
+  /// Shares of the servers that, in the middle third of the day, fail PartFailing of their runs, never end
+  /// PartHanging of them, or crash and restart every FlapIntervalMs.
+  double FailingServerShare = 0;
+  double PartFailing = 0.6;
+  double HangingServerShare = 0;
+  double PartHanging = 0.4;
+  double FlappingServerShare = 0;
+  double FlapIntervalMs = 1200;
+  /// Share of the runs that fail on sound servers, and of the jobs whose tasks fail on every server during 3
+  /// s of the middle third.
+  double FailedRunShare = 0;
+  double FailingJobShare = 0;
+  /// Share of the tasks that take seven times as long as the others.
+  double LongTaskShare = 0;
   /// Share of callers of jobs of random sizes that leave early.
   double LeavingCallerShare = 0.05;
   /// Duration of the traffic. Faults occur in its first 60 % only.
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -23,14 +23,27 @@
 // Run time of a task on a server that hangs; it has to exceed the simulated day.
 constexpr auto HangDuration = std::chrono::hours(1);
 
+// Returns a number from 0 to 1 that is the same for each run of the task. Salt distinguishes uses.
+double taskShare(const dispatch::task_key &Task, std::uint64_t Salt) {
+  std::uint64_t Value = (Task.Job ^ Salt) + Task.Index * 0x9E3779B97F4A7C15ULL;
+  Value = (Value ^ (Value >> 31U)) * 0xBF58476D1CE4E5B9ULL;
+  return static_cast<double>((Value ^ (Value >> 29U)) >> 11U) * 0x1.0p-53;
+}
+constexpr std::uint64_t LongTaskSalt = 1;
+constexpr std::uint64_t FailingJobSalt = 2;
+
 } // namespace
 
 standin::run_work simulated_servers::makeWork(const simulated_server &Server,
-                                              const std::string &Specification) {
-  standin::run_work Work = standin::decodeWork(Specification);
-  Work.Duration = runtime::fromMs(runtime::toMs(Work.Duration) * Server.Slowness * Server.Slowdown);
-  Work.Fails = Server.Failing;
-  if (Server.Hanging)
+                                              const dispatch::start_order &Order) {
+  standin::run_work Work = standin::decodeWork(Order.Specification);
+  double Factor = Server.Slowness * Server.Slowdown;
+  if (taskShare(Order.Run.Task, LongTaskSalt) < Options.LongTaskShare)
+    Factor *= Options.LongTaskFactor;
+  Work.Duration = runtime::fromMs(runtime::toMs(Work.Duration) * Factor);
+  Work.Fails = taskShare({Order.Run.Task.Job, 0}, FailingJobSalt) < FailingJobShare ||
+               happens(Server.FailingShare) || happens(Options.FailedRunShare);
+  if (happens(Server.HangingShare))
     Work.Duration = HangDuration;
   return Work;
 }
@@ -49,7 +62,7 @@
       simulated_server &Server = AllServers.Servers.at(Name);
       runtime::time_point Now = AllServers.Executor.clock().now();
       bool AlreadyRunning = isRunning(Server, Order.Run);
-      standin::run_work Work = AllServers.makeWork(Server, Order.Specification);
+      standin::run_work Work = AllServers.makeWork(Server, Order);
       auto Outcome = Server.State->start(Now, Order, Work);
       if (Outcome == order_outcome::Accepted && !AlreadyRunning) {
         AllServers.OnStart(Name, Order.Run);
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -23,6 +23,11 @@
     double LateOrderShare = 0;
     /// Share of orders whose answer is lost.
     double LostAnswerShare = 0;
+    /// Share of the runs that fail on a sound server.
+    double FailedRunShare = 0;
+    /// Share of the tasks that take LongTaskFactor times as long as the others, on every server.
+    double LongTaskShare = 0;
+    double LongTaskFactor = 7;
   };
   /// OnStart is called after each start that a server has carried out.
   simulated_servers(runtime::executor &Executor, network &Network, runtime::random &Random, options Options,
@@ -65,9 +70,13 @@
   void setCut(const std::string &Server, bool IsCut);
   /// Changes the capacity that the server tells from now on; what runs there goes on.
   void setCapacity(const std::string &Server, std::uint32_t Cpu);
-  void setFailing(const std::string &Server, bool IsFailing) { Servers.at(Server).Failing = IsFailing; }
+  /// Sets the share of its runs that a server fails.
+  void setFailing(const std::string &Server, double Share) { Servers.at(Server).FailingShare = Share; }
+  /// Sets the share of the jobs whose tasks fail on every server that starts them now.
+  void setFailingJobs(double Share) { FailingJobShare = Share; }
   void setSlowdown(const std::string &Server, double Factor) { Servers.at(Server).Slowdown = Factor; }
-  void setHanging(const std::string &Server, bool IsHanging) { Servers.at(Server).Hanging = IsHanging; }
+  /// Sets the share of its runs that never end on a server.
+  void setHanging(const std::string &Server, double Share) { Servers.at(Server).HangingShare = Share; }
 
   /// Returns the servers on which the task runs now, one entry for each run.
   [[nodiscard]] std::vector<std::string> serversRunning(const dispatch::task_key &Task);
@@ -95,8 +104,8 @@
     double Slowdown = 1;
     bool Cut = false;
     bool MachineDown = false;
-    bool Failing = false;
-    bool Hanging = false;
+    double FailingShare = 0;
+    double HangingShare = 0;
     std::vector<pending_hold> Holds;
     // Capacities of the present incarnation, with the time until which each was the present one.
     std::vector<std::pair<runtime::time_point, std::uint32_t>> FormerCapacities;
@@ -104,7 +113,10 @@
   };
   class orders;
 
-  static standin::run_work makeWork(const simulated_server &Server, const std::string &Specification);
+  standin::run_work makeWork(const simulated_server &Server, const dispatch::start_order &Order);
+  // Returns true with this probability. Draws no random number if the result is certain, so that days without
+  // such faults keep the meaning of their seeds.
+  bool happens(double Share) { return Share > 0 && (Share >= 1 || Random.uniform() < Share); }
   void serveHold(const std::string &Name, const dispatch::hold_order &Order,
                  std::function<void(dispatch::hold_reply)> Reply);
   // Crashes the server if the task of the run is the one that does so, and restarts it seconds later.
@@ -125,6 +137,7 @@
   std::function<bool(const dispatch::task_key &)> HasLateStops;
   std::map<std::string, simulated_server> Servers;
   std::uint64_t LastHold = 0;
+  double FailingJobShare = 0;
 };
 
 } // namespace yuccaplank::simulation
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -46,7 +46,19 @@
       ("long-burst", options::value<double>(),
        "factor of a burst of the longest kind of jobs in the middle of the day") //
       ("slow", options::value(&Options.SlowServerShare),
-       "share of servers that are slow for a third of the day")                              //
+       "share of servers that are slow for a third of the day") //
+      ("failing", options::value(&Options.FailingServerShare),
+       "share of servers that fail part of their runs for a third of the day")                           //
+      ("part-failing", options::value(&Options.PartFailing), "part of the runs that these servers fail") //
+      ("hanging", options::value(&Options.HangingServerShare),
+       "share of servers on which part of the runs never end for a third of the day") //
+      ("flapping", options::value(&Options.FlappingServerShare),
+       "share of servers that crash and restart over and over for a third of the day")                     //
+      ("failed-runs", options::value(&Options.FailedRunShare), "share of runs that fail on sound servers") //
+      ("failing-jobs", options::value(&Options.FailingJobShare),
+       "share of jobs that fail on every server for 3 s of the day") //
+      ("long-tasks", options::value(&Options.LongTaskShare),
+       "share of tasks that take seven times as long as the others")                         //
       ("lags", "adds VMs and links that lag, rolling restarts, and VMs of unequal strength") //
       ("evacuations", "adds evacuations of failure domains")                                 //
       ("messages", "counts the messages of the VMs and prints them for each day")            //
