Tell owners of failures elsewhere, and the placer of overdue runs

An owner could not tell a faulty server from a task that fails on every server, and the placer learnt that a server hangs or is slow only from runs that had ended. start_task.failed_runs and adopted_run.failed_runs carry the failures of a task on other servers; server_state.overdue_slowness carries the least slowness that the runs in progress show, and the placer orders servers by the higher of the two figures. Both fields are 0 from VMs of an earlier build, which keeps the earlier behaviour. Guarded by the tests of the job coordinator and the placement queue.

--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -356,6 +356,7 @@
     Start.set_relayed(Job.Request.Relayed);
     Start.set_alone(Grant.alone());
     Start.set_overdue_runs(Job.Tasks.at(Run.Task.Index).OverdueRuns);
+    Start.set_failed_runs(Job.Tasks.at(Run.Task.Index).Failures);
     Ports.send(Grant.owner(), std::move(Message));
   }
 
@@ -441,6 +442,7 @@
     Adopted.set_relayed(Job.Request.Relayed);
     Adopted.set_alone(Task.Alone);
     Adopted.set_overdue_runs(Task.OverdueRuns);
+    Adopted.set_failed_runs(Task.Failures);
     Adopted.set_age_ms(static_cast<std::uint32_t>(runtime::toMs(now() - Task.StartOrderedAt)));
   }
 
--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -302,6 +302,17 @@
   Vm.Jobs->onEvent("owner", Event);
   Vm.grant(runOf(0, 2));
   CPPUNIT_ASSERT_EQUAL(1U, Vm.Sent.back().second.start().overdue_runs());
+  CPPUNIT_ASSERT_EQUAL(0U, Vm.Sent.back().second.start().failed_runs());
+});
+
+// Guards against servers that are blamed for a task that fails everywhere.
+const test_case FailedRuns("job coordinator: a run of a task failed", [] {
+  vm Vm;
+  Vm.submit(1);
+  Vm.grant(runOf(0, 1));
+  Vm.reportEvent(runOf(0, 1), schema::RUN_FAILED);
+  Vm.grant(runOf(0, 2));
+  CPPUNIT_ASSERT_EQUAL(1U, Vm.Sent.back().second.start().failed_runs());
 });
 
 } // namespace
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -290,8 +290,11 @@
   void updateIndex(const known_server &Server) {
     const schema::server_state &State = Server.State;
     auto [Pool, IsNew] = Pools.try_emplace(State.pool(), Options.SlownessStep);
-    Pool->second.set(State.server(), {freeCapacity(Server), toResourceAmounts(State.capacity()),
-                                      State.slowness(), acceptsTasks(Server), State.evacuated()});
+    // Faster servers than the declared times assume have a negative slowness.
+    double Slowness = State.overdue_slowness() > 0 ? std::max(State.slowness(), State.overdue_slowness())
+                                                   : State.slowness();
+    Pool->second.set(State.server(), {freeCapacity(Server), toResourceAmounts(State.capacity()), Slowness,
+                                      acceptsTasks(Server), State.evacuated()});
   }
 
   server_iterator eraseServer(server_iterator Server) {
--- a/src/yuccaplank/dispatch/placement_queue_test.cpp
+++ b/src/yuccaplank/dispatch/placement_queue_test.cpp
@@ -32,7 +32,7 @@
 
   void updateServer(const std::string &Name, double Slowness, std::uint32_t Cpu = 64000,
                     std::uint32_t Used = 0, std::uint64_t Token = 1, const std::string &Owner = "owner",
-                    bool Evacuated = false, std::uint32_t Tasks = 0) const {
+                    bool Evacuated = false, std::uint32_t Tasks = 0, float OverdueSlowness = 0) const {
     schema::server_state State;
     State.set_server(Name);
     State.set_pool("pool");
@@ -43,6 +43,7 @@
     State.set_usable(!Evacuated);
     State.set_evacuated(Evacuated);
     State.set_tasks(Tasks);
+    State.set_overdue_slowness(OverdueSlowness);
     State.set_token(Token);
     Queue->updateServer(Owner, State);
   }
@@ -151,6 +152,16 @@
   }
 });
 
+// Guards against more tasks for a server whose runs in progress take far too long.
+const test_case OverdueSlowness("placement queue: the runs in progress of a server are overdue", [] {
+  placer Placer;
+  Placer.updateServer("hanging", 0.5, 64000, 0, 1, "owner", false, 0, 1);
+  Placer.updateServer("ordinary", 1.2);
+  Placer.enqueue(Placer.makeJob(1, 1, 100));
+  Placer.Queue->schedule();
+  CPPUNIT_ASSERT_EQUAL(std::string("ordinary"), Placer.Grants.at(0).server());
+});
+
 // Guards against placing a long task on a server that is too slow for its objective although a faster one
 // will be free soon. This happens when servers become slow, and in a burst of long jobs.
 const test_case Speeds("placement queue: chooses among servers of different speed", [] {
--- a/src/yuccaplank/dispatch/run_table.hpp
+++ b/src/yuccaplank/dispatch/run_table.hpp
@@ -37,6 +37,8 @@
   std::uint32_t EstimateMs = 0;
   /// Earlier runs of the task that were stopped because they took too long.
   std::uint32_t OverdueRuns = 0;
+  /// Earlier runs of the task that failed on other servers.
+  std::uint32_t FailedRuns = 0;
   run_phase Phase = run_phase::Starting;
   runtime::time_point StartedAt;
   /// Set when the server has certainly processed the run's latest order: the number of the last hold that was
@@ -55,6 +57,8 @@
   std::string StopReason;
   /// Whether the run is stopped because it takes too long.
   bool Overdue = false;
+  /// Whether the run has taken much longer than expected (long_run_evidence).
+  bool Long = false;
   /// Whether the run was ordered from an incarnation of the server that has ended.
   bool OnFormerIncarnation = false;
   /// When the first stop order was sent.
