Find faulty servers by evidence against the other servers of the owner

A server was quarantined after three failures in a row, whatever the others did, and a server that hangs or turns slow kept getting work until its first runs were overdue. Now sequential likelihood ratios over the latest runs are compared with the share of the owner's other servers: of failures, and of runs that take more than twice their expected time, counted before they end. Several long runs are reported to the placer, and stopped at 3 times the expected time and 100 ms instead of 5 times and 200 ms. A server that restarts over and over gets work after a calm time, and the estimate of its speed follows a step after two runs.

--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -83,8 +83,12 @@
   /// OverdueMargin. Declared times are off by a factor of up to 3.
   double OverdueFactor = 5;
   runtime::duration OverdueMargin = std::chrono::milliseconds(200);
-  /// Consecutive runs without a result after which the server is quarantined.
-  std::uint32_t FailuresToQuarantine = 3;
+  /// The same on a server that is on probation or on which several runs take much longer than expected. A job
+  /// counts as late up to three times its objective (1.6 times its run time and 60 ms), so a task that is
+  /// placed elsewhere by then can still end in that time.
+  double EarlyOverdueFactor = 3;
+  runtime::duration EarlyOverdueMargin = std::chrono::milliseconds(100);
+  /// Length of the first quarantine of a server, and the limit of later ones (server_health).
   runtime::duration InitialQuarantine = std::chrono::milliseconds(1000);
   runtime::duration MaxQuarantine = std::chrono::milliseconds(4000);
 };
@@ -102,12 +106,16 @@
   std::uint64_t SuspectedStarts = 0;
   std::uint64_t ConfirmedStarts = 0;
   std::uint64_t Overdue = 0;
+  /// Overdue runs that were stopped by the earlier limit.
+  std::uint64_t OverdueEarly = 0;
+  std::uint64_t Quarantines = 0;
   /// Servers with runs that crashed, and that did not reply until the lease of their runs had expired.
   std::uint64_t ServersCrashed = 0;
   std::uint64_t ServersSilent = 0;
 };
 
 class reply_timeout;
+struct fleet_shares;
 
 /// The services that a ledger uses.
 class ledger_ports {
@@ -185,7 +193,10 @@
   virtual void tick() = 0;
 };
 
+/// The ledgers of one owner share Fleet, so that they can tell faults of a server from those of tasks. A
+/// ledger without it knows its own server only.
 std::unique_ptr<server_ledger> makeServerLedger(runtime::executor &Executor, ledger_ports &Ports,
-                                                server_entry Entry, ledger_options Options = {});
+                                                server_entry Entry, ledger_options Options = {},
+                                                std::shared_ptr<fleet_shares> Fleet = nullptr);
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/run_limits.hpp
+++ b/src/yuccaplank/dispatch/run_limits.hpp
@@ -64,14 +64,22 @@
   }
 
   /// Returns the time after which a run counts as overdue. It doubles with each earlier run of the task that
-  /// was overdue, so that a task that takes much longer than declared completes.
-  [[nodiscard]] runtime::duration overdueLimit(const server_run &Run, double Slowness) const {
-    double ExpectedMs = Run.EstimateMs * std::exp(std::max(0.0, Slowness));
+  /// was overdue, so that a task that takes much longer than declared completes. Early selects the limit for
+  /// servers that probably hang; it does not apply to tasks that were overdue elsewhere.
+  [[nodiscard]] runtime::duration overdueLimit(const server_run &Run, double Slowness, bool Early) const {
+    double ExpectedMs = expectedMs(Run, Slowness);
+    if (Early && Run.OverdueRuns == 0)
+      return runtime::fromMs(ExpectedMs * Options.EarlyOverdueFactor) + Options.EarlyOverdueMargin;
     double Factor =
         std::ldexp(Options.OverdueFactor, static_cast<int>(std::min(Run.OverdueRuns, MaxDoublings)));
     return runtime::fromMs(ExpectedMs * Factor) + Options.OverdueMargin;
   }
 
+  /// Expected time of a run on a server of this slowness. Faster servers than declared get no shorter limit.
+  [[nodiscard]] static double expectedMs(const server_run &Run, double Slowness) {
+    return Run.EstimateMs * std::exp(std::max(0.0, Slowness));
+  }
+
 private:
   static constexpr std::uint32_t MaxDoublings = 16;
 
--- /dev/null
+++ b/src/yuccaplank/dispatch/server_evidence.hpp
@@ -0,0 +1,127 @@
+// What the observed runs of one backend server tell about it, compared with the other servers of its owner.
+#pragma once
+
+#include "yuccaplank/runtime/clock.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace yuccaplank::dispatch {
+
+/// Share of recent runs with a property. Observations lose weight with time.
+class share_estimate {
+public:
+  void record(bool HasProperty, runtime::time_point Now);
+  /// Share among the runs that are counted here but not in Part. Without many of them it is close to Min.
+  [[nodiscard]] double shareWithout(const share_estimate &Part, double Min, runtime::time_point Now) const;
+
+private:
+  [[nodiscard]] double weightAt(runtime::time_point Now) const;
+
+  double Hits = 0;
+  double Total = 0;
+  runtime::time_point UpdatedAt{};
+};
+
+/// Outcomes of the latest runs of one server, for a sequential probability ratio test.
+class recent_outcomes {
+public:
+  void record(bool HasProperty);
+  void clear() { Count = 0; }
+  /// Returns the natural logarithm of the likelihood ratio between a faulty server, whose runs have the
+  /// property with probability Faulty, and a sound one, for the sequence of latest runs that speaks most
+  /// against the server. At least 0.
+  [[nodiscard]] double evidence(double Sound, double Faulty) const;
+
+private:
+  // Bits of the latest outcomes, the newest one lowest.
+  std::uint32_t Bits = 0;
+  std::uint32_t Count = 0;
+};
+
+/// Shares over all servers of an owner. Tasks that fail or take long on every server raise them.
+struct fleet_shares {
+  share_estimate Failed;
+  share_estimate Long;
+};
+
+/// Failures of the runs of one server. Of successive failures of tasks of one job every second one counts,
+/// because they may have their cause in the job.
+class failure_evidence {
+public:
+  explicit failure_evidence(fleet_shares &Fleet) : Fleet(Fleet) {}
+  void onDone(runtime::time_point Now);
+  void onFailure(std::uint64_t Job, runtime::time_point Now);
+  /// Forgets the outcomes, after consequences have been drawn from them.
+  void clear() { Recent.clear(); }
+  [[nodiscard]] double value(runtime::time_point Now) const;
+  /// Whether the evidence suffices to quarantine the server.
+  [[nodiscard]] bool isFaulty(runtime::time_point Now) const;
+
+private:
+  void record(bool Failed, runtime::time_point Now);
+
+  fleet_shares &Fleet;
+  share_estimate Own;
+  recent_outcomes Recent;
+  std::uint64_t LastFailedJob = 0;
+  std::uint32_t FailuresOfJob = 0;
+};
+
+/// Run in progress that has taken much longer than expected.
+struct long_run {
+  std::uint64_t Job = 0;
+  /// Natural logarithm of the time so far divided by the declared time.
+  double Slowness = 0;
+};
+
+/// Runs of one server that take much longer than expected, counted before they end.
+class long_run_evidence {
+public:
+  explicit long_run_evidence(fleet_shares &Fleet) : Fleet(Fleet) {}
+  /// Returns the time from which a run counts as long.
+  [[nodiscard]] static runtime::duration limit(double ExpectedMs);
+  void onDoneInTime(runtime::time_point Now) { record(false, Now); }
+  /// Called once for each run that has become long.
+  void onLong(std::uint64_t Job, runtime::time_point Now);
+  void clear() { Recent.clear(); }
+  /// Returns the least slowness that the long runs in progress show; 0 if they are no evidence that the
+  /// server is slow.
+  [[nodiscard]] double slowness(const std::vector<long_run> &InProgress, runtime::time_point Now) const;
+  /// Whether the server most probably hangs or has become slow, so that its long runs should be placed
+  /// elsewhere.
+  [[nodiscard]] bool isStrong(const std::vector<long_run> &InProgress, runtime::time_point Now) const;
+
+private:
+  void record(bool IsLong, runtime::time_point Now);
+  [[nodiscard]] double value(runtime::time_point Now) const;
+
+  fleet_shares &Fleet;
+  share_estimate Own;
+  recent_outcomes Recent;
+  std::uint64_t LastLongJob = 0;
+};
+
+/// Estimate of the natural logarithm of run time divided by declared time. It averages over about ten runs,
+/// but follows a step after two runs of different jobs that agree.
+class speed_estimate {
+public:
+  [[nodiscard]] double slowness() const { return Slowness; }
+  void onDone(std::uint64_t Job, double TookMs, std::uint32_t DeclaredMs, runtime::time_point Now);
+  /// Other servers are preferred to one that is thought slow, so it may get no run that shows its recovery.
+  /// Returns whether the estimate was reset to its value before the step for this reason.
+  bool resetStaleStep(runtime::time_point Now);
+
+private:
+  double Slowness = 0;
+  double Observations = 0;
+  // The latest observation that deviated much from the estimate; 0 if the latest one did not.
+  double LastDeviation = 0;
+  double LastObserved = 0;
+  std::uint64_t LastJob = 0;
+  bool Stepped = false;
+  double BeforeStep = 0;
+  runtime::time_point ObservedAt{};
+};
+
+} // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -38,13 +38,17 @@
 constexpr unsigned MaxTokenStepDoublings = 16;
 // With less time to arrive, most start orders would be rejected by the server.
 constexpr auto MinArrivalLimit = std::chrono::milliseconds(20);
+// Least growth of the slowness of runs in progress that is reported, a third more time: a message each 50 ms
+// would tell the placer little more.
+constexpr double OverdueSlownessStep = 0.3;
 
 class server_ledger_impl final : public server_ledger {
 public:
   server_ledger_impl(runtime::executor &Executor, ledger_ports &Ports, server_entry EntryIn,
-                     ledger_options Options)
+                     ledger_options Options, std::shared_ptr<fleet_shares> FleetIn)
       : Executor(Executor), Ports(Ports), Entry(std::move(EntryIn)), Options(Options),
-        Health(Options.FailuresToQuarantine, Options.InitialQuarantine, Options.MaxQuarantine),
+        Fleet(FleetIn ? std::move(FleetIn) : std::make_shared<fleet_shares>()),
+        Health(*Fleet, Options.InitialQuarantine, Options.MaxQuarantine),
         Clock(Options.ClockDrift, Options.ClockError), Limits(Options) {}
   server_ledger_impl(const server_ledger_impl &) = delete;
   server_ledger_impl &operator=(const server_ledger_impl &) = delete;
@@ -88,6 +92,8 @@
     ListRefresh.reset();
     RefusesConnections = false;
     StopsOverdue = false;
+    LongRuns.clear();
+    OverdueSlowness = 0;
     Ports.onCapacityChanged(Entry.Target.Id);
   }
 
@@ -144,6 +150,7 @@
     Started.Alone = Request.alone();
     Started.EstimateMs = Request.estimate_ms();
     Started.OverdueRuns = Request.overdue_runs();
+    Started.FailedRuns = Request.failed_runs();
     Started.StartedAt = now();
     Limits.updateAllowedUntil(Started, Ports.lastAnsweredHeartbeat(Coordinator), sinceBoot());
     ++Ports.counters().Started;
@@ -178,6 +185,7 @@
       Run.Alone = Adopted.alone();
       Run.EstimateMs = Adopted.estimate_ms();
       Run.OverdueRuns = Adopted.overdue_runs();
+      Run.FailedRuns = Adopted.failed_runs();
       Run.StartedAt = now() - std::chrono::milliseconds(Adopted.age_ms());
     }
     if (!Runs.anyUnclaimed())
@@ -231,6 +239,7 @@
     State.set_tasks(static_cast<std::uint32_t>(Runs.size()));
     State.set_token(Token);
     State.set_evacuated(Evacuated);
+    State.set_overdue_slowness(static_cast<float>(OverdueSlowness));
     return State;
   }
 
@@ -241,10 +250,12 @@
     if (Ownership == ownership::None)
       return;
     endExpiredRuns(Now);
+    updateLongRuns(Now);
     stopOverdueRuns(Now);
     updateStopsOverdue(Now);
     refreshIdleList(Now);
-    if (Health.endExpiredQuarantine(Now))
+    bool QuarantineEnds = Health.endExpiredQuarantine(Now);
+    if (QuarantineEnds || (Runs.empty() && Health.endStaleSlowness(Now)))
       Ports.onCapacityChanged(Entry.Target.Id);
   }
 
@@ -322,6 +333,7 @@
            {"reason", std::string(Reason)}});
     report(Coordinator, std::move(Message));
     Ports.onCapacityChanged(Entry.Target.Id);
+    updateLongRuns(now());
   }
 
   // Tells all coordinators before the runs are reported as gone, so that none places their tasks again first.
@@ -486,7 +498,7 @@
       onServerReplaced();
       return;
     }
-    onStartRefused(Reply.Outcome);
+    onStartRefused(Run, State, Reply.Outcome);
     endRun(Run, schema::RUN_NOT_STARTED, orderOutcomeName(Reply.Outcome));
   }
 
@@ -530,11 +542,11 @@
     stopRun(Run, State, "start_unanswered");
   }
 
-  void onStartRefused(order_outcome Outcome) {
+  void onStartRefused(const run_key &Run, const server_run &State, order_outcome Outcome) {
     requestRunListIfUndelivered(Outcome);
     sendHoldIfNeeded();
     if (Outcome == order_outcome::Unhealthy || isUndelivered(Outcome))
-      Health.onFailure(now());
+      recordFailure(Run, State, "refusals");
   }
 
   // Stops. They are repeated until answered, because an unanswered start may be carried out much later.
@@ -675,7 +687,10 @@
     }
     Clock.setServerClock(now(), Reply.ClockMs);
     UnansweredHolds = 0;
+    bool WasDown = !Responsive && RefusesConnections;
     RefusesConnections = false;
+    if ((WasDown || Reply.IncarnationStartMs != IncarnationStartMs) && Health.onReturn(now()))
+      logQuarantine("flapping");
     setResponsive(true);
     if (Reply.IncarnationStartMs != IncarnationStartMs) {
       onNewIncarnation(Reply);
@@ -762,28 +777,41 @@
     server_run *Found = Runs.find(End.Run);
     if (!Found)
       return;
-    recordRunEnd(End.End, *Found);
+    recordRunEnd(End.Run, End.End, *Found);
     std::string Reason = Found->StopReason.empty() ? std::string(runEndName(End.End)) : Found->StopReason;
     endRun(End.Run, toRunEvent(End.End), Reason);
   }
 
-  void recordRunEnd(run_end End, const server_run &Run) {
+  void recordRunEnd(const run_key &Run, run_end End, const server_run &State) {
     if (End == run_end::Done) {
       ++Ports.counters().Done;
-      Health.onDone(runtime::toMs(now() - Run.StartedAt), Run.EstimateMs);
+      Health.onDone(toFinishedRun(Run, State), now());
     } else if (End == run_end::Failed) {
       ++Ports.counters().Failed;
-      if (Health.onFailure(now()))
-        logQuarantine("failures");
+      recordFailure(Run, State, "failures");
     } else {
       ++Ports.counters().Gone;
     }
   }
 
+  static finished_run toFinishedRun(const run_key &Run, const server_run &State) {
+    return {Run.Task.Job, State.EstimateMs, State.StartedAt, State.Long};
+  }
+
+  // A task that has failed or was overdue elsewhere, too, is itself the likely cause; the server is not to
+  // blame.
+  void recordFailure(const run_key &Run, const server_run &State, const char *Reason) {
+    if (State.FailedRuns == 0 && State.OverdueRuns == 0 && Health.onFailure(toFinishedRun(Run, State), now()))
+      logQuarantine(Reason);
+  }
+
   void logQuarantine(const char *Reason) {
+    ++Ports.counters().Quarantines;
     log(log_level::Warning, "server_quarantined",
         {{"server", Entry.Target.Id},
          {"reason", std::string(Reason)},
+         {"evidence", Health.quarantineEvidence()},
+         {"outages", std::int64_t{Health.outages()}},
          {"times", std::int64_t{Health.quarantines()}}});
   }
 
@@ -868,19 +896,53 @@
     return RefusesConnections ? schema::LOSS_CRASHED : schema::LOSS_SILENT;
   }
 
+  // Finds the runs in progress that take much longer than expected, and reports to the placer how slow they
+  // show the server to be.
+  void updateLongRuns(time_point Now) {
+    LongRuns.clear();
+    for (auto &[Run, State] : Runs) {
+      // Nothing is known of the runs of an unresponsive server.
+      if (!Responsive || State.Phase != run_phase::Running || State.Unclaimed || State.EstimateMs == 0 ||
+          State.OverdueRuns != 0)
+        continue;
+      duration Elapsed = Now - State.StartedAt;
+      if (Elapsed < long_run_evidence::limit(run_limits::expectedMs(State, Health.slowness())))
+        continue;
+      if (!std::exchange(State.Long, true))
+        Health.onLong(Run.Task.Job, Now);
+      LongRuns.push_back({Run.Task.Job, std::log(runtime::toMs(Elapsed) / State.EstimateMs)});
+    }
+    reportOverdueSlowness(Health.longRuns().slowness(LongRuns, Now));
+  }
+
+  void reportOverdueSlowness(double Value) {
+    bool Changes = (Value > 0) != (OverdueSlowness > 0);
+    if (!Changes && Value < OverdueSlowness + OverdueSlownessStep)
+      return;
+    if (Changes)
+      log(log_level::Info, Value > 0 ? "server_runs_long" : "server_runs_ordinary",
+          {{"server", Entry.Target.Id},
+           {"slowness", Value},
+           {"long_runs", static_cast<std::int64_t>(LongRuns.size())}});
+    OverdueSlowness = Value;
+    Ports.onCapacityChanged(Entry.Target.Id);
+  }
+
   void stopOverdueRuns(time_point Now) {
     // Nothing is known of the runs of an unresponsive server.
     if (!Responsive)
       return;
+    bool Early = Health.onProbation() || Health.longRuns().isStrong(LongRuns, Now);
     for (auto &[Run, State] : Runs) {
+      duration Elapsed = Now - State.StartedAt;
       if (State.Phase != run_phase::Running || State.Unclaimed ||
-          Now - State.StartedAt < Limits.overdueLimit(State, Health.slowness()))
+          Elapsed < Limits.overdueLimit(State, Health.slowness(), Early))
         continue;
       ++Ports.counters().Overdue;
+      if (Elapsed < Limits.overdueLimit(State, Health.slowness(), false))
+        ++Ports.counters().OverdueEarly;
       State.Overdue = true;
-      // A task that was overdue elsewhere, too, takes longer than declared; the server is not to blame.
-      if (State.OverdueRuns == 0 && Health.onFailure(Now))
-        logQuarantine("overdue");
+      recordFailure(Run, State, "overdue");
       stopRun(Run, State, "overdue");
       Ports.onCapacityChanged(Entry.Target.Id);
     }
@@ -890,6 +952,7 @@
   ledger_ports &Ports;
   server_entry Entry;
   ledger_options Options;
+  std::shared_ptr<fleet_shares> Fleet;
   server_health Health;
   lease_clock Clock;
   run_limits Limits;
@@ -927,6 +990,9 @@
   bool RefusesConnections = false;
   bool Delisted = false;
   bool Evacuated = false;
+  // Runs in progress that take much longer than expected, and the slowness that was reported for them.
+  std::vector<long_run> LongRuns;
+  double OverdueSlowness = 0;
   // Whether a stop has been unconfirmed for so long that the lease may end before it is.
   bool StopsOverdue = false;
   // Drops callbacks of calls that were made before the server was released.
@@ -936,8 +1002,9 @@
 } // namespace
 
 std::unique_ptr<server_ledger> makeServerLedger(runtime::executor &Executor, ledger_ports &Ports,
-                                                server_entry Entry, ledger_options Options) {
-  return std::make_unique<server_ledger_impl>(Executor, Ports, std::move(Entry), Options);
+                                                server_entry Entry, ledger_options Options,
+                                                std::shared_ptr<fleet_shares> Fleet) {
+  return std::make_unique<server_ledger_impl>(Executor, Ports, std::move(Entry), Options, std::move(Fleet));
 }
 
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -143,8 +143,10 @@
     answerHold(makeListReply(Running));
   }
   void start(const run_key &Run, std::uint32_t Cpu = 30000, bool Alone = false,
-             const std::string &Coordinator = "coordinator", bool Relayed = false) const {
+             const std::string &Coordinator = "coordinator", bool Relayed = false,
+             std::uint32_t FailedRuns = 0) const {
     schema::start_task Request;
+    Request.set_failed_runs(FailedRuns);
     Request.set_relayed(Relayed);
     *Request.mutable_task() = toMessage(Run);
     Request.set_server("s1");
@@ -745,6 +747,50 @@
   CPPUNIT_ASSERT(runOf(0) == Owner.Orders.Stops.at(0).Run);
 });
 
+// Guards against a server that hangs or turns slow and gets work until its first runs are overdue.
+const test_case LongRuns("server ledger: runs in progress take much longer than declared", [] {
+  owner Owner;
+  Owner.claim();
+  std::vector<run_key> Running;
+  for (std::uint64_t Job = 1; Job <= 3; ++Job) {
+    Running.push_back({{Job, 0}, 1});
+    Owner.start(Running.back(), 10000);
+    Owner.answerStart(order_outcome::Accepted);
+  }
+  // More than twice the declared 100 ms plus 50 ms.
+  Owner.advanceWithLists(milliseconds(300), Running);
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+  CPPUNIT_ASSERT(Owner.Ledger->state().overdue_slowness() > 1);
+  CPPUNIT_ASSERT(Owner.Orders.Stops.empty());
+  if (auto When = section("when they are done, the server is as before")) {
+    Owner.answerHold(Owner.makeListReply(
+        {},
+        {{1, Running[0], run_end::Done}, {2, Running[1], run_end::Done}, {3, Running[2], run_end::Done}}));
+    CPPUNIT_ASSERT_EQUAL(0.0F, Owner.Ledger->state().overdue_slowness());
+    CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+  }
+  if (auto When = section("at three times the declared time plus 100 ms they are stopped")) {
+    Owner.advanceWithLists(milliseconds(100), Running);
+    Owner.Ledger->tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Owner.Orders.Stops.size());
+    CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
+  }
+});
+
+// Guards against the quarantine of a server by a task that fails on every server.
+const test_case FailedElsewhere("server ledger: failures of tasks that failed elsewhere", [] {
+  owner Owner;
+  Owner.claim();
+  for (std::uint32_t Index = 0; Index < 5; ++Index) {
+    Owner.start({{Index + 1, 0}, 2}, 30000, false, "coordinator", false, 1);
+    Owner.answerStart(order_outcome::Accepted);
+    Owner.answerHold(Owner.makeListReply({}, {{Index + 1, {{Index + 1, 0}, 2}, run_end::Failed}}));
+    Owner.answerHold(Owner.makeListReply({}));
+  }
+  CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+});
+
 // Guards against a crash that nobody counts: a server that crashed and one that is cut off look alike to an
 // owner that only waits for the end of the lease.
 const test_case Loss("server ledger: a server is lost with its runs", [] {
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -1,6 +1,7 @@
 #include "yuccaplank/dispatch/server_owner.hpp"
 #include "owner_messages.hpp"
 #include "reply_timeout.hpp"
+#include "server_evidence.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
@@ -38,7 +39,7 @@
       if (Server.Ledger)
         Server.Ledger->update(Entry);
       else
-        Server.Ledger = makeServerLedger(Executor, *this, Entry, Options);
+        Server.Ledger = makeServerLedger(Executor, *this, Entry, Options, Fleet);
       Server.Ledger->setEvacuated(EvacuatedDomains.contains(Entry.Domain));
     }
     for (auto &[Id, Server] : Servers)
@@ -272,6 +273,7 @@
   ledger_options Options;
   reply_timeout ReplyTimeout;
   ledger_counters Counters;
+  std::shared_ptr<fleet_shares> Fleet = std::make_shared<fleet_shares>();
   std::map<std::string, owned_server> Servers;
   std::set<std::string> EvacuatedDomains;
   std::set<std::string> Subscribers;
