Split the server ledger by the decisions it makes

One class of 1,000 lines made all decisions about a server. server_claims now has its fence and adoptions, run_orders the starts and stops, run_lists the holds and lists, run_ends the ends of runs, server_watch the health; they share a ledger_state, and server_ledger.cpp (140 lines) joins them.

--- /dev/null
+++ b/src/yuccaplank/dispatch/run_ends.cpp
@@ -0,0 +1,90 @@
+#include "run_ends.hpp"
+#include "loss_history.hpp"
+#include "owner_messages.hpp"
+#include "reply_timeout.hpp"
+#include "server_watch.hpp"
+#include "yuccaplank/runtime/log.hpp"
+
+#include <utility>
+
+namespace yuccaplank::dispatch {
+
+using runtime::log;
+using runtime::log_level;
+
+void run_ends::report(const std::string &Coordinator, schema::dispatch_message Event) {
+  if (!Coordinator.empty())
+    Ledger.Ports.send(Coordinator, std::move(Event));
+}
+
+void run_ends::endRun(const run_key &Run, schema::run_event Event, std::string_view Reason,
+                      schema::server_loss Loss) {
+  server_run *Found = Ledger.Runs.find(Run);
+  if (!Found)
+    return;
+  std::string Coordinator = Found->Coordinator;
+  if (Event == schema::RUN_GONE && Found->OnFormerIncarnation)
+    Loss = schema::LOSS_CRASHED;
+  schema::dispatch_message Message = makeTaskEvent(Run, Event, Ledger.Entry.Target.Id, Reason, Loss);
+  Message.mutable_event()->set_overdue(Event == schema::RUN_GONE && Found->Overdue);
+  Ledger.Runs.erase(Run);
+  if (Event != schema::RUN_DONE)
+    log(log_level::Info, "run_ended",
+        {{"run", format(Run)},
+         {"server", Ledger.Entry.Target.Id},
+         {"end", schema::run_event_Name(Event)},
+         {"reason", std::string(Reason)}});
+  report(Coordinator, std::move(Message));
+  Ledger.onCapacityChanged();
+  Parts.Watch.updateLongRuns(Ledger.now());
+}
+
+void run_ends::announceLoss(schema::server_loss Loss, const std::vector<run_key> &LostRuns) {
+  ++(Loss == schema::LOSS_CRASHED ? Ledger.Ports.counters().ServersCrashed
+                                  : Ledger.Ports.counters().ServersSilent);
+  log(log_level::Warning, "server_lost",
+      {{"server", Ledger.Entry.Target.Id},
+       {"evidence", schema::server_loss_Name(Loss)},
+       {"runs", formatRuns(LostRuns)}});
+  Ledger.Ports.broadcast(makeLostServer(Ledger.Entry.Target.Id, Ledger.IncarnationStartMs, Loss, LostRuns));
+}
+
+void run_ends::endMissingRuns(std::uint64_t Hold, const std::vector<run_key> &Running) {
+  for (const run_key &Run : Ledger.Runs.missingFrom(Running, Hold))
+    endRun(Run, schema::RUN_GONE, "not_listed");
+}
+
+void run_ends::endExpiredRuns(time_point Now) {
+  if ((Ledger.Responsive && !Ledger.Delisted) || Now < Ledger.Clock.expiresAt())
+    return;
+  std::vector<run_key> LostRuns = Ledger.Runs.endingWithLease(Ledger.Delisted);
+  if (LostRuns.empty())
+    return;
+  schema::server_loss Loss = lossWithoutReply();
+  if (Loss != schema::LOSS_NONE)
+    announceLoss(Loss, LostRuns);
+  for (const run_key &Run : LostRuns)
+    endRun(Run, schema::RUN_GONE, "lease_over", Loss);
+}
+
+schema::server_loss run_ends::lossWithoutReply() const {
+  if (Ledger.Responsive || Ledger.Entry.Draining)
+    return schema::LOSS_NONE;
+  return Ledger.RefusesConnections ? schema::LOSS_CRASHED : schema::LOSS_SILENT;
+}
+
+void run_ends::delist() {
+  if (std::exchange(Ledger.Delisted, true))
+    return;
+  Ledger.onCapacityChanged();
+}
+
+void run_ends::onServerReplaced() {
+  log(log_level::Warning, "server_replaced",
+      {{"server", Ledger.Entry.Target.Id}, {"runs", static_cast<std::int64_t>(Ledger.Runs.size())}});
+  for (const run_key &Run : Ledger.Runs.keys())
+    endRun(Run, schema::RUN_GONE, "server_replaced");
+  delist();
+}
+
+} // namespace yuccaplank::dispatch
