--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -389,7 +389,10 @@
     const schema::server_state &State = Server.State;
     resource_amounts Free = freeCapacity(Server);
     auto [Pool, IsNew] = Pools.try_emplace(State.pool(), Options.SlownessStep);
-    Pool->second.set(State.server(), {Free, toResourceAmounts(State.capacity()), State.slowness(),
+    // Faster servers than the declared times assume have a negative slowness.
+    double Slowness = State.overdue_slowness() > 0 ? std::max(State.slowness(), State.overdue_slowness())
+                                                   : State.slowness();
+    Pool->second.set(State.server(), {Free, toResourceAmounts(State.capacity()), Slowness,
                                       acceptsTasks(Server), State.evacuated()});
     std::int64_t Capacity = State.capacity().cpu();
     reportUsage(Server, State.usable() ? admission::core_usage{Capacity, Capacity - Free.Cpu}
