--- a/src/yuccaplank/dispatch/run_limits_test.cpp
+++ b/src/yuccaplank/dispatch/run_limits_test.cpp
@@ -18,20 +18,20 @@
   server_run Run;
   if (auto Given = section("given a declared time, it is five times that and a margin")) {
     Run.EstimateMs = 100;
-    CPPUNIT_ASSERT(milliseconds(700) == Limits.overdueLimit(Run, 0));
+    CPPUNIT_ASSERT(milliseconds(700) == Limits.overdueLimit(Run, 0, false));
   }
   if (auto Given = section("given no declared time")) {
     Run.EstimateMs = 0;
     if (auto Then = section("it is beyond the default deadline of a job")) {
-      CPPUNIT_ASSERT(Limits.overdueLimit(Run, 0) >= milliseconds(5000));
+      CPPUNIT_ASSERT(Limits.overdueLimit(Run, 0, false) >= milliseconds(5000));
     }
     if (auto Then = section("it doubles with each overdue run, except for the margin")) {
-      auto First = Limits.overdueLimit(Run, 0) - ledger_options().OverdueMargin;
+      auto First = Limits.overdueLimit(Run, 0, false) - ledger_options().OverdueMargin;
       Run.OverdueRuns = 2;
-      CPPUNIT_ASSERT(4 * First == Limits.overdueLimit(Run, 0) - ledger_options().OverdueMargin);
+      CPPUNIT_ASSERT(4 * First == Limits.overdueLimit(Run, 0, false) - ledger_options().OverdueMargin);
     }
     if (auto Then = section("it is longer on a slow server")) {
-      CPPUNIT_ASSERT(Limits.overdueLimit(Run, 1) > Limits.overdueLimit(Run, 0));
+      CPPUNIT_ASSERT(Limits.overdueLimit(Run, 1, false) > Limits.overdueLimit(Run, 0, false));
     }
   }
 });
