--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -44,7 +44,7 @@
 
 // Position of a job in the order of service; jobs with lower values are served first.
 enum class service_rank : std::uint8_t {
-  // Server time spent on finished tasks has no value until the job's last task ends.
+  // In time, and with tasks that have started: the time spent on them has no value until the last task ends.
   Started,
   // The job's queue has had less than its guaranteed share.
   OwedShare,
@@ -216,12 +216,10 @@
 
   [[nodiscard]] static service_rank rankOf(const waiting_job &Job, bool OwedShare, time_point Now) {
     prospect Prospect = estimateProspect(Job, Now);
-    if (Prospect == prospect::TooLate)
-      return service_rank::TooLate;
+    if (Prospect != prospect::InTime)
+      return Prospect == prospect::Late ? service_rank::Late : service_rank::TooLate;
     if (Job.Started)
       return service_rank::Started;
-    if (Prospect == prospect::Late)
-      return service_rank::Late;
     return OwedShare ? service_rank::OwedShare : service_rank::InTime;
   }
 
