--- a/include/yuccaplank/dispatch/admission/admission_options.hpp
+++ b/include/yuccaplank/dispatch/admission/admission_options.hpp
@@ -19,9 +19,9 @@
 struct admission_options {
   /// Whether jobs are refused by prediction when there is more load than capacity.
   bool PredictStarts = true;
-  /// A job is admitted while its predicted wait is at most this share of the time that it can wait. The rest
-  /// covers errors of the prediction and of the declared run time.
-  double WaitMargin = 0.35;
+  /// In a burst, a job is admitted while its predicted wait is at most this share of the time that it can
+  /// wait. The rest covers errors of the prediction and of the declared run time.
+  double WaitMargin = 0.25;
   /// Without an entry, a queue has no guaranteed share.
   std::vector<guaranteed_share> Shares;
 };
--- a/src/yuccaplank/dispatch/admission/admission_control.cpp
+++ b/src/yuccaplank/dispatch/admission/admission_control.cpp
@@ -51,7 +51,8 @@
   pool_load &Pool = Pools[Demand.Pool];
   std::int64_t &Ahead = AheadCpu[Demand.Pool];
   auto Wait = Options.PredictStarts ? Pool.predictWait(Now, Demand.Priority, Ahead) : std::nullopt;
-  if (!Wait || runtime::toMs(*Wait) <= Options.WaitMargin * runtime::toMs(Demand.LatestStart - Now))
+  double Margin = Pool.waitMargin(Now, Options.WaitMargin);
+  if (!Wait || runtime::toMs(*Wait) <= Margin * runtime::toMs(Demand.LatestStart - Now))
     return std::nullopt;
   duration RetryAfter = Pool.drainTime(Now);
   Pool.onRefused(Now, Demand.Priority);
--- a/src/yuccaplank/dispatch/admission/pool_load.cpp
+++ b/src/yuccaplank/dispatch/admission/pool_load.cpp
@@ -67,6 +67,14 @@
   return std::clamp<duration>(Expected, MinRetryAfter, MaxWait);
 }
 
+double pool_load::waitMargin(time_point Now, double Min) const {
+  auto ReleaseRate = Turnover.releaseRate(Now);
+  if (!ReleaseRate)
+    return 1;
+  double Excess = arrivalRateBefore(Now, std::numeric_limits<std::uint32_t>::max()) / *ReleaseRate - 1;
+  return std::clamp(1 - MarginSlope * Excess, Min, 1.0);
+}
+
 std::vector<backlog_summary> pool_load::backlogs(time_point Now) const {
   std::vector<backlog_summary> Summaries;
   for (const auto &[Priority, RefusedAt] : LastRefusal) {
--- a/src/yuccaplank/dispatch/admission/pool_load.hpp
+++ b/src/yuccaplank/dispatch/admission/pool_load.hpp
@@ -46,6 +46,10 @@
   /// Time until the backlog has drained, at least MinRetryAfter. While more arrives than becomes free,
   /// nothing tells how long that lasts; the longer it has lasted, the longer it is expected to.
   [[nodiscard]] runtime::duration drainTime(runtime::time_point Now) const;
+  /// Returns the share of the time that a job can wait that its predicted wait may take: 1 while little more
+  /// arrives than becomes free, since such a backlog drains as soon as arrivals fluctuate, and Min in a
+  /// burst.
+  [[nodiscard]] double waitMargin(runtime::time_point Now, double Min) const;
   /// Whether jobs were refused by prediction lately.
   [[nodiscard]] bool overloaded(runtime::time_point Now) const;
   /// The backlogs of the priorities of which jobs were refused lately.
@@ -56,6 +60,9 @@
   // Refusals further apart than this belong to different periods of overload.
   static constexpr runtime::duration OverloadGap = std::chrono::milliseconds(400);
 
+  // Decrease of the margin with the ratio of arrivals to releases.
+  static constexpr double MarginSlope = 2;
+
   [[nodiscard]] double arrivalRateBefore(runtime::time_point Now, std::uint32_t Priority) const;
   [[nodiscard]] double grantRate(runtime::time_point Now, std::uint32_t Priority) const;
 
