Bound the memory, time and connections of unfinished requests

Cause: h2o reads whole bodies into the connections' buffers before the handler runs, restarts its timeout with each part, and keeps a body until the reply is sent. New connections can take the place of the longest idle ones at the limit. HTTP/2 can be turned off. Pages of a decoded body are returned to the system.

--- a/include/yuccaplank/runtime/loop.hpp
+++ b/include/yuccaplank/runtime/loop.hpp
@@ -21,6 +21,9 @@
   /// Makes the loop call Handler before anything else if it has not run for Threshold or longer, for example
   /// after SIGSTOP.
   virtual void setPauseHandler(duration Threshold, std::function<void(duration Pause)> Handler) = 0;
+  /// Makes the loop call Handler after the sockets were polled, in each iteration. It does not make the loop
+  /// iterate more often. An empty function ends this.
+  virtual void setIterationHandler(std::function<void()> Handler) = 0;
   /// Number of iterations that have begun. Each iteration polls the sockets once, after posted functions and
   /// timers.
   [[nodiscard]] virtual std::uint64_t iterations() const = 0;
--- a/include/yuccaplank/wire/http_server.hpp
+++ b/include/yuccaplank/wire/http_server.hpp
@@ -3,6 +3,7 @@
 
 #include "yuccaplank/runtime/error.hpp"
 #include "yuccaplank/runtime/loop.hpp"
+#include "yuccaplank/wire/receive_budget.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -61,6 +62,16 @@
   /// Time after shutdown() during which idle connections stay open: a caller's next request ends its
   /// connection with a reply, where closing at once would break requests that are under way.
   runtime::duration IdleCloseDelay = std::chrono::milliseconds(500);
+  /// Whether new connections beyond MaxConnections take the place of those that have had no request for the
+  /// longest time, rather than being refused.
+  bool ReplaceIdleConnections = false;
+  /// Whether HTTP/2 is served. Budget does not include the bodies of its streams.
+  bool Http2 = true;
+  /// Size of the receive buffer of each connection in the kernel, which doubles it; 0 selects the kernel's
+  /// default.
+  int ReceiveBufferBytes = 0;
+  /// Limits unfinished requests, usually those of several servers. Optional.
+  std::shared_ptr<receive_budget> Budget;
 };
 
 /// Counts since the start of a server.
@@ -69,6 +80,9 @@
   std::uint64_t DroppedOnClosing = 0;
   /// Requests that were not delivered because their caller had closed the connection.
   std::uint64_t DroppedCallerLeft = 0;
+  /// Connections that were closed for others, or refused, at the limit of connections.
+  std::uint64_t ConnectionsReplaced = 0;
+  std::uint64_t ConnectionsRefused = 0;
 };
 
 /// HTTP server. Replies to requests whose connection has closed are discarded.
--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -64,6 +64,8 @@
         break;
       finishWrites();
       h2o_evloop_run(Native, pollTimeoutMs());
+      if (IterationHandler)
+        IterationHandler();
     }
     // Allows a later call of run().
     Stopped = false;
@@ -88,6 +90,8 @@
     PauseHandler = std::move(Handler);
   }
 
+  void setIterationHandler(std::function<void()> Handler) override { IterationHandler = std::move(Handler); }
+
   [[nodiscard]] std::uint64_t iterations() const override { return Iterations; }
   [[nodiscard]] time_point previousIteration() const override { return PreviousStart; }
 
@@ -147,6 +151,7 @@
   h2o_socket_t *SignalSocket = nullptr;
   duration PauseThreshold{};
   std::function<void(duration)> PauseHandler;
+  std::function<void()> IterationHandler;
   time_point LastIteration{};
   time_point CurrentStart{};
   time_point PreviousStart{};
--- a/src/yuccaplank/wire/http_server.cpp
+++ b/src/yuccaplank/wire/http_server.cpp
@@ -6,6 +6,7 @@
 }
 
 #include "hangup_watch.hpp"
+#include "page_release.hpp"
 #include "unread_bound.hpp"
 #include "yuccaplank/runtime/log.hpp"
 #include "yuccaplank/wire/http_server.hpp"
@@ -19,6 +20,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <new>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -36,6 +38,15 @@
 // Limit for the path and the header names and values of a request. The limit of h2o itself is 408 KiB.
 constexpr std::size_t MaxHeaderBytes = 16U << 10U;
 
+// Shares of MaxConnections: connections that are closed at a time to make room, and connections that may be
+// closing while others are accepted in their place.
+constexpr std::size_t ReplacedShare = 32;
+constexpr std::size_t ClosingShare = 8;
+constexpr std::string_view NoMemoryReply = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+                                           "Retry-After: 1\r\nContent-Length: 0\r\n\r\n";
+constexpr std::string_view RequestTimeoutReply = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+                                                 "Content-Length: 0\r\n\r\n";
+
 class server_state;
 
 // An accepted connection, owned by server_state until h2o closes the socket.
@@ -52,6 +63,8 @@
   // The server has shut the connection down; h2o still reads what had arrived.
   bool Closing = false;
   accept_mark Accepted;
+  // Time at which a part of the next request was first seen.
+  std::optional<time_point> ReceivingSince;
   time_point LastActivity;
 };
 
@@ -118,7 +131,7 @@
 }
 
 // All state that h2o refers to. It outlives the server object until the last connection has closed.
-class server_state : public std::enable_shared_from_this<server_state> {
+class server_state final : public receive_source, public std::enable_shared_from_this<server_state> {
 public:
   server_state(runtime::loop &Loop, http_server_options OptionsIn, http_server_handlers HandlersIn)
       : Loop(Loop), Options(std::move(OptionsIn)), Handlers(std::move(HandlersIn)),
@@ -129,7 +142,7 @@
   }
   server_state(const server_state &) = delete;
   server_state &operator=(const server_state &) = delete;
-  ~server_state() {
+  ~server_state() override {
     closeListener();
     // After a graceful shutdown the timer for the second GOAWAY frame is still linked, which
     // h2o_context_dispose() does not expect.
@@ -148,6 +161,12 @@
     if (!Listening)
       return Listening.error();
     Port = Listening.value().Port;
+    // Accepted connections inherit the size.
+    if (Options.ReceiveBufferBytes > 0)
+      setsockopt(Listening.value().Fd, SOL_SOCKET, SO_RCVBUF, &Options.ReceiveBufferBytes,
+                 sizeof(Options.ReceiveBufferBytes));
+    if (Options.Budget)
+      Options.Budget->add(weak_from_this());
     Listener = h2o_evloop_socket_create(Loop.native(), Listening.value().Fd, H2O_SOCKET_FLAG_DONT_READ);
     Listener->data = this;
     h2o_socket_read_start(Listener, [](h2o_socket_t *Socket, const char *Error) {
@@ -201,6 +220,36 @@
       SelfReference = shared_from_this();
   }
 
+  // Implementation of receive_source.
+
+  void collect(std::vector<unfinished_request> &Unfinished, time_point Now) override {
+    for (auto &[Id, Connection] : Connections) {
+      std::size_t Bytes = Connection->Socket->input->size;
+      if (Bytes == 0 || Connection->Pending > 0 || Connection->Closing) {
+        Connection->ReceivingSince.reset();
+        continue;
+      }
+      if (!Connection->ReceivingSince)
+        Connection->ReceivingSince = Now;
+      unfinished_request Request;
+      Request.Bytes = Bytes;
+      Request.Since = *Connection->ReceivingSince;
+      Request.Connection = Id;
+      Unfinished.push_back(Request);
+    }
+  }
+
+  // The reply is written past h2o, which has no request yet. No other reply is being written, since no
+  // request is in progress on the connection.
+  void refuse(const unfinished_request &Refused) override {
+    auto Found = Connections.find(Refused.Connection);
+    if (Found == Connections.end())
+      return;
+    std::string_view Reply = Refused.Refusal == receive_refusal::Time ? RequestTimeoutReply : NoMemoryReply;
+    static_cast<void>(::send(Found->second->Fd, Reply.data(), Reply.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
+    closeConnection(*Found->second);
+  }
+
   [[nodiscard]] std::uint16_t port() const { return Port; }
   [[nodiscard]] std::size_t pendingRequests() const { return Requests.size(); }
   [[nodiscard]] std::size_t connections() const { return Connections.size(); }
@@ -215,6 +264,7 @@
         1, std::chrono::duration_cast<std::chrono::milliseconds>(Options.RequestTimeout).count());
     Config.handshake_timeout = static_cast<std::uint64_t>(TimeoutMs);
     Config.http1.req_timeout = static_cast<std::uint64_t>(TimeoutMs);
+    Config.http1.upgrade_to_http2 = Options.Http2 ? 1 : 0;
     Config.http2.idle_timeout = static_cast<std::uint64_t>(TimeoutMs);
     Config.http2.max_concurrent_requests_per_connection = MaxStreamsPerConnection;
     h2o_hostconf_t *Host =
@@ -236,10 +286,8 @@
         UnreadBound.onQueueEmptied();
         return;
       }
-      if (Connections.size() >= Options.MaxConnections) {
+      if (!makeRoom()) {
         h2o_socket_close(Socket);
-        log(runtime::log_level::Warning, "too_many_connections",
-            {{"port", std::int64_t{Port}}, {"limit", static_cast<std::int64_t>(Options.MaxConnections)}});
         continue;
       }
       addConnection(Socket, Mark);
@@ -247,6 +295,38 @@
     }
   }
 
+  // Returns whether a connection can be added.
+  bool makeRoom() {
+    std::size_t Open = Connections.size() - ClosingConnections;
+    if (Open < Options.MaxConnections)
+      return true;
+    std::size_t Replaced = 0;
+    // Connections that are being closed still have their descriptors, so their number is limited too.
+    if (Options.ReplaceIdleConnections && ClosingConnections <= Options.MaxConnections / ClosingShare)
+      Replaced = closeLongestIdle(std::max<std::size_t>(1, Options.MaxConnections / ReplacedShare));
+    ++(Replaced > 0 ? Counts.ConnectionsReplaced : Counts.ConnectionsRefused);
+    log(runtime::log_level::Warning, "too_many_connections",
+        {{"port", std::int64_t{Port}},
+         {"limit", static_cast<std::int64_t>(Options.MaxConnections)},
+         {"closed", static_cast<std::int64_t>(Replaced)}});
+    return Replaced > 0;
+  }
+
+  // Closes the connections without a request in progress that have had none for the longest time. Several are
+  // closed at once, because the search takes time in proportion to the connections.
+  std::size_t closeLongestIdle(std::size_t Count) {
+    std::vector<connection *> Idle;
+    for (auto &[Id, Connection] : Connections)
+      if (Connection->Pending == 0 && !Connection->Closing)
+        Idle.push_back(Connection.get());
+    Count = std::min(Count, Idle.size());
+    std::ranges::partial_sort(Idle, Idle.begin() + static_cast<std::ptrdiff_t>(Count), {},
+                              &connection::LastActivity);
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      closeConnection(*Idle[Index]);
+    return Count;
+  }
+
   void addConnection(h2o_socket_t *Socket, const accept_mark &Mark) {
     auto Added = std::make_unique<connection>();
     Added->Owner = this;
@@ -267,6 +347,8 @@
   }
 
   void onConnectionClosed(connection &Closed) {
+    if (Closed.Closing)
+      --ClosingConnections;
     Connections.erase(Closed.Id);
     // h2o still uses its context while it closes the connection, so the state is destroyed later.
     if (SelfReference && Connections.empty())
@@ -274,8 +356,9 @@
   }
 
   // h2o closes the connection when it reads its end; until then it reads requests that had arrived.
-  static void closeConnection(connection &Connection) {
-    Connection.Closing = true;
+  void closeConnection(connection &Connection) {
+    if (!std::exchange(Connection.Closing, true))
+      ++ClosingConnections;
     ::shutdown(Connection.Fd, SHUT_RDWR);
   }
 
@@ -370,6 +453,7 @@
     Request->Token = ++LastRequestToken;
     Requests.emplace(Request->Token, Request);
     ++Connection->Pending;
+    Connection->ReceivingSince.reset();
     Connection->Http2 = Native->version >= 0x200;
     if (!Connection->Http2)
       Connection->Http1Request = Request->Token;
@@ -415,6 +499,7 @@
     }
     if (Native.entity.base)
       Value.Body = view(Native.entity);
+    releasePages(Native.entity.base, Native.entity.len);
     Value.MaxUnreadTime = UnreadBound.maxUnreadTime(Request.Connection->Accepted);
     Handlers.OnRequest(std::move(Value));
   }
@@ -477,6 +562,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<connection>> Connections;
   request_token LastRequestToken = 0;
   std::uint64_t LastConnection = 0;
+  std::size_t ClosingConnections = 0;
   runtime::timer_id SweepTimer = 0;
   // Keeps the state alive while connections remain after the server object was destroyed.
   std::shared_ptr<server_state> SelfReference;
