Bound the memory of callers' jobs in progress

Cause: a specification could have any size, and the tasks in progress had no limit: 250 jobs with specifications of 200,000 bytes took 205 MB. Change: a specification of more than 4,000 bytes is refused with 400, a job beyond the limit of tasks in progress with 503; a single job is always taken.

--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -27,6 +27,7 @@
 struct submitted_job {
   // Arrival times of the callers' requests.
   std::map<request_token, runtime::time_point> Callers;
+  std::uint64_t Tasks = 0;
 };
 
 struct answer_expiry {
@@ -58,7 +59,9 @@
 }
 
 // Returns the reason why a decoded job is malformed; null if it is well-formed.
-const char *findMalformation(const platform::job_document &Job) {
+const char *findMalformation(const platform::job_document &Job, const frontend_options &Options) {
+  if (Job.Specification.size() > Options.MaxSpecificationBytes)
+    return "specification_too_long";
   if (Job.Steps.empty())
     return "no_steps";
   for (const platform::step_document &Step : Job.Steps)
@@ -143,6 +146,7 @@
       return;
     Vm.jobs().cancel(Job, dispatch::end_reason::CallerLeft);
     // No answer follows for a job that nobody awaits.
+    TasksInProgress -= Submitted.Tasks;
     Jobs.erase(Job);
   }
 
@@ -151,6 +155,7 @@
     if (Found == Jobs.end())
       return;
     submitted_job Submitted = std::move(Found->second);
+    TasksInProgress -= Submitted.Tasks;
     Jobs.erase(Found);
     for (const auto &[Token, Arrived] : Submitted.Callers) {
       JobsByCaller.erase(Token);
@@ -183,7 +188,7 @@
       return;
     }
     auto Decoded = platform::decodeJob(Request.Body);
-    const char *Malformed = Decoded ? findMalformation(Decoded.value()) : "not_a_job";
+    const char *Malformed = Decoded ? findMalformation(Decoded.value(), Options) : "not_a_job";
     if (Malformed) {
       refuse(Request, 400, Malformed);
       return;
@@ -202,7 +207,17 @@
       refuse(Request, 503, "read_late");
       return;
     }
-    Jobs[Id].Callers.emplace(Request.Token, Executor.clock().now());
+    std::uint64_t Tasks = Decoded.value().Steps.front().TaskCount;
+    if (TasksInProgress > 0 && TasksInProgress + Tasks > Options.MaxTasksInProgress && !Jobs.contains(Id)) {
+      refuse(Request, 503, "too_many_tasks_in_progress");
+      return;
+    }
+    auto [Job, Added] = Jobs.try_emplace(Id);
+    if (Added) {
+      Job->second.Tasks = Tasks;
+      TasksInProgress += Tasks;
+    }
+    Job->second.Callers.emplace(Request.Token, Executor.clock().now());
     JobsByCaller[Request.Token] = Id;
     Vm.jobs().submit(Queue, toJobRequest(Decoded.value(), Id, parseDeadline(Request)));
   }
@@ -286,6 +301,7 @@
   std::map<std::uint64_t, job_answer> RetainedAnswers;
   std::deque<answer_expiry> AnswerExpiries;
   std::uint64_t JobsReadLate = 0;
+  std::uint64_t TasksInProgress = 0;
 };
 
 } // namespace
--- a/src/yuccaplank/entry/frontend.hpp
+++ b/src/yuccaplank/entry/frontend.hpp
@@ -14,6 +14,9 @@
   runtime::duration AnswerRetention = std::chrono::seconds(10);
   /// Deadline of a job whose caller sends none.
   runtime::duration DefaultDeadline = std::chrono::seconds(5);
+  std::size_t MaxSpecificationBytes = 4000;
+  /// Limit of the tasks of jobs in progress. A job is accepted in any case when there is no other one.
+  std::uint64_t MaxTasksInProgress = 100'000;
   /// A job whose request may have been unread for longer is refused: after a pause of this VM its caller may
   /// have sent the job to another VM.
   runtime::duration MaxUnreadTime = std::chrono::milliseconds(450);
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -38,7 +38,10 @@
       Replies.emplace(Token, std::move(Reply));
     };
     Handlers.OnAnswered = [this](const dispatch::job_answer &, runtime::duration) { ++Answered; };
-    Frontend = makeFrontend(*Executor, *Entry, std::move(Handlers));
+    frontend_options FrontendOptions;
+    FrontendOptions.MaxSpecificationBytes = 400;
+    FrontendOptions.MaxTasksInProgress = 12;
+    Frontend = makeFrontend(*Executor, *Entry, std::move(Handlers), FrontendOptions);
   }
 
   void send(const std::string &, const std::string &, schema::dispatch_message) override {}
@@ -175,6 +178,35 @@
   }
 });
 
+std::string makeBody(std::size_t SpecificationBytes, int Tasks) {
+  return fmt::format(
+      R"({{"specification":"{}","best_effort":true,"steps":[{{"count":{},"cpu":1000,"estimated_ms":100}}]}})",
+      std::string(SpecificationBytes, 'x'), Tasks);
+}
+
+// Guards against jobs of untrusted callers that take the memory of the VM, and against legal ones that are
+// refused.
+const test_case JobMemory("frontend: the memory of jobs in progress is limited", [] {
+  vm Vm;
+  Vm.configure();
+  if (auto When = section("a specification over the limit is malformed")) {
+    CPPUNIT_ASSERT_EQUAL(400, Vm.statusOf(Vm.request("POST", JobPath, makeBody(401, 1))));
+    CPPUNIT_ASSERT_EQUAL(0, Vm.statusOf(Vm.request("POST", JobPath, makeBody(400, 1))));
+  }
+  if (auto When = section("a single job is accepted whatever its tasks"))
+    CPPUNIT_ASSERT_EQUAL(0, Vm.statusOf(Vm.request("POST", JobPath, makeBody(1, 13))));
+  if (auto When = section("jobs whose tasks exceed the limit are refused until others have ended")) {
+    auto First = Vm.request("POST", "/p/0000000000000001", makeBody(1, 10));
+    CPPUNIT_ASSERT_EQUAL(503, Vm.statusOf(Vm.request("POST", "/p/0000000000000002", makeBody(1, 3))));
+    CPPUNIT_ASSERT_EQUAL(0, Vm.statusOf(Vm.request("POST", "/p/0000000000000001", makeBody(1, 10))));
+    Vm.Frontend->answer(1, {});
+    CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(First));
+    auto Left = Vm.request("POST", "/p/0000000000000003", makeBody(1, 12));
+    Vm.Frontend->onClosed(Left);
+    CPPUNIT_ASSERT_EQUAL(0, Vm.statusOf(Vm.request("POST", "/p/0000000000000002", makeBody(1, 12))));
+  }
+});
+
 // Guards against memory that grows with each caller that leaves before its answer.
 const test_case LeavingCallers("frontend: nothing is kept of callers that leave", [] {
   vm Vm;
