--- a/include/yuccaplank/platform/settings.hpp
+++ b/include/yuccaplank/platform/settings.hpp
@@ -31,7 +31,9 @@
   /// Address of the platform's store.
   std::string StoreAddress;
   double CpuShare = 1;
+  /// Memory and descriptors of the machine; 0 if the platform names none.
   std::int64_t MemoryMb = 0;
+  std::int64_t FileDescriptors = 0;
   /// Time between SIGTERM and SIGKILL.
   double GracePeriodS = 6;
   /// Longest lease that a backend server grants.
--- a/src/yuccaplank/entry/own_settings.cpp
+++ b/src/yuccaplank/entry/own_settings.cpp
@@ -17,6 +17,21 @@
 });
 
 constexpr double DefaultObjectivePercent = 95;
+constexpr std::size_t BytesPerMb = 1'000'000;
+// Unfinished requests get a quarter of the machine's memory: the process needs up to 50 MB for its other work
+// (docs/CAPACITY.md), and up to one receive buffer a connection is read between two checks.
+constexpr std::size_t UnfinishedShare = 4;
+// A task in progress is estimated at 500 bytes, so that all take about an eighth of the machine's memory.
+constexpr std::uint64_t TasksPerMb = 250;
+constexpr std::size_t DefaultMaxBodyBytes = 256U << 10U;
+constexpr auto CallerIdleTimeout = std::chrono::seconds(15);
+// What the kernel holds unread counts as memory of the machine; it doubles this size.
+constexpr int ReceiveBufferBytes = 8 << 10;
+constexpr std::size_t MaxOperatorConnections = 64;
+// Requests to these ports have no bodies that are read.
+constexpr std::size_t MaxOperatorBodyBytes = 4096;
+// The platform counts this number of descriptors for files.
+constexpr std::int64_t FileDescriptorsForFiles = 200;
 
 void overrideIfSet(double Value, double &Option) {
   if (Value > 0)
@@ -31,12 +46,54 @@
   overrideIfSet(Settings.placement().estimate_margin(), Options.Placement.EstimateMargin);
 }
 
-frontend_options frontendOptions(const schema::daemon_settings &Settings) {
+frontend_options frontendOptions(const schema::daemon_settings &Settings, const platform::settings &Machine) {
   frontend_options Options;
   if (Settings.callers().answer_retention_s() > 0)
     Options.AnswerRetention = std::chrono::seconds(Settings.callers().answer_retention_s());
   if (Settings.callers().default_deadline_ms() > 0)
     Options.DefaultDeadline = std::chrono::milliseconds(Settings.callers().default_deadline_ms());
+  const schema::caller_limits &Limits = Settings.limits();
+  if (Limits.specification_bytes() > 0)
+    Options.MaxSpecificationBytes = Limits.specification_bytes();
+  if (Limits.tasks_in_progress() > 0)
+    Options.MaxTasksInProgress = Limits.tasks_in_progress();
+  else if (Machine.MemoryMb > 0)
+    Options.MaxTasksInProgress = static_cast<std::uint64_t>(Machine.MemoryMb) * TasksPerMb;
+  return Options;
+}
+
+wire::receive_limits receiveLimits(const schema::daemon_settings &Settings,
+                                   const platform::settings &Machine) {
+  wire::receive_limits Limits;
+  const schema::caller_limits &Own = Settings.limits();
+  if (Own.unfinished_mb() > 0)
+    Limits.MaxBytes = std::size_t{Own.unfinished_mb()} * BytesPerMb;
+  else if (Machine.MemoryMb > 0)
+    Limits.MaxBytes = static_cast<std::size_t>(Machine.MemoryMb) * BytesPerMb / UnfinishedShare;
+  if (Own.receive_timeout_s() > 0)
+    Limits.MaxTime = std::chrono::seconds(Own.receive_timeout_s());
+  return Limits;
+}
+
+wire::http_server_options httpServerOptions(const schema::daemon_settings &Settings,
+                                            const platform::settings &Machine, http_port Port) {
+  wire::http_server_options Options;
+  const schema::caller_limits &Own = Settings.limits();
+  Options.MaxBodyBytes = Own.body_bytes() > 0 ? Own.body_bytes() : DefaultMaxBodyBytes;
+  Options.RequestTimeout = CallerIdleTimeout;
+  Options.ReplaceIdleConnections = true;
+  Options.Http2 = false;
+  Options.ReceiveBufferBytes = ReceiveBufferBytes;
+  if (Port != http_port::Callers) {
+    Options.MaxConnections = MaxOperatorConnections;
+    Options.MaxBodyBytes = MaxOperatorBodyBytes;
+  } else if (Own.connections() > 0) {
+    Options.MaxConnections = Own.connections();
+  } else if (Machine.FileDescriptors > FileDescriptorsForFiles) {
+    // The other half is for backend servers, peers and the store.
+    Options.MaxConnections =
+        static_cast<std::size_t>((Machine.FileDescriptors - FileDescriptorsForFiles) / 2);
+  }
   return Options;
 }
 
--- a/src/yuccaplank/entry/vm_metrics.cpp
+++ b/src/yuccaplank/entry/vm_metrics.cpp
@@ -6,6 +6,8 @@
 #include <prometheus/text_serializer.h>
 
 #include <array>
+#include <initializer_list>
+#include <utility>
 #include <vector>
 
 namespace yuccaplank::entry {
@@ -123,21 +125,16 @@
   return Family;
 }
 
-// Requests that were not passed on, by reason.
-MetricFamily makeDroppedRequestsFamily(const process_counts &Counts) {
-  MetricFamily Family{"yuccaplank_requests_not_passed_on_total",
-                      "Callers' requests that their callers may have sent to another VM.",
-                      MetricType::Counter,
-                      {}};
-  auto Add = [&](const char *Reason, std::uint64_t Count) {
+// Returns a family of counters that differ in their label "reason".
+MetricFamily makeReasonFamily(const char *Name, const char *Help,
+                              std::initializer_list<std::pair<const char *, std::uint64_t>> Counts) {
+  MetricFamily Family{Name, Help, MetricType::Counter, {}};
+  for (const auto &[Reason, Count] : Counts) {
     prometheus::ClientMetric Metric;
     Metric.label = {{"reason", Reason}};
     Metric.counter.value = toDouble(Count);
     Family.metric.push_back(Metric);
-  };
-  Add("connection_closing", Counts.DroppedOnClosing);
-  Add("caller_left", Counts.DroppedCallerLeft);
-  Add("read_late", Counts.JobsReadLate);
+  }
   return Family;
 }
 
@@ -174,7 +171,19 @@
         runtime::makeMetricFamily("yuccaplank_evacuations_ignored_total",
                                   "Requests for evacuations that cannot be read or name no domain.",
                                   MetricType::Counter, toDouble(Counts.IgnoredEvacuations)));
-    Families.push_back(makeDroppedRequestsFamily(Counts));
+    Families.push_back(makeReasonFamily("yuccaplank_requests_not_passed_on_total",
+                                        "Callers' requests that their callers may have sent to another VM.",
+                                        {{"connection_closing", Counts.DroppedOnClosing},
+                                         {"caller_left", Counts.DroppedCallerLeft},
+                                         {"read_late", Counts.JobsReadLate}}));
+    Families.push_back(
+        makeReasonFamily("yuccaplank_unfinished_requests_refused_total",
+                         "Requests refused before they had arrived completely.",
+                         {{"memory", Counts.RefusedForMemory}, {"time", Counts.RefusedForTime}}));
+    Families.push_back(
+        makeReasonFamily("yuccaplank_connection_limit_reached_total",
+                         "Callers' connections that met the limit of connections.",
+                         {{"replaced", Counts.ConnectionsReplaced}, {"refused", Counts.ConnectionsRefused}}));
     Families.push_back(makeEvacuationFamily(State));
     return prometheus::TextSerializer().Serialize(Families);
   }
--- a/src/yuccaplank/entry/vm_metrics.hpp
+++ b/src/yuccaplank/entry/vm_metrics.hpp
@@ -20,6 +20,12 @@
   std::uint64_t DroppedOnClosing = 0;
   std::uint64_t DroppedCallerLeft = 0;
   std::uint64_t JobsReadLate = 0;
+  /// Unfinished requests refused because of their memory or their time, on all HTTP ports.
+  std::uint64_t RefusedForMemory = 0;
+  std::uint64_t RefusedForTime = 0;
+  /// Times that callers' connections were closed to make room for new ones, and connections refused.
+  std::uint64_t ConnectionsReplaced = 0;
+  std::uint64_t ConnectionsRefused = 0;
 };
 
 class vm_metrics {
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -36,8 +36,6 @@
 // Servers keep idle connections open for longer than this, and opening a connection costs more than keeping
 // one.
 constexpr auto ServerIdleTimeout = std::chrono::seconds(10);
-constexpr auto CallerIdleTimeout = std::chrono::seconds(15);
-constexpr std::size_t MaxBodyBytes = 1U << 20U;
 constexpr double ThousandthsPerCore = 1000;
 
 std::uint32_t toStrength(const platform::settings &Settings) {
@@ -78,7 +76,7 @@
     FrontendHandlers.OnAnswered = [this](const dispatch::job_answer &Answer, runtime::duration Latency) {
       OperatorApi->observeAnswer(Answer, Latency);
     };
-    frontend_options FrontendOptions = frontendOptions(Options.OwnSettings);
+    frontend_options FrontendOptions = frontendOptions(Options.OwnSettings, Settings);
     FrontendOptions.MaxUnreadTime = PauseThreshold;
     Frontend = makeFrontend(Loop, *Vm, std::move(FrontendHandlers), FrontendOptions);
     OperatorApi = makeOperatorApi(Loop.clock(), *Vm, operatorApiOptions());
@@ -175,11 +173,15 @@
       Frontend->onRequest(std::move(Request));
     };
     CallerHandlers.OnClosed = [this](wire::request_token Token) { Frontend->onClosed(Token); };
-    if (auto Listening = listenHttp(Settings.CallerAddress, CallerHandlers, CallerServer); !Listening)
+    Budget = wire::makeReceiveBudget(Loop, receiveLimits(Options.OwnSettings, Settings));
+    if (auto Listening = listenHttp(http_port::Callers, Settings.CallerAddress, CallerHandlers, CallerServer);
+        !Listening)
       return Listening;
     wire::http_server_handlers ReadinessHandlers;
     ReadinessHandlers.OnRequest = [this](const wire::http_request &Request) { onReadinessCheck(Request); };
-    if (auto Listening = listenHttp(Settings.ReadyAddress, ReadinessHandlers, ReadinessServer); !Listening)
+    if (auto Listening =
+            listenHttp(http_port::Readiness, Settings.ReadyAddress, ReadinessHandlers, ReadinessServer);
+        !Listening)
       return Listening;
     if (Options.OperatorPort == 0)
       return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -189,16 +191,16 @@
         OperatorServer->reply(Token, std::move(Reply));
       });
     };
-    return listenHttp(fmt::format("{}:{}", Settings.Ip, Options.OperatorPort), OperatorHandlers,
-                      OperatorServer);
+    return listenHttp(http_port::Operators, fmt::format("{}:{}", Settings.Ip, Options.OperatorPort),
+                      OperatorHandlers, OperatorServer);
   }
 
-  runtime::result<void> listenHttp(const std::string &Address, wire::http_server_handlers Handlers,
+  runtime::result<void> listenHttp(http_port Port, const std::string &Address,
+                                   wire::http_server_handlers Handlers,
                                    std::unique_ptr<wire::http_server> &Server) {
-    wire::http_server_options ServerOptions;
+    wire::http_server_options ServerOptions = httpServerOptions(Options.OwnSettings, Settings, Port);
     ServerOptions.Address = Address;
-    ServerOptions.MaxBodyBytes = MaxBodyBytes;
-    ServerOptions.RequestTimeout = CallerIdleTimeout;
+    ServerOptions.Budget = Budget;
     auto NewServer = wire::makeHttpServer(Loop, ServerOptions, std::move(Handlers));
     if (!NewServer)
       return NewServer.error();
@@ -227,6 +229,10 @@
     Counts.IgnoredEvacuations = Directory->ignoredEvacuations();
     Counts.DroppedOnClosing = Callers.DroppedOnClosing;
     Counts.DroppedCallerLeft = Callers.DroppedCallerLeft;
+    Counts.RefusedForMemory = Budget->counts().RefusedForMemory;
+    Counts.RefusedForTime = Budget->counts().RefusedForTime;
+    Counts.ConnectionsReplaced = Callers.ConnectionsReplaced;
+    Counts.ConnectionsRefused = Callers.ConnectionsRefused;
     Counts.JobsReadLate = Frontend->jobsReadLate();
     return Counts;
   }
@@ -308,6 +314,7 @@
   std::unique_ptr<dispatch::server_orders> Orders;
   std::unique_ptr<platform::store_client> Store;
   std::unique_ptr<wire::peer_transport> Peers;
+  std::shared_ptr<wire::receive_budget> Budget;
   std::unique_ptr<wire::http_server> CallerServer;
   std::unique_ptr<wire::http_server> ReadinessServer;
   std::unique_ptr<wire::http_server> OperatorServer;
--- a/src/yuccaplank/entry/yuccaplankd_main.cpp
+++ b/src/yuccaplank/entry/yuccaplankd_main.cpp
@@ -9,6 +9,8 @@
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 
+#include <malloc.h>
+
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -71,10 +73,19 @@
   return readOwnSettings(Files.Own, Own) && Readable;
 }
 
+// Makes malloc take allocations from this size, such as the buffers of large bodies, directly from the
+// operating system and return them when they are freed. By default the first such release raises the size to
+// that of the allocation, and the heap keeps what later ones leave.
+void returnLargeAllocations() {
+  constexpr int LargeBytes = 64 << 10;
+  mallopt(M_MMAP_THRESHOLD, LargeBytes);
+}
+
 int serve(const settings_files &Files, entry::vm_process_options Options) {
   runtime::logToStandardOutput();
   runtime::setLogLevel(entry::logLevel(Options.OwnSettings));
   runtime::raiseDescriptorLimit();
+  returnLargeAllocations();
   auto Loop = runtime::makeLoop();
   platform::settings Settings = Options.Settings;
   Options.ReadSettings = [Files](platform::settings &Updated, schema::daemon_settings &Own) {
--- a/src/yuccaplank/platform/settings.cpp
+++ b/src/yuccaplank/platform/settings.cpp
@@ -42,6 +42,7 @@
   object_reader Limits(Reader.child("limits", false, false), "limits", Issues);
   Limits.optionalNumber("cpu_share", Settings.CpuShare);
   Limits.optionalInteger("memory_mb", Settings.MemoryMb);
+  Limits.optionalInteger("file_descriptors", Settings.FileDescriptors);
   object_reader Bounds(Reader.child("bounds", false, false), "bounds", Issues);
   Bounds.optionalNumber("grace_period_s", Settings.GracePeriodS);
   Bounds.optionalInteger("max_hold_ms", Settings.MaxLeaseMs);
