Read the rack of a job's data and pass it on to the placer

A step's affinity and same_rack were not read, and no message carried them. A grant tells the factor on the estimated time outside the rack, so that the owner neither stops such a run as overdue nor learns that its server is slow, and for jobs with same_rack the rack, which the coordinator keeps for its later requests. Missing fields keep their earlier meaning.

--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -21,6 +21,8 @@
   runtime::duration OrphanTimeout = std::chrono::milliseconds(1100);
   /// A job has value for its caller up to this many times its objective.
   double LateFactor = 3;
+  /// Factor on the run time of a task outside the rack of its data.
+  double RemoteFactor = 1;
   /// Delay between declining a grant for a task and requesting its placement again, so that a stale view of a
   /// server does not cause a burst of refusals.
   runtime::duration PlacementRetryDelay = std::chrono::milliseconds(5);
--- a/include/yuccaplank/dispatch/job_service.hpp
+++ b/include/yuccaplank/dispatch/job_service.hpp
@@ -26,6 +26,10 @@
   runtime::duration Age{};
   /// Whether another VM relays the job.
   bool Relayed = false;
+  /// Rack in which the data of the tasks lies; empty if there is no preference.
+  std::string Rack = {};
+  /// Whether all tasks should run on one rack.
+  bool SameRack = false;
 };
 
 enum class job_state : std::uint8_t { Queued, Running };
--- a/include/yuccaplank/platform/caller_client.hpp
+++ b/include/yuccaplank/platform/caller_client.hpp
@@ -25,6 +25,10 @@
   std::uint32_t EstimateMs = 0;
   /// Time for which the caller waits for the answer; 0 leaves the default of the VM.
   std::uint32_t DeadlineMs = 0;
+  /// Rack in which the data of the tasks lies; empty if there is no preference.
+  std::string Rack;
+  /// Whether all tasks should run on one rack.
+  bool SameRack = false;
 };
 
 enum class caller_outcome : std::uint8_t {
--- a/include/yuccaplank/platform/documents.hpp
+++ b/include/yuccaplank/platform/documents.hpp
@@ -39,6 +39,10 @@
   std::string RequiredLabel;
   /// Maximum number of the step's tasks on one server; 0 means no limit.
   std::uint32_t MaxPerServer = 0;
+  /// Rack in which the data of the tasks lies; empty if there is no preference.
+  std::string Rack;
+  /// Whether all tasks should run on one rack.
+  bool SameRack = false;
 };
 
 struct job_document {
--- a/include/yuccaplank/platform/settings.hpp
+++ b/include/yuccaplank/platform/settings.hpp
@@ -40,6 +40,8 @@
   std::uint32_t ResendDelayMs = 1300;
   /// Longest time from a stop order to the end of the run.
   std::uint32_t StopTimeoutMs = 50;
+  /// Factor on the run time of a task outside the rack of its data.
+  double RemoteFactor = 1.5;
 };
 
 /// A fault in a settings file.
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <optional>
 #include <set>
 
@@ -49,6 +50,8 @@
   std::uint64_t Token = 0;
   // Whether the run was granted a server without other tasks.
   bool Alone = false;
+  // Estimated time on the granted server, which is longer outside the rack of the task's data.
+  std::uint32_t EstimateMs = 0;
   time_point StartOrderedAt;
   runtime::timer_id OrphanTimer = 0;
 };
@@ -143,6 +146,11 @@
     Task->Server = Grant.server();
     Task->Token = Grant.token();
     Task->Alone = Grant.alone();
+    Task->EstimateMs = estimateOn(Grant, Job->Request);
+    // The tasks of the job that wait, and those that wait again later, prefer the rack of the first one. The
+    // placer forgets a job whose tasks are all placed.
+    if (Job->Request.SameRack && Job->Request.Rack.empty())
+      Job->Request.Rack = Grant.rack();
     Task->StartOrderedAt = now();
     ++Job->PossiblyStartedRuns;
     if (!Job->FirstStartOrderedAt)
@@ -311,6 +319,10 @@
         RemainingMs(std::chrono::duration_cast<duration>(Job.Objective * Options.LateFactor)));
     Place.set_deadline_left_ms(RemainingMs(Job.Request.Deadline));
     Place.set_started(Job.PossiblyStartedRuns > 0);
+    Place.set_rack(Job.Request.Rack);
+    Place.set_same_rack(Job.Request.SameRack);
+    if (!Job.Request.Rack.empty() || Job.Request.SameRack)
+      Place.set_remote_factor(static_cast<float>(Options.RemoteFactor));
     for (const std::string &Server : Job.ServersToAvoid)
       Place.add_avoid(Server);
   }
@@ -331,6 +343,12 @@
     });
   }
 
+  static std::uint32_t estimateOn(const schema::grant &Grant, const job_request &Request) {
+    if (Grant.expected_factor() <= 1)
+      return Request.EstimateMs;
+    return static_cast<std::uint32_t>(std::lround(Request.EstimateMs * Grant.expected_factor()));
+  }
+
   void declineGrant(const std::string &Placer, const schema::grant &Grant) {
     schema::dispatch_message Message;
     Message.mutable_decline()->set_id(Grant.id());
@@ -350,7 +368,8 @@
     Start.set_server(Grant.server());
     Start.set_specification(Job.Request.Specification);
     *Start.mutable_size() = Job.Request.TaskSize;
-    Start.set_estimate_ms(Job.Request.EstimateMs);
+    // The owner learns the server's speed and recognises overdue runs by this estimate.
+    Start.set_estimate_ms(Job.Tasks.at(Run.Task.Index).EstimateMs);
     Start.set_session(Ports.session(Grant.owner()));
     Start.set_token(Grant.token());
     Start.set_relayed(Job.Request.Relayed);
@@ -437,7 +456,7 @@
     schema::adopted_run &Adopted = *Reply.add_runs();
     *Adopted.mutable_task() = toMessage(Run);
     *Adopted.mutable_size() = Job.Request.TaskSize;
-    Adopted.set_estimate_ms(Job.Request.EstimateMs);
+    Adopted.set_estimate_ms(Task.EstimateMs);
     Adopted.set_relayed(Job.Request.Relayed);
     Adopted.set_alone(Task.Alone);
     Adopted.set_overdue_runs(Task.OverdueRuns);
--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -304,4 +304,57 @@
   CPPUNIT_ASSERT_EQUAL(1U, Vm.Sent.back().second.start().overdue_runs());
 });
 
+// Guards against runs outside their rack that count as overdue or as the fault of a slow server, and against
+// a job with same_rack whose later tasks are sent to another rack.
+const test_case DataLocality("job coordinator: data locality in placement requests and start orders", [] {
+  vm Vm;
+  coordinator_options Options;
+  Options.RemoteFactor = 3;
+  Vm.Jobs = makeJobCoordinator(*Vm.Executor, Vm, Options);
+  job_request Request;
+  Request.Job = Job;
+  Request.TaskCount = 2;
+  Request.EstimateMs = 100;
+  Request.Deadline = milliseconds(3000);
+  auto LastPlaceJob = [&] {
+    schema::place_job Place;
+    for (const auto &[Name, Message] : Vm.Sent)
+      if (Message.has_place())
+        Place = Message.place();
+    return Place;
+  };
+  if (auto When = section("when the job has no place, its requests are as before")) {
+    Vm.Jobs->submit({}, Request);
+    CPPUNIT_ASSERT_EQUAL(0.0F, LastPlaceJob().remote_factor());
+  }
+  if (auto When = section("when a server outside the rack is granted, the estimate counts the factor")) {
+    Request.Rack = "r1-1";
+    Vm.Jobs->submit({}, Request);
+    CPPUNIT_ASSERT_EQUAL(std::string("r1-1"), LastPlaceJob().rack());
+    CPPUNIT_ASSERT_EQUAL(3.0F, LastPlaceJob().remote_factor());
+    schema::grant Grant;
+    *Grant.mutable_task() = toMessage(runOf(0, 1));
+    Grant.set_server("s1");
+    Grant.set_owner("owner");
+    Grant.set_token(5);
+    Grant.set_expected_factor(3);
+    Vm.Jobs->onGrant("placer", Grant);
+    CPPUNIT_ASSERT_EQUAL(300U, Vm.Sent.back().second.start().estimate_ms());
+    Vm.adopt("new", 6, {runOf(0, 1)});
+    CPPUNIT_ASSERT_EQUAL(300U, Vm.Sent.back().second.adopted().runs(0).estimate_ms());
+  }
+  if (auto When = section("when a task of a job with same_rack was placed, its rack is the preferred one")) {
+    Request.SameRack = true;
+    Vm.Jobs->submit({}, Request);
+    schema::grant Grant;
+    *Grant.mutable_task() = toMessage(runOf(0, 1));
+    Grant.set_owner("owner");
+    Grant.set_rack("r1-2");
+    Vm.Jobs->onGrant("placer", Grant);
+    CPPUNIT_ASSERT_EQUAL(100U, Vm.Sent.back().second.start().estimate_ms());
+    Vm.Jobs->onPlacerChanged();
+    CPPUNIT_ASSERT_EQUAL(std::string("r1-2"), LastPlaceJob().rack());
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/dispatch/job_relay_test.cpp
+++ b/src/yuccaplank/dispatch/job_relay_test.cpp
@@ -194,4 +194,17 @@
   }
 });
 
+// Guards against relayed jobs that lose the rack of their data, and against a preference where an older build
+// sends none.
+const test_case DataLocality("job relay: data locality in relayed jobs", [] {
+  job_request Request;
+  CPPUNIT_ASSERT(toJobRequest(makeRelayJob({}, Request, 1).relay()).Rack.empty());
+  CPPUNIT_ASSERT(!toJobRequest(schema::relay_job()).SameRack);
+  Request.Rack = "r1-3";
+  Request.SameRack = true;
+  job_request Received = toJobRequest(makeRelayJob({}, Request, 1).relay());
+  CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), Received.Rack);
+  CPPUNIT_ASSERT(Received.SameRack);
+});
+
 } // namespace
--- a/src/yuccaplank/dispatch/relay_messages.cpp
+++ b/src/yuccaplank/dispatch/relay_messages.cpp
@@ -20,6 +20,8 @@
   Job.set_max_attempts(Queue.MaxAttempts);
   Job.set_stretch(Queue.Stretch);
   Job.set_latency_ms(Queue.LatencyMs);
+  Job.set_rack(Request.Rack);
+  Job.set_same_rack(Request.SameRack);
   return Message;
 }
 
@@ -44,6 +46,8 @@
   Request.Deadline = std::chrono::milliseconds(Message.deadline_ms());
   Request.Age = std::chrono::milliseconds(Message.age_ms());
   Request.Relayed = true;
+  Request.Rack = Message.rack();
+  Request.SameRack = Message.same_rack();
   return Request;
 }
 
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -93,9 +93,10 @@
 
   void update(const server_entry &Updated) override {
     bool Returned = std::exchange(Delisted, false);
-    bool Changed =
-        Returned || Updated.Draining != Entry.Draining || Updated.Target.Address != Entry.Target.Address ||
-        Updated.IncarnationStartMs != Entry.IncarnationStartMs || !areEqual(Updated.Capacity, Entry.Capacity);
+    bool Changed = Returned || Updated.Draining != Entry.Draining ||
+                   Updated.Target.Address != Entry.Target.Address ||
+                   Updated.IncarnationStartMs != Entry.IncarnationStartMs || Updated.Rack != Entry.Rack ||
+                   !areEqual(Updated.Capacity, Entry.Capacity);
     Entry = Updated;
     if (Changed)
       Ports.onCapacityChanged(Entry.Target.Id);
@@ -222,6 +223,7 @@
     State.set_server(Entry.Target.Id);
     State.set_domain(Entry.Domain);
     State.set_pool(Entry.Pool);
+    State.set_rack(Entry.Rack);
     *State.mutable_capacity() = Entry.Capacity;
     *State.mutable_used() = Runs.used(Entry.Capacity);
     State.set_slowness(static_cast<float>(Health.slowness()));
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -203,12 +203,14 @@
   static dispatch::job_request toJobRequest(platform::job_document &Document, std::uint64_t Id,
                                             runtime::duration Deadline) {
     dispatch::job_request Job;
-    const platform::step_document &Step = Document.Steps.front();
+    platform::step_document &Step = Document.Steps.front();
     Job.Job = Id;
     Job.Specification = std::move(Document.Specification);
     Job.TaskCount = Step.TaskCount;
     Job.TaskSize = Step.TaskSize;
     Job.EstimateMs = Step.EstimateMs;
+    Job.Rack = std::move(Step.Rack);
+    Job.SameRack = Step.SameRack;
     Job.Deadline = Deadline;
     return Job;
   }
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -139,6 +139,7 @@
     Result.View.ClockOrigin = Identity.nonce();
     Result.Strength = toStrength(Settings);
     applyOwnSettings(Options.OwnSettings, Result);
+    Result.Coordinator.RemoteFactor = Settings.RemoteFactor;
     dispatch::platform_bounds Bounds;
     Bounds.MaxLease = std::chrono::milliseconds(Settings.MaxLeaseMs);
     Bounds.ResendDelay = std::chrono::milliseconds(Settings.ResendDelayMs);
--- a/src/yuccaplank/platform/caller_client.cpp
+++ b/src/yuccaplank/platform/caller_client.cpp
@@ -80,6 +80,10 @@
             {"estimated_ms", Job.EstimateMs}};
   if (Job.TaskSize.accelerators() > 0)
     Step["gpu"] = Job.TaskSize.accelerators();
+  if (!Job.Rack.empty())
+    Step["affinity"] = Job.Rack;
+  if (Job.SameRack)
+    Step["same_rack"] = true;
   json Body{
       {"specification", Job.Specification}, {"best_effort", true}, {"steps", json::array({std::move(Step)})}};
   Call.Body = Body.dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/yuccaplank/platform/documents.cpp
+++ b/src/yuccaplank/platform/documents.cpp
@@ -57,6 +57,8 @@
   Reader.optionalFlag("fills", Step.FillsUnusedCapacity);
   Reader.optionalText("requirements", Step.RequiredLabel);
   Reader.optionalInteger("anti_affinity", Step.MaxPerServer);
+  Reader.optionalText("affinity", Step.Rack);
+  Reader.optionalFlag("same_rack", Step.SameRack);
   return Step;
 }
 
--- a/src/yuccaplank/platform/documents_test.cpp
+++ b/src/yuccaplank/platform/documents_test.cpp
@@ -1,4 +1,5 @@
 #include "base64.hpp"
+#include "yuccaplank/platform/caller_client.hpp"
 #include "yuccaplank/platform/documents.hpp"
 #include "yuccaplank/platform/settings.hpp"
 #include "yuccaplank/testing/test_case.hpp"
@@ -157,4 +158,17 @@
     CPPUNIT_ASSERT(!decodeBase64(Text));
 });
 
+// Guards against jobs whose data locality is lost between the load tool and the VM.
+const test_case DataLocality("platform documents: data locality of submitted jobs", [] {
+  caller_job Job;
+  step_document Step = decodeJob(makeSubmitCall("a", {}, Job).Body).value().Steps[0];
+  CPPUNIT_ASSERT(Step.Rack.empty() && !Step.SameRack);
+  Job.Rack = "r2-1";
+  Job.SameRack = true;
+  Step = decodeJob(makeSubmitCall("a", {}, Job).Body).value().Steps[0];
+  CPPUNIT_ASSERT_EQUAL(std::string("r2-1"), Step.Rack);
+  CPPUNIT_ASSERT(Step.SameRack);
+  CPPUNIT_ASSERT(!decodeJob(R"({"steps":[{"count":1,"affinity":7}]})"));
+});
+
 } // namespace
--- a/src/yuccaplank/platform/settings.cpp
+++ b/src/yuccaplank/platform/settings.cpp
@@ -47,6 +47,7 @@
   Bounds.optionalInteger("max_hold_ms", Settings.MaxLeaseMs);
   Bounds.optionalInteger("retransmit_ms", Settings.ResendDelayMs);
   Bounds.optionalInteger("stop_timeout_ms", Settings.StopTimeoutMs);
+  Bounds.optionalNumber("remote_factor", Settings.RemoteFactor);
   // Platforms whose servers fetch their orders with their heartbeats are not supported.
   std::string OrderForm = SupportedOrderForm;
   Reader.optionalText("orders", OrderForm);
