Look up the servers of one rack in the pool index

The placer has to compare the best free server of a rack with the best one elsewhere. Members of racks change only when a server's rack does, so the index costs tasks without a rack one comparison of strings for each update.

Test: pool index: views of racks.

--- a/src/yuccaplank/dispatch/pool_index.cpp
+++ b/src/yuccaplank/dispatch/pool_index.cpp
@@ -28,6 +28,10 @@
   auto [Server, IsNew] = Servers.try_emplace(Id);
   if (!IsNew)
     removeFromIndexes(Id, Server->second);
+  if (IsNew || Server->second.Rack != Entry.Rack) {
+    removeFromRack(Id, Server->second.Rack);
+    Racks[Entry.Rack].emplace(Id, &Server->second);
+  }
   Server->second = Entry;
   capacity_count &Count =
       CapacityCounts[{Entry.Capacity.Cpu, Entry.Capacity.MemoryMb, Entry.Capacity.Accelerators}];
@@ -44,9 +48,19 @@
   if (Found == Servers.end())
     return;
   removeFromIndexes(Id, Found->second);
+  removeFromRack(Id, Found->second.Rack);
   Servers.erase(Found);
 }
 
+void pool_index::removeFromRack(const std::string &Id, const std::string &Rack) {
+  auto Found = Racks.find(Rack);
+  if (Found == Racks.end())
+    return;
+  Found->second.erase(Id);
+  if (Found->second.empty())
+    Racks.erase(Found);
+}
+
 pool_index::fit pool_index::fitOf(const schema::task_size &Size) const {
   fit Result = fit::TooLarge;
   for (const auto &[Key, Count] : CapacityCounts) {
@@ -98,4 +112,49 @@
   return TooSlow;
 }
 
+pool_index::rack_view pool_index::viewRack(const std::string &Rack, const schema::task_size &Size,
+                                           double MaxSlowness,
+                                           const std::function<bool(const std::string &)> &IsExcluded) const {
+  using rank = std::tuple<bool, int, std::int64_t>;
+  rack_view View;
+  auto Found = Racks.find(Rack);
+  if (Found == Racks.end())
+    return View;
+  rank Best;
+  int Usable = 0;
+  for (const auto &[Id, Entry] : Found->second) {
+    if (!Entry->AcceptsTasks || !Entry->Capacity.fits(Size) || IsExcluded(Id))
+      continue;
+    View.MinSlowness = Usable == 0 ? Entry->Slowness : std::min(View.MinSlowness, Entry->Slowness);
+    View.MeanSlowness += Entry->Slowness;
+    ++Usable;
+    rank Rank{Entry->Slowness > MaxSlowness, toSpeedStep(Entry->Slowness), Entry->Free.Cpu};
+    if (!Entry->Free.fits(Size) || (View.Free.Id && Best <= Rank))
+      continue;
+    Best = Rank;
+    View.Free = {&Id, Entry->Slowness <= MaxSlowness};
+    View.FreeSlowness = Entry->Slowness;
+  }
+  View.Usable = Usable > 0;
+  View.MeanSlowness /= std::max(Usable, 1);
+  return View;
+}
+
+std::string pool_index::findRackWithRoom(const schema::task_size &Size, std::size_t Tasks) const {
+  std::pair<std::size_t, std::int64_t> Best;
+  std::string Result;
+  for (const auto &[Rack, Members] : Racks) {
+    std::int64_t Room = 0;
+    for (const auto &[Id, Entry] : Members)
+      if (Entry->AcceptsTasks && Entry->Free.fits(Size))
+        Room += Size.cpu() > 0 ? Entry->Free.Cpu / Size.cpu() : static_cast<std::int64_t>(Tasks);
+    std::pair Rank{std::min(Tasks, static_cast<std::size_t>(Room)), -Room};
+    if (Rank.first == 0 || (!Result.empty() && Rank <= Best))
+      continue;
+    Best = Rank;
+    Result = Rack;
+  }
+  return Result;
+}
+
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/pool_index.hpp
+++ b/src/yuccaplank/dispatch/pool_index.hpp
@@ -27,6 +27,7 @@
     bool AcceptsTasks = false;
     /// Whether the server's failure domain is evacuated.
     bool Evacuated = false;
+    std::string Rack = {};
   };
   enum class fit : std::uint8_t {
     /// A server is large enough, even if it accepts no tasks now.
@@ -55,12 +56,30 @@
   [[nodiscard]] choice chooseServer(const schema::task_size &Size, double MaxSlowness,
                                     const std::function<bool(const std::string &Id)> &IsExcluded) const;
 
+  /// The servers of one rack that accept tasks and whose full capacity is large enough.
+  struct rack_view {
+    bool Usable = false;
+    /// The best server with enough free capacity, as by chooseServer().
+    choice Free;
+    /// Slowness of the free server; of the fastest one and on average over all of them.
+    double FreeSlowness = 0;
+    double MinSlowness = 0;
+    double MeanSlowness = 0;
+  };
+  [[nodiscard]] rack_view viewRack(const std::string &Rack, const schema::task_size &Size, double MaxSlowness,
+                                   const std::function<bool(const std::string &Id)> &IsExcluded) const;
+  /// Returns the rack whose servers that accept tasks have room for most tasks of the size, counting up to
+  /// Tasks, and among such racks the one with the least room; empty if no rack has room for one.
+  [[nodiscard]] std::string findRackWithRoom(const schema::task_size &Size, std::size_t Tasks) const;
+  [[nodiscard]] double slownessOf(const std::string &Id) const { return Servers.at(Id).Slowness; }
+
 private:
   using capacity_key = std::tuple<std::int64_t, std::int64_t, std::int64_t>;
   // Servers of one step of slowness as pairs of free cores and id.
   using speed_class = std::set<std::pair<std::int64_t, std::string>>;
 
   [[nodiscard]] int toSpeedStep(double Slowness) const;
+  void removeFromRack(const std::string &Id, const std::string &Rack);
   void removeFromIndexes(const std::string &Id, const entry &Entry);
   [[nodiscard]] choice chooseInSpeedClass(const speed_class &SpeedClass, const schema::task_size &Size,
                                           double MaxSlowness,
@@ -68,6 +87,9 @@
 
   double SlownessStep;
   std::unordered_map<std::string, entry> Servers;
+  // Servers by rack and id. Only a change of a server's rack changes it, so that tasks without a rack do not
+  // pay for it.
+  std::map<std::string, std::map<std::string, const entry *>> Racks;
   // Servers that accept tasks, by step of slowness.
   std::map<int, speed_class> SpeedClasses;
   // Slowness of each server that accepts tasks.
--- a/src/yuccaplank/dispatch/pool_index_test.cpp
+++ b/src/yuccaplank/dispatch/pool_index_test.cpp
@@ -86,4 +86,31 @@
   CPPUNIT_ASSERT(Index.fitOf(Size) == pool_index::fit::TooLarge);
 });
 
+// Guards against a view of a rack that includes servers of another one or outdated entries.
+const test_case Racks("pool index: views of racks", [] {
+  pool_index Index(Step);
+  schema::task_size Size;
+  Size.set_cpu(10);
+  auto None = [](const std::string &) { return false; };
+  auto Set = [&](const std::string &Id, const std::string &Rack, std::int64_t Free, double Slowness = 0,
+                 bool Accepts = true) {
+    Index.set(Id, {{Free, 0, 0}, {100, 0, 0}, Slowness, Accepts, false, Rack});
+  };
+  Set("s1", "a", 5);
+  Set("s2", "a", 20, 0.5);
+  Set("s3", "b", 100);
+  auto View = Index.viewRack("a", Size, 1, None);
+  CPPUNIT_ASSERT(View.Usable && View.Free.FastEnough);
+  CPPUNIT_ASSERT_EQUAL(std::string("s2"), *View.Free.Id);
+  CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, View.MeanSlowness, 0.001);
+  CPPUNIT_ASSERT_EQUAL(std::string("a"), Index.findRackWithRoom(Size, 2));
+  CPPUNIT_ASSERT_EQUAL(std::string("b"), Index.findRackWithRoom(Size, 3));
+  Set("s2", "b", 20);
+  CPPUNIT_ASSERT(!Index.viewRack("a", Size, 1, None).Free.Id);
+  Set("s1", "a", 5, 0, false);
+  CPPUNIT_ASSERT(!Index.viewRack("a", Size, 1, None).Usable);
+  Index.erase("s1");
+  CPPUNIT_ASSERT(!Index.viewRack("a", Size, 1, None).Usable);
+});
+
 } // namespace
