Let a task wait for the rack of its data as long as that pays

Tasks took remote_factor times as long on most placements, since nothing preferred their rack. The placer now compares the best free server of the rack with the best one elsewhere and the expected wait, which follows from the cores in use and the observed run time on the rack. It waits while the wait costs less than the run elsewhere takes in addition, within the objective, and leaves servers elsewhere to others while the pool was full within the time of one remote run.

--- a/include/yuccaplank/dispatch/placement_queue.hpp
+++ b/include/yuccaplank/dispatch/placement_queue.hpp
@@ -2,6 +2,7 @@
 // next.
 #pragma once
 
+#include "yuccaplank/dispatch/locality/options.hpp"
 #include "yuccaplank/dispatch/messages.hpp"
 #include "yuccaplank/runtime/clock.hpp"
 
@@ -28,6 +29,7 @@
   double SlownessStep = 0.15;
   /// Factor on a task's estimated time when deciding whether a server is fast enough for the objective.
   double EstimateMargin = 1.2;
+  locality::options Locality = {};
 };
 
 /// WaitingTasks and Servers are current numbers, the other members count since the start.
@@ -37,6 +39,7 @@
   std::uint64_t GrantsExpired = 0;
   std::size_t WaitingTasks = 0;
   std::size_t Servers = 0;
+  locality::counters Locality;
 };
 
 /// Decides for the placer. Its state may be lost or out of date: when the placer changes, coordinators send
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
+#include "locality/advisor.hpp"
 #include "pool_index.hpp"
 #include "resource_amounts.hpp"
 #include "yuccaplank/dispatch/job_answer.hpp"
@@ -31,6 +32,7 @@
   bool Started = false;
   // Run numbers of the waiting tasks, by the task's index in the job.
   std::map<std::uint32_t, std::uint32_t> WaitingRuns;
+  locality::job_place Place;
 };
 
 // When a job would end if its tasks started now: within its objective, late but still with value for its
@@ -41,6 +43,8 @@
   std::string Owner;
   schema::server_state State;
   std::vector<std::uint64_t> Grants;
+  // Thousandths of a core in use, as last reported to the locality advisor.
+  std::int64_t ReportedCpu = 0;
 };
 
 struct outstanding_grant {
@@ -62,7 +66,7 @@
 class placement_queue_impl final : public placement_queue {
 public:
   placement_queue_impl(const runtime::clock &Clock, send_function Send, placement_options Options)
-      : Clock(Clock), Send(std::move(Send)), Options(Options) {}
+      : Clock(Clock), Send(std::move(Send)), Options(Options), Locality(Clock, Options.Locality) {}
 
   void enqueue(const std::string &Coordinator, const schema::place_job &Request) override {
     time_point Now = Clock.now();
@@ -109,7 +113,8 @@
     }
     if (Found != Servers.end() && Found->second.Owner != Owner && Found->second.State.token() > State.token())
       return;
-    if (Found != Servers.end() && Found->second.State.pool() != State.pool())
+    if (Found != Servers.end() &&
+        (Found->second.State.pool() != State.pool() || Found->second.State.rack() != State.rack()))
       eraseServer(Found);
     known_server &Server = Servers[State.server()];
     if (State.evacuated() && !Server.State.evacuated())
@@ -118,6 +123,7 @@
     Server.State = State;
     Server.State.clear_handled();
     updateIndex(Server);
+    reportUse(Server);
   }
 
   void removeVm(const std::string &Vm) override {
@@ -136,6 +142,7 @@
     time_point Now = Clock.now();
     expireGrants(Now);
     std::erase_if(UnreachableUntil, [&](const auto &Entry) { return Entry.second <= Now; });
+    Locality.beginPass(fullPools());
     UnplaceableSizes.clear();
     for (waiting_job *Job : sortJobs(Now))
       if (!rejectIfNotServable(*Job, Now))
@@ -150,12 +157,14 @@
     for (const auto &[Key, Job] : Jobs)
       Result.WaitingTasks += Job.WaitingRuns.size();
     Result.Servers = Servers.size();
+    Result.Locality = Locality.count();
     return Result;
   }
 
 private:
-  [[nodiscard]] static prospect estimateProspect(const waiting_job &Job, time_point Now) {
-    time_point End = Now + milliseconds(Job.Request.estimate_ms());
+  [[nodiscard]] prospect estimateProspect(const waiting_job &Job, time_point Now) const {
+    time_point End =
+        Now + runtime::fromMs(Job.Request.estimate_ms() * Locality.expectedFactor(Job.Request, Job.Place));
     if (End <= Job.ObjectiveEndsAt)
       return prospect::InTime;
     return End <= std::min(Job.UsefulUntil, Job.Deadline) ? prospect::Late : prospect::TooLate;
@@ -193,7 +202,10 @@
     }
     auto MaxWait =
         std::chrono::duration_cast<duration>((Job.Deadline - Job.ArrivedAt) * Options.MaxWaitShare);
-    if (estimateProspect(Job, Now) != prospect::TooLate && Now - Job.ArrivedAt <= MaxWait)
+    // A job that waits for its rack by choice finds a server elsewhere when it gives up waiting.
+    prospect Prospect = estimateProspect(Job, Now);
+    bool WaitsForRack = Job.Place.Waits || (Job.Place.WaitingSince && Prospect == prospect::InTime);
+    if (Prospect != prospect::TooLate && (Now - Job.ArrivedAt <= MaxWait || WaitsForRack))
       return false;
     reject(Job, schema::REJECT_NO_ROOM_IN_TIME, Now);
     return true;
@@ -249,6 +261,8 @@
   }
 
   void grantTasks(waiting_job &Job, time_point Now) {
+    if (Locality.keepsWaiting(Job.Request, Job.Place, Job.WaitingRuns.size()))
+      return;
     bool SuspectsWait = Now - Job.ArrivedAt < Options.SuspectWait;
     for (auto Waiting = Job.WaitingRuns.begin(); Waiting != Job.WaitingRuns.end();) {
       auto [Index, Run] = *Waiting;
@@ -261,6 +275,10 @@
       }
       if (!Server)
         Server = chooseServer(Job, Now);
+      if (!Server && Job.Place.Waits) {
+        ++Waiting;
+        continue;
+      }
       if (!Server)
         return;
       Waiting = Job.WaitingRuns.erase(Waiting);
@@ -290,12 +308,30 @@
   void updateIndex(const known_server &Server) {
     const schema::server_state &State = Server.State;
     auto [Pool, IsNew] = Pools.try_emplace(State.pool(), Options.SlownessStep);
-    Pool->second.set(State.server(), {freeCapacity(Server), toResourceAmounts(State.capacity()),
-                                      State.slowness(), acceptsTasks(Server), State.evacuated()});
+    Pool->second.set(State.server(),
+                     {freeCapacity(Server), toResourceAmounts(State.capacity()), State.slowness(),
+                      acceptsTasks(Server), State.evacuated(), State.rack()});
+  }
+
+  // Reports the cores that runs and grants use on the server's rack. Not called between the release of a
+  // handled grant and the report of its run, which would look like the end of a run.
+  void reportUse(known_server &Server) {
+    std::int64_t Used = Server.State.capacity().cpu() - freeCapacity(Server).Cpu;
+    Locality.onUsedChanged(Server.State.pool(), Server.State.rack(),
+                           Used - std::exchange(Server.ReportedCpu, Used));
+  }
+
+  [[nodiscard]] std::vector<std::string> fullPools() const {
+    std::vector<std::string> Result;
+    for (const auto &[Pool, Sizes] : UnplaceableSizes)
+      Result.push_back(Pool);
+    return Result;
   }
 
   server_iterator eraseServer(server_iterator Server) {
-    Pools.at(Server->second.State.pool()).erase(Server->first);
+    const schema::server_state &State = Server->second.State;
+    Locality.onUsedChanged(State.pool(), State.rack(), -Server->second.ReportedCpu);
+    Pools.at(State.pool()).erase(Server->first);
     return Servers.erase(Server);
   }
 
@@ -312,7 +348,8 @@
   // Returns the best server with free capacity, or null. A server that the job should avoid is chosen only if
   // there is no other. If the best server is too slow for the objective but the pool has a server that is
   // fast enough, the task waits for that one and leaves the slow one to other jobs.
-  const std::string *chooseServer(const waiting_job &Job, time_point Now) {
+  const std::string *chooseServer(waiting_job &Job, time_point Now) {
+    Job.Place.Waits = false;
     auto Pool = Pools.find(Job.Request.pool());
     if (Pool == Pools.end() || isKnownUnplaceable(Job.Request))
       return nullptr;
@@ -327,11 +364,26 @@
       Choice = Pool->second.chooseServer(Job.Request.size(), MaxSlowness, OwnerUnreachable);
     if (!Choice.Id && UnreachableUntil.empty())
       UnplaceableSizes[Job.Request.pool()].push_back(toResourceAmounts(Job.Request.size()));
+    if (Choice.Id && Locality.concerns(Job.Request))
+      return chooseByLocality(Job, Pool->second, Choice, AvoidedOrUnreachable, Now);
     bool WaitForFasterServer = !Choice.FastEnough && Pool->second.anyServerFastEnough(MaxSlowness);
     // The string that Choice.Id points to is destroyed when the server's entry in the index changes.
     return Choice.Id && !WaitForFasterServer ? &Servers.find(*Choice.Id)->first : nullptr;
   }
 
+  // Returns the server that a task with a preferred rack gets, given the best free server of the pool; null
+  // if the task waits.
+  const std::string *chooseByLocality(waiting_job &Job, const pool_index &Pool,
+                                      const pool_index::choice &Best,
+                                      const std::function<bool(const std::string &)> &IsExcluded,
+                                      time_point Now) {
+    locality::job_times Times{computeMaxSlowness(Job, Now), runtime::toMs(Job.ObjectiveEndsAt - Now),
+                              runtime::toMs(std::min(Job.UsefulUntil, Job.Deadline) - Now)};
+    auto Choice = Locality.choose(Job.Request, Job.Place, Job.WaitingRuns.size(), Times, Pool, Best,
+                                  Servers.at(*Best.Id).State.rack(), IsExcluded);
+    return Choice.Id ? &Servers.find(*Choice.Id)->first : nullptr;
+  }
+
   // Returns the best server without tasks, or null.
   const std::string *chooseIdleServer(const waiting_job &Job, time_point Now) {
     auto Pool = Pools.find(Job.Request.pool());
@@ -375,6 +427,8 @@
                                          Now + Options.GrantTimeout});
     Server.Grants.push_back(Id);
     updateIndex(Server);
+    reportUse(Server);
+    double ExpectedFactor = Locality.onGranted(Job.Request, Job.Place, Server.State.rack());
     Job.Started = true;
     ++Counters.Granted;
     schema::dispatch_message Message;
@@ -385,6 +439,10 @@
     Grant.set_owner(Server.Owner);
     Grant.set_token(Server.State.token());
     Grant.set_alone(Alone);
+    if (ExpectedFactor > 1)
+      Grant.set_expected_factor(static_cast<float>(ExpectedFactor));
+    if (Job.Request.same_rack())
+      Grant.set_rack(Server.State.rack());
     Send(Job.Coordinator, std::move(Message));
   }
 
@@ -434,6 +492,7 @@
   std::map<std::pair<std::string, std::string>, time_point> UnreachableUntil;
   // The ids start at the clock's time, so that grants of an earlier incarnation of this VM have other ids.
   std::uint64_t LastGrantId = static_cast<std::uint64_t>(Clock.unixMs()) << 20U;
+  locality::advisor Locality;
   placement_counters Counters;
 };
 
--- a/src/yuccaplank/entry/own_settings.cpp
+++ b/src/yuccaplank/entry/own_settings.cpp
@@ -29,6 +29,9 @@
   overrideIfSet(Settings.placement().late_factor(), Options.Coordinator.LateFactor);
   overrideIfSet(Settings.placement().max_wait_share(), Options.Placement.MaxWaitShare);
   overrideIfSet(Settings.placement().estimate_margin(), Options.Placement.EstimateMargin);
+  if (Settings.locality().ignore())
+    Options.Placement.Locality.Rule = dispatch::locality::wait_rule::Ignore;
+  overrideIfSet(Settings.locality().max_wait_share(), Options.Placement.Locality.MaxWaitShare);
 }
 
 frontend_options frontendOptions(const schema::daemon_settings &Settings) {
--- a/src/yuccaplank/wire/settings_reader.cpp
+++ b/src/yuccaplank/wire/settings_reader.cpp
@@ -41,6 +41,8 @@
      600'000},
     {"burn.objective_percent",
      [](const schema::daemon_settings &Settings) { return Settings.burn().objective_percent(); }, 99.999},
+    {"locality.max_wait_share",
+     [](const schema::daemon_settings &Settings) { return Settings.locality().max_wait_share(); }, 1},
 });
 
 std::vector<document_issue> checkSettings(const schema::daemon_settings &Settings) {
