Run tasks off their rack longer in the stand-in, and submit such jobs

The stand-in ran tasks equally long everywhere, so a site could not show what locality is worth. The specification names the rack; old texts stay readable. The site counts starts on and off the rack, and the load tool prints the share.

--- a/src/yuccaplank/load/load_run.cpp
+++ b/src/yuccaplank/load/load_run.cpp
@@ -101,7 +101,10 @@
     Job.TaskSize.set_cpu(static_cast<std::uint32_t>(Options.Cores * ThousandthsPerCore));
     Job.TaskSize.set_memory_mb(64);
     Job.EstimateMs = static_cast<std::uint32_t>(Offered.WorkMs * logNormal(Options.DeclaredSpread)) + 1;
-    Job.Specification = standin::encodeWork({Job.TaskSize.cpu(), fromMs(Offered.WorkMs), false});
+    choosePlace(Job);
+    standin::run_work Work{Job.TaskSize.cpu(), fromMs(Offered.WorkMs), false};
+    Work.Rack = Job.SameRack && Job.Rack.empty() ? standin::AnyOneRack : Job.Rack;
+    Job.Specification = standin::encodeWork(Work);
     Job.DeadlineMs = Options.DeadlineMs;
     Offered.FirstSent = now();
     Offered.GiveUpAt = now() + fromMs(Options.DeadlineMs + GiveUpDelayMs);
@@ -112,6 +115,16 @@
       Executor.after(fromMs(Offered.WorkMs * Random.uniform()), [this, Id] { cancel(Id); });
   }
 
+  // Jobs without a place draw no random number, so that their seeds keep their meaning.
+  void choosePlace(platform::caller_job &Job) {
+    if (Options.RackPercent > 0 && Random.uniform() * 100 < Options.RackPercent) {
+      bool IsHot = Random.uniform() * 100 < Options.HotRackPercent || Options.Racks.size() == 1;
+      Job.Rack = Options.Racks[IsHot ? 0 : 1 + Random.next() % (Options.Racks.size() - 1)];
+    }
+    if (Options.SameRackPercent > 0)
+      Job.SameRack = Random.uniform() * 100 < Options.SameRackPercent;
+  }
+
   void sendAttempt(std::uint64_t Id) {
     auto Found = Jobs.find(Id);
     if (Found == Jobs.end())
@@ -219,6 +232,8 @@
     }
     for (const nlohmann::json &Violation : Summary["breaches"])
       Result.addViolation(Violation.dump());
+    Result.setRackStarts(Summary.value("starts_on_rack", std::uint64_t{0}),
+                         Summary.value("starts_off_rack", std::uint64_t{0}));
   }
 
   void checkRefusedJobs() {
--- a/src/yuccaplank/load/measurements.cpp
+++ b/src/yuccaplank/load/measurements.cpp
@@ -67,6 +67,10 @@
   Lines += formatFigure("jobs_in_time", static_cast<double>(WithinObjective), "count");
   Lines += formatFigure("attempts", static_cast<double>(Attempts), "count");
   Lines += formatFigure("breaches", static_cast<double>(Violations.size()), "count");
+  if (StartsOnRack + StartsOffRack > 0)
+    Lines += formatFigure(
+        "starts_on_rack_share",
+        static_cast<double>(StartsOnRack) / static_cast<double>(StartsOnRack + StartsOffRack), "ratio");
   Lines += formatPercentiles("latency", ResponsesMs);
   Lines += formatPercentiles("added", OverheadMs);
   return Lines;
--- a/src/yuccaplank/load/measurements.hpp
+++ b/src/yuccaplank/load/measurements.hpp
@@ -30,6 +30,11 @@
   void addAttempt() { ++Attempts; }
   /// Records a violation of a guarantee for callers. Only the first violations are kept.
   void addViolation(std::string Text);
+  /// Sets the numbers of started runs on and outside the rack of their data, as the site counted them.
+  void setRackStarts(std::uint64_t OnRack, std::uint64_t OffRack) {
+    StartsOnRack = OnRack;
+    StartsOffRack = OffRack;
+  }
   [[nodiscard]] const std::vector<std::string> &violations() const { return Violations; }
   [[nodiscard]] std::uint64_t attempts() const { return Attempts; }
 
@@ -40,6 +45,8 @@
   std::array<std::uint64_t, JobEndCount> Ends{};
   std::uint64_t Attempts = 0;
   std::uint64_t WithinObjective = 0;
+  std::uint64_t StartsOnRack = 0;
+  std::uint64_t StartsOffRack = 0;
   std::vector<double> ResponsesMs;
   std::vector<double> OverheadMs;
   std::vector<std::string> Violations;
--- a/src/yuccaplank/load/options.cpp
+++ b/src/yuccaplank/load/options.cpp
@@ -17,6 +17,7 @@
   std::string Entries;
   std::string Queue = "jobs.example/jobs/";
   std::string Tasks = "1-4";
+  std::string Racks;
 };
 
 po::options_description describe(load_options &Options, raw_options &Raw) {
@@ -43,6 +44,12 @@
       "percentage of callers that disconnect before the answer");
   Add("cancel-percent", Number(Options.CancelPercent),
       "percentage of jobs that are cancelled through a random entry VM");
+  Add("rack-percent", Number(Options.RackPercent), "percentage of jobs whose data lies on a rack");
+  Add("racks", po::value(&Raw.Racks), "names of these racks, NAME[,NAME...]");
+  Add("hot-rack-percent", Number(Options.HotRackPercent),
+      "percentage of these jobs whose data lies on the first of the racks");
+  Add("same-rack-percent", Number(Options.SameRackPercent),
+      "percentage of jobs that ask for one rack for all their tasks");
   Add("check", po::value(&Options.CheckAddress), "address of the stand-in site's control listener, ip:port");
   Add("timeline", po::bool_switch(&Options.Timeline), "print one line per second");
   Add("seed", po::value(&Options.Seed)->default_value(Options.Seed), "seed for the jobs");
@@ -70,6 +77,11 @@
   for (double Percent : {Options.LeavePercent, Options.CancelPercent})
     if (!(Percent >= 0 && Percent <= 100))
       return "--leave-percent and --cancel-percent must be 0 to 100.";
+  for (double Percent : {Options.RackPercent, Options.HotRackPercent, Options.SameRackPercent})
+    if (!(Percent >= 0 && Percent <= 100))
+      return "--rack-percent, --hot-rack-percent and --same-rack-percent must be 0 to 100.";
+  if (Options.RackPercent > 0 && Options.Racks.empty())
+    return "--rack-percent needs --racks.";
   if (!(Options.MedianTaskMs >= 0 && Options.TaskSpread >= 0 && Options.DeclaredSpread >= 0 &&
         Options.Cores > 0))
     return "--task-ms and the spreads must be at least 0, and --cores must be above 0.";
@@ -99,6 +111,8 @@
   }
   if (!Raw.Entries.empty())
     boost::split(Options.Entries, Raw.Entries, boost::is_any_of(","));
+  if (!Raw.Racks.empty())
+    boost::split(Options.Racks, Raw.Racks, boost::is_any_of(","));
   if (!parseTasks(Raw.Tasks, Options))
     return load_usage_error{"--tasks must be MIN-MAX."};
   std::size_t Slash = Raw.Queue.find('/');
--- a/src/yuccaplank/load/options.hpp
+++ b/src/yuccaplank/load/options.hpp
@@ -33,6 +33,13 @@
   double LeavePercent = 0;
   /// Percentage of jobs that are cancelled through a randomly selected entry VM.
   double CancelPercent = 0;
+  /// Percentage of jobs whose data lies on one of Racks, and of these the percentage on the first one. The
+  /// others are spread evenly.
+  double RackPercent = 0;
+  double HotRackPercent = 70;
+  std::vector<std::string> Racks;
+  /// Percentage of jobs that ask for one rack for all their tasks.
+  double SameRackPercent = 0;
   /// Address of the stand-in site's control listener; if empty, the checks at the site are skipped.
   std::string CheckAddress;
   bool Timeline = false;
--- a/src/yuccaplank/standin/site.cpp
+++ b/src/yuccaplank/standin/site.cpp
@@ -92,9 +92,12 @@
     WorkerOptions.Listen = fmt::format("{}:{}", Options.Ip, Port);
     WorkerOptions.Pool = Options.Pool;
     WorkerOptions.Domain = Options.Domains[Index % Options.Domains.size()];
-    // Six workers of a failure domain share a rack.
     WorkerOptions.Rack = fmt::format("r{}-{}", Index % Options.Domains.size() + 1,
-                                     Index / (RackSize * Options.Domains.size()) + 1);
+                                     Index / (Options.RackSize * Options.Domains.size()) + 1);
+    WorkerOptions.RemoteFactor = Options.RemoteFactor;
+    WorkerOptions.FirstRackOf = [this](std::uint64_t Job, const std::string &Rack) {
+      return FirstRacks.try_emplace(Job, Rack).first->second;
+    };
     WorkerOptions.Slowness = Options.Slowness[Index % Options.Slowness.size()];
     WorkerOptions.Server.ClockRate = 1 - MaxClockDrift * Random.uniform();
     auto NewWorker = makeWorker(Loop, Random, WorkerOptions, [this, Index](const dispatch::run_key &Run) {
@@ -264,7 +267,14 @@
   }
 
   http_reply getSummary(const http_request & /*Request*/) {
+    rack_counts Racks;
+    for (const site_worker &Worker : Workers) {
+      Racks.OnRack += Worker.Worker->rackCounts().OnRack;
+      Racks.Elsewhere += Worker.Worker->rackCounts().Elsewhere;
+    }
     return jsonReply(200, {{"starts", Starts},
+                           {"starts_on_rack", Racks.OnRack},
+                           {"starts_off_rack", Racks.Elsewhere},
                            {"breaches", Violations},
                            {"store_reads", Store->counters().Reads},
                            {"store_writes", Store->counters().Writes},
@@ -280,7 +290,6 @@
     return jsonReply(200, {{"starts", Found == StartsByJob.end() ? 0 : Found->second}});
   }
 
-  static constexpr std::size_t RackSize = 6;
   static constexpr double MaxClockDrift = 0.02;
 
   runtime::loop &Loop;
@@ -292,6 +301,8 @@
   std::unique_ptr<wire::http_server> Control;
   std::uint64_t Starts = 0;
   std::unordered_map<std::uint64_t, std::uint64_t> StartsByJob;
+  // Rack of the first run of each job whose tasks should share a rack.
+  std::unordered_map<std::uint64_t, std::string> FirstRacks;
   std::vector<std::string> Violations;
   runtime::lifetime Lifetime;
 };
--- a/src/yuccaplank/standin/site.hpp
+++ b/src/yuccaplank/standin/site.hpp
@@ -24,6 +24,10 @@
   std::string Pool = "pool";
   /// Factors on run times, assigned to the workers in rotation.
   std::vector<double> Slowness{0.6, 1, 1.6};
+  /// Workers of a failure domain that share a rack.
+  std::uint32_t RackSize = 6;
+  /// Factor on the time of a run outside the rack of its data.
+  double RemoteFactor = 1.5;
   /// Interval at which each worker writes its entry into the store. An entry is removed after three missed
   /// heartbeats.
   runtime::duration HeartbeatInterval = std::chrono::milliseconds(500);
--- a/src/yuccaplank/standin/task_server.cpp
+++ b/src/yuccaplank/standin/task_server.cpp
@@ -15,16 +15,20 @@
 
 // Limit for the number of ends in one reply.
 constexpr std::size_t MaxListedEnds = 500;
+constexpr std::string_view RackPrefix = " rack=";
 
 } // namespace
 
 std::string encodeWork(const run_work &Work) {
   std::string Text = fmt::format("{} {}", Work.Cpu, runtime::toMs(Work.Duration));
-  return Work.CrashingTask ? fmt::format("{} {}", Text, *Work.CrashingTask) : Text;
+  if (Work.CrashingTask)
+    Text += fmt::format(" {}", *Work.CrashingTask);
+  return Work.Rack.empty() ? Text : Text.append(RackPrefix).append(Work.Rack);
 }
 
 run_work decodeWork(const std::string &Specification) {
-  std::istringstream Stream(Specification);
+  std::size_t RackAt = Specification.find(RackPrefix);
+  std::istringstream Stream(Specification.substr(0, RackAt));
   std::uint32_t Cpu = 0;
   double Ms = 0;
   if (!(Stream >> Cpu >> Ms))
@@ -33,6 +37,8 @@
   std::uint32_t CrashingTask = 0;
   if (Stream >> CrashingTask)
     Work.CrashingTask = CrashingTask;
+  if (RackAt != std::string::npos)
+    Work.Rack = Specification.substr(RackAt + RackPrefix.size());
   return Work;
 }
 
--- a/src/yuccaplank/standin/task_server.hpp
+++ b/src/yuccaplank/standin/task_server.hpp
@@ -21,10 +21,15 @@
   bool Fails = false;
   /// Index of the task of the job that crashes each server that starts it.
   std::optional<std::uint32_t> CrashingTask = std::nullopt;
+  /// Rack outside which the run takes longer; AnyOneRack for the rack of the first run of the job. Empty for
+  /// none.
+  std::string Rack = {};
 };
 
+inline constexpr const char *AnyOneRack = "*";
+
 /// Encodes work as a task specification for stand-in servers: "CPU MILLISECONDS", followed by the index of
-/// the crashing task if there is one.
+/// the crashing task if there is one, and by "rack=NAME" if there is a rack.
 std::string encodeWork(const run_work &Work);
 /// Decodes a task specification; returns empty work if it has another form.
 run_work decodeWork(const std::string &Specification);
--- a/src/yuccaplank/standin/worker.cpp
+++ b/src/yuccaplank/standin/worker.cpp
@@ -160,6 +160,8 @@
     return TaskServer->usedCpu();
   }
 
+  [[nodiscard]] rack_counts rackCounts() const override { return RackCounts; }
+
 private:
   struct pending_hold {
     wire::request_token Token = 0;
@@ -190,11 +192,17 @@
       return reply(Request.Token, reasonReply(BadRequest, "malformed"));
     execute(Request.Token, [this, Order = *Order] {
       bool Present = isRunning(Order.Run.Task);
-      order_outcome Outcome =
-          TaskServer->start(now(), {Order.Run, Order.Specification, Order.FencingToken, Order.LeaseEndMs},
-                            makeWork(Order.Specification));
-      if (Outcome == order_outcome::Accepted && !Present)
+      run_work Work = makeWork(Order.Specification);
+      bool IsRemote = isRemote(Work, Order.Run.Task.Job);
+      if (IsRemote)
+        Work.Duration = runtime::fromMs(runtime::toMs(Work.Duration) * Options.RemoteFactor);
+      order_outcome Outcome = TaskServer->start(
+          now(), {Order.Run, Order.Specification, Order.FencingToken, Order.LeaseEndMs}, Work);
+      if (Outcome == order_outcome::Accepted && !Present) {
+        if (!Work.Rack.empty())
+          ++(IsRemote ? RackCounts.Elsewhere : RackCounts.OnRack);
         OnStart(Order.Run);
+      }
       return Outcome;
     });
   }
@@ -216,6 +224,12 @@
     return Work;
   }
 
+  [[nodiscard]] bool isRemote(const run_work &Work, std::uint64_t Job) const {
+    if (Work.Rack != AnyOneRack)
+      return !Work.Rack.empty() && Work.Rack != Options.Rack;
+    return Options.FirstRackOf && Options.FirstRackOf(Job, Options.Rack) != Options.Rack;
+  }
+
   void execute(wire::request_token Token, std::function<order_outcome()> Order) {
     if (Random.uniform() < Faults.LateOrders) {
       executeLate(std::move(Order));
@@ -317,6 +331,7 @@
   worker_options Options;
   std::function<void(const dispatch::run_key &)> OnStart;
   worker_faults Faults;
+  rack_counts RackCounts;
   std::unique_ptr<task_server> TaskServer;
   std::unique_ptr<wire::http_server> Server;
   std::vector<pending_hold> Holds;
--- a/src/yuccaplank/standin/worker.hpp
+++ b/src/yuccaplank/standin/worker.hpp
@@ -45,9 +45,19 @@
   std::uint32_t MemoryMb = 262'144;
   /// Factor on all run times: the speed of this worker.
   double Slowness = 1;
+  /// Factor on the time of a run outside the rack of its data.
+  double RemoteFactor = 1.5;
+  /// Returns the rack of the first run of a job, which is on Rack if there was none before.
+  std::function<std::string(std::uint64_t Job, const std::string &Rack)> FirstRackOf;
   task_server_options Server;
 };
 
+/// Numbers of started runs that prefer a rack.
+struct rack_counts {
+  std::uint64_t OnRack = 0;
+  std::uint64_t Elsewhere = 0;
+};
+
 class worker {
 public:
   virtual ~worker() = default;
@@ -65,6 +75,7 @@
   /// Returns whether a run of the task is active.
   [[nodiscard]] virtual bool isRunning(const dispatch::task_key &Task) = 0;
   [[nodiscard]] virtual std::uint32_t usedCpu() = 0;
+  [[nodiscard]] virtual rack_counts rackCounts() const = 0;
 };
 
 /// Creates and starts a worker. OnStart is called after each executed start order.
--- a/src/yuccaplank/standin/yuccaplank_standin_site_main.cpp
+++ b/src/yuccaplank/standin/yuccaplank_standin_site_main.cpp
@@ -7,6 +7,8 @@
 #include <boost/algorithm/string.hpp>
 #include <boost/program_options.hpp>
 
+#include <algorithm>
+
 namespace {
 
 namespace po = boost::program_options;
@@ -46,9 +48,14 @@
   Add("workers", po::value(&Options.Workers)->default_value(Options.Workers), "number of backend servers");
   Add("domains", po::value(&Domains)->default_value(Domains),
       "comma-separated failure domains, assigned to the backend servers in rotation");
+  Add("rack-size", po::value(&Options.RackSize)->default_value(Options.RackSize),
+      "backend servers of a failure domain that share a rack; racks are named rDOMAIN-NUMBER, from r1-1");
+  Add("remote-factor", po::value(&Options.RemoteFactor)->default_value(Options.RemoteFactor, "1.5"),
+      "factor on the run time of a task outside the rack of its data");
   Add("equal", po::bool_switch(&Equal), "give all backend servers the same speed");
   Add("seed", po::value(&Options.Seed)->default_value(Options.Seed), "seed for clock rates and faults");
   return standin::runProgram(Count, Arguments, Description, [&](const po::variables_map &) {
+    Options.RackSize = std::max(Options.RackSize, 1U);
     if (Equal)
       Options.Slowness = {1};
     boost::split(Options.Domains, Domains, boost::is_any_of(","));
