--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -29,6 +29,8 @@
 // Time after a caller's departure from which no task of its job may start; includes the time that a stop
 // takes.
 constexpr double CancelLimitMs = 3050;
+// Rack of the first two servers, as named by simulated_fleet.
+constexpr const char *HotRack = "r0";
 // Time after the end of the traffic in which the remaining jobs have to be answered.
 constexpr auto SettleDelay = std::chrono::seconds(12);
 
@@ -56,6 +58,7 @@
 fleet_layout makeLayout(const simulation_options &Options) {
   fleet_layout Layout{Options.Vms, Options.Domains, Options.Servers, Options.DispatchersPerDomain, {}};
   Layout.EqualVms = !Options.EnableLags;
+  Layout.RemoteFactor = Options.RemoteFactor;
   for (const job_kind &Kind : Options.Kinds)
     Layout.Queues.push_back(makeQueue(Kind.Queue, Kind.Priority));
   return Layout;
@@ -67,7 +70,8 @@
   explicit simulated_day(const simulation_options &Options)
       : Options(Options), Executor(runtime::makeManualExecutor()), Random(Options.Seed),
         Fleet(
-            *Executor, Random, makeLayout(Options), {Options.LateOrderShare, Options.LostAnswerShare},
+            *Executor, Random, makeLayout(Options),
+            {Options.LateOrderShare, Options.LostAnswerShare, Options.RemoteFactor},
             [this](const std::string &Server, const dispatch::run_key &Run) { onStart(Server, Run); },
             [this](const std::string &Vm, std::uint64_t Job, const job_answer &Answer) {
               onAnswer(Vm, Job, Answer);
@@ -249,8 +253,10 @@
     Job.Request.TaskSize.set_memory_mb(64);
     Job.Request.EstimateMs = static_cast<std::uint32_t>(Ms * (0.7 + 0.6 * Random.uniform()));
     Job.CrashingTask = chooseCrashingTask();
-    Job.Request.Specification =
-        standin::encodeWork({Job.Request.TaskSize.cpu(), fromMs(Ms), false, Job.CrashingTask});
+    if (Options.RackJobShare > 0 && Random.uniform() < Options.RackJobShare)
+      Job.Request.Rack = HotRack;
+    Job.Request.Specification = standin::encodeWork(
+        {Job.Request.TaskSize.cpu(), fromMs(Ms), false, Job.CrashingTask, Job.Request.Rack});
     Job.Request.Deadline = fromMs(Job.CrashingTask ? CrashingJobDeadlineMs : 1800 + 3000 * Random.uniform());
     chooseLateStops(Job);
     // 3 s after the end of the fault phase, everything has recovered.
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -47,6 +47,10 @@
   /// Share of the servers whose tasks take SlowdownFactor times as long in the middle third of the day.
   double SlowServerShare = 0;
   double SlowdownFactor = 6;
+  /// Share of the jobs of random sizes whose data lies on the rack of the first two servers, and the factor
+  /// on the time of their tasks elsewhere.
+  double RackJobShare = 0;
+  double RemoteFactor = 3;
   /// Share of callers of jobs of random sizes that leave early.
   double LeavingCallerShare = 0.05;
   /// Duration of the traffic. Faults occur in its first 60 % only.
--- a/src/yuccaplank/simulation/simulated_fleet.cpp
+++ b/src/yuccaplank/simulation/simulated_fleet.cpp
@@ -127,6 +127,7 @@
   VmOptions.Domain = domainOf(parseVmIndex(Name));
   VmOptions.Strength = strengthOf(parseVmIndex(Name));
   VmOptions.Dispatching.PerDomain = Layout.DispatchersPerDomain;
+  VmOptions.Coordinator.RemoteFactor = Layout.RemoteFactor;
   Process.start(VmOptions);
   Net.attach(Name, makeEndpoint(Process, fmt::format("{}", ++LastRegistration)));
   registerVm(Process, LastRegistration);
--- a/src/yuccaplank/simulation/simulated_fleet.hpp
+++ b/src/yuccaplank/simulation/simulated_fleet.hpp
@@ -63,6 +63,8 @@
   std::vector<dispatch::queue_settings> Queues;
   /// Whether all VMs have the same strength.
   bool EqualVms = true;
+  /// Factor on the time of a run outside the rack of its data.
+  double RemoteFactor = 1;
 };
 
 /// Fleet whose VMs "vm0", "vm1", … and servers "s0", "s1", … are assigned to the domains "d0", "d1", … in
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -26,9 +26,10 @@
 } // namespace
 
 standin::run_work simulated_servers::makeWork(const simulated_server &Server,
-                                              const std::string &Specification) {
+                                              const std::string &Specification) const {
   standin::run_work Work = standin::decodeWork(Specification);
-  Work.Duration = runtime::fromMs(runtime::toMs(Work.Duration) * Server.Slowness * Server.Slowdown);
+  double Factor = Work.Rack.empty() || Work.Rack == Server.Entry.Rack ? 1 : Options.RemoteFactor;
+  Work.Duration = runtime::fromMs(runtime::toMs(Work.Duration) * Server.Slowness * Server.Slowdown * Factor);
   Work.Fails = Server.Failing;
   if (Server.Hanging)
     Work.Duration = HangDuration;
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -23,6 +23,8 @@
     double LateOrderShare = 0;
     /// Share of orders whose answer is lost.
     double LostAnswerShare = 0;
+    /// Factor on the time of a run outside the rack of its data.
+    double RemoteFactor = 1;
   };
   /// OnStart is called after each start that a server has carried out.
   simulated_servers(runtime::executor &Executor, network &Network, runtime::random &Random, options Options,
@@ -104,7 +106,8 @@
   };
   class orders;
 
-  static standin::run_work makeWork(const simulated_server &Server, const std::string &Specification);
+  [[nodiscard]] standin::run_work makeWork(const simulated_server &Server,
+                                           const std::string &Specification) const;
   void serveHold(const std::string &Name, const dispatch::hold_order &Order,
                  std::function<void(dispatch::hold_reply)> Reply);
   // Crashes the server if the task of the run is the one that does so, and restarts it seconds later.
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -1,5 +1,6 @@
 // yuccaplank-simulate: simulates random days of a fleet and checks the invariants.
 #include "fleet_simulation.hpp"
+#include "placement_simulation.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <boost/program_options.hpp>
@@ -49,7 +50,11 @@
        "share of servers that are slow for a third of the day")                              //
       ("lags", "adds VMs and links that lag, rolling restarts, and VMs of unequal strength") //
       ("evacuations", "adds evacuations of failure domains")                                 //
-      ("messages", "counts the messages of the VMs and prints them for each day")            //
+      ("rack-jobs", options::value(&Options.RackJobShare),
+       "share of the jobs of random sizes whose data lies on one rack of two servers") //
+      ("locality", options::value<double>(),
+       "compares rules for waiting for the rack of a task's data, with this factor outside the rack") //
+      ("messages", "counts the messages of the VMs and prints them for each day")                     //
       ("trace", "prints each event to standard error");
   options::variables_map Values;
   try {
@@ -63,6 +68,11 @@
     std::cout << Description;
     return 0;
   }
+  if (Values.count("locality") > 0) {
+    runtime::setLogLevel(runtime::log_level::Error);
+    std::cout << simulation::compareWaitRules(Options.Seed, Days, Values["locality"].as<double>());
+    return 0;
+  }
   if (Values.count("load") > 0)
     Options.Kinds = simulation::siteJobKinds(Values["load"].as<double>());
   if (Values.count("burst") > 0)
