--- a/src/yuccaplank/dispatch/locality/advisor.cpp
+++ b/src/yuccaplank/dispatch/locality/advisor.cpp
@@ -141,6 +141,8 @@
 }
 
 double advisor::onGranted(const schema::place_job &Request, job_place &Place, const std::string &Rack) {
+  if (!hasPlace(Request) && WaitedFor.empty() && WaitedForBefore.empty())
+    return 1;
   if (Request.same_rack() && Request.rack().empty() && !Place.Fixed) {
     Place.Rack = Rack;
     Place.Fixed = true;
--- a/src/yuccaplank/dispatch/locality/advisor.hpp
+++ b/src/yuccaplank/dispatch/locality/advisor.hpp
@@ -46,6 +46,10 @@
 
   /// Whether the job prefers a rack. The others are placed without the advisor.
   [[nodiscard]] bool concerns(const schema::place_job &Request) const;
+  /// Whether any job has preferred a rack. Until then, the placer reports no use of racks, so that fleets
+  /// without such jobs do not pay for it.
+  [[nodiscard]] bool observesRacks() const { return ObservesRacks; }
+  void observeRacks() { ObservesRacks = true; }
   /// Begins a pass over the waiting jobs in service order. FullPools are the pools in which a task found no
   /// free server in the pass before.
   void beginPass(const std::vector<std::string> &FullPools);
@@ -97,6 +101,7 @@
   // Racks for which tasks wait by choice, in the current pass and in the one before.
   std::vector<rack_state *> WaitedFor;
   std::vector<rack_state *> WaitedForBefore;
+  bool ObservesRacks = false;
   runtime::time_point PurgedAt{};
   // When a task last found no free server, by pool.
   std::map<std::string, runtime::time_point> LastFullAt;
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -70,6 +70,11 @@
 
   void enqueue(const std::string &Coordinator, const schema::place_job &Request) override {
     time_point Now = Clock.now();
+    if (!Locality.observesRacks() && Locality.concerns(Request)) {
+      Locality.observeRacks();
+      for (auto &[Id, Server] : Servers)
+        reportUse(Server);
+    }
     auto [Entry, IsNew] = Jobs.try_emplace({Coordinator, Request.job()});
     waiting_job &Job = Entry->second;
     if (IsNew) {
@@ -316,6 +321,8 @@
   // Reports the cores that runs and grants use on the server's rack. Not called between the release of a
   // handled grant and the report of its run, which would look like the end of a run.
   void reportUse(known_server &Server) {
+    if (!Locality.observesRacks())
+      return;
     std::int64_t Used = Server.State.capacity().cpu() - freeCapacity(Server).Cpu;
     Locality.onUsedChanged(Server.State.pool(), Server.State.rack(),
                            Used - std::exchange(Server.ReportedCpu, Used));
--- a/src/yuccaplank/wire/settings_reader_test.cpp
+++ b/src/yuccaplank/wire/settings_reader_test.cpp
@@ -154,6 +154,9 @@
   if (auto When = section("when a share is above 1"))
     CPPUNIT_ASSERT_EQUAL(std::string("line 2: placement.max_wait_share: out_of_range, expected 0 to 1\n"),
                          Issues("{\"placement\": {\n\"max_wait_share\": 1.5}}"));
+  if (auto When = section("when a wait for a rack may take longer than the time to the objective"))
+    CPPUNIT_ASSERT_EQUAL(std::string("line 1: locality.max_wait_share: out_of_range, expected 0 to 1\n"),
+                         Issues(R"({"locality": {"max_wait_share": 2}})"));
   if (auto When = section("when a factor is negative"))
     CPPUNIT_ASSERT_EQUAL(std::string("line 1: placement.late_factor: out_of_range, expected 0 to 10\n"),
                          Issues(R"({"placement": {"late_factor": -1}})"));
