--- a/src/yuccaplank/platform/documents_test.cpp
+++ b/src/yuccaplank/platform/documents_test.cpp
@@ -18,7 +18,7 @@
 constexpr const char *Settings = R"({"node":"vm1","zone":"a","ip":"10.1.0.13",
   "listen_addresses":{"frontend":"10.1.0.13:1","ready":"10.1.0.13:2","control_plane":"10.1.0.13:3"},
   "seeds":["10.2.0.1:3"],"platform":{"address":"10.9.0.1:4","form":"table"},"limits":{"cpu_share":0.25},
-  "bounds":{"grace_period_s":6},"orders":"request","something_new":{"x":1}})";
+  "bounds":{"grace_period_s":6,"remote_factor":2},"orders":"request","something_new":{"x":1}})";
 
 std::string without(std::string Text, const std::string &Part) {
   auto Position = Text.find(Part);
@@ -35,6 +35,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.13:3"), Decoded.PeerAddress);
     CPPUNIT_ASSERT_EQUAL(std::string("10.9.0.1:4"), Decoded.StoreAddress);
     CPPUNIT_ASSERT_EQUAL(0.25, Decoded.CpuShare);
+    CPPUNIT_ASSERT_EQUAL(2.0, Decoded.RemoteFactor);
   }
   if (auto When = section("given a missing field, the issue names it")) {
     auto Issues = readSettings(without(Settings, R"("ready":"10.1.0.13:2",)"), Decoded);
--- a/src/yuccaplank/platform/settings.cpp
+++ b/src/yuccaplank/platform/settings.cpp
@@ -1,10 +1,14 @@
 #include "yuccaplank/platform/settings.hpp"
 #include "json_reader.hpp"
 
+#include <algorithm>
+
 namespace yuccaplank::platform {
 namespace {
 
 constexpr const char *SupportedOrderForm = "request";
+// Estimates multiplied by a larger factor may not fit into a message.
+constexpr double MaxRemoteFactor = 1000;
 
 void readListeners(object_reader &Reader, settings &Settings, std::vector<field_issue> &Issues) {
   object_reader Listeners(Reader.child("listen_addresses", true, false), "listen_addresses", Issues);
@@ -48,6 +52,7 @@
   Bounds.optionalInteger("retransmit_ms", Settings.ResendDelayMs);
   Bounds.optionalInteger("stop_timeout_ms", Settings.StopTimeoutMs);
   Bounds.optionalNumber("remote_factor", Settings.RemoteFactor);
+  Settings.RemoteFactor = std::min(Settings.RemoteFactor, MaxRemoteFactor);
   // Platforms whose servers fetch their orders with their heartbeats are not supported.
   std::string OrderForm = SupportedOrderForm;
   Reader.optionalText("orders", OrderForm);
