--- a/include/yuccaplank/dispatch/placement_queue.hpp
+++ b/include/yuccaplank/dispatch/placement_queue.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "yuccaplank/dispatch/admission/admission_options.hpp"
+#include "yuccaplank/dispatch/locality/options.hpp"
 #include "yuccaplank/dispatch/messages.hpp"
 #include "yuccaplank/runtime/clock.hpp"
 
@@ -34,6 +35,7 @@
   /// Factor on a task's estimated time when deciding whether a server is fast enough for the objective.
   double EstimateMargin = 1.2;
   admission::admission_options Admission;
+  locality::options Locality = {};
 };
 
 /// WaitingTasks and Servers are current numbers, the other members count since the start.
@@ -47,6 +49,7 @@
   std::uint64_t GrantsExpired = 0;
   std::size_t WaitingTasks = 0;
   std::size_t Servers = 0;
+  locality::counters Locality;
 };
 
 /// Decides for the placer. Its state may be lost or out of date: when the placer changes, coordinators send
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -1,6 +1,7 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
 #include "admission/admission_control.hpp"
 #include "admission/known_backlogs.hpp"
+#include "locality/advisor.hpp"
 #include "pool_index.hpp"
 #include "resource_amounts.hpp"
 #include "yuccaplank/dispatch/job_answer.hpp"
@@ -36,6 +37,7 @@
   bool OwedShare = false;
   // Run numbers of the waiting tasks, by the task's index in the job.
   std::map<std::uint32_t, std::uint32_t> WaitingRuns;
+  locality::job_place Place;
 };
 
 // When a job would end if its tasks started now: within its objective, late but still with value for its
@@ -59,6 +61,8 @@
   std::vector<std::uint64_t> Grants;
   // As last reported to admission control.
   admission::core_usage Usage;
+  // Thousandths of a core in use, as last reported to the locality advisor.
+  std::int64_t ReportedCpu = 0;
 };
 
 struct outstanding_grant {
@@ -80,10 +84,16 @@
 class placement_queue_impl final : public placement_queue {
 public:
   placement_queue_impl(const runtime::clock &Clock, send_function Send, placement_options Options)
-      : Clock(Clock), Send(std::move(Send)), Options(Options), Admission(Options.Admission) {}
+      : Clock(Clock), Send(std::move(Send)), Options(Options), Admission(Options.Admission),
+        Locality(Clock, Options.Locality) {}
 
   void enqueue(const std::string &Coordinator, const schema::place_job &Request) override {
     time_point Now = Clock.now();
+    if (!Locality.observesRacks() && Locality.concerns(Request)) {
+      Locality.observeRacks();
+      for (auto &[Id, Server] : Servers)
+        reportUse(Server);
+    }
     auto [Entry, IsNew] = Jobs.try_emplace({Coordinator, Request.job()});
     waiting_job &Job = Entry->second;
     if (IsNew) {
@@ -134,7 +144,8 @@
         eraseServer(Found);
       return;
     }
-    if (Found != Servers.end() && Found->second.State.pool() != State.pool())
+    if (Found != Servers.end() &&
+        (Found->second.State.pool() != State.pool() || Found->second.State.rack() != State.rack()))
       eraseServer(Found);
     known_server &Server = Servers[State.server()];
     if (State.evacuated() && !Server.State.evacuated())
@@ -143,6 +154,7 @@
     Server.State = State;
     Server.State.clear_handled();
     updateIndex(Server);
+    reportUse(Server);
   }
 
   void removeVm(const std::string &Vm) override {
@@ -161,6 +173,7 @@
     time_point Now = Clock.now();
     expireGrants(Now);
     std::erase_if(UnreachableUntil, [&](const auto &Entry) { return Entry.second <= Now; });
+    Locality.beginPass(fullPools());
     UnplaceableSizes.clear();
     Admission.beginPass();
     for (waiting_job *Job : sortJobs(Now)) {
@@ -180,6 +193,7 @@
     for (const auto &[Key, Job] : Jobs)
       Result.WaitingTasks += Job.WaitingRuns.size();
     Result.Servers = Servers.size();
+    Result.Locality = Locality.count();
     return Result;
   }
 
@@ -188,8 +202,9 @@
   }
 
 private:
-  [[nodiscard]] static prospect estimateProspect(const waiting_job &Job, time_point Now) {
-    time_point End = Now + milliseconds(Job.Request.estimate_ms());
+  [[nodiscard]] prospect estimateProspect(const waiting_job &Job, time_point Now) const {
+    time_point End =
+        Now + runtime::fromMs(Job.Request.estimate_ms() * Locality.expectedFactor(Job.Request, Job.Place));
     if (End <= Job.ObjectiveEndsAt)
       return prospect::InTime;
     return End <= std::min(Job.UsefulUntil, Job.Deadline) ? prospect::Late : prospect::TooLate;
@@ -197,13 +212,13 @@
 
   // Returns when the job's tasks have to start at the latest: for its objective or, if that is out of reach,
   // for any value.
-  [[nodiscard]] static time_point latestStart(const waiting_job &Job, time_point Now) {
+  [[nodiscard]] time_point latestStart(const waiting_job &Job, time_point Now) const {
     bool InTime = estimateProspect(Job, Now) == prospect::InTime;
     time_point LatestEnd = InTime ? Job.ObjectiveEndsAt : std::min(Job.UsefulUntil, Job.Deadline);
     return LatestEnd - milliseconds(Job.Request.estimate_ms());
   }
 
-  [[nodiscard]] static admission::waiting_demand makeDemand(const waiting_job &Job, time_point Now) {
+  [[nodiscard]] admission::waiting_demand makeDemand(const waiting_job &Job, time_point Now) const {
     // Late jobs are served after all others.
     bool InTime = estimateProspect(Job, Now) == prospect::InTime;
     std::uint32_t Priority = InTime ? Job.Request.priority() : std::numeric_limits<std::uint32_t>::max();
@@ -214,7 +229,7 @@
             latestStart(Job, Now)};
   }
 
-  [[nodiscard]] static service_rank rankOf(const waiting_job &Job, bool OwedShare, time_point Now) {
+  [[nodiscard]] service_rank rankOf(const waiting_job &Job, bool OwedShare, time_point Now) const {
     prospect Prospect = estimateProspect(Job, Now);
     if (Prospect != prospect::InTime)
       return Prospect == prospect::Late ? service_rank::Late : service_rank::TooLate;
@@ -271,7 +286,10 @@
     }
     auto MaxWait =
         std::chrono::duration_cast<duration>((Job.Deadline - Job.ArrivedAt) * Options.MaxWaitShare);
-    if (estimateProspect(Job, Now) != prospect::TooLate && Now - Job.ArrivedAt <= MaxWait)
+    // A job that waits for its rack by choice finds a server elsewhere when it gives up waiting.
+    prospect Prospect = estimateProspect(Job, Now);
+    bool WaitsForRack = Job.Place.Waits || (Job.Place.WaitingSince && Prospect == prospect::InTime);
+    if (Prospect != prospect::TooLate && (Now - Job.ArrivedAt <= MaxWait || WaitsForRack))
       return false;
     reject(Job, schema::REJECT_NO_ROOM_IN_TIME, Now);
     return true;
@@ -345,6 +363,8 @@
   }
 
   void grantTasks(waiting_job &Job, time_point Now) {
+    if (Locality.keepsWaiting(Job.Request, Job.Place, Job.WaitingRuns.size()))
+      return;
     bool SuspectsWait = Now - Job.ArrivedAt < Options.SuspectWait;
     for (auto Waiting = Job.WaitingRuns.begin(); Waiting != Job.WaitingRuns.end();) {
       auto [Index, Run] = *Waiting;
@@ -357,6 +377,10 @@
       }
       if (!Server)
         Server = chooseServer(Job, Now);
+      if (!Server && Job.Place.Waits) {
+        ++Waiting;
+        continue;
+      }
       if (!Server)
         return;
       Waiting = Job.WaitingRuns.erase(Waiting);
@@ -391,7 +415,7 @@
     double Slowness = State.overdue_slowness() > 0 ? std::max(State.slowness(), State.overdue_slowness())
                                                    : State.slowness();
     Pool->second.set(State.server(), {Free, toResourceAmounts(State.capacity()), Slowness,
-                                      acceptsTasks(Server), State.evacuated()});
+                                      acceptsTasks(Server), State.evacuated(), State.rack()});
     std::int64_t Capacity = State.capacity().cpu();
     reportUsage(Server, State.usable() ? admission::core_usage{Capacity, Capacity - Free.Cpu}
                                        : admission::core_usage{});
@@ -402,9 +426,28 @@
     Server.Usage = Usage;
   }
 
+  // Reports the cores that runs and grants use on the server's rack. Not called between the release of a
+  // handled grant and the report of its run, which would look like the end of a run.
+  void reportUse(known_server &Server) {
+    if (!Locality.observesRacks())
+      return;
+    std::int64_t Used = Server.State.capacity().cpu() - freeCapacity(Server).Cpu;
+    Locality.onUsedChanged(Server.State.pool(), Server.State.rack(),
+                           Used - std::exchange(Server.ReportedCpu, Used));
+  }
+
+  [[nodiscard]] std::vector<std::string> fullPools() const {
+    std::vector<std::string> Result;
+    for (const auto &[Pool, Sizes] : UnplaceableSizes)
+      Result.push_back(Pool);
+    return Result;
+  }
+
   server_iterator eraseServer(server_iterator Server) {
+    const schema::server_state &State = Server->second.State;
     reportUsage(Server->second, {});
-    Pools.at(Server->second.State.pool()).erase(Server->first);
+    Locality.onUsedChanged(State.pool(), State.rack(), -Server->second.ReportedCpu);
+    Pools.at(State.pool()).erase(Server->first);
     return Servers.erase(Server);
   }
 
@@ -421,7 +464,8 @@
   // Returns the best server with free capacity, or null. A server that the job should avoid is chosen only if
   // there is no other. If the best server is too slow for the objective but the pool has a server that is
   // fast enough, the task waits for that one and leaves the slow one to other jobs.
-  const std::string *chooseServer(const waiting_job &Job, time_point Now) {
+  const std::string *chooseServer(waiting_job &Job, time_point Now) {
+    Job.Place.Waits = false;
     auto Pool = Pools.find(Job.Request.pool());
     if (Pool == Pools.end() || isKnownUnplaceable(Job.Request))
       return nullptr;
@@ -436,6 +480,8 @@
       Choice = Pool->second.chooseServer(Job.Request.size(), MaxSlowness, OwnerUnreachable);
     if (!Choice.Id && UnreachableUntil.empty())
       UnplaceableSizes[Job.Request.pool()].push_back(toResourceAmounts(Job.Request.size()));
+    if (Choice.Id && Locality.concerns(Job.Request))
+      return chooseByLocality(Job, Pool->second, Choice, AvoidedOrUnreachable, Now);
     // The string that Choice.Id points to is destroyed when the server's entry in the index changes.
     const std::string *Server = Choice.Id ? &Servers.find(*Choice.Id)->first : nullptr;
     bool WaitForFasterServer =
@@ -459,6 +505,19 @@
     return FastInTime && !(SlowInTime && WaitMs > MaxOptionalWaitMs);
   }
 
+  // Returns the server that a task with a preferred rack gets, given the best free server of the pool; null
+  // if the task waits.
+  const std::string *chooseByLocality(waiting_job &Job, const pool_index &Pool,
+                                      const pool_index::choice &Best,
+                                      const std::function<bool(const std::string &)> &IsExcluded,
+                                      time_point Now) {
+    locality::job_times Times{computeMaxSlowness(Job, Now), runtime::toMs(Job.ObjectiveEndsAt - Now),
+                              runtime::toMs(std::min(Job.UsefulUntil, Job.Deadline) - Now)};
+    auto Choice = Locality.choose(Job.Request, Job.Place, Job.WaitingRuns.size(), Times, Pool, Best,
+                                  Servers.at(*Best.Id).State.rack(), IsExcluded);
+    return Choice.Id ? &Servers.find(*Choice.Id)->first : nullptr;
+  }
+
   // Returns the best server without tasks, or null.
   const std::string *chooseIdleServer(const waiting_job &Job, time_point Now) {
     auto Pool = Pools.find(Job.Request.pool());
@@ -502,6 +561,8 @@
                                          Now + Options.GrantTimeout});
     Server.Grants.push_back(Id);
     updateIndex(Server);
+    reportUse(Server);
+    double ExpectedFactor = Locality.onGranted(Job.Request, Job.Place, Server.State.rack());
     Job.Started = true;
     ++Counters.Granted;
     Counters.GrantedByShare += Job.OwedShare ? 1 : 0;
@@ -515,6 +576,10 @@
     Grant.set_owner(Server.Owner);
     Grant.set_token(Server.State.token());
     Grant.set_alone(Alone);
+    if (ExpectedFactor > 1)
+      Grant.set_expected_factor(static_cast<float>(ExpectedFactor));
+    if (Job.Request.same_rack())
+      Grant.set_rack(Server.State.rack());
     Send(Job.Coordinator, std::move(Message));
   }
 
@@ -574,6 +639,7 @@
   std::map<std::pair<std::string, std::string>, time_point> UnreachableUntil;
   // The ids start at the clock's time, so that grants of an earlier incarnation of this VM have other ids.
   std::uint64_t LastGrantId = static_cast<std::uint64_t>(Clock.unixMs()) << 20U;
+  locality::advisor Locality;
   placement_counters Counters;
 };
 
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -30,9 +30,10 @@
   void update(const server_entry &Updated) override {
     server_entry &Entry = Ledger.Entry;
     bool Returned = std::exchange(Ledger.Delisted, false);
-    bool Changed =
-        Returned || Updated.Draining != Entry.Draining || Updated.Target.Address != Entry.Target.Address ||
-        Updated.IncarnationStartMs != Entry.IncarnationStartMs || !areEqual(Updated.Capacity, Entry.Capacity);
+    bool Changed = Returned || Updated.Draining != Entry.Draining ||
+                   Updated.Target.Address != Entry.Target.Address ||
+                   Updated.IncarnationStartMs != Entry.IncarnationStartMs || Updated.Rack != Entry.Rack ||
+                   !areEqual(Updated.Capacity, Entry.Capacity);
     Entry = Updated;
     if (Changed)
       Ledger.onCapacityChanged();
@@ -95,6 +96,7 @@
     State.set_server(Ledger.Entry.Target.Id);
     State.set_domain(Ledger.Entry.Domain);
     State.set_pool(Ledger.Entry.Pool);
+    State.set_rack(Ledger.Entry.Rack);
     *State.mutable_capacity() = Ledger.Entry.Capacity;
     *State.mutable_used() = Ledger.Runs.used(Ledger.Entry.Capacity);
     State.set_usable(Orders.usable());
--- a/src/yuccaplank/entry/own_settings.cpp
+++ b/src/yuccaplank/entry/own_settings.cpp
@@ -49,6 +49,9 @@
   overrideIfSet(Settings.admission().wait_margin(), Admission.WaitMargin);
   for (const schema::guaranteed_share_settings &Share : Settings.admission().guaranteed_shares())
     Admission.Shares.push_back({Share.queue(), Share.priority(), Share.share()});
+  if (Settings.locality().ignore())
+    Options.Placement.Locality.Rule = dispatch::locality::wait_rule::Ignore;
+  overrideIfSet(Settings.locality().max_wait_share(), Options.Placement.Locality.MaxWaitShare);
 }
 
 frontend_options frontendOptions(const schema::daemon_settings &Settings, const platform::settings &Machine) {
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -61,6 +61,10 @@
   double FailingJobShare = 0;
   /// Share of the tasks that take seven times as long as the others.
   double LongTaskShare = 0;
+  /// Share of the jobs of random sizes whose data lies on the rack of the first two servers, and the factor
+  /// on the time of their tasks elsewhere.
+  double RackJobShare = 0;
+  double RemoteFactor = 3;
   /// Share of callers of jobs of random sizes that leave early.
   double LeavingCallerShare = 0.05;
   /// Duration of the traffic. Faults occur in its first 60 % only.
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -38,6 +38,8 @@
                                               const dispatch::start_order &Order) {
   standin::run_work Work = standin::decodeWork(Order.Specification);
   double Factor = Server.Slowness * Server.Slowdown;
+  if (!Work.Rack.empty() && Work.Rack != Server.Entry.Rack)
+    Factor *= Options.RemoteFactor;
   if (taskShare(Order.Run.Task, LongTaskSalt) < Options.LongTaskShare)
     Factor *= Options.LongTaskFactor;
   Work.Duration = runtime::fromMs(runtime::toMs(Work.Duration) * Factor);
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -28,6 +28,8 @@
     /// Share of the tasks that take LongTaskFactor times as long as the others, on every server.
     double LongTaskShare = 0;
     double LongTaskFactor = 7;
+    /// Factor on the time of a run outside the rack of its data.
+    double RemoteFactor = 1;
   };
   /// OnStart is called after each start that a server has carried out.
   simulated_servers(runtime::executor &Executor, network &Network, runtime::random &Random, options Options,
