--- a/src/yuccaplank/simulation/placement_simulation_test.cpp
+++ b/src/yuccaplank/simulation/placement_simulation_test.cpp
@@ -8,7 +8,6 @@
 using namespace yuccaplank;
 using namespace yuccaplank::simulation;
 using dispatch::locality::wait_rule;
-using testing::section;
 using testing::test_case;
 
 namespace {
