Mend what the review of admission control found

A refusal that is not delivered yet is kept, so that a further caller or a resubmission cannot run beside it. Backlogs come from the placer or a dispatching VM only. Servers that turn slow are judged by what their runs show. Jobs that wait by choice are not refused for lack of capacity. Nothing is predicted without cores in use, and a new placer observes anew. What a queue is owed is handed out job by job.

--- a/include/yuccaplank/dispatch/placement_queue.hpp
+++ b/include/yuccaplank/dispatch/placement_queue.hpp
@@ -70,6 +70,9 @@
   virtual void schedule() = 0;
   [[nodiscard]] virtual std::size_t waitingJobs() const = 0;
   [[nodiscard]] virtual placement_counters counters() const = 0;
+  /// Called when this VM becomes the placer: what it observed in an earlier time as the placer no longer
+  /// holds.
+  virtual void restartObservation() = 0;
   /// Sets the backlogs of the pools with more load than capacity.
   virtual void predictBacklogs(admission::known_backlogs &Backlogs) const = 0;
 };
--- a/src/yuccaplank/dispatch/admission/admission_control.cpp
+++ b/src/yuccaplank/dispatch/admission/admission_control.cpp
@@ -37,7 +37,7 @@
   if (!Options.PredictStarts || Pool == Pools.end())
     return std::nullopt;
   auto Ahead = AheadCpu.find(Demand.Pool);
-  return Pool->second.predictWait(Now, Demand.Priority,
+  return Pool->second.predictWait(Now, Demand.Urgency,
                                   (Ahead == AheadCpu.end() ? 0 : Ahead->second) + Demand.Cpu);
 }
 
@@ -50,9 +50,10 @@
 std::optional<refusal> admission_control::judge(time_point Now, const waiting_demand &Demand) {
   pool_load &Pool = Pools[Demand.Pool];
   std::int64_t &Ahead = AheadCpu[Demand.Pool];
-  auto Wait = Options.PredictStarts ? Pool.predictWait(Now, Demand.Priority, Ahead) : std::nullopt;
+  auto Wait = Options.PredictStarts ? Pool.predictWait(Now, Demand.Urgency, Ahead) : std::nullopt;
   double Margin = Pool.waitMargin(Now, Options.WaitMargin);
-  if (!Wait || runtime::toMs(*Wait) <= Margin * runtime::toMs(Demand.LatestStart - Now))
+  bool TooLong = Wait && runtime::toMs(*Wait) > Margin * runtime::toMs(Demand.LatestStart - Now);
+  if (!TooLong)
     return std::nullopt;
   duration RetryAfter = Pool.drainTime(Now);
   Pool.onRefused(Now, Demand.Priority);
@@ -61,12 +62,11 @@
   return refusal{*Wait, spreadRetryAfter(RetryAfter, Demand.Job)};
 }
 
-bool admission_control::isOwedShare(time_point Now, const std::string &Pool, const std::string &Queue,
-                                    std::uint32_t Priority) {
+double admission_control::accrueShare(time_point Now, const std::string &Pool, const std::string &Queue,
+                                      std::uint32_t Priority) {
   if (!Shares.covers(Queue, Priority))
-    return false;
-  Shares.accrue(Now, Queue, Priority, Pools[Pool].turnover().usage().Capacity);
-  return Shares.isOwed(Queue);
+    return 0;
+  return Shares.accrue(Now, Queue, Priority, Pools[Pool].turnover().usage().Capacity);
 }
 
 void admission_control::onGranted(time_point Now, const waiting_demand &Demand, const std::string &Queue,
--- a/src/yuccaplank/dispatch/admission/admission_control.hpp
+++ b/src/yuccaplank/dispatch/admission/admission_control.hpp
@@ -15,9 +15,13 @@
 
 /// A job that waits for servers, as admission control sees it.
 struct waiting_demand {
+  /// Outlives the value, which is not stored.
   const std::string &Pool;
   std::uint64_t Job = 0;
+  /// Priority of its queue; the largest value for jobs that can only be late, which come after all others.
   std::uint32_t Priority = 0;
+  /// Jobs with a lower value come before it. Differs from Priority for jobs that are owed a share.
+  std::uint32_t Urgency = 0;
   /// Cores that its waiting tasks need together, in thousandths.
   std::int64_t Cpu = 0;
   /// Latest time at which its tasks may start, so that its answer has value.
@@ -30,9 +34,9 @@
   runtime::duration RetryAfter{};
 };
 
-/// Answers a burst beyond the capacity, such as all callers at once at the end of a month: jobs that would
-/// only wait in vain are refused when they arrive. The caller passes the jobs of each scheduling pass in the
-/// order of service.
+/// Answers a burst beyond the capacity, such as all callers at once at the end of a month: a job that would
+/// only wait in vain is refused as soon as that is predicted, in most cases when it arrives. The caller
+/// passes the jobs of each scheduling pass in the order of service.
 class admission_control {
 public:
   explicit admission_control(const admission_options &Options) : Options(Options), Shares(Options.Shares) {}
@@ -54,9 +58,10 @@
   [[nodiscard]] std::optional<refusal> judge(runtime::time_point Now, const waiting_demand &Demand);
 
   [[nodiscard]] bool hasShares() const { return !Shares.empty(); }
-  /// Updates the account of a queue with waiting jobs, and returns whether it is served before others.
-  [[nodiscard]] bool isOwedShare(runtime::time_point Now, const std::string &Pool, const std::string &Queue,
-                                 std::uint32_t Priority);
+  /// Updates the account of a queue with waiting jobs. Returns the core time that it is owed, in thousandths
+  /// of a core times milliseconds; 0 if it has no share, negative if it has used more.
+  [[nodiscard]] double accrueShare(runtime::time_point Now, const std::string &Pool, const std::string &Queue,
+                                   std::uint32_t Priority);
   /// A task of a job has got cores, in thousandths.
   void onGranted(runtime::time_point Now, const waiting_demand &Demand, const std::string &Queue,
                  std::int64_t Cpu, double EstimateMs);
--- a/src/yuccaplank/dispatch/admission/admission_control_test.cpp
+++ b/src/yuccaplank/dispatch/admission/admission_control_test.cpp
@@ -30,7 +30,7 @@
   // Less urgent jobs arrive at 1.3 times the rate at which cores become free.
   void runInBurst(int Milliseconds) {
     for (int Step = 0; Step < Milliseconds; ++Step) {
-      waiting_demand Arrived{Pool, 1, 5, TaskCpu * 13 / 10, Now};
+      waiting_demand Arrived{Pool, 1, 5, 5, TaskCpu * 13 / 10, Now};
       Control.onArrival(Now, Arrived);
       run(1);
     }
@@ -45,7 +45,7 @@
   }
   [[nodiscard]] waiting_demand demand(std::int64_t Tasks, milliseconds CanWait, std::uint32_t Priority = 0,
                                       std::uint64_t Job = 1) const {
-    return {Pool, Job, Priority, Tasks * TaskCpu, Now + CanWait};
+    return {Pool, Job, Priority, Priority, Tasks * TaskCpu, Now + CanWait};
   }
   std::optional<refusal> pass(const waiting_demand &Demand) {
     Control.addWaiting(Demand);
@@ -106,10 +106,16 @@
     time_point Now{};
     Control.onServerChange(Now, Pool, {}, {Capacity, Capacity});
     Control.onServerChange(Now, Pool, {Capacity, Capacity}, {Capacity, Capacity - TaskCpu});
-    waiting_demand Demand{Pool, 1, 0, 1000 * TaskCpu, Now + milliseconds(100)};
+    waiting_demand Demand{Pool, 1, 0, 0, 1000 * TaskCpu, Now + milliseconds(100)};
     Control.addWaiting(Demand);
     CPPUNIT_ASSERT(!Control.judge(Now + milliseconds(500), Demand));
   }
+  if (auto When = section("while all servers are gone, and when none of them is in use")) {
+    busy_pool Load;
+    Load.Control.onServerChange(Load.Now, Pool, {Capacity, Capacity}, {});
+    Load.Now += milliseconds(400);
+    CPPUNIT_ASSERT(!Load.pass(Load.demand(1000, milliseconds(100))));
+  }
   if (auto When = section("while a part of the servers is gone")) {
     busy_pool Load;
     Load.Control.onServerChange(Load.Now, Pool, {Capacity / 2, Capacity / 2}, {});
@@ -154,7 +160,7 @@
   Options.Shares = {{"", 2, 0.2}, {"named", 0, 0.5}};
   busy_pool Load(Options);
   auto IsOwed = [&](const std::string &Queue, std::uint32_t Priority) {
-    return Load.Control.isOwedShare(Load.Now, Pool, Queue, Priority);
+    return Load.Control.accrueShare(Load.Now, Pool, Queue, Priority) > 0;
   };
   CPPUNIT_ASSERT(!IsOwed("urgent", 0));
   IsOwed("batch", 2);
--- a/src/yuccaplank/dispatch/admission/capacity_turnover.cpp
+++ b/src/yuccaplank/dispatch/admission/capacity_turnover.cpp
@@ -36,6 +36,8 @@
   double ReleasedCores = Released.value(Now);
   bool Observed = ObservedSince && Now - *ObservedSince >= MinObservation;
   bool Settled = Now - CapacityChangedAt >= SettlingTime;
+  if (Usage.Busy <= 0 || Usage.Capacity <= 0)
+    return std::nullopt;
   if (!Observed || !Settled || Releases.value(Now) < MinReleases || CoreTime <= 0)
     return std::nullopt;
   // By Little's law, CoreTime / ReleasedCores is the mean time for which a core stays in use.
--- a/src/yuccaplank/dispatch/admission/guaranteed_shares.cpp
+++ b/src/yuccaplank/dispatch/admission/guaranteed_shares.cpp
@@ -15,20 +15,16 @@
   return ByPriority;
 }
 
-void guaranteed_shares::accrue(runtime::time_point Now, const std::string &Queue, std::uint32_t Priority,
-                               std::int64_t CapacityCpu) {
+double guaranteed_shares::accrue(runtime::time_point Now, const std::string &Queue, std::uint32_t Priority,
+                                 std::int64_t CapacityCpu) {
   double CoreRate = shareOf(Queue, Priority) * static_cast<double>(CapacityCpu);
   auto [Entry, IsNew] = Accounts.try_emplace(Queue);
   account &Account = Entry->second;
-  double Limit = CoreRate * runtime::toMs(MaxBalance);
   double Earned = IsNew ? 0 : CoreRate * runtime::toMs(Now - Account.UpdatedAt);
-  Account.Balance = std::clamp(Account.Balance + Earned, -Limit, Limit);
+  Account.Balance = std::clamp(Account.Balance + Earned, -CoreRate * runtime::toMs(MaxDebt),
+                               CoreRate * runtime::toMs(MaxCredit));
   Account.UpdatedAt = Now;
-}
-
-bool guaranteed_shares::isOwed(const std::string &Queue) const {
-  auto Found = Accounts.find(Queue);
-  return Found != Accounts.end() && Found->second.Balance > 0;
+  return Account.Balance;
 }
 
 void guaranteed_shares::charge(const std::string &Queue, std::int64_t Cpu, double EstimateMs) {
--- a/src/yuccaplank/dispatch/admission/guaranteed_shares.hpp
+++ b/src/yuccaplank/dispatch/admission/guaranteed_shares.hpp
@@ -12,7 +12,8 @@
 namespace yuccaplank::dispatch::admission {
 
 /// Keeps account of the core time that each queue is entitled to and has used. A queue whose jobs wait is
-/// entitled to its share of the capacity; what it does not use while no job of it waits is lost to others.
+/// entitled to its share of the capacity. What it does not use while no job of it waits goes to others; only
+/// MaxCredit of it is kept.
 class guaranteed_shares {
 public:
   explicit guaranteed_shares(std::vector<guaranteed_share> Shares) : Shares(std::move(Shares)) {}
@@ -22,11 +23,10 @@
   [[nodiscard]] bool covers(const std::string &Queue, std::uint32_t Priority) const {
     return shareOf(Queue, Priority) > 0;
   }
-  /// Called with each queue that has waiting jobs, before its jobs are ordered.
-  void accrue(runtime::time_point Now, const std::string &Queue, std::uint32_t Priority,
-              std::int64_t CapacityCpu);
-  /// Whether the queue has used less than its share, so that its next job comes before those of others.
-  [[nodiscard]] bool isOwed(const std::string &Queue) const;
+  /// Called with each queue that has waiting jobs, before its jobs are ordered. Returns the core time that
+  /// the queue is owed; negative if it has used more than its share.
+  double accrue(runtime::time_point Now, const std::string &Queue, std::uint32_t Priority,
+                std::int64_t CapacityCpu);
   /// The queue has got cores, in thousandths, for an estimated time.
   void charge(const std::string &Queue, std::int64_t Cpu, double EstimateMs);
 
@@ -36,8 +36,11 @@
     double Balance = 0;
     runtime::time_point UpdatedAt{};
   };
-  // A queue without waiting jobs saves up its share for this time only, and owes what it borrowed no longer.
-  static constexpr runtime::duration MaxBalance = std::chrono::milliseconds(200);
+  // A queue without waiting jobs saves up its share for this time only, so that it cannot fill a pool at
+  // once.
+  static constexpr runtime::duration MaxCredit = std::chrono::milliseconds(200);
+  // What a queue has used beyond its share counts against it for this time at most.
+  static constexpr runtime::duration MaxDebt = std::chrono::seconds(2);
 
   [[nodiscard]] double shareOf(const std::string &Queue, std::uint32_t Priority) const;
 
--- a/src/yuccaplank/dispatch/admission/known_backlogs.cpp
+++ b/src/yuccaplank/dispatch/admission/known_backlogs.cpp
@@ -12,8 +12,8 @@
 } // namespace
 
 void known_backlogs::learn(time_point Now,
-                           const google::protobuf::RepeatedPtrField<schema::pool_backlog> &Told) {
-  for (const schema::pool_backlog &Message : Told) {
+                           const google::protobuf::RepeatedPtrField<schema::pool_backlog> &Received) {
+  for (const schema::pool_backlog &Message : Received) {
     time_point PredictedAt = Now - milliseconds(Message.age_ms());
     if (Now - PredictedAt > MaxAge)
       continue;
@@ -42,7 +42,7 @@
     Backlog.set_priority(Key.second);
     Backlog.set_wait_ms(toWholeMs(Known.Wait));
     Backlog.set_drain_ms(toWholeMs(Known.Drain));
-    Backlog.set_age_ms(toWholeMs(Now - Known.PredictedAt));
+    Backlog.set_age_ms(toWholeMs(Now - Known.PredictedAt) + 1);
   }
 }
 
--- a/src/yuccaplank/dispatch/admission/known_backlogs.hpp
+++ b/src/yuccaplank/dispatch/admission/known_backlogs.hpp
@@ -27,9 +27,12 @@
   };
 
   /// Takes over the backlogs in a heartbeat, unless newer ones are known.
-  void learn(runtime::time_point Now, const google::protobuf::RepeatedPtrField<schema::pool_backlog> &Told);
+  void learn(runtime::time_point Now,
+             const google::protobuf::RepeatedPtrField<schema::pool_backlog> &Received);
   /// Sets the backlogs that this VM predicts as the placer.
   void setOwn(runtime::time_point Now, const std::map<std::string, std::vector<backlog_summary>> &Predicted);
+  /// Forgets all backlogs, after a pause of this VM or when another VM has become the placer.
+  void clear() { Backlogs.clear(); }
   /// Adds the backlogs that still count to a heartbeat.
   void addTo(runtime::time_point Now,
              google::protobuf::RepeatedPtrField<schema::pool_backlog> &Message) const;
--- a/src/yuccaplank/dispatch/admission/load_shedder_test.cpp
+++ b/src/yuccaplank/dispatch/admission/load_shedder_test.cpp
@@ -43,7 +43,7 @@
     Clock.advance(milliseconds(100));
     google::protobuf::RepeatedPtrField<schema::pool_backlog> Told;
     Backlogs.addTo(Clock.now(), Told);
-    CPPUNIT_ASSERT_EQUAL(250U, Told.Get(0).age_ms());
+    CPPUNIT_ASSERT_EQUAL(251U, Told.Get(0).age_ms());
   }
   if (auto When = section("it is void 400 ms after the placer has predicted it")) {
     Clock.advance(milliseconds(251));
--- a/src/yuccaplank/dispatch/admission/pool_load.cpp
+++ b/src/yuccaplank/dispatch/admission/pool_load.cpp
@@ -10,6 +10,9 @@
 using runtime::time_point;
 
 void pool_load::onArrival(time_point Now, std::uint32_t Priority, std::int64_t Cpu) {
+  // A new placer is told of all waiting jobs at once, which says nothing about the rate at which they arrive.
+  if (!Turnover.releaseRate(Now))
+    return;
   auto [Rate, IsNew] = Arrivals.try_emplace(Priority, RateTimeConstant);
   Rate->second.add(Now, static_cast<double>(Cpu));
 }
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -37,8 +37,10 @@
       // Expired contacts end first, so that the other VMs receive the consequences before a heartbeat that
       // extends contact.
       Sessions.endExpiredContacts();
-      updateBacklogs();
+      addBacklogs();
       Vm.Contacts.sendHeartbeats();
+      // Other messages with the status would tell the backlogs with an age that is too low.
+      Vm.Self.clear_backlogs();
     });
     runEvery(Vm.Options.RetryInterval, [this] {
       Vm.Contacts.contactOthers();
@@ -114,6 +116,7 @@
     Vm.View->setSelf(Vm.Self);
     Sessions.endAllContacts();
     Vm.Owner->onPause();
+    Vm.Backlogs.clear();
     Vm.Contacts.contactOthers();
     Roles.updatePlacerAndOwnership();
   }
@@ -222,11 +225,11 @@
   }
 
   // Heartbeats tell the other VMs what this one predicts as the placer, or knows from the placer.
-  void updateBacklogs() {
+  void addBacklogs() {
     if (Roles.placing())
       Vm.Queue->predictBacklogs(Vm.Backlogs);
-    Vm.Self.clear_backlogs();
-    Vm.Backlogs.addTo(Vm.Executor.clock().now(), *Vm.Self.mutable_backlogs());
+    if (!Vm.Contacts.isRelay())
+      Vm.Backlogs.addTo(Vm.Executor.clock().now(), *Vm.Self.mutable_backlogs());
   }
 
   void answerCaller(std::uint64_t Job, const job_answer &Answer) {
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -75,6 +75,7 @@
   runtime::timer_id DeadlineTimer = 0;
   runtime::timer_id PlacerTimer = 0;
   runtime::timer_id StartTimer = 0;
+  time_point StartEndsAt{};
 };
 
 class job_coordinator_impl final : public job_coordinator {
@@ -309,13 +310,14 @@
     limitWait(Job);
   }
 
-  // The placer may be cut off, and the job then waits for nothing.
+  // The placer may be cut off, so that it never decides.
   void limitWait(coordinated_job &Job) {
     if (Job.StartTimer || Job.PossiblyStartedRuns > 0)
       return;
     duration Left = Job.SubmittedAt + latestStart(Job) - now();
-    Job.StartTimer = Executor.after(std::max(Left, duration::zero()) + Options.RefusalMargin,
-                                    [this, Id = Job.Request.Job] { onStartTimeout(Id); });
+    duration Limit = std::max(Left, duration::zero()) + Options.RefusalMargin;
+    Job.StartEndsAt = now() + Limit;
+    Job.StartTimer = Executor.after(Limit, [this, Id = Job.Request.Job] { onStartTimeout(Id); });
   }
 
   void describeJob(const coordinated_job &Job, schema::place_job &Place) const {
@@ -563,8 +565,9 @@
 
   void onStartTimeout(std::uint64_t Id) {
     auto Found = Jobs.find(Id);
-    if (Found == Jobs.end() || std::exchange(Found->second.StartTimer, 0) == 0 ||
-        Found->second.PossiblyStartedRuns > 0)
+    // A timer that became due while the process was paused may fire although it has been cancelled since.
+    if (Found == Jobs.end() || now() < Found->second.StartEndsAt ||
+        std::exchange(Found->second.StartTimer, 0) == 0 || Found->second.PossiblyStartedRuns > 0)
       return;
     finishJob(Found->second,
               {job_outcome::Refused, end_reason::NoRoomInTime, StartTimeoutRetryAfterMs, {}, false});
--- a/src/yuccaplank/dispatch/locality/advisor.cpp
+++ b/src/yuccaplank/dispatch/locality/advisor.cpp
@@ -172,6 +172,11 @@
   State.Changes += Cpu < 0 ? 1 : 0;
 }
 
+void advisor::onServerRemoved(const std::string &Pool, const std::string &Rack, std::int64_t UsedCpu) {
+  if (UsedCpu > 0)
+    rackState(Pool, Rack).Turnover.onServerRemoved(UsedCpu, Clock.now());
+}
+
 void advisor::logGivenUp(const schema::place_job &Request, const job_place &Place, const situation &Situation,
                          cause Cause) const {
   runtime::log(runtime::log_level::Info, "place_given_up",
--- a/src/yuccaplank/dispatch/locality/advisor.hpp
+++ b/src/yuccaplank/dispatch/locality/advisor.hpp
@@ -68,6 +68,8 @@
   [[nodiscard]] double expectedFactor(const schema::place_job &Request, const job_place &Place) const;
   /// Cores, in thousandths, that grants and runs use on the rack from now on in addition.
   void onUsedChanged(const std::string &Pool, const std::string &Rack, std::int64_t Cpu);
+  /// The server is gone, and the cores that were used there, in thousandths, with it.
+  void onServerRemoved(const std::string &Pool, const std::string &Rack, std::int64_t UsedCpu);
   [[nodiscard]] const counters &count() const { return Counters; }
 
 private:
--- a/src/yuccaplank/dispatch/locality/rack_turnover.hpp
+++ b/src/yuccaplank/dispatch/locality/rack_turnover.hpp
@@ -24,6 +24,12 @@
       FreedCpu -= static_cast<double>(Cpu);
   }
 
+  /// Cores, in thousandths, that are gone with their server. Nothing has become free.
+  void onServerRemoved(std::int64_t UsedCpu, runtime::time_point Now) {
+    decay(Now);
+    Used = std::max<std::int64_t>(0, Used - UsedCpu);
+  }
+
   /// Records that cores of the rack were granted while tasks waited for it by choice, and whether to one that
   /// prefers the rack.
   void onGrantedWhileWaiting(bool Prefers) { Share += ShareWeight * ((Prefers ? 1 : 0) - Share); }
--- a/src/yuccaplank/dispatch/message_router.cpp
+++ b/src/yuccaplank/dispatch/message_router.cpp
@@ -104,7 +104,7 @@
 
 void message_router::onStatus(const schema::vm_status &Status) {
   Configurations.learnEvacuations(Status);
-  Vm.Backlogs.learn(Vm.Executor.clock().now(), Status.backlogs());
+  learnBacklogs(Status);
   std::vector<view_change> Changes = Vm.View->onStatus(Status);
   // The reply precedes the messages that the start of contact causes, because the other VM accepts these
   // only when it is in contact.
@@ -117,6 +117,15 @@
     Roles.updatePlacerAndOwnership();
 }
 
+// Only the placer's word and, on a relaying VM, that of a dispatching one counts: backlogs that went round
+// would seem newer with each hop.
+void message_router::learnBacklogs(const schema::vm_status &Status) {
+  bool FromPlacer = Status.vm() == Roles.placer();
+  bool FromDispatcher = Vm.Contacts.isRelay() && Status.role() == schema::VM_DISPATCHES;
+  if (!Roles.placing() && (FromPlacer || FromDispatcher) && Vm.View->inContact(Status.vm()))
+    Vm.Backlogs.learn(Vm.Executor.clock().now(), Status.backlogs());
+}
+
 void message_router::onRelay(const std::string &From, const schema::relay_job &Job) {
   // A VM that lost contact assumes that this VM has given up its relayed jobs.
   if (Vm.View->inContact(From)) {
--- a/src/yuccaplank/dispatch/message_router.hpp
+++ b/src/yuccaplank/dispatch/message_router.hpp
@@ -27,6 +27,7 @@
 
 private:
   void onStatus(const schema::vm_status &Status);
+  void learnBacklogs(const schema::vm_status &Status);
   void onRelay(const std::string &From, const schema::relay_job &Job);
   void onCancel(const std::string &From, const schema::cancel_submitted &Request);
   void scheduleSoon();
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -12,7 +12,6 @@
 #include <limits>
 #include <map>
 #include <optional>
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -35,6 +34,8 @@
   bool Started = false;
   // Whether the job is served before more urgent ones because of its queue's guaranteed share.
   bool OwedShare = false;
+  // Whether no server had enough free capacity for a task in the current or latest pass.
+  bool NoServerFree = false;
   // Run numbers of the waiting tasks, by the task's index in the job.
   std::map<std::uint32_t, std::uint32_t> WaitingRuns;
   locality::job_place Place;
@@ -107,7 +108,7 @@
     for (const schema::task_run &Task : Request.tasks())
       Job.WaitingRuns[Task.index()] = Task.run();
     Job.Request = Request;
-    if (IsNew)
+    if (IsNew && !Job.Started)
       Admission.onArrival(Now, makeDemand(Job, Now));
   }
 
@@ -179,8 +180,10 @@
     for (waiting_job *Job : sortJobs(Now)) {
       if (rejectIfNotServable(*Job, Now))
         continue;
+      Job->NoServerFree = false;
       grantTasks(*Job, Now);
-      if (!Job->WaitingRuns.empty())
+      // A job that leaves free servers to others by choice does not wait for those before it.
+      if (!Job->WaitingRuns.empty() && Job->NoServerFree)
         rejectIfBacklogTooLong(*Job, Now);
     }
     std::erase_if(Jobs, [](const auto &Entry) { return Entry.second.WaitingRuns.empty(); });
@@ -197,6 +200,12 @@
     return Result;
   }
 
+  void restartObservation() override {
+    Admission = admission::admission_control(Options.Admission);
+    for (auto &[Id, Server] : Servers)
+      Server.Usage = {};
+  }
+
   void predictBacklogs(admission::known_backlogs &Backlogs) const override {
     Backlogs.setOwn(Clock.now(), Admission.backlogs(Clock.now()));
   }
@@ -215,51 +224,60 @@
   [[nodiscard]] time_point latestStart(const waiting_job &Job, time_point Now) const {
     bool InTime = estimateProspect(Job, Now) == prospect::InTime;
     time_point LatestEnd = InTime ? Job.ObjectiveEndsAt : std::min(Job.UsefulUntil, Job.Deadline);
-    return LatestEnd - milliseconds(Job.Request.estimate_ms());
+    return LatestEnd -
+           runtime::fromMs(Job.Request.estimate_ms() * Locality.expectedFactor(Job.Request, Job.Place));
   }
 
   [[nodiscard]] admission::waiting_demand makeDemand(const waiting_job &Job, time_point Now) const {
     // Late jobs are served after all others.
     bool InTime = estimateProspect(Job, Now) == prospect::InTime;
     std::uint32_t Priority = InTime ? Job.Request.priority() : std::numeric_limits<std::uint32_t>::max();
-    if (Job.OwedShare)
-      Priority = 0;
-    return {Job.Request.pool(), Job.Request.job(), Priority,
-            static_cast<std::int64_t>(Job.WaitingRuns.size()) * Job.Request.size().cpu(),
-            latestStart(Job, Now)};
+    std::uint32_t Urgency = Job.OwedShare ? 0 : Priority;
+    return {Job.Request.pool(), Job.Request.job(), Priority, Urgency, waitingCpu(Job), latestStart(Job, Now)};
+  }
+
+  // Returns the cores, in thousandths, that the waiting tasks of the job need together.
+  [[nodiscard]] static std::int64_t waitingCpu(const waiting_job &Job) {
+    return static_cast<std::int64_t>(Job.WaitingRuns.size()) * Job.Request.size().cpu();
   }
 
-  [[nodiscard]] service_rank rankOf(const waiting_job &Job, bool OwedShare, time_point Now) const {
+  [[nodiscard]] service_rank rankOf(const waiting_job &Job, time_point Now) const {
     prospect Prospect = estimateProspect(Job, Now);
     if (Prospect != prospect::InTime)
       return Prospect == prospect::Late ? service_rank::Late : service_rank::TooLate;
     if (Job.Started)
       return service_rank::Started;
-    return OwedShare ? service_rank::OwedShare : service_rank::InTime;
+    return Job.OwedShare ? service_rank::OwedShare : service_rank::InTime;
   }
 
-  // Returns the names of the queues that have had less than their guaranteed share.
-  std::set<std::string> queuesOwedShare(time_point Now) {
-    std::set<std::string> Owed;
+  // Marks the jobs that come before others because of their queue's guaranteed share: the earliest ones, as
+  // far as they use up what the queue is owed.
+  void markOwedShares(time_point Now) {
     if (!Admission.hasShares())
-      return Owed;
-    std::map<std::string, const waiting_job *> Queues;
-    for (const auto &[Key, Job] : Jobs)
-      Queues.emplace(Job.Request.queue(), &Job);
-    for (const auto &[Queue, Job] : Queues)
-      if (Admission.isOwedShare(Now, Job->Request.pool(), Queue, Job->Request.priority()))
-        Owed.insert(Queue);
-    return Owed;
+      return;
+    std::map<std::string, std::vector<waiting_job *>> JobsByQueue;
+    for (auto &[Key, Job] : Jobs) {
+      Job.OwedShare = false;
+      if (!Job.Started && estimateProspect(Job, Now) == prospect::InTime)
+        JobsByQueue[Job.Request.queue()].push_back(&Job);
+    }
+    for (auto &[Queue, Waiting] : JobsByQueue) {
+      const schema::place_job &Request = Waiting.front()->Request;
+      double Owed = Admission.accrueShare(Now, Request.pool(), Queue, Request.priority());
+      std::ranges::sort(Waiting, {}, &waiting_job::ArrivedAt);
+      for (waiting_job *Job : Waiting) {
+        Job->OwedShare = Owed > 0;
+        Owed -= static_cast<double>(waitingCpu(*Job)) * Job->Request.estimate_ms();
+      }
+    }
   }
 
   std::vector<waiting_job *> sortJobs(time_point Now) {
-    std::set<std::string> OwedQueues = queuesOwedShare(Now);
+    markOwedShares(Now);
     std::vector<std::pair<service_rank, waiting_job *>> RankedJobs;
     RankedJobs.reserve(Jobs.size());
     for (auto &[Key, Job] : Jobs)
-      RankedJobs.emplace_back(rankOf(Job, OwedQueues.contains(Job.Request.queue()), Now), &Job);
-    for (const auto &[Rank, Job] : RankedJobs)
-      Job->OwedShare = Rank == service_rank::OwedShare;
+      RankedJobs.emplace_back(rankOf(Job, Now), &Job);
     std::ranges::sort(RankedJobs, [](const auto &Left, const auto &Right) {
       if (Left.first != Right.first)
         return Left.first < Right.first;
@@ -446,7 +464,7 @@
   server_iterator eraseServer(server_iterator Server) {
     const schema::server_state &State = Server->second.State;
     reportUsage(Server->second, {});
-    Locality.onUsedChanged(State.pool(), State.rack(), -Server->second.ReportedCpu);
+    Locality.onServerRemoved(State.pool(), State.rack(), Server->second.ReportedCpu);
     Pools.at(State.pool()).erase(Server->first);
     return Servers.erase(Server);
   }
@@ -467,8 +485,12 @@
   const std::string *chooseServer(waiting_job &Job, time_point Now) {
     Job.Place.Waits = false;
     auto Pool = Pools.find(Job.Request.pool());
-    if (Pool == Pools.end() || isKnownUnplaceable(Job.Request))
+    if (Pool == Pools.end())
+      return nullptr;
+    if (isKnownUnplaceable(Job.Request)) {
+      Job.NoServerFree = true;
       return nullptr;
+    }
     double MaxSlowness = computeMaxSlowness(Job, Now);
     auto OwnerUnreachable = [&](const std::string &Id) { return isOwnerUnreachable(Job, Id); };
     auto AvoidedOrUnreachable = [&](const std::string &Id) {
@@ -480,6 +502,7 @@
       Choice = Pool->second.chooseServer(Job.Request.size(), MaxSlowness, OwnerUnreachable);
     if (!Choice.Id && UnreachableUntil.empty())
       UnplaceableSizes[Job.Request.pool()].push_back(toResourceAmounts(Job.Request.size()));
+    Job.NoServerFree = !Choice.Id;
     if (Choice.Id && Locality.concerns(Job.Request))
       return chooseByLocality(Job, Pool->second, Choice, AvoidedOrUnreachable, Now);
     // The string that Choice.Id points to is destroyed when the server's entry in the index changes.
@@ -498,7 +521,7 @@
       return true;
     double LeftMs = runtime::toMs(Job.ObjectiveEndsAt - Now);
     double EstimateMs = Job.Request.estimate_ms();
-    double SlowMs = EstimateMs * std::exp(Servers.at(*SlowServer).State.slowness());
+    double SlowMs = EstimateMs * std::exp(Pools.at(Job.Request.pool()).slownessOf(*SlowServer));
     double WaitMs = runtime::toMs(*Wait);
     bool SlowInTime = SlowMs <= LeftMs;
     bool FastInTime = WaitMs + EstimateMs * Options.EstimateMargin <= LeftMs;
--- a/src/yuccaplank/dispatch/shedding_job_service.hpp
+++ b/src/yuccaplank/dispatch/shedding_job_service.hpp
@@ -4,13 +4,13 @@
 
 #include "admission/load_shedder.hpp"
 #include "yuccaplank/dispatch/job_service.hpp"
+#include "yuccaplank/dispatch/messages.hpp"
 #include "yuccaplank/runtime/executor.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
-#include "yuccaplank/dispatch/messages.hpp"
-
 #include <functional>
+#include <map>
 
 namespace yuccaplank::dispatch {
 
@@ -22,6 +22,9 @@
       : Executor(Executor), Next(Next), Shedder(Shedder), AnswerCaller(std::move(AnswerCaller)) {}
 
   bool submit(const queue_settings &Queue, job_request Request) override {
+    // A further caller of a job that is being refused receives the same refusal.
+    if (Refused.contains(Request.Job))
+      return false;
     std::optional<runtime::duration> RetryAfter;
     if (!Next.contains(Request.Job))
       RetryAfter = Shedder.shed(Queue, Request);
@@ -30,7 +33,9 @@
     refuse(Queue, Request.Job, *RetryAfter);
     return true;
   }
-  bool cancel(std::uint64_t Job, end_reason Reason) override { return Next.cancel(Job, Reason); }
+  bool cancel(std::uint64_t Job, end_reason Reason) override {
+    return Refused.erase(Job) > 0 || Next.cancel(Job, Reason);
+  }
   [[nodiscard]] bool contains(std::uint64_t Job) const override { return Next.contains(Job); }
   [[nodiscard]] job_state state(std::uint64_t Job) const override { return Next.state(Job); }
   [[nodiscard]] std::size_t size() const override { return Next.size(); }
@@ -46,13 +51,27 @@
                  {{"job", formatJob(Job)},
                   {"queue", Queue.Name},
                   {"retry_after_ms", std::int64_t{Answer.RetryAfterMs}}});
-    Executor.post(Lifetime.guard([this, Job, Answer] { AnswerCaller(Job, Answer); }));
+    std::uint64_t Number = ++LastRefusal;
+    Refused[Job] = Number;
+    Executor.post(Lifetime.guard([this, Job, Number, Answer] { deliver(Job, Number, Answer); }));
+  }
+
+  // The caller may have left since, and another one may have submitted the job again.
+  void deliver(std::uint64_t Job, std::uint64_t Number, const job_answer &Answer) {
+    auto Found = Refused.find(Job);
+    if (Found == Refused.end() || Found->second != Number)
+      return;
+    Refused.erase(Found);
+    AnswerCaller(Job, Answer);
   }
 
   runtime::executor &Executor;
   job_service &Next;
   admission::load_shedder &Shedder;
   std::function<void(std::uint64_t, const job_answer &)> AnswerCaller;
+  // Jobs whose refusal is not delivered yet, with the number of the refusal.
+  std::map<std::uint64_t, std::uint64_t> Refused;
+  std::uint64_t LastRefusal = 0;
   runtime::lifetime Lifetime;
 };
 
--- a/src/yuccaplank/dispatch/vm_roles.cpp
+++ b/src/yuccaplank/dispatch/vm_roles.cpp
@@ -55,6 +55,7 @@
   if (NewPlacer != Placer) {
     log(log_level::Info, "placer_changed", {{"placer", NewPlacer}, {"former", Placer}});
     Placer = NewPlacer;
+    Vm.Backlogs.clear();
     setPlacing(Placer == Vm.Options.Vm);
     Vm.Jobs->onPlacerChanged();
   }
@@ -65,6 +66,8 @@
   if (std::exchange(Placing, IsPlacing) == IsPlacing)
     return;
   PlacingSince = now();
+  if (IsPlacing)
+    Vm.Queue->restartObservation();
   Vm.broadcast(makeSubscription(!IsPlacing));
 }
 
