Check a configuration before it is sent

VMs take any configuration that decodes, so contradictions in it, such as a route that no request can match or a version that does not exceed the one in force, show only after it was sent, or never.

The exit status is 1 if there is an error. The checks are a pure function over decoded documents, platform/configuration_check. decodeConfiguration shares its reader and accepts the same documents as before: it still ignores "services", which only the check reads.

--- a/src/yuccaplank/cli/arguments.cpp
+++ b/src/yuccaplank/cli/arguments.cpp
@@ -210,7 +210,7 @@
   if (!Command) {
     Text << "Usage: yuccaplank COMMAND [arguments] [options]\n\nCommands:\n";
     for (const command &Entry : commandTable())
-      Text << fmt::format("  {:<18}{}\n", Entry.Name, Entry.Summary);
+      Text << fmt::format("  {:<21}{}\n", Entry.Name, Entry.Summary);
     Text << "\n" << makeGlobalOptions();
     Text << "\nExit status: 0 done, 1 other error, 2 usage, 3 failed (may have run), 4 refused (not run),\n"
             "5 outcome unknown.\n";
--- a/src/yuccaplank/cli/arguments_test.cpp
+++ b/src/yuccaplank/cli/arguments_test.cpp
@@ -40,6 +40,9 @@
       {"state", "5c0e7a21d94b36f8", "--entry", "127.0.0.1:1", "--queue", "jobs.example"},
       {"cancel", "5c0e", "--entry", "127.0.0.1:1", "--queue", "jobs.example/jobs/"},
       {"waiting", "/jobs/", "--entry", "127.0.0.1:1"},
+      {"check-configuration"},
+      {"check-configuration", "job.json", "--body-limit", "0"},
+      {"check-configuration", "-", "--in-force", "-"},
       {"vms"},
       {"vms", "--operator", "[::1]"},
   };
--- a/src/yuccaplank/cli/command.cpp
+++ b/src/yuccaplank/cli/command.cpp
@@ -29,6 +29,14 @@
                         "write the report as one HTML page");
 }
 
+void declareCheckOptions(po::options_description &Options) {
+  Options.add_options()("in-force", po::value<std::string>()->value_name("FILE"),
+                        "configuration in force, to compare with");
+  Options.add_options()("body-limit",
+                        po::value<std::int64_t>()->value_name("BYTES")->default_value(256 << 10),
+                        "setting limits.body_bytes of the VMs");
+}
+
 constexpr auto Commands = std::to_array<command>({
     {"submit", "FILE", "Submits a job document ('-' reads standard input) and waits for its outcome.",
      "yuccaplank submit job.json --entry 127.0.0.1:7100,127.0.0.1:7101\n"
@@ -57,6 +65,11 @@
      command_target::Operator, declareBurnOptions, runReportBurn},
     {"top", "", "Shows VMs, objectives and backend servers, refreshed every second.", "yuccaplank top\n",
      command_target::Operator, declareNoOptions, runTop},
+    {"check-configuration", "FILE",
+     "Checks a configuration ('-' reads standard input) before it is sent; connects to nothing.",
+     "yuccaplank check-configuration new.json\n"
+     "yuccaplank check-configuration new.json --in-force current.json\n",
+     command_target::None, declareCheckOptions, runCheckConfiguration},
 });
 
 } // namespace
--- a/src/yuccaplank/cli/command.hpp
+++ b/src/yuccaplank/cli/command.hpp
@@ -44,8 +44,8 @@
 exit_status runCli(const std::vector<std::string> &Arguments, const environment &Environment,
                    const console &Console, requester &Requester, std::function<std::string()> MakeJobId);
 
-// Functions that run the commands, defined in job_commands.cpp, fleet_commands.cpp, evacuation_commands.cpp
-// and report_commands.cpp.
+// Functions that run the commands, defined in job_commands.cpp, fleet_commands.cpp, evacuation_commands.cpp,
+// report_commands.cpp and configuration_commands.cpp.
 exit_status runSubmit(command_context &Context);
 exit_status runState(command_context &Context);
 exit_status runCancel(command_context &Context);
@@ -57,5 +57,6 @@
 exit_status runTakeBack(command_context &Context);
 exit_status runReportBurn(command_context &Context);
 exit_status runTop(command_context &Context);
+exit_status runCheckConfiguration(command_context &Context);
 
 } // namespace yuccaplank::cli
--- a/src/yuccaplank/platform/documents.cpp
+++ b/src/yuccaplank/platform/documents.cpp
@@ -1,5 +1,6 @@
 #include "yuccaplank/platform/documents.hpp"
 #include "json_reader.hpp"
+#include "yuccaplank/platform/configuration_check.hpp"
 #include "yuccaplank/platform/store_client.hpp"
 #include "yuccaplank/wire/socket_address.hpp"
 
@@ -46,6 +47,40 @@
   return Queue;
 }
 
+dispatch::configuration readConfiguration(const json &Document, std::vector<field_issue> &Issues) {
+  dispatch::configuration Configuration;
+  object_reader Reader(Document, "", Issues);
+  Reader.requiredInteger("version", Configuration.Version);
+  std::size_t Index = 0;
+  for (const json &Route : Reader.child("routes", true, true))
+    Configuration.Queues.push_back(readQueue(Route, "routes[" + std::to_string(Index++) + "]", Issues));
+  object_reader Limits(Reader.child("limits", false, false), "limits", Issues);
+  Limits.optionalInteger("max_body_bytes", Configuration.Limits.MaxBodyBytes);
+  return Configuration;
+}
+
+// Reads a list of objects with names, or an object whose keys are the names. Returns nullopt if the field is
+// missing or null.
+std::optional<std::vector<std::string>> readServiceNames(const json &Document,
+                                                         std::vector<field_issue> &Issues) {
+  auto Services = Document.find("services");
+  if (Services == Document.end() || Services->is_null())
+    return std::nullopt;
+  std::vector<std::string> Names;
+  if (Services->is_object()) {
+    for (const auto &[Name, Service] : Services->items())
+      Names.push_back(Name);
+    return Names;
+  }
+  std::size_t Index = 0;
+  object_reader Reader(Document, "", Issues);
+  for (const json &Service : Reader.child("services", false, true)) {
+    object_reader Entry(Service, "services[" + std::to_string(Index++) + "]", Issues);
+    Entry.requiredText("name", Names.emplace_back());
+  }
+  return Names;
+}
+
 step_document readStep(const json &Value, const std::string &Path, std::vector<field_issue> &Issues) {
   step_document Step;
   object_reader Reader(Value, Path, Issues);
@@ -85,21 +120,28 @@
 } // namespace
 
 runtime::result<dispatch::configuration> decodeConfiguration(std::string_view Text) {
-  json Document = parseJson(Text);
   std::vector<field_issue> Issues;
-  dispatch::configuration Configuration;
-  object_reader Reader(Document, "", Issues);
-  Reader.requiredInteger("version", Configuration.Version);
-  std::size_t Index = 0;
-  for (const json &Route : Reader.child("routes", true, true))
-    Configuration.Queues.push_back(readQueue(Route, "routes[" + std::to_string(Index++) + "]", Issues));
-  object_reader Limits(Reader.child("limits", false, false), "limits", Issues);
-  Limits.optionalInteger("max_body_bytes", Configuration.Limits.MaxBodyBytes);
+  dispatch::configuration Configuration = readConfiguration(parseJson(Text), Issues);
   if (!Issues.empty())
     return make_error_code(errc::MalformedDocument);
   return Configuration;
 }
 
+configuration_document readConfigurationDocument(std::string_view Text) {
+  configuration_document Result;
+  json Document = parseJson(Text);
+  std::vector<field_issue> Issues;
+  if (Document.is_object()) {
+    Result.Configuration = readConfiguration(Document, Issues);
+    Result.Services = readServiceNames(Document, Issues);
+  } else {
+    Issues.push_back({errc::MalformedDocument, ""});
+  }
+  for (const field_issue &Issue : Issues)
+    Result.Errors.push_back({finding_level::Error, Issue.Path, std::string(runtime::errcName(Issue.Reason))});
+  return Result;
+}
+
 runtime::result<std::string> decodeEvacuation(std::string_view Key, std::string_view Text) {
   if (!Key.starts_with(EvacuationKeyPrefix) || !parseJson(Text).is_object())
     return make_error_code(errc::MalformedDocument);
