--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -148,10 +148,10 @@
     Submitted.Callers.erase(Token);
     if (!Submitted.Callers.empty())
       return;
-    Vm.jobs().cancel(Job, dispatch::end_reason::CallerLeft);
-    // No answer follows for a job that nobody awaits.
+    // The job is forgotten first, since the cancel may deliver an answer at once.
     TasksInProgress -= Submitted.Tasks;
     Jobs.erase(Job);
+    Vm.jobs().cancel(Job, dispatch::end_reason::CallerLeft);
   }
 
   void answer(std::uint64_t Job, const job_answer &Answer) override {
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -56,7 +56,8 @@
   void onRollCallNeeded() override {}
   void onConfigurationOffered(const schema::configuration_copy &) override {}
 
-  void configure(std::uint64_t Version = 1) const {
+  // An entry VM without a registration relays its callers' jobs.
+  void configure(std::uint64_t Version = 1, bool Registered = true) const {
     dispatch::configuration Configuration;
     Configuration.Version = Version;
     dispatch::queue_settings Queue;
@@ -67,7 +68,8 @@
     Configuration.Queues.push_back(Queue);
     Configuration.Limits.MaxBodyBytes = 1000;
     Entry->setConfiguration(Configuration, "");
-    Entry->setRegistration(1, true);
+    if (Registered)
+      Entry->setRegistration(1, true);
     Executor->advance(milliseconds(750));
   }
 
@@ -272,6 +274,13 @@
     Vm.Frontend->onClosed(Left);
     CPPUNIT_ASSERT_EQUAL(0, Vm.statusOf(Vm.request("POST", "/p/0000000000000002", makeBody(1, 12))));
   }
+  if (auto When = section("the tasks of a caller that leaves a relaying VM are counted off once")) {
+    vm Relay;
+    Relay.configure(1, false);
+    Relay.Frontend->onClosed(Relay.request("POST", "/p/0000000000000001", makeBody(1, 12)));
+    Relay.request("POST", "/p/0000000000000002", makeBody(1, 1));
+    CPPUNIT_ASSERT_EQUAL(0, Relay.statusOf(Relay.request("POST", "/p/0000000000000003", makeBody(1, 11))));
+  }
 });
 
 // Guards against memory that grows with each caller that leaves before its answer.
