--- a/include/yuccaplank/dispatch/admission/admission_options.hpp
+++ b/include/yuccaplank/dispatch/admission/admission_options.hpp
@@ -21,7 +21,7 @@
   bool PredictStarts = true;
   /// In a burst, a job is admitted while its predicted wait is at most this share of the time that it can
   /// wait. The rest covers errors of the prediction and of the declared run time.
-  double WaitMargin = 0.25;
+  double WaitMargin = 0.2;
   /// Without an entry, a queue has no guaranteed share.
   std::vector<guaranteed_share> Shares;
 };
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -84,8 +84,8 @@
 
 class placement_queue_impl final : public placement_queue {
 public:
-  placement_queue_impl(const runtime::clock &Clock, send_function Send, placement_options Options)
-      : Clock(Clock), Send(std::move(Send)), Options(Options), Admission(Options.Admission),
+  placement_queue_impl(const runtime::clock &Clock, send_function Send, placement_options OptionsIn)
+      : Clock(Clock), Send(std::move(Send)), Options(std::move(OptionsIn)), Admission(Options.Admission),
         Locality(Clock, Options.Locality) {}
 
   void enqueue(const std::string &Coordinator, const schema::place_job &Request) override {
@@ -670,7 +670,7 @@
 
 std::unique_ptr<placement_queue> makePlacementQueue(const runtime::clock &Clock, send_function Send,
                                                     placement_options Options) {
-  return std::make_unique<placement_queue_impl>(Clock, std::move(Send), Options);
+  return std::make_unique<placement_queue_impl>(Clock, std::move(Send), std::move(Options));
 }
 
 } // namespace yuccaplank::dispatch
