Judge jobs that wait for a faster server like the others

The least margin is reached at a tenth more load than capacity, since short jobs dominate the rates of cores.

--- a/src/yuccaplank/dispatch/admission/load_shedder.hpp
+++ b/src/yuccaplank/dispatch/admission/load_shedder.hpp
@@ -29,8 +29,8 @@
 
 private:
   static constexpr runtime::duration Window = std::chrono::seconds(1);
-  // Jobs that are passed on for each accepted one. With fewer, the placer sees too little of the demand to tell
-  // a burst from a mild one, and capacity that becomes free is noticed late.
+  // Jobs that are passed on for each accepted one. With fewer, the placer sees too little of the demand to
+  // tell a burst from a mild one, and capacity that becomes free is noticed late.
   static constexpr double PassedPerAccepted = 2;
   static constexpr double MaxShedShare = 0.9;
   // A job is refused here only if the predicted wait takes more than this share of the time that it can wait.
--- a/src/yuccaplank/dispatch/admission/pool_load.hpp
+++ b/src/yuccaplank/dispatch/admission/pool_load.hpp
@@ -61,7 +61,7 @@
   static constexpr runtime::duration OverloadGap = std::chrono::milliseconds(400);
 
   // Decrease of the margin with the ratio of arrivals to releases.
-  static constexpr double MarginSlope = 4;
+  static constexpr double MarginSlope = 10;
 
   [[nodiscard]] double arrivalRateBefore(runtime::time_point Now, std::uint32_t Priority) const;
   [[nodiscard]] double grantRate(runtime::time_point Now, std::uint32_t Priority) const;
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -34,8 +34,6 @@
   bool Started = false;
   // Whether the job is served before more urgent ones because of its queue's guaranteed share.
   bool OwedShare = false;
-  // Whether no server had enough free capacity for a task in the current or latest pass.
-  bool NoServerFree = false;
   // Run numbers of the waiting tasks, by the task's index in the job.
   std::map<std::uint32_t, std::uint32_t> WaitingRuns;
   locality::job_place Place;
@@ -180,10 +178,9 @@
     for (waiting_job *Job : sortJobs(Now)) {
       if (rejectIfNotServable(*Job, Now))
         continue;
-      Job->NoServerFree = false;
       grantTasks(*Job, Now);
-      // A job that leaves free servers to others by choice does not wait for those before it.
-      if (!Job->WaitingRuns.empty() && Job->NoServerFree)
+      // A job that waits for the rack of its data by choice does not wait for those before it.
+      if (!Job->WaitingRuns.empty() && !Job->Place.Waits)
         rejectIfBacklogTooLong(*Job, Now);
     }
     std::erase_if(Jobs, [](const auto &Entry) { return Entry.second.WaitingRuns.empty(); });
@@ -487,10 +484,8 @@
     auto Pool = Pools.find(Job.Request.pool());
     if (Pool == Pools.end())
       return nullptr;
-    if (isKnownUnplaceable(Job.Request)) {
-      Job.NoServerFree = true;
+    if (isKnownUnplaceable(Job.Request))
       return nullptr;
-    }
     double MaxSlowness = computeMaxSlowness(Job, Now);
     auto OwnerUnreachable = [&](const std::string &Id) { return isOwnerUnreachable(Job, Id); };
     auto AvoidedOrUnreachable = [&](const std::string &Id) {
@@ -502,7 +497,6 @@
       Choice = Pool->second.chooseServer(Job.Request.size(), MaxSlowness, OwnerUnreachable);
     if (!Choice.Id && UnreachableUntil.empty())
       UnplaceableSizes[Job.Request.pool()].push_back(toResourceAmounts(Job.Request.size()));
-    Job.NoServerFree = !Choice.Id;
     if (Choice.Id && Locality.concerns(Job.Request))
       return chooseByLocality(Job, Pool->second, Choice, AvoidedOrUnreachable, Now);
     // The string that Choice.Id points to is destroyed when the server's entry in the index changes.
