--- a/src/yuccaplank/dispatch/admission/admission_control_test.cpp
+++ b/src/yuccaplank/dispatch/admission/admission_control_test.cpp
@@ -25,7 +25,7 @@
 
   explicit busy_pool(admission_options OptionsIn = {}) : Options(std::move(OptionsIn)) {
     Control.onServerChange(Now, Pool, {}, {Capacity, Capacity});
-    run(500);
+    run(2000);
   }
   // Less urgent jobs arrive at 1.3 times the rate at which cores become free.
   void runInBurst(int Milliseconds) {
--- a/src/yuccaplank/dispatch/placement_queue_test.cpp
+++ b/src/yuccaplank/dispatch/placement_queue_test.cpp
@@ -270,7 +270,7 @@
   };
   for (std::uint32_t Server = 0; Server < Servers; ++Server)
     SetUsed(Server, 2);
-  RunTasks(600);
+  RunTasks(2000);
   if (auto When =
           section("a job that would not begin in time is refused at once, one that would be is not")) {
     for (std::uint64_t Job = 1; Job <= 10; ++Job)
