--- a/src/yuccaplank/dispatch/admission/capacity_turnover.hpp
+++ b/src/yuccaplank/dispatch/admission/capacity_turnover.hpp
@@ -32,8 +32,8 @@
   // use say little about the rate.
   static constexpr runtime::duration SettlingTime = std::chrono::milliseconds(300);
   static constexpr double CapacityTolerance = 0.1;
-  // With fewer releases within the time constant, as on a small site, the error of the rate exceeds 6 %, and the
-  // difference to the arrivals says too little to refuse a job.
+  // With fewer releases within the time constant, as on a small site, the error of the rate exceeds 6 %, and
+  // the difference to the arrivals says too little to refuse a job.
   static constexpr double MinReleases = 300;
 
   void setUsage(runtime::time_point Now, const core_usage &Updated);
