Compute what admission needs once

The prediction for a faster server was made for every task that found no server at all; the prospect of a job was estimated twice for each demand and each grant; the cores ahead of a job stood in two tables.

--- a/src/yuccaplank/dispatch/admission/admission_control.cpp
+++ b/src/yuccaplank/dispatch/admission/admission_control.cpp
@@ -27,52 +27,44 @@
 }
 
 void admission_control::beginPass() {
-  AheadCpu.clear();
   for (auto &[Name, Pool] : Pools)
-    Pool.clearWaiting();
+    Pool.beginPass();
 }
 
 std::optional<duration> admission_control::predictWait(time_point Now, const waiting_demand &Demand) const {
   auto Pool = Pools.find(Demand.Pool);
   if (!Options.PredictStarts || Pool == Pools.end())
     return std::nullopt;
-  auto Ahead = AheadCpu.find(Demand.Pool);
-  return Pool->second.predictWait(Now, Demand.Urgency,
-                                  (Ahead == AheadCpu.end() ? 0 : Ahead->second) + Demand.Cpu);
+  return Pool->second.predictWait(Now, Demand.Urgency, Pool->second.waitingCpu() + Demand.Cpu);
 }
 
 void admission_control::addWaiting(const waiting_demand &Demand) {
-  std::int64_t &Ahead = AheadCpu[Demand.Pool];
-  Ahead += Demand.Cpu;
-  Pools[Demand.Pool].setWaiting(Demand.Priority, Ahead);
+  Pools[Demand.Pool].addWaiting(Demand.Priority, Demand.Cpu);
 }
 
 std::optional<refusal> admission_control::judge(time_point Now, const waiting_demand &Demand) {
   pool_load &Pool = Pools[Demand.Pool];
-  std::int64_t &Ahead = AheadCpu[Demand.Pool];
-  auto Wait = Options.PredictStarts ? Pool.predictWait(Now, Demand.Urgency, Ahead) : std::nullopt;
+  auto Wait = Options.PredictStarts ? Pool.predictWait(Now, Demand.Urgency, Pool.waitingCpu()) : std::nullopt;
+  if (!Wait)
+    return std::nullopt;
   double Margin = Pool.waitMargin(Now, Options.WaitMargin);
-  bool TooLong = Wait && runtime::toMs(*Wait) > Margin * runtime::toMs(Demand.LatestStart - Now);
+  bool TooLong = runtime::toMs(*Wait) > Margin * runtime::toMs(Demand.LatestStart - Now);
   if (!TooLong)
     return std::nullopt;
   duration RetryAfter = Pool.drainTime(Now);
   Pool.onRefused(Now, Demand.Priority);
-  Ahead -= Demand.Cpu;
-  Pool.setWaiting(Demand.Priority, Ahead);
+  Pool.addWaiting(Demand.Priority, -Demand.Cpu);
   return refusal{*Wait, spreadRetryAfter(RetryAfter, Demand.Job)};
 }
 
 double admission_control::accrueShare(time_point Now, const std::string &Pool, const std::string &Queue,
                                       std::uint32_t Priority) {
-  if (!Shares.covers(Queue, Priority))
-    return 0;
   return Shares.accrue(Now, Queue, Priority, Pools[Pool].turnover().usage().Capacity);
 }
 
-void admission_control::onGranted(time_point Now, const waiting_demand &Demand, const std::string &Queue,
-                                  std::int64_t Cpu, double EstimateMs) {
-  Pools[Demand.Pool].onGranted(Now, Demand.Priority, Cpu);
-  Shares.charge(Queue, Cpu, EstimateMs);
+void admission_control::onGranted(time_point Now, const schema::place_job &Job, std::uint32_t Priority) {
+  Pools[Job.pool()].onGranted(Now, Priority, Job.size().cpu());
+  Shares.charge(Job.queue(), Job.size().cpu(), Job.estimate_ms());
 }
 
 std::map<std::string, std::vector<backlog_summary>> admission_control::backlogs(time_point Now) const {
--- a/src/yuccaplank/dispatch/admission/admission_control.hpp
+++ b/src/yuccaplank/dispatch/admission/admission_control.hpp
@@ -6,6 +6,8 @@
 #include "pool_load.hpp"
 #include "yuccaplank/dispatch/admission/admission_options.hpp"
 
+#include "dispatch.pb.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -62,9 +64,8 @@
   /// of a core times milliseconds; 0 if it has no share, negative if it has used more.
   [[nodiscard]] double accrueShare(runtime::time_point Now, const std::string &Pool, const std::string &Queue,
                                    std::uint32_t Priority);
-  /// A task of a job has got cores, in thousandths.
-  void onGranted(runtime::time_point Now, const waiting_demand &Demand, const std::string &Queue,
-                 std::int64_t Cpu, double EstimateMs);
+  /// A task of a job, which has the priority, has got a server.
+  void onGranted(runtime::time_point Now, const schema::place_job &Job, std::uint32_t Priority);
 
   /// Cores of the pool's servers that take tasks.
   [[nodiscard]] core_usage usage(const std::string &Pool) const {
@@ -78,8 +79,6 @@
   admission_options Options;
   guaranteed_shares Shares;
   std::map<std::string, pool_load> Pools;
-  // Cores that the jobs passed so far wait for, by pool.
-  std::map<std::string, std::int64_t> AheadCpu;
 };
 
 /// Spreads the times at which refused callers come back, so that they do not all come at once.
--- a/src/yuccaplank/dispatch/admission/admission_control_test.cpp
+++ b/src/yuccaplank/dispatch/admission/admission_control_test.cpp
@@ -47,6 +47,15 @@
                                       std::uint64_t Job = 1) const {
     return {Pool, Job, Priority, Priority, Tasks * TaskCpu, Now + CanWait};
   }
+  // A task that needs so many cores got them for an estimated time.
+  void grant(const std::string &Queue, std::uint32_t Priority, std::int64_t Tasks, std::uint32_t EstimateMs) {
+    schema::place_job Job;
+    Job.set_pool(Pool);
+    Job.set_queue(Queue);
+    Job.mutable_size()->set_cpu(static_cast<std::uint32_t>(Tasks * TaskCpu));
+    Job.set_estimate_ms(EstimateMs);
+    Control.onGranted(Now, Job, Priority);
+  }
   std::optional<refusal> pass(const waiting_demand &Demand) {
     Control.addWaiting(Demand);
     return Control.judge(Now, Demand);
@@ -83,7 +92,7 @@
     CPPUNIT_ASSERT(Load.pass(Load.demand(10, milliseconds(100), 1)).has_value());
     if (auto Then = section("unless jobs of their priority get capacity all the same")) {
       for (int Step = 0; Step < 400; ++Step) {
-        Load.Control.onGranted(Load.Now, Load.demand(1, milliseconds(100), 1), "queue", TaskCpu, 100);
+        Load.grant("queue", 1, 1, 100);
         Load.runInBurst(1);
       }
       Load.Control.beginPass();
@@ -167,7 +176,7 @@
   Load.run(10);
   CPPUNIT_ASSERT(IsOwed("batch", 2));
   if (auto When = section("until it has used its share, and again later")) {
-    Load.Control.onGranted(Load.Now, Load.demand(1, milliseconds(100), 2), "batch", 20 * TaskCpu, 20);
+    Load.grant("batch", 2, 20, 20);
     CPPUNIT_ASSERT(!IsOwed("batch", 2));
     Load.run(15);
     CPPUNIT_ASSERT(IsOwed("batch", 2));
@@ -175,7 +184,7 @@
   if (auto When = section("what it does not use is not saved up for long")) {
     Load.run(5000);
     CPPUNIT_ASSERT(IsOwed("batch", 2));
-    Load.Control.onGranted(Load.Now, Load.demand(1, milliseconds(100), 2), "batch", 20 * TaskCpu, 201);
+    Load.grant("batch", 2, 20, 201);
     CPPUNIT_ASSERT(!IsOwed("batch", 2));
   }
 });
--- a/src/yuccaplank/dispatch/admission/guaranteed_shares.cpp
+++ b/src/yuccaplank/dispatch/admission/guaranteed_shares.cpp
@@ -17,7 +17,10 @@
 
 double guaranteed_shares::accrue(runtime::time_point Now, const std::string &Queue, std::uint32_t Priority,
                                  std::int64_t CapacityCpu) {
-  double CoreRate = shareOf(Queue, Priority) * static_cast<double>(CapacityCpu);
+  double Share = shareOf(Queue, Priority);
+  if (Share <= 0)
+    return 0;
+  double CoreRate = Share * static_cast<double>(CapacityCpu);
   auto [Entry, IsNew] = Accounts.try_emplace(Queue);
   account &Account = Entry->second;
   double Earned = IsNew ? 0 : CoreRate * runtime::toMs(Now - Account.UpdatedAt);
--- a/src/yuccaplank/dispatch/admission/guaranteed_shares.hpp
+++ b/src/yuccaplank/dispatch/admission/guaranteed_shares.hpp
@@ -19,12 +19,8 @@
   explicit guaranteed_shares(std::vector<guaranteed_share> Shares) : Shares(std::move(Shares)) {}
 
   [[nodiscard]] bool empty() const { return Shares.empty(); }
-  /// Whether the queue has a guaranteed share.
-  [[nodiscard]] bool covers(const std::string &Queue, std::uint32_t Priority) const {
-    return shareOf(Queue, Priority) > 0;
-  }
   /// Called with each queue that has waiting jobs, before its jobs are ordered. Returns the core time that
-  /// the queue is owed; negative if it has used more than its share.
+  /// the queue is owed; 0 if it has no share, negative if it has used more than its share.
   double accrue(runtime::time_point Now, const std::string &Queue, std::uint32_t Priority,
                 std::int64_t CapacityCpu);
   /// The queue has got cores, in thousandths, for an estimated time.
--- a/src/yuccaplank/dispatch/admission/known_backlogs.cpp
+++ b/src/yuccaplank/dispatch/admission/known_backlogs.cpp
@@ -9,19 +9,21 @@
 
 std::uint32_t toWholeMs(runtime::duration Time) { return static_cast<std::uint32_t>(runtime::toMs(Time)); }
 
+bool isVoid(time_point PredictedAt, time_point Now) { return Now - PredictedAt > known_backlogs::MaxAge; }
+
 } // namespace
 
 void known_backlogs::learn(time_point Now,
                            const google::protobuf::RepeatedPtrField<schema::pool_backlog> &Received) {
   for (const schema::pool_backlog &Message : Received) {
     time_point PredictedAt = Now - milliseconds(Message.age_ms());
-    if (Now - PredictedAt > MaxAge)
+    if (isVoid(PredictedAt, Now))
       continue;
     backlog &Known = Backlogs[{Message.pool(), Message.priority()}];
     if (Known.PredictedAt < PredictedAt)
       Known = {milliseconds(Message.wait_ms()), milliseconds(Message.drain_ms()), PredictedAt};
   }
-  std::erase_if(Backlogs, [&](const auto &Entry) { return Now - Entry.second.PredictedAt > MaxAge; });
+  std::erase_if(Backlogs, [&](const auto &Entry) { return isVoid(Entry.second.PredictedAt, Now); });
 }
 
 void known_backlogs::setOwn(time_point Now,
@@ -35,7 +37,7 @@
 void known_backlogs::addTo(time_point Now,
                            google::protobuf::RepeatedPtrField<schema::pool_backlog> &Message) const {
   for (const auto &[Key, Known] : Backlogs) {
-    if (Now - Known.PredictedAt > MaxAge)
+    if (isVoid(Known.PredictedAt, Now))
       continue;
     schema::pool_backlog &Backlog = *Message.Add();
     Backlog.set_pool(Key.first);
@@ -49,7 +51,7 @@
 std::optional<known_backlogs::backlog> known_backlogs::find(time_point Now, const std::string &Pool,
                                                             std::uint32_t Priority) const {
   auto Found = Backlogs.find({Pool, Priority});
-  if (Found == Backlogs.end() || Now - Found->second.PredictedAt > MaxAge)
+  if (Found == Backlogs.end() || isVoid(Found->second.PredictedAt, Now))
     return std::nullopt;
   return Found->second;
 }
--- a/src/yuccaplank/dispatch/admission/pool_load.cpp
+++ b/src/yuccaplank/dispatch/admission/pool_load.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <numeric>
 
 namespace yuccaplank::dispatch::admission {
 
@@ -22,6 +21,16 @@
   Rate->second.add(Now, static_cast<double>(Cpu));
 }
 
+void pool_load::beginPass() {
+  TotalWaitingCpu = 0;
+  WaitingCpu.clear();
+}
+
+void pool_load::addWaiting(std::uint32_t Priority, std::int64_t Cpu) {
+  TotalWaitingCpu += Cpu;
+  WaitingCpu[Priority] = TotalWaitingCpu;
+}
+
 void pool_load::onRefused(time_point Now, std::uint32_t Priority) {
   if (!overloaded(Now))
     OverloadedSince = Now;
@@ -61,11 +70,8 @@
 }
 
 duration pool_load::drainTime(time_point Now) const {
-  std::int64_t Waiting =
-      std::accumulate(WaitingCpu.begin(), WaitingCpu.end(), std::int64_t{0},
-                      [](std::int64_t Most, const auto &Entry) { return std::max(Most, Entry.second); });
   duration Overload = overloaded(Now) ? duration(Now - *OverloadedSince) : duration::zero();
-  auto Drain = predictWait(Now, std::numeric_limits<std::uint32_t>::max(), Waiting);
+  auto Drain = predictWait(Now, std::numeric_limits<std::uint32_t>::max(), TotalWaitingCpu);
   duration Expected = Drain && *Drain < MaxWait ? *Drain : Overload;
   return std::clamp<duration>(Expected, MinRetryAfter, MaxWait);
 }
--- a/src/yuccaplank/dispatch/admission/pool_load.hpp
+++ b/src/yuccaplank/dispatch/admission/pool_load.hpp
@@ -35,9 +35,13 @@
   void onGranted(runtime::time_point Now, std::uint32_t Priority, std::int64_t Cpu);
   /// A job was refused because it would not begin in time.
   void onRefused(runtime::time_point Now, std::uint32_t Priority);
-  /// Cores, in thousandths, that jobs of the priority wait for, including those that come before them.
-  void setWaiting(std::uint32_t Priority, std::int64_t Cpu) { WaitingCpu[Priority] = Cpu; }
-  void clearWaiting() { WaitingCpu.clear(); }
+  /// Begins a pass over the waiting jobs in the order of service.
+  void beginPass();
+  /// A job of the priority waits behind those of the pass so far for cores, in thousandths; with a negative
+  /// number, the latest job does not wait after all.
+  void addWaiting(std::uint32_t Priority, std::int64_t Cpu);
+  /// Cores, in thousandths, that the jobs of the pass so far wait for.
+  [[nodiscard]] std::int64_t waitingCpu() const { return TotalWaitingCpu; }
 
   /// Predicts the wait of a task that has WaitingAheadCpu before it, itself included. More urgent jobs that
   /// arrive meanwhile come before it, too. Returns nothing if too little was observed, and at most MaxWait.
@@ -50,8 +54,6 @@
   /// arrives than becomes free, since such a backlog drains as soon as arrivals fluctuate, and Min in a
   /// burst.
   [[nodiscard]] double waitMargin(runtime::time_point Now, double Min) const;
-  /// Whether jobs were refused by prediction lately.
-  [[nodiscard]] bool overloaded(runtime::time_point Now) const;
   /// The backlogs of the priorities of which jobs were refused lately.
   [[nodiscard]] std::vector<backlog_summary> backlogs(runtime::time_point Now) const;
 
@@ -63,12 +65,16 @@
   // Decrease of the margin with the ratio of arrivals to releases.
   static constexpr double MarginSlope = 10;
 
+  // Whether jobs were refused by prediction lately.
+  [[nodiscard]] bool overloaded(runtime::time_point Now) const;
   [[nodiscard]] double arrivalRateBefore(runtime::time_point Now, std::uint32_t Priority) const;
   [[nodiscard]] double grantRate(runtime::time_point Now, std::uint32_t Priority) const;
 
   capacity_turnover Turnover;
   std::map<std::uint32_t, decayed_sum> Arrivals;
   std::map<std::uint32_t, decayed_sum> Grants;
+  std::int64_t TotalWaitingCpu = 0;
+  // Cores that the latest job of a priority in the pass and those before it wait for.
   std::map<std::uint32_t, std::int64_t> WaitingCpu;
   std::map<std::uint32_t, runtime::time_point> LastRefusal;
   std::optional<runtime::time_point> OverloadedSince;
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -91,7 +91,7 @@
     if (!Locality.observesRacks() && Locality.concerns(Request)) {
       Locality.observeRacks();
       for (auto &[Id, Server] : Servers)
-        reportUse(Server);
+        reportRackUsage(Server);
     }
     auto [Entry, IsNew] = Jobs.try_emplace({Coordinator, Request.job()});
     waiting_job &Job = Entry->second;
@@ -153,7 +153,7 @@
     Server.State = State;
     Server.State.clear_handled();
     updateIndex(Server);
-    reportUse(Server);
+    reportRackUsage(Server);
   }
 
   void removeVm(const std::string &Vm) override {
@@ -208,29 +208,31 @@
   }
 
 private:
+  [[nodiscard]] duration expectedRunTime(const waiting_job &Job) const {
+    return runtime::fromMs(Job.Request.estimate_ms() * Locality.expectedFactor(Job.Request, Job.Place));
+  }
+
   [[nodiscard]] prospect estimateProspect(const waiting_job &Job, time_point Now) const {
-    time_point End =
-        Now + runtime::fromMs(Job.Request.estimate_ms() * Locality.expectedFactor(Job.Request, Job.Place));
+    time_point End = Now + expectedRunTime(Job);
     if (End <= Job.ObjectiveEndsAt)
       return prospect::InTime;
     return End <= std::min(Job.UsefulUntil, Job.Deadline) ? prospect::Late : prospect::TooLate;
   }
 
-  // Returns when the job's tasks have to start at the latest: for its objective or, if that is out of reach,
-  // for any value.
-  [[nodiscard]] time_point latestStart(const waiting_job &Job, time_point Now) const {
-    bool InTime = estimateProspect(Job, Now) == prospect::InTime;
-    time_point LatestEnd = InTime ? Job.ObjectiveEndsAt : std::min(Job.UsefulUntil, Job.Deadline);
-    return LatestEnd -
-           runtime::fromMs(Job.Request.estimate_ms() * Locality.expectedFactor(Job.Request, Job.Place));
+  // Late jobs are served after all others.
+  [[nodiscard]] static std::uint32_t servicePriority(const waiting_job &Job, prospect Prospect) {
+    return Prospect == prospect::InTime ? Job.Request.priority() : std::numeric_limits<std::uint32_t>::max();
   }
 
+  // The job's tasks have to start in time for its objective or, if that is out of reach, for any value.
   [[nodiscard]] admission::waiting_demand makeDemand(const waiting_job &Job, time_point Now) const {
-    // Late jobs are served after all others.
-    bool InTime = estimateProspect(Job, Now) == prospect::InTime;
-    std::uint32_t Priority = InTime ? Job.Request.priority() : std::numeric_limits<std::uint32_t>::max();
+    prospect Prospect = estimateProspect(Job, Now);
+    std::uint32_t Priority = servicePriority(Job, Prospect);
     std::uint32_t Urgency = Job.OwedShare ? 0 : Priority;
-    return {Job.Request.pool(), Job.Request.job(), Priority, Urgency, waitingCpu(Job), latestStart(Job, Now)};
+    time_point LatestEnd =
+        Prospect == prospect::InTime ? Job.ObjectiveEndsAt : std::min(Job.UsefulUntil, Job.Deadline);
+    time_point LatestStart = LatestEnd - expectedRunTime(Job);
+    return {Job.Request.pool(), Job.Request.job(), Priority, Urgency, waitingCpu(Job), LatestStart};
   }
 
   // Returns the cores, in thousandths, that the waiting tasks of the job need together.
@@ -354,6 +356,7 @@
               const std::optional<admission::refusal> &Refusal = std::nullopt) {
     std::uint32_t RetryAfterMs = Refusal ? static_cast<std::uint32_t>(runtime::toMs(Refusal->RetryAfter))
                                          : retryAfterMs(Job, Reason, Now);
+    admission::core_usage Usage = Admission.usage(Job.Request.pool());
     schema::dispatch_message Message;
     schema::reject_job &Rejection = *Message.mutable_reject();
     Rejection.set_job(Job.Request.job());
@@ -371,8 +374,8 @@
                   {"predicted_wait_ms", Refusal ? runtime::toMs(Refusal->PredictedWait) : 0.0},
                   {"retry_after_ms", std::int64_t{RetryAfterMs}},
                   {"waiting_jobs", static_cast<std::int64_t>(Jobs.size())},
-                  {"busy_cores", Admission.usage(Job.Request.pool()).Busy / ThousandthsPerCore},
-                  {"usable_cores", Admission.usage(Job.Request.pool()).Capacity / ThousandthsPerCore},
+                  {"busy_cores", Usage.Busy / ThousandthsPerCore},
+                  {"usable_cores", Usage.Capacity / ThousandthsPerCore},
                   {"servers", static_cast<std::int64_t>(Servers.size())}});
     Job.WaitingRuns.clear();
   }
@@ -432,18 +435,18 @@
     Pool->second.set(State.server(), {Free, toResourceAmounts(State.capacity()), Slowness,
                                       acceptsTasks(Server), State.evacuated(), State.rack()});
     std::int64_t Capacity = State.capacity().cpu();
-    reportUsage(Server, State.usable() ? admission::core_usage{Capacity, Capacity - Free.Cpu}
-                                       : admission::core_usage{});
+    reportPoolUsage(Server, State.usable() ? admission::core_usage{Capacity, Capacity - Free.Cpu}
+                                           : admission::core_usage{});
   }
 
-  void reportUsage(known_server &Server, const admission::core_usage &Usage) {
+  void reportPoolUsage(known_server &Server, const admission::core_usage &Usage) {
     Admission.onServerChange(Clock.now(), Server.State.pool(), Server.Usage, Usage);
     Server.Usage = Usage;
   }
 
   // Reports the cores that runs and grants use on the server's rack. Not called between the release of a
   // handled grant and the report of its run, which would look like the end of a run.
-  void reportUse(known_server &Server) {
+  void reportRackUsage(known_server &Server) {
     if (!Locality.observesRacks())
       return;
     std::int64_t Used = Server.State.capacity().cpu() - freeCapacity(Server).Cpu;
@@ -460,7 +463,7 @@
 
   server_iterator eraseServer(server_iterator Server) {
     const schema::server_state &State = Server->second.State;
-    reportUsage(Server->second, {});
+    reportPoolUsage(Server->second, {});
     Locality.onServerRemoved(State.pool(), State.rack(), Server->second.ReportedCpu);
     Pools.at(State.pool()).erase(Server->first);
     return Servers.erase(Server);
@@ -482,9 +485,7 @@
   const std::string *chooseServer(waiting_job &Job, time_point Now) {
     Job.Place.Waits = false;
     auto Pool = Pools.find(Job.Request.pool());
-    if (Pool == Pools.end())
-      return nullptr;
-    if (isKnownUnplaceable(Job.Request))
+    if (Pool == Pools.end() || isKnownUnplaceable(Job.Request))
       return nullptr;
     double MaxSlowness = computeMaxSlowness(Job, Now);
     auto OwnerUnreachable = [&](const std::string &Id) { return isOwnerUnreachable(Job, Id); };
@@ -497,25 +498,27 @@
       Choice = Pool->second.chooseServer(Job.Request.size(), MaxSlowness, OwnerUnreachable);
     if (!Choice.Id && UnreachableUntil.empty())
       UnplaceableSizes[Job.Request.pool()].push_back(toResourceAmounts(Job.Request.size()));
-    if (Choice.Id && Locality.concerns(Job.Request))
+    if (!Choice.Id)
+      return nullptr;
+    if (Locality.concerns(Job.Request))
       return chooseByLocality(Job, Pool->second, Choice, AvoidedOrUnreachable, Now);
     // The string that Choice.Id points to is destroyed when the server's entry in the index changes.
-    const std::string *Server = Choice.Id ? &Servers.find(*Choice.Id)->first : nullptr;
+    const std::string &Server = Servers.find(*Choice.Id)->first;
     bool WaitForFasterServer =
         !Choice.FastEnough && Pool->second.anyServerFastEnough(MaxSlowness) && paysToWait(Job, Server, Now);
-    return WaitForFasterServer ? nullptr : Server;
+    return WaitForFasterServer ? nullptr : &Server;
   }
 
   // Whether a task should leave a slow server to others and wait for a faster one. That does not pay if the
   // slow server suffices without a safety margin, or if the jobs before this one take the faster servers for
   // too long.
-  [[nodiscard]] bool paysToWait(const waiting_job &Job, const std::string *SlowServer, time_point Now) const {
+  [[nodiscard]] bool paysToWait(const waiting_job &Job, const std::string &SlowServer, time_point Now) const {
     auto Wait = Admission.predictWait(Now, makeDemand(Job, Now));
-    if (!Wait || !SlowServer)
+    if (!Wait)
       return true;
     double LeftMs = runtime::toMs(Job.ObjectiveEndsAt - Now);
     double EstimateMs = Job.Request.estimate_ms();
-    double SlowMs = EstimateMs * std::exp(Pools.at(Job.Request.pool()).slownessOf(*SlowServer));
+    double SlowMs = EstimateMs * std::exp(Pools.at(Job.Request.pool()).slownessOf(SlowServer));
     double WaitMs = runtime::toMs(*Wait);
     bool SlowInTime = SlowMs <= LeftMs;
     bool FastInTime = WaitMs + EstimateMs * Options.EstimateMargin <= LeftMs;
@@ -578,13 +581,12 @@
                                          Now + Options.GrantTimeout});
     Server.Grants.push_back(Id);
     updateIndex(Server);
-    reportUse(Server);
+    reportRackUsage(Server);
     double ExpectedFactor = Locality.onGranted(Job.Request, Job.Place, Server.State.rack());
     Job.Started = true;
     ++Counters.Granted;
     Counters.GrantedByShare += Job.OwedShare ? 1 : 0;
-    Admission.onGranted(Now, makeDemand(Job, Now), Job.Request.queue(), Job.Request.size().cpu(),
-                        Job.Request.estimate_ms());
+    Admission.onGranted(Now, Job.Request, servicePriority(Job, estimateProspect(Job, Now)));
     schema::dispatch_message Message;
     schema::grant &Grant = *Message.mutable_grant();
     Grant.set_id(Id);
