--- a/src/yuccaplank/dispatch/admission/capacity_turnover.hpp
+++ b/src/yuccaplank/dispatch/admission/capacity_turnover.hpp
@@ -1,7 +1,7 @@
 // The capacity of a pool, and the rate at which it becomes free, as observed.
 #pragma once
 
-#include "decayed_sum.hpp"
+#include "../decayed_sum.hpp"
 
 #include <cstdint>
 #include <optional>
--- a/src/yuccaplank/dispatch/admission/load_shedder.hpp
+++ b/src/yuccaplank/dispatch/admission/load_shedder.hpp
@@ -1,7 +1,7 @@
 // Refuses jobs of this VM's callers without a message while the placer refuses most jobs of their kind.
 #pragma once
 
-#include "decayed_sum.hpp"
+#include "../decayed_sum.hpp"
 #include "known_backlogs.hpp"
 #include "yuccaplank/dispatch/job_service.hpp"
 
--- a/src/yuccaplank/dispatch/admission/decayed_sum.hpp
+++ b/src/yuccaplank/dispatch/decayed_sum.hpp
@@ -5,7 +5,7 @@
 
 #include <cmath>
 
-namespace yuccaplank::dispatch::admission {
+namespace yuccaplank::dispatch {
 
 class decayed_sum {
 public:
@@ -38,4 +38,4 @@
   runtime::time_point UpdatedAt{};
 };
 
-} // namespace yuccaplank::dispatch::admission
+} // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/locality/rack_turnover.hpp
+++ b/src/yuccaplank/dispatch/locality/rack_turnover.hpp
@@ -1,7 +1,7 @@
 // Observes how fast the capacity of a rack becomes free for the tasks that prefer it.
 #pragma once
 
-#include "yuccaplank/runtime/clock.hpp"
+#include "../decayed_sum.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -11,22 +11,22 @@
 
 /// By Little's law, the rate at which cores become free is the number of cores in use divided by the mean run
 /// time. The mean run time is learnt, and the cores in use are known, so that the rate follows a sudden
-/// change of the load at once. Both are weighted sums over a window that decays exponentially.
+/// change of the load at once.
 class rack_turnover {
 public:
-  explicit rack_turnover(runtime::duration Window) : WindowMs(runtime::toMs(Window)) {}
+  explicit rack_turnover(runtime::duration Window) : UsedTime(Window), Freed(Window) {}
 
   /// Cores, in thousandths, that are used from now on in addition, or no longer when negative.
   void onUsedChanged(std::int64_t Cpu, runtime::time_point Now) {
-    decay(Now);
+    advance(Now);
     Used = std::max<std::int64_t>(0, Used + Cpu);
     if (Cpu < 0)
-      FreedCpu -= static_cast<double>(Cpu);
+      Freed.add(Now, -static_cast<double>(Cpu));
   }
 
   /// Cores, in thousandths, that are gone with their server. Nothing has become free.
   void onServerRemoved(std::int64_t UsedCpu, runtime::time_point Now) {
-    decay(Now);
+    advance(Now);
     Used = std::max<std::int64_t>(0, Used - UsedCpu);
   }
 
@@ -37,10 +37,10 @@
   /// Returns the expected time until this many cores have become free for tasks that prefer the rack. Until
   /// runs have ended, a run is expected to take PriorMs.
   [[nodiscard]] double expectedWaitMs(double Cpu, double PriorMs, runtime::time_point Now) {
-    decay(Now);
+    advance(Now);
     if (Used <= 0 || Cpu <= 0)
       return Cpu <= 0 ? 0 : HUGE_VAL;
-    double RunMs = (UsedCpuMs + Cpu * PriorMs) / (FreedCpu + Cpu);
+    double RunMs = (UsedTime.value(Now) + Cpu * PriorMs) / (Freed.value(Now) + Cpu);
     return Cpu * RunMs / (static_cast<double>(Used) * std::max(Share, MinShare));
   }
 
@@ -54,20 +54,15 @@
   static constexpr double ShareWeight = 0.05;
   static constexpr double MinShare = 0.02;
 
-  void decay(runtime::time_point Now) {
-    double ElapsedMs = runtime::toMs(Now - LastAt);
+  void advance(runtime::time_point Now) {
+    UsedTime.addSinceUpdate(Now, static_cast<double>(Used));
     LastAt = Now;
-    if (ElapsedMs <= 0)
-      return;
-    double Kept = std::exp(-ElapsedMs / WindowMs);
-    UsedCpuMs = UsedCpuMs * Kept + static_cast<double>(Used) * WindowMs * (1 - Kept);
-    FreedCpu *= Kept;
   }
 
-  double WindowMs;
   std::int64_t Used = 0;
-  double UsedCpuMs = 0;
-  double FreedCpu = 0;
+  // In thousandths of a core times milliseconds.
+  decayed_sum UsedTime;
+  decayed_sum Freed;
   double Share = 1;
   runtime::time_point LastAt{};
 };
--- a/src/yuccaplank/dispatch/server_evidence.cpp
+++ b/src/yuccaplank/dispatch/server_evidence.cpp
@@ -7,8 +7,6 @@
 namespace yuccaplank::dispatch {
 namespace {
 
-// Tasks that fail on every server do so for about 3 s. The share has to follow their beginning and end.
-constexpr double ShareDecayMs = 3000;
 // Number of runs at the lowest share that the initial assumption counts as.
 constexpr double PriorRuns = 50;
 
@@ -59,20 +57,14 @@
 
 } // namespace
 
-double share_estimate::weightAt(runtime::time_point Now) const {
-  return std::exp(-runtime::toMs(Now - UpdatedAt) / ShareDecayMs);
-}
-
 void share_estimate::record(bool HasProperty, runtime::time_point Now) {
-  double Weight = weightAt(Now);
-  Hits = Hits * Weight + (HasProperty ? 1 : 0);
-  Total = Total * Weight + 1;
-  UpdatedAt = Now;
+  Hits.add(Now, HasProperty ? 1 : 0);
+  Total.add(Now, 1);
 }
 
 double share_estimate::shareWithout(const share_estimate &Part, double Min, runtime::time_point Now) const {
-  double OtherHits = std::max(0.0, Hits * weightAt(Now) - Part.Hits * Part.weightAt(Now));
-  double OtherTotal = std::max(OtherHits, Total * weightAt(Now) - Part.Total * Part.weightAt(Now));
+  double OtherHits = std::max(0.0, Hits.value(Now) - Part.Hits.value(Now));
+  double OtherTotal = std::max(OtherHits, Total.value(Now) - Part.Total.value(Now));
   return std::max(Min, (OtherHits + PriorRuns * Min) / (OtherTotal + PriorRuns));
 }
 
--- a/src/yuccaplank/dispatch/server_evidence.hpp
+++ b/src/yuccaplank/dispatch/server_evidence.hpp
@@ -1,7 +1,7 @@
 // What the observed runs of one backend server tell about it, compared with the other servers of its owner.
 #pragma once
 
-#include "yuccaplank/runtime/clock.hpp"
+#include "decayed_sum.hpp"
 
 #include <cstdint>
 #include <vector>
@@ -16,11 +16,11 @@
   [[nodiscard]] double shareWithout(const share_estimate &Part, double Min, runtime::time_point Now) const;
 
 private:
-  [[nodiscard]] double weightAt(runtime::time_point Now) const;
+  // Tasks that fail on every server do so for about 3 s. The share has to follow their beginning and end.
+  static constexpr runtime::duration TimeConstant = std::chrono::seconds(3);
 
-  double Hits = 0;
-  double Total = 0;
-  runtime::time_point UpdatedAt{};
+  decayed_sum Hits{TimeConstant};
+  decayed_sum Total{TimeConstant};
 };
 
 /// Outcomes of the latest runs of one server, for a sequential probability ratio test.
