Share the recording placement queue of the placer's tests

Both tests of the placement queue built the same recorder of grants and rejections. The tests' own servers, jobs and assertions are unchanged.

--- a/src/yuccaplank/dispatch/locality/placement_test.cpp
+++ b/src/yuccaplank/dispatch/locality/placement_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the placement queue with jobs that prefer a rack.
 #include "yuccaplank/dispatch/placement_queue.hpp"
+#include "yuccaplank/testing/recording_queue.hpp"
 #include "yuccaplank/testing/test_case.hpp"
 
 #include <cppunit/TestAssert.h>
@@ -20,18 +21,7 @@
 using racks = std::vector<std::string>;
 
 // A placer with servers that are named after their rack, such as "a1".
-struct placer {
-  runtime::manual_clock Clock;
-  std::vector<schema::grant> Grants;
-  std::vector<schema::reject_job> Rejections;
-  std::unique_ptr<placement_queue> Queue =
-      makePlacementQueue(Clock, [this](const std::string &, const schema::dispatch_message &Message) {
-        if (Message.has_grant())
-          Grants.push_back(Message.grant());
-        if (Message.has_reject())
-          Rejections.push_back(Message.reject());
-      });
-
+struct placer : testing::recording_queue {
   void updateServer(const std::string &Name, std::uint32_t Used, bool Evacuated = false) const {
     schema::server_state State;
     State.set_server(Name);
@@ -63,7 +53,6 @@
     return Job;
   }
 
-  void enqueue(const schema::place_job &Job) const { Queue->enqueue("coordinator", Job); }
   void scheduleAfter(int Ms) {
     Clock.advance(milliseconds(Ms));
     Queue->schedule();
--- a/src/yuccaplank/dispatch/placement_queue_test.cpp
+++ b/src/yuccaplank/dispatch/placement_queue_test.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
+#include "yuccaplank/testing/recording_queue.hpp"
 #include "yuccaplank/testing/test_case.hpp"
 
 #include <cppunit/TestAssert.h>
@@ -18,19 +19,8 @@
 
 constexpr std::uint32_t TaskCpu = 27000;
 
-// A placer that records the grants and rejections it sends.
-struct placer {
-  runtime::manual_clock Clock;
-  std::vector<schema::grant> Grants;
-  std::vector<schema::reject_job> Rejections;
-  std::unique_ptr<placement_queue> Queue =
-      makePlacementQueue(Clock, [this](const std::string &, const schema::dispatch_message &Message) {
-        if (Message.has_grant())
-          Grants.push_back(Message.grant());
-        if (Message.has_reject())
-          Rejections.push_back(Message.reject());
-      });
-
+// A placer with servers and jobs as these tests use them.
+struct placer : testing::recording_queue {
   void updateServer(const std::string &Name, double Slowness, std::uint32_t Cpu = 64000,
                     std::uint32_t Used = 0, std::uint64_t Token = 1, const std::string &Owner = "owner",
                     bool Evacuated = false, std::uint32_t Tasks = 0, float OverdueSlowness = 0) const {
@@ -68,7 +58,6 @@
     return Job;
   }
 
-  void enqueue(const schema::place_job &Job) const { Queue->enqueue("coordinator", Job); }
   [[nodiscard]] std::vector<std::uint64_t> grantedJobs() const {
     std::vector<std::uint64_t> Jobs;
     for (const schema::grant &Grant : Grants)
--- /dev/null
+++ b/src/yuccaplank/testing/recording_queue.hpp
@@ -0,0 +1,27 @@
+// A placement queue that records the grants and rejections it sends.
+#pragma once
+
+#include "yuccaplank/dispatch/placement_queue.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace yuccaplank::testing {
+
+struct recording_queue {
+  runtime::manual_clock Clock;
+  std::vector<schema::grant> Grants;
+  std::vector<schema::reject_job> Rejections;
+  std::unique_ptr<dispatch::placement_queue> Queue = dispatch::makePlacementQueue(
+      Clock, [this](const std::string &, const schema::dispatch_message &Message) {
+        if (Message.has_grant())
+          Grants.push_back(Message.grant());
+        if (Message.has_reject())
+          Rejections.push_back(Message.reject());
+      });
+
+  void enqueue(const schema::place_job &Job) const { Queue->enqueue("coordinator", Job); }
+};
+
+} // namespace yuccaplank::testing
