Serve a chunked body of exactly the largest size

Callers saw: a body of 262,144 bytes in chunks was answered with 413 on an idle system; with Content-Length it was served.

Cause: h2o 2.2 refuses a body in chunks that reaches max_request_entity_size (>=), but one with an announced length only if it exceeds it. Framing does not count.

Change: h2o gets a limit that is one byte higher, and the server refuses a body above the limit itself. A body that announces exactly one byte too many is now read before its 413; a larger one is still refused by its head.

The CppUnit section "when the size of a chunked body equals the limit, however it is divided" covers the same without processes.

--- a/scripts/lib/untrusted_callers.py
+++ b/scripts/lib/untrusted_callers.py
@@ -11,7 +11,7 @@
 import time
 
 import fleet
-from caller_requests import HOST, chunk, head, job, whole
+from caller_requests import HOST, chunk, chunked, head, job, whole
 from crowds import Crowd
 from process_watch import ProcessWatch
 
@@ -73,6 +73,17 @@
     ("more connections than descriptors", "callers", silent, b"", 0),
 ]
 
+# Requests that a single caller may send: bodies of the largest size in the encodings that HTTP/1.1 allows.
+LEGAL_REQUESTS = [
+    ("a body of the largest size, its length announced", lambda number: whole(number, job(size=MAX_BODY_BYTES))),
+    ("a body of the largest size, in one chunk",
+     lambda number: chunked(number, job(size=MAX_BODY_BYTES), MAX_BODY_BYTES)),
+    ("a body of the largest size, in chunks of 1,000 bytes",
+     lambda number: chunked(number, job(size=MAX_BODY_BYTES), 1000)),
+    ("a body of the largest size, in chunks of one byte", lambda number: chunked(number, job(size=MAX_BODY_BYTES), 1)),
+]
+
+
 def unanswered_requests(vm, number):
     """Submits a job and calls the ports of the operators and of the readiness check. Returns those without a reply."""
     request = {"caller": ("POST", vm.caller_address, f"/jobs/{number:016x}", job()),
@@ -167,6 +178,19 @@
     return None
 
 
+def check_legal_request(case, index, options, system):
+    """Sends a legal request to an idle system, which has to serve it."""
+    name, make = case
+    vm = next(iter(system.vms.values()))
+    watch = ProcessWatch(vm)
+    status = send_text(vm.caller_address, make(index + 1))
+    watch.sample()
+    faults = find_faults(watch, options, lambda: unanswered_requests(vm, 1 << 40 | index))
+    if status != 200:
+        faults.append(f"answered with {status}")
+    return {"case": name, **(watch.figures() if watch.lives() else {}), "faults": faults}
+
+
 def cases(options):
     """Lists (name, function that runs the case and returns its figures)."""
     limits = {**LIMITS, "memory_mb": options.memory_mb, "file_descriptors": options.file_descriptors}
@@ -174,8 +198,11 @@
     def one_vm(check):
         return lambda: run_with_fleet(options, {"d1": 1}, limits, options.base_port, check)
 
-    return [(case[0], one_vm(lambda system, case=case, index=index: check_crowd(case, index, options, system)))
-            for index, case in enumerate(CASES)]
+    listed = [(case[0], one_vm(lambda system, case=case, index=index: check_crowd(case, index, options, system)))
+              for index, case in enumerate(CASES)]
+    listed += [(case[0], one_vm(lambda system, case=case, index=index: check_legal_request(case, index, options, system)))
+               for index, case in enumerate(LEGAL_REQUESTS)]
+    return listed
 
 
 def main():
--- a/src/yuccaplank/wire/http_server.cpp
+++ b/src/yuccaplank/wire/http_server.cpp
@@ -259,7 +259,8 @@
   void configure() {
     h2o_config_init(&Config);
     Config.server_name = h2o_iovec_init("yuccaplank", sizeof("yuccaplank") - 1);
-    Config.max_request_entity_size = Options.MaxBodyBytes;
+    // h2o refuses a body in chunks that reaches the limit, and one with an announced length that exceeds it.
+    Config.max_request_entity_size = Options.MaxBodyBytes + 1;
     auto TimeoutMs = std::max<std::int64_t>(
         1, std::chrono::duration_cast<std::chrono::milliseconds>(Options.RequestTimeout).count());
     Config.handshake_timeout = static_cast<std::uint64_t>(TimeoutMs);
@@ -463,6 +464,8 @@
       drop(*Request, "caller_left", Counts.DroppedCallerLeft);
     else if (headerBytes(*Native) > MaxHeaderBytes)
       replyWithError(*Request, 431);
+    else if (Native->entity.base && Native->entity.len > Options.MaxBodyBytes)
+      replyWithError(*Request, 413);
     else
       deliver(*Request);
     return 0;
--- a/src/yuccaplank/wire/http_server_test.cpp
+++ b/src/yuccaplank/wire/http_server_test.cpp
@@ -171,6 +171,18 @@
     assertStatus(413, Reply);
     CPPUNIT_ASSERT(Fixture.Requests.empty());
   }
+  if (auto When = section("when the size of a chunked body equals the limit, however it is divided")) {
+    Body.pop_back();
+    std::string Bytewise;
+    for (char Byte : Body)
+      Bytewise += fmt::format("1\r\n{}\r\n", Byte);
+    for (const std::string &Chunks : {fmt::format("64\r\n{}\r\n", Body), Bytewise}) {
+      std::string Reply = Fixture.exchange(
+          fmt::format("PUT / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n{}0\r\n\r\n", Chunks));
+      assertStatus(200, Reply);
+      CPPUNIT_ASSERT_EQUAL(Body, Fixture.Requests.back().Body);
+    }
+  }
   if (auto When = section("when the size of a chunked body exceeds the limit")) {
     std::string Reply = Fixture.exchange(
         fmt::format("PUT / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n65\r\n{}\r\n0\r\n\r\n", Body));
