Limit the memory of relayed jobs and of waiting tasks

Callers saw: a dispatching VM ran out of memory and ended, with all jobs of its callers and of those that relay to it, although every VM kept its own limits.

Cause: each VM limits the tasks of its own callers; nothing limited the sum that relaying VMs pass to one that dispatches, nor what waits at the placer, which has the tasks of the whole fleet.

Change: dispatch/memory_budget divides a limit of bytes among the VMs whose callers submitted the jobs, by dynamic thresholds: a VM may take more as long as it has taken less than what is free. A dispatching VM refuses relayed jobs by it, and the placer jobs of which no task has started, at once, as not run, with a Retry-After of 1 s or more that is spread. Bytes, not tasks, so that a long specification counts. place_job carries the origin, so that at the placer a crowded VM does not shut out another one behind the same coordinator. An eighth of the machine's memory each (limits.relayed_mb, limits.waiting_mb): on the smallest machine, 120 MB, 30,000 relayed and 150,000 waiting tasks. The placer drops the list of runs, which it has twice.

Weighed and not taken: credits that the dispatching VM hands to the relaying VMs. They save the hop of a refused job, but credits of a VM that died have to lapse by a timeout on both sides, and a VM of the former build has none, so the dispatching VM has to account and refuse in any case. Limits by fixed shares of each VM: most of them idle, and the number of VMs changes.

Old and new builds: a former build reads the new reason of a refusal as none and answers 503 all the same; without an origin, the coordinator counts as the source.

--- a/include/yuccaplank/dispatch/entry_vm.hpp
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -84,6 +84,8 @@
   std::uint64_t IgnoredEchoes = 0;
   /// Relayed jobs that this VM declined because the sender was out of contact.
   std::uint64_t DeclinedJobs = 0;
+  /// Relayed jobs that this VM refused because their memory would have exceeded the limit.
+  std::uint64_t RelayedJobsRefused = 0;
   /// Jobs of this VM's callers that it refused because of the placer's backlog.
   std::uint64_t ShedJobs = 0;
   bool Dispatching = false;
--- a/include/yuccaplank/dispatch/job_answer.hpp
+++ b/include/yuccaplank/dispatch/job_answer.hpp
@@ -40,8 +40,10 @@
   ServersCrashed,
   /// The jobs before this one take the capacity until it is too late for this one.
   Backlog,
+  /// The memory for jobs of other VMs is in use.
+  MemoryLimit,
 };
-inline constexpr end_reason LastEndReason = end_reason::Backlog;
+inline constexpr end_reason LastEndReason = end_reason::MemoryLimit;
 std::string_view endReasonName(end_reason Reason);
 end_reason toEndReason(schema::reject_reason Reason);
 
--- a/include/yuccaplank/dispatch/job_service.hpp
+++ b/include/yuccaplank/dispatch/job_service.hpp
@@ -26,6 +26,8 @@
   runtime::duration Age{};
   /// Whether another VM relays the job.
   bool Relayed = false;
+  /// The VM that relays the job; empty for a job of this VM's callers.
+  std::string Origin = {};
   /// Rack in which the data of the tasks lies; empty if there is no preference.
   std::string Rack = {};
   /// Whether all tasks should run on one rack.
--- a/include/yuccaplank/dispatch/placement_queue.hpp
+++ b/include/yuccaplank/dispatch/placement_queue.hpp
@@ -8,6 +8,7 @@
 #include "yuccaplank/runtime/clock.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -34,6 +35,9 @@
   double SlownessStep = 0.15;
   /// Factor on a task's estimated time when deciding whether a server is fast enough for the objective.
   double EstimateMargin = 1.2;
+  /// Limit of the memory of the tasks that wait, by estimate (dispatch/job_memory). Beyond it, jobs are
+  /// refused of which no task has started.
+  std::uint64_t MaxWaitingBytes = std::uint64_t{16} << 20U;
   admission::admission_options Admission;
   locality::options Locality = {};
 };
@@ -44,6 +48,8 @@
   std::uint64_t Rejected = 0;
   /// Rejected because they would not have begun in time, by prediction.
   std::uint64_t RejectedByBacklog = 0;
+  /// Rejected because the memory for waiting tasks was in use.
+  std::uint64_t RejectedForMemory = 0;
   /// Granted to tasks of queues that had less than their guaranteed share.
   std::uint64_t GrantedByShare = 0;
   std::uint64_t GrantsExpired = 0;
--- a/include/yuccaplank/dispatch/relay_options.hpp
+++ b/include/yuccaplank/dispatch/relay_options.hpp
@@ -1,8 +1,10 @@
-// Timeouts and delays for jobs that this VM relays to another one.
+// Timeouts, delays and limits for relayed jobs.
 #pragma once
 
 #include "yuccaplank/runtime/clock.hpp"
 
+#include <cstdint>
+
 namespace yuccaplank::dispatch {
 
 struct relay_options {
@@ -16,6 +18,8 @@
   /// After the deadline, the caller gets an answer from this VM if the dispatching VM's answer has not
   /// arrived within this time.
   runtime::duration AnswerTimeout = std::chrono::milliseconds(100);
+  /// Limit of the memory of the jobs that other VMs relay to this one, by estimate (dispatch/job_memory).
+  std::uint64_t MaxRelayedBytes = std::uint64_t{16} << 20U;
 };
 
 } // namespace yuccaplank::dispatch
--- a/scripts/lib/untrusted_callers.py
+++ b/scripts/lib/untrusted_callers.py
@@ -11,6 +11,7 @@
 import time
 
 import fleet
+import untrusted_fleet
 from caller_requests import HOST, chunk, chunked, head, job, whole
 from crowds import Crowd
 from process_watch import ProcessWatch
@@ -198,11 +199,15 @@
     def one_vm(check):
         return lambda: run_with_fleet(options, {"d1": 1}, limits, options.base_port, check)
 
+    def many_vms(case):
+        return lambda: run_with_fleet(options, {"d1": case.vms}, case.limits, options.base_port,
+                                      lambda system: untrusted_fleet.check(case, system, unanswered_requests))
+
     listed = [(case[0], one_vm(lambda system, case=case, index=index: check_crowd(case, index, options, system)))
               for index, case in enumerate(CASES)]
     listed += [(case[0], one_vm(lambda system, case=case, index=index: check_legal_request(case, index, options, system)))
                for index, case in enumerate(LEGAL_REQUESTS)]
-    return listed
+    return listed + [(case.name, many_vms(case)) for case in untrusted_fleet.CASES]
 
 
 def main():
--- /dev/null
+++ b/scripts/lib/untrusted_fleet.py
@@ -0,0 +1,112 @@
+"""Crowds of callers at many entry VMs: each VM keeps its own limits, and the dispatching VMs get the sum."""
+import dataclasses
+import json
+import time
+
+import fleet
+from caller_requests import job, whole
+from crowds import ReturningCrowd
+from process_watch import ProcessWatch, read_receive_queues
+
+SAMPLE_INTERVAL_S = 0.1
+# Refused jobs whose runs are looked up.
+CHECKED_REFUSALS = 200
+# Numbers of jobs of ordinary callers; those of the crowd are smaller.
+ORDINARY_JOBS = 1 << 40
+
+
+@dataclasses.dataclass
+class FleetCase:
+    name: str
+    vms: int
+    # VMs whose callers misbehave; 0 means all.
+    crowded_vms: int
+    callers_per_vm: int
+    tasks: int
+    limits: dict
+    seconds: int = 12
+    specification_bytes: int = 4000
+
+
+LIMITS = {"cpu_share": 0.25, "memory_mb": 40, "file_descriptors": 700}
+CASES = [
+    FleetCase("many jobs at all VMs", vms=24, crowded_vms=0, callers_per_vm=50, tasks=190, limits=LIMITS),
+    FleetCase("many jobs at half of the VMs", vms=24, crowded_vms=12, callers_per_vm=100, tasks=95, limits=LIMITS),
+]
+
+
+def large_job(case):
+    """A legal job whose tasks wait: each takes most of a server, and the caller has time."""
+    specification = "40000 200 ".ljust(case.specification_bytes, "x")
+    return job(specification=specification, count=case.tasks, cpu=40_000, estimated_ms=20_000)
+
+
+def check(case, system, find_unanswered):
+    """Runs the crowd. Then, while the crowd of some VMs goes on, asks an ordinary caller at each of the other VMs;
+    after a crowd at all VMs one at each."""
+    vms = list(system.vms.values())
+    relaying = relaying_vms(vms)
+    crowded = relaying[:case.crowded_vms] if case.crowded_vms else vms
+    watches = {vm.name: ProcessWatch(vm) for vm in vms}
+    body = large_job(case)
+    crowd = ReturningCrowd([vm.caller_address for vm in crowded for _ in range(case.callers_per_vm)],
+                           lambda number: whole(number, body, "Deadline-Milliseconds: 60000"), 1)
+    crowd.start()
+    end = time.monotonic() + case.seconds
+    while time.monotonic() < end:
+        sample(watches.values())
+        time.sleep(SAMPLE_INTERVAL_S)
+    others = [vm for vm in vms if vm not in crowded]
+    faults = ordinary_faults(others, watches, find_unanswered)
+    crowd.stop()
+    faults += ordinary_faults(crowded, watches, find_unanswered)
+    sample(watches.values())
+    faults += [f"{name}: {fault}" for name, watch in watches.items() for fault in bounds_exceeded(watch, case.limits)]
+    faults += broken_promises(system, crowd)
+    live = [watch for watch in watches.values() if watch.lives()]
+    largest = max(live, key=ProcessWatch.memory_mb).figures() if live else {}
+    return {"case": case.name, "relaying": len(relaying), "replies": crowd.replies, "largest": largest, "faults": faults}
+
+
+def relaying_vms(vms):
+    """The VMs that pass their jobs to others."""
+    def dispatches(vm):
+        return "\nyuccaplank_dispatching 1" in fleet.send_request("GET", vm.operator_address, "/metrics")[1]
+    return [vm for vm in vms if not dispatches(vm)]
+
+
+def sample(watches):
+    queues = read_receive_queues()
+    for watch in watches:
+        watch.sample(queues)
+
+
+def ordinary_faults(vms, watches, find_unanswered):
+    faults = []
+    for vm in vms:
+        if watches[vm.name].lives():
+            number = ORDINARY_JOBS + int(vm.caller_address.rsplit(":", 1)[1])
+            faults += [f"{vm.name}: no answer on the {port} port" for port in find_unanswered(vm, number)]
+    return faults
+
+
+def bounds_exceeded(watch, limits):
+    if not watch.lives():
+        return ["ended"]
+    exceeded = []
+    if watch.memory_mb() > limits["memory_mb"]:
+        exceeded.append("memory")
+    if watch.peak_descriptors > limits["file_descriptors"]:
+        exceeded.append("descriptors")
+    return exceeded
+
+
+def broken_promises(system, crowd):
+    """Refused jobs must not have run, and the servers must have seen no breach."""
+    faults = [json.dumps(breach) for breach in
+              fleet.send_request("GET", system.control_address, "/summary")[1]["breaches"]]
+    for number in crowd.refused[-CHECKED_REFUSALS:]:
+        starts = fleet.send_request("GET", system.control_address, f"/job?id={number:016x}")[1]["starts"]
+        if starts:
+            faults.append(f"job {number:016x} was refused as not run and started {starts} times")
+    return faults
--- a/src/yuccaplank/dispatch/job_answer.cpp
+++ b/src/yuccaplank/dispatch/job_answer.cpp
@@ -12,7 +12,7 @@
 // Indexed by end_reason.
 constexpr auto ReasonNames = std::to_array<std::string_view>(
     {"", "no_server_large_enough", "no_room_in_time", "no_placer", "deadline", "task_failed", "caller_left",
-     "cancelled", "evacuated", "servers_crashed", "backlog"});
+     "cancelled", "evacuated", "servers_crashed", "backlog", "memory_limit"});
 static_assert(ReasonNames.size() == static_cast<std::size_t>(LastEndReason) + 1);
 
 } // namespace
@@ -31,6 +31,8 @@
     return end_reason::Evacuated;
   case schema::REJECT_BACKLOG:
     return end_reason::Backlog;
+  case schema::REJECT_MEMORY_LIMIT:
+    return end_reason::MemoryLimit;
   default:
     return end_reason::NoRoomInTime;
   }
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -336,6 +336,7 @@
         RemainingMs(std::chrono::duration_cast<duration>(Job.Objective * Options.LateFactor)));
     Place.set_deadline_left_ms(RemainingMs(Job.Request.Deadline));
     Place.set_started(Job.PossiblyStartedRuns > 0);
+    Place.set_origin(Job.Request.Origin);
     Place.set_rack(Job.Request.Rack);
     Place.set_same_rack(Job.Request.SameRack);
     if (!Job.Request.Rack.empty() || Job.Request.SameRack)
--- a/src/yuccaplank/dispatch/job_waiters.cpp
+++ b/src/yuccaplank/dispatch/job_waiters.cpp
@@ -1,5 +1,8 @@
 #include "job_waiters.hpp"
+#include "admission/admission_control.hpp"
+#include "job_memory.hpp"
 #include "relay_messages.hpp"
+#include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
 #include <set>
@@ -9,6 +12,8 @@
 namespace {
 
 constexpr std::size_t MaxSentAnswers = 512;
+// Jobs in progress take about this long to end and to free their memory.
+constexpr auto MemoryRetryAfter = std::chrono::seconds(1);
 
 } // namespace
 
@@ -43,8 +48,42 @@
                Outcome == job_outcome::Cancelled;
       }))
     return;
+  job_request Request = toJobRequest(Message);
+  Request.Origin = Vm;
+  if (!reserveMemory(Vm, Request)) {
+    refuse(Vm, Message);
+    return;
+  }
   WaitersByJob[Message.job()].RelayingVms[Vm] = Message.session();
-  Jobs.submit(toQueueSettings(Message), toJobRequest(Message));
+  Jobs.submit(toQueueSettings(Message), std::move(Request));
+}
+
+bool job_waiters::reserveMemory(const std::string &Vm, const job_request &Request) {
+  // One that joins the waiters of a job takes no memory, and "not run" would be wrong.
+  if (WaitersByJob.contains(Request.Job))
+    return true;
+  auto Reserved = Relayed.take(Vm, coordinatedBytes(Request));
+  if (!Reserved)
+    return false;
+  WaitersByJob[Request.Job].Memory = std::move(*Reserved);
+  return true;
+}
+
+// The refusal is not kept with the answers that are sent again: in a crowd, refusals would displace those of
+// jobs that have run. A VM that has not received it is told that the job is not held.
+void job_waiters::refuse(const std::string &Vm, const schema::relay_job &Message) {
+  job_answer Answer;
+  Answer.Outcome = job_outcome::Refused;
+  Answer.Reason = end_reason::MemoryLimit;
+  Answer.RetryAfterMs =
+      static_cast<std::uint32_t>(runtime::toMs(admission::spreadRetryAfter(MemoryRetryAfter, Message.job())));
+  runtime::log(runtime::log_level::Info, "relayed_job_refused",
+               {{"job", formatJob(Message.job())},
+                {"vm", Vm},
+                {"reason", std::string(endReasonName(Answer.Reason))},
+                {"relayed_bytes", static_cast<std::int64_t>(Relayed.taken())},
+                {"retry_after_ms", std::int64_t{Answer.RetryAfterMs}}});
+  Send(Vm, makeRelayedAnswer(Message.job(), Message.session(), Answer));
 }
 
 void job_waiters::onWithdrawRelayed(const std::string &Vm, const schema::withdraw_relayed &Message) {
--- a/src/yuccaplank/dispatch/job_waiters.hpp
+++ b/src/yuccaplank/dispatch/job_waiters.hpp
@@ -2,6 +2,7 @@
 // coordinates.
 #pragma once
 
+#include "memory_budget.hpp"
 #include "yuccaplank/dispatch/job_coordinator.hpp"
 #include "yuccaplank/dispatch/messages.hpp"
 
@@ -17,8 +18,10 @@
 public:
   using answer_function = std::function<void(std::uint64_t Job, const job_answer &Answer)>;
 
-  job_waiters(job_coordinator &Jobs, send_function Send, answer_function AnswerCaller)
-      : Jobs(Jobs), Send(std::move(Send)), AnswerCaller(std::move(AnswerCaller)) {}
+  /// MaxRelayedBytes limits the memory of the jobs that other VMs relay to this one.
+  job_waiters(job_coordinator &Jobs, send_function Send, answer_function AnswerCaller,
+              std::uint64_t MaxRelayedBytes)
+      : Jobs(Jobs), Send(std::move(Send)), AnswerCaller(std::move(AnswerCaller)), Relayed(MaxRelayedBytes) {}
 
   /// Submits a job of a caller of this VM. Returns false when such a caller already waits for it.
   bool submit(const queue_settings &Queue, job_request Request);
@@ -28,6 +31,7 @@
   /// wait for it.
   bool removeCaller(std::uint64_t Job, end_reason Reason);
 
+  /// Submits a relayed job, or refuses it when its memory would exceed the limit.
   void onRelayJob(const std::string &Vm, const schema::relay_job &Message);
   void onWithdrawRelayed(const std::string &Vm, const schema::withdraw_relayed &Message);
   /// A new session with a relaying VM begins. The VM no longer waits for jobs that it does not expect. For
@@ -37,12 +41,16 @@
   void onVmLost(const std::string &Vm);
   /// Passes the coordinator's answer of a job to all that wait for it.
   void onAnswer(std::uint64_t Job, const job_answer &Answer);
+  /// Number of relayed jobs that were refused because of their memory.
+  [[nodiscard]] std::uint64_t refusedForMemory() const { return Relayed.refusals(); }
 
 private:
   struct waiters {
     bool HasCaller = false;
     // Relaying VMs, with the session in which each has relayed the job.
     std::map<std::string, std::uint32_t> RelayingVms;
+    // Memory of a relayed job.
+    memory_budget::reservation Memory;
   };
   struct sent_answer {
     std::uint64_t Job = 0;
@@ -50,6 +58,9 @@
     job_answer Answer;
   };
 
+  /// Returns false when the memory of the job would exceed the limit.
+  bool reserveMemory(const std::string &Vm, const job_request &Request);
+  void refuse(const std::string &Vm, const schema::relay_job &Message);
   void removeRelayingVm(std::uint64_t Job, const std::string &Vm, end_reason Reason);
   void cancelIfUnawaited(std::uint64_t Job, end_reason Reason);
   /// Sends the last answer for the job to the VM again if there is one and MayResend accepts its outcome.
@@ -60,6 +71,7 @@
   job_coordinator &Jobs;
   send_function Send;
   answer_function AnswerCaller;
+  memory_budget Relayed;
   std::unordered_map<std::uint64_t, waiters> WaitersByJob;
   std::map<std::string, std::uint32_t> Sessions;
   // The latest answers to relaying VMs, which may not have received them because the session ended.
--- a/src/yuccaplank/dispatch/job_waiters_test.cpp
+++ b/src/yuccaplank/dispatch/job_waiters_test.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::uint64_t Job = 7;
+// Memory for 4 jobs of one task.
+constexpr std::uint64_t MaxRelayedBytes = 6000;
 
 struct vm final : coordinator_ports {
   std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
@@ -25,7 +27,7 @@
                       [this](const std::string &Vm, schema::dispatch_message Message) {
                         Sent.emplace_back(Vm, std::move(Message));
                       },
-                      [this](std::uint64_t, const job_answer &) { ++CallerAnswers; }};
+                      [this](std::uint64_t, const job_answer &) { ++CallerAnswers; }, MaxRelayedBytes};
 
   void send(const std::string &, schema::dispatch_message) override {}
   [[nodiscard]] std::string placer() const override { return "placer"; }
@@ -141,4 +143,47 @@
   }
 });
 
+// Guards against relayed jobs that together exceed the memory of the dispatching VM, against a VM whose
+// callers shut out those of others, and against refusals of jobs that have run.
+const test_case RelayedMemory("job waiters: the memory of relayed jobs is limited", [] {
+  vm Vm;
+  auto Relay = [&](const std::string &From, std::uint64_t Id) {
+    job_request Request = vm::request();
+    Request.Job = Id;
+    Vm.Waiters.onRelayJob(From, makeRelayJob({}, Request, 1).relay());
+  };
+  Relay("r1", 1);
+  Relay("r1", 2);
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Vm.Jobs->size());
+  CPPUNIT_ASSERT(Vm.Sent.empty());
+  if (auto When =
+          section("a VM whose jobs take as much as is free is refused, as not run and with a delay")) {
+    Relay("r1", 3);
+    CPPUNIT_ASSERT(!Vm.Jobs->contains(3));
+    CPPUNIT_ASSERT(Vm.lastAnswer().end() == schema::RELAYED_REFUSED);
+    CPPUNIT_ASSERT(Vm.lastAnswer().retry_after_ms() >= 1000);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Vm.Waiters.refusedForMemory());
+  }
+  if (auto When = section("another VM is still served")) {
+    Relay("r1", 3);
+    Relay("r2", 4);
+    CPPUNIT_ASSERT(Vm.Jobs->contains(4));
+  }
+  if (auto When = section("a VM that joins the waiters of a job in progress is not refused")) {
+    Relay("r1", 3);
+    Relay("r2", 4);
+    Relay("r3", 5);
+    Relay("r4", 6);
+    CPPUNIT_ASSERT(!Vm.Jobs->contains(6));
+    std::size_t Sent = Vm.Sent.size();
+    Relay("r4", 1);
+    CPPUNIT_ASSERT_EQUAL(Sent, Vm.Sent.size());
+  }
+  if (auto When = section("the memory of a job that ends is free again")) {
+    Vm.Waiters.onVmLost("r1");
+    Relay("r1", 3);
+    CPPUNIT_ASSERT(Vm.Jobs->contains(3));
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -1,7 +1,9 @@
 #include "yuccaplank/dispatch/placement_queue.hpp"
 #include "admission/admission_control.hpp"
 #include "admission/known_backlogs.hpp"
+#include "job_memory.hpp"
 #include "locality/advisor.hpp"
+#include "memory_budget.hpp"
 #include "pool_index.hpp"
 #include "resource_amounts.hpp"
 #include "yuccaplank/dispatch/job_answer.hpp"
@@ -37,6 +39,7 @@
   // Run numbers of the waiting tasks, by the task's index in the job.
   std::map<std::uint32_t, std::uint32_t> WaitingRuns;
   locality::job_place Place;
+  memory_budget::reservation Memory;
 };
 
 // When a job would end if its tasks started now: within its objective, late but still with value for its
@@ -84,7 +87,7 @@
 public:
   placement_queue_impl(const runtime::clock &Clock, send_function Send, placement_options OptionsIn)
       : Clock(Clock), Send(std::move(Send)), Options(std::move(OptionsIn)), Admission(Options.Admission),
-        Locality(Clock, Options.Locality) {}
+        WaitingMemory(Options.MaxWaitingBytes), Locality(Clock, Options.Locality) {}
 
   void enqueue(const std::string &Coordinator, const schema::place_job &Request) override {
     time_point Now = Clock.now();
@@ -106,8 +109,16 @@
     for (const schema::task_run &Task : Request.tasks())
       Job.WaitingRuns[Task.index()] = Task.run();
     Job.Request = Request;
-    if (IsNew && !Job.Started)
+    // The run numbers are kept in WaitingRuns.
+    google::protobuf::RepeatedPtrField<schema::task_run>().Swap(Job.Request.mutable_tasks());
+    if (!IsNew)
+      return;
+    if (!reserveMemory(Job)) {
+      reject(Job, schema::REJECT_MEMORY_LIMIT, Now);
+      Jobs.erase(Entry);
+    } else if (!Job.Started) {
       Admission.onArrival(Now, makeDemand(Job, Now));
+    }
   }
 
   void withdraw(const std::string &Coordinator, const schema::withdraw_job &Withdrawal) override {
@@ -293,6 +304,21 @@
     return Result;
   }
 
+  // Returns false when the memory of the job would exceed the limit. The memory of a job that has begun is
+  // reserved in any case: what has run would be lost.
+  bool reserveMemory(waiting_job &Job) {
+    const std::string &Origin = Job.Request.origin().empty() ? Job.Coordinator : Job.Request.origin();
+    std::uint64_t Bytes = waitingBytes(Job.WaitingRuns.size());
+    if (Job.Started) {
+      Job.Memory = WaitingMemory.takeAnyway(Origin, Bytes);
+      return true;
+    }
+    auto Reserved = WaitingMemory.take(Origin, Bytes);
+    if (Reserved)
+      Job.Memory = std::move(*Reserved);
+    return Reserved.has_value();
+  }
+
   // Rejects a job without a started task as soon as it cannot be served in time. Returns whether it did.
   bool rejectIfNotServable(waiting_job &Job, time_point Now) {
     if (Job.Started)
@@ -342,6 +368,9 @@
 
   [[nodiscard]] std::uint32_t retryAfterMs(const waiting_job &Job, schema::reject_reason Reason,
                                            time_point Now) const {
+    if (Reason == schema::REJECT_MEMORY_LIMIT)
+      return static_cast<std::uint32_t>(
+          runtime::toMs(admission::spreadRetryAfter(milliseconds(DefaultRetryAfterMs), Job.Request.job())));
     if (Reason != schema::REJECT_EVACUATED)
       return DefaultRetryAfterMs;
     // Nothing tells how long an evacuation lasts. The longer it has lasted, the longer it is expected to
@@ -365,6 +394,7 @@
     Send(Job.Coordinator, std::move(Message));
     ++Counters.Rejected;
     Counters.RejectedByBacklog += Refusal ? 1 : 0;
+    Counters.RejectedForMemory += Reason == schema::REJECT_MEMORY_LIMIT ? 1 : 0;
     runtime::log(runtime::log_level::Info, "job_rejected",
                  {{"job", formatJob(Job.Request.job())},
                   {"reason", std::string(endReasonName(toEndReason(Reason)))},
@@ -645,6 +675,8 @@
   send_function Send;
   placement_options Options;
   admission::admission_control Admission;
+  // Declared before the jobs, whose reservations refer to it.
+  memory_budget WaitingMemory;
   std::map<job_key, waiting_job> Jobs;
   std::map<std::string, known_server> Servers;
   std::map<std::string, pool_index> Pools;
--- a/src/yuccaplank/dispatch/placement_queue_test.cpp
+++ b/src/yuccaplank/dispatch/placement_queue_test.cpp
@@ -21,6 +21,8 @@
 
 // A placer with servers and jobs as these tests use them.
 struct placer : testing::recording_queue {
+  using recording_queue::recording_queue;
+
   void updateServer(const std::string &Name, double Slowness, std::uint32_t Cpu = 64000,
                     std::uint32_t Used = 0, std::uint64_t Token = 1, const std::string &Owner = "owner",
                     bool Evacuated = false, std::uint32_t Tasks = 0, float OverdueSlowness = 0) const {
@@ -368,4 +370,43 @@
   }
 });
 
+// Guards against jobs that together exceed the memory of the placer, and against a VM whose callers shut out
+// those of others.
+const test_case WaitingMemory("placement queue: the memory of waiting tasks is limited", [] {
+  placement_options Options;
+  // Memory for 2 jobs of 10 tasks.
+  Options.MaxWaitingBytes = 4000;
+  placer Placer{Options};
+  auto Submit = [&](std::uint64_t Id, const std::string &Origin, bool Started = false) {
+    schema::place_job Job = Placer.makeJob(Id, 10, 100);
+    Job.set_origin(Origin);
+    Job.set_started(Started);
+    Placer.enqueue(Job);
+  };
+  Submit(1, "r1");
+  Submit(2, "r1");
+  if (auto When = section("a VM whose jobs take as much as is free is refused at once")) {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Placer.Rejections.size());
+    CPPUNIT_ASSERT(Placer.Rejections.back().reason() == schema::REJECT_MEMORY_LIMIT);
+    CPPUNIT_ASSERT(Placer.Rejections.back().retry_after_ms() >= 1000);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Placer.Queue->counters().RejectedForMemory);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Placer.Queue->waitingJobs());
+  }
+  if (auto When = section("another VM is still served, also one behind the same coordinator")) {
+    Submit(3, "r2");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Placer.Queue->waitingJobs());
+  }
+  if (auto When = section("a job that has begun is never refused")) {
+    Submit(3, "r1", true);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Placer.Queue->waitingJobs());
+  }
+  if (auto When = section("the memory of a job that is withdrawn is free again")) {
+    schema::withdraw_job Withdrawal;
+    Withdrawal.set_job(1);
+    Placer.Queue->withdraw("coordinator", Withdrawal);
+    Submit(3, "r1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Placer.Queue->waitingJobs());
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/dispatch/vm_components.hpp
+++ b/src/yuccaplank/dispatch/vm_components.hpp
@@ -35,8 +35,9 @@
         Queue(makePlacementQueue(Executor.clock(), Send, Options.Placement)),
         Jobs(makeJobCoordinator(Executor, Roles.Coordinator, Options.Coordinator)),
         Owner(makeServerOwner(Executor, Roles.Owner, Options.Ledger)),
-        Relay(makeJobRelay(Executor, Roles.Relay, Options.Relay)), Waiters(*Jobs, Send, Roles.AnswerCaller),
-        Cancels(Executor, Send), Losses(Executor.clock()) {
+        Relay(makeJobRelay(Executor, Roles.Relay, Options.Relay)),
+        Waiters(*Jobs, Send, Roles.AnswerCaller, Options.Relay.MaxRelayedBytes), Cancels(Executor, Send),
+        Losses(Executor.clock()) {
     Self.set_role(schema::VM_RELAYS);
     Self.set_vm(Options.Vm);
     Self.set_address(Options.Address);
--- a/src/yuccaplank/dispatch/vm_reports.cpp
+++ b/src/yuccaplank/dispatch/vm_reports.cpp
@@ -19,6 +19,7 @@
                                                                           OtherVm.LastAnsweredHeartbeat));
   State.IgnoredEchoes = Vm.View->ignoredEchoes();
   State.DeclinedJobs = DeclinedJobs;
+  State.RelayedJobsRefused = Vm.Waiters.refusedForMemory();
   State.RunsInEvacuatedDomains = Configurations.runsInEvacuatedDomains(Vm.Owner->states());
   return State;
 }
--- a/src/yuccaplank/entry/own_settings.cpp
+++ b/src/yuccaplank/entry/own_settings.cpp
@@ -21,6 +21,8 @@
 // Unfinished requests get a quarter of the machine's memory: the process needs up to 50 MB for its other work
 // (docs/CAPACITY.md), and up to one receive buffer a connection is read between two checks.
 constexpr std::size_t UnfinishedShare = 4;
+// Relayed jobs, and tasks that wait at the placer, get an eighth each.
+constexpr std::size_t JobMemoryShare = 8;
 // A task in progress is estimated at 500 bytes, so that all take about an eighth of the machine's memory.
 constexpr std::uint64_t TasksPerMb = 250;
 constexpr std::size_t DefaultMaxBodyBytes = 256U << 10U;
@@ -33,6 +35,14 @@
 // The platform counts this number of descriptors for files.
 constexpr std::int64_t FileDescriptorsForFiles = 200;
 
+// Returns the set limit, or the share of the machine's memory; Default if neither is known.
+std::uint64_t memoryLimit(std::uint32_t SetMb, const platform::settings &Machine, std::size_t Share,
+                          std::uint64_t Default) {
+  if (SetMb > 0)
+    return std::uint64_t{SetMb} * BytesPerMb;
+  return Machine.MemoryMb > 0 ? static_cast<std::uint64_t>(Machine.MemoryMb) * BytesPerMb / Share : Default;
+}
+
 void overrideIfSet(double Value, double &Option) {
   if (Value > 0)
     Option = Value;
@@ -40,7 +50,8 @@
 
 } // namespace
 
-void applyOwnSettings(const schema::daemon_settings &Settings, dispatch::entry_vm_options &Options) {
+void applyOwnSettings(const schema::daemon_settings &Settings, const platform::settings &Machine,
+                      dispatch::entry_vm_options &Options) {
   overrideIfSet(Settings.placement().late_factor(), Options.Coordinator.LateFactor);
   overrideIfSet(Settings.placement().max_wait_share(), Options.Placement.MaxWaitShare);
   overrideIfSet(Settings.placement().estimate_margin(), Options.Placement.EstimateMargin);
@@ -49,6 +60,10 @@
   overrideIfSet(Settings.admission().wait_margin(), Admission.WaitMargin);
   for (const schema::guaranteed_share_settings &Share : Settings.admission().guaranteed_shares())
     Admission.Shares.push_back({Share.queue(), Share.priority(), Share.share()});
+  Options.Relay.MaxRelayedBytes =
+      memoryLimit(Settings.limits().relayed_mb(), Machine, JobMemoryShare, Options.Relay.MaxRelayedBytes);
+  Options.Placement.MaxWaitingBytes =
+      memoryLimit(Settings.limits().waiting_mb(), Machine, JobMemoryShare, Options.Placement.MaxWaitingBytes);
   if (Settings.locality().ignore())
     Options.Placement.Locality.Rule = dispatch::locality::wait_rule::Ignore;
   overrideIfSet(Settings.locality().max_wait_share(), Options.Placement.Locality.MaxWaitShare);
@@ -74,10 +89,7 @@
                                    const platform::settings &Machine) {
   wire::receive_limits Limits;
   const schema::caller_limits &Own = Settings.limits();
-  if (Own.unfinished_mb() > 0)
-    Limits.MaxBytes = std::size_t{Own.unfinished_mb()} * BytesPerMb;
-  else if (Machine.MemoryMb > 0)
-    Limits.MaxBytes = static_cast<std::size_t>(Machine.MemoryMb) * BytesPerMb / UnfinishedShare;
+  Limits.MaxBytes = memoryLimit(Own.unfinished_mb(), Machine, UnfinishedShare, Limits.MaxBytes);
   if (Own.receive_timeout_s() > 0)
     Limits.MaxTime = std::chrono::seconds(Own.receive_timeout_s());
   return Limits;
--- a/src/yuccaplank/entry/own_settings.hpp
+++ b/src/yuccaplank/entry/own_settings.hpp
@@ -10,7 +10,8 @@
 
 namespace yuccaplank::entry {
 
-void applyOwnSettings(const schema::daemon_settings &Settings, dispatch::entry_vm_options &Options);
+void applyOwnSettings(const schema::daemon_settings &Settings, const platform::settings &Machine,
+                      dispatch::entry_vm_options &Options);
 frontend_options frontendOptions(const schema::daemon_settings &Settings, const platform::settings &Machine);
 /// Limits of unfinished requests on all HTTP ports.
 wire::receive_limits receiveLimits(const schema::daemon_settings &Settings,
--- a/src/yuccaplank/entry/own_settings_test.cpp
+++ b/src/yuccaplank/entry/own_settings_test.cpp
@@ -19,7 +19,12 @@
   auto Connections = [&](http_port Port) {
     return httpServerOptions(Settings, Machine, Port).MaxConnections;
   };
+  dispatch::entry_vm_options Dispatching;
+  auto Apply = [&] { applyOwnSettings(Settings, Machine, Dispatching); };
   if (auto When = section("by default, they follow from the machine")) {
+    Apply();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{15'000'000}, Dispatching.Relay.MaxRelayedBytes);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{15'000'000}, Dispatching.Placement.MaxWaitingBytes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{30'000'000}, receiveLimits(Settings, Machine).MaxBytes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1437}, Connections(http_port::Callers));
     CPPUNIT_ASSERT_EQUAL(std::size_t{64}, Connections(http_port::Operators));
@@ -31,6 +36,11 @@
     Settings.mutable_limits()->set_unfinished_mb(5);
     Settings.mutable_limits()->set_connections(7);
     Settings.mutable_limits()->set_tasks_in_progress(9);
+    Settings.mutable_limits()->set_relayed_mb(3);
+    Settings.mutable_limits()->set_waiting_mb(2);
+    Apply();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3'000'000}, Dispatching.Relay.MaxRelayedBytes);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2'000'000}, Dispatching.Placement.MaxWaitingBytes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{5'000'000}, receiveLimits(Settings, Machine).MaxBytes);
     CPPUNIT_ASSERT_EQUAL(std::size_t{7}, Connections(http_port::Callers));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, frontendOptions(Settings, Machine).MaxTasksInProgress);
@@ -39,6 +49,8 @@
     Machine = {};
     CPPUNIT_ASSERT_EQUAL(std::size_t{4096}, Connections(http_port::Callers));
     CPPUNIT_ASSERT_EQUAL(std::size_t{64} << 20U, receiveLimits(Settings, Machine).MaxBytes);
+    Apply();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{16} << 20U, Dispatching.Relay.MaxRelayedBytes);
   }
 });
 
--- a/src/yuccaplank/entry/vm_process.cpp
+++ b/src/yuccaplank/entry/vm_process.cpp
@@ -141,7 +141,7 @@
     Result.Domain = Settings.Domain;
     Result.View.ClockOrigin = Identity.nonce();
     Result.Strength = toStrength(Settings);
-    applyOwnSettings(Options.OwnSettings, Result);
+    applyOwnSettings(Options.OwnSettings, Settings, Result);
     Result.Coordinator.RemoteFactor = Settings.RemoteFactor;
     dispatch::platform_bounds Bounds;
     Bounds.MaxLease = std::chrono::milliseconds(Settings.MaxLeaseMs);
