Limit the starts and stops that are under way at a time

Callers saw: a single legal job of 10,000 small tasks (a thousandth of a core each) with a specification of 4,000 bytes was never served, and the VM that took it stood still for 2 s at a time (eight pauses in 20 s), so that all its callers waited; it took 60.8 MB of a machine of 40 MB.

Cause: the placer granted all tasks that fit in one pass. Its free capacity is computed from the grants of the server that no owner has handled yet, so a pass took time in proportion to their square; and each grant causes a start order that carries the specification, so 10,000 of them lay at the coordinator at once. After the pause contact with everybody was lost, and all began again. Owners opened a connection for each start and, when the caller of such a job left, for each stop.

Change: - dispatch/outstanding_grants, which was part of the placement queue: at most 32 grants of a server and 512 of a coordinator are outstanding. A server has 16 stops at a time; further ones wait, those of one run are merged. A run that waits for its stop is limited as before: its lease is not prolonged beyond the limit that stopRun() sets.

Ordinary servers have 2 to 8 tasks, so none of these limits is met.

The unit test "a job of many small tasks is granted in portions" got 10,000 grants in one pass from the former queue.

--- a/scripts/lib/untrusted_callers.py
+++ b/scripts/lib/untrusted_callers.py
@@ -60,6 +60,12 @@
     return [b""] * (4 * crowd)
 
 
+def many_small_tasks(number):
+    """The caller has time, and the servers have room for all tasks at once."""
+    body = job(specification="1 50 ".ljust(4000, "x"), count=10_000, cpu=1, memory_limit_mb=0, estimated_ms=5000)
+    return whole(number, body, "Deadline-Milliseconds: 60000")
+
+
 # Name, port, texts of the crowd, endless piece, pause between two steps in seconds.
 CASES = [
     ("a body far over the limit, announced", "callers", announced_far_over, b"", 0),
@@ -74,7 +80,8 @@
     ("more connections than descriptors", "callers", silent, b"", 0),
 ]
 
-# Requests that a single caller may send: bodies of the largest size in the encodings that HTTP/1.1 allows.
+# Requests that a single caller may send: bodies of the largest size in the encodings that HTTP/1.1 allows, and the most
+# tasks of a job.
 LEGAL_REQUESTS = [
     ("a body of the largest size, its length announced", lambda number: whole(number, job(size=MAX_BODY_BYTES))),
     ("a body of the largest size, in one chunk",
@@ -82,6 +89,7 @@
     ("a body of the largest size, in chunks of 1,000 bytes",
      lambda number: chunked(number, job(size=MAX_BODY_BYTES), 1000)),
     ("a body of the largest size, in chunks of one byte", lambda number: chunked(number, job(size=MAX_BODY_BYTES), 1)),
+    ("a job of 10,000 small tasks with a long specification", many_small_tasks),
 ]
 
 
--- a/scripts/lib/untrusted_fleet.py
+++ b/scripts/lib/untrusted_fleet.py
@@ -26,19 +26,24 @@
     limits: dict
     seconds: int = 12
     specification_bytes: int = 4000
+    # Thousandths of a core that a task takes. The servers have 4 times 64 cores.
+    cpu: int = 40_000
+    run_ms: int = 200
 
 
 LIMITS = {"cpu_share": 0.25, "memory_mb": 40, "file_descriptors": 700}
 CASES = [
     FleetCase("many jobs at all VMs", vms=24, crowded_vms=0, callers_per_vm=50, tasks=190, limits=LIMITS),
     FleetCase("many jobs at half of the VMs", vms=24, crowded_vms=12, callers_per_vm=100, tasks=95, limits=LIMITS),
+    FleetCase("many small tasks at all VMs", vms=12, crowded_vms=0, callers_per_vm=50, tasks=190, limits=LIMITS, cpu=1,
+              run_ms=2000),
 ]
 
 
 def large_job(case):
-    """A legal job whose tasks wait: each takes most of a server, and the caller has time."""
-    specification = "40000 200 ".ljust(case.specification_bytes, "x")
-    return job(specification=specification, count=case.tasks, cpu=40_000, estimated_ms=20_000)
+    """A legal job whose caller has time, so that its tasks may wait."""
+    specification = f"{case.cpu} {case.run_ms} ".ljust(case.specification_bytes, "x")
+    return job(specification=specification, count=case.tasks, cpu=case.cpu, memory_limit_mb=0, estimated_ms=20_000)
 
 
 def check(case, system, find_unanswered):
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -4,6 +4,7 @@
 #include "job_memory.hpp"
 #include "locality/advisor.hpp"
 #include "memory_budget.hpp"
+#include "outstanding_grants.hpp"
 #include "pool_index.hpp"
 #include "resource_amounts.hpp"
 #include "yuccaplank/dispatch/job_answer.hpp"
@@ -14,7 +15,6 @@
 #include <limits>
 #include <map>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 namespace yuccaplank::dispatch {
@@ -60,21 +60,12 @@
 struct known_server {
   std::string Owner;
   schema::server_state State;
-  std::vector<std::uint64_t> Grants;
   // As last reported to admission control.
   admission::core_usage Usage;
   // Thousandths of a core in use, as last reported to the locality advisor.
   std::int64_t ReportedCpu = 0;
 };
 
-struct outstanding_grant {
-  std::string Coordinator;
-  std::string Server;
-  schema::task_size Size;
-  bool Alone = false;
-  time_point ExpiresAt;
-};
-
 struct job_key {
   std::string Coordinator;
   std::uint64_t Job = 0;
@@ -144,7 +135,7 @@
                     (State.removed() || Found->second.State.token() > State.token());
     // The state includes the tasks of the handled grants, so that their cores stay in use.
     for (std::uint64_t Grant : State.handled())
-      eraseGrant(Grant);
+      Grants.remove(Grant);
     if (Outdated) {
       updateIndex(Found->second);
       return;
@@ -171,11 +162,7 @@
     for (auto Server = Servers.begin(); Server != Servers.end();)
       Server = Server->second.Owner == Vm ? eraseServer(Server) : std::next(Server);
     std::erase_if(Jobs, [&](const auto &Entry) { return Entry.first.Coordinator == Vm; });
-    std::vector<std::uint64_t> GrantsOfVm;
-    for (const auto &[Id, Grant] : Grants)
-      if (Grant.Coordinator == Vm)
-        GrantsOfVm.push_back(Id);
-    for (std::uint64_t Id : GrantsOfVm)
+    for (std::uint64_t Id : Grants.ofCoordinator(Vm))
       releaseGrant(Id);
   }
 
@@ -415,6 +402,8 @@
       return;
     bool SuspectsWait = Now - Job.ArrivedAt < Options.SuspectWait;
     for (auto Waiting = Job.WaitingRuns.begin(); Waiting != Job.WaitingRuns.end();) {
+      if (Grants.coordinatorIsFull(Job.Coordinator))
+        return;
       auto [Index, Run] = *Waiting;
       bool IsSuspect = std::ranges::find(Job.Request.suspects(), Index) != Job.Request.suspects().end();
       const std::string *Server = IsSuspect ? chooseIdleServer(Job, Now) : nullptr;
@@ -439,17 +428,15 @@
   [[nodiscard]] resource_amounts freeCapacity(const known_server &Server) const {
     resource_amounts Free = toResourceAmounts(Server.State.capacity());
     Free.subtract(Server.State.used());
-    for (std::uint64_t Grant : Server.Grants)
-      Free.subtract(Grants.at(Grant).Size);
+    Grants.subtractFrom(Server.State.server(), Free);
     return Free;
   }
 
   [[nodiscard]] bool acceptsTasks(const known_server &Server) const {
-    if (!Server.State.usable())
-      return false;
-    if (std::ranges::any_of(Server.Grants, [this](std::uint64_t Id) { return Grants.at(Id).Alone; }))
+    const std::string &Id = Server.State.server();
+    if (!Server.State.usable() || Grants.anyAlone(Id) || Grants.serverIsFull(Id))
       return false;
-    std::size_t Tasks = Server.State.tasks() + Server.Grants.size();
+    std::size_t Tasks = Server.State.tasks() + Grants.countOfServer(Id);
     return Server.State.task_limit() == 0 || Tasks < Server.State.task_limit();
   }
 
@@ -575,7 +562,7 @@
       return nullptr;
     auto IsExcluded = [&](const std::string &Id) {
       const known_server &Server = Servers.at(Id);
-      bool IsIdle = Server.State.tasks() == 0 && Server.Grants.empty();
+      bool IsIdle = Server.State.tasks() == 0 && Grants.countOfServer(Id) == 0;
       return !IsIdle || isOwnerUnreachable(Job, Id) || isAvoided(Job, Id);
     };
     auto Choice = Pool->second.chooseServer(Job.Request.size(), computeMaxSlowness(Job, Now), IsExcluded);
@@ -606,10 +593,8 @@
   void grantTask(waiting_job &Job, const run_key &Run, const std::string &ServerId, bool Alone,
                  time_point Now) {
     known_server &Server = Servers.at(ServerId);
-    std::uint64_t Id = ++LastGrantId;
-    Grants.emplace(Id, outstanding_grant{Job.Coordinator, ServerId, Job.Request.size(), Alone,
-                                         Now + Options.GrantTimeout});
-    Server.Grants.push_back(Id);
+    std::uint64_t Id =
+        Grants.add({Job.Coordinator, ServerId, Job.Request.size(), Alone, Now + Options.GrantTimeout});
     updateIndex(Server);
     reportRackUsage(Server);
     double ExpectedFactor = Locality.onGranted(Job.Request, Job.Place, Server.State.rack());
@@ -633,36 +618,21 @@
   }
 
   void expireGrants(time_point Now) {
-    std::vector<std::uint64_t> Expired;
-    for (const auto &[Id, Grant] : Grants)
-      if (Grant.ExpiresAt <= Now)
-        Expired.push_back(Id);
-    for (std::uint64_t Id : Expired) {
+    for (std::uint64_t Id : Grants.expired(Now)) {
+      const outstanding_grant &Grant = Grants.get(Id);
       runtime::log(runtime::log_level::Warning, "grant_expired",
-                   {{"server", Grants.at(Id).Server}, {"coordinator", Grants.at(Id).Coordinator}});
+                   {{"server", Grant.Server}, {"coordinator", Grant.Coordinator}});
       ++Counters.GrantsExpired;
       releaseGrant(Id);
     }
   }
 
   void releaseGrant(std::uint64_t Id) {
-    auto Server = eraseGrant(Id);
+    auto Server = Servers.find(Grants.remove(Id));
     if (Server != Servers.end())
       updateIndex(Server->second);
   }
 
-  // Returns the server of the grant, whose index entry the caller has to update.
-  server_iterator eraseGrant(std::uint64_t Id) {
-    auto Found = Grants.find(Id);
-    if (Found == Grants.end())
-      return Servers.end();
-    auto Server = Servers.find(Found->second.Server);
-    Grants.erase(Found);
-    if (Server != Servers.end())
-      std::erase(Server->second.Grants, Id);
-    return Server;
-  }
-
   static constexpr std::int64_t ThousandthsPerCore = 1000;
   // A task that may be in time on a slow server waits at most this long for a faster one.
   static constexpr double MaxOptionalWaitMs = 10;
@@ -684,12 +654,11 @@
   std::map<std::string, time_point> LastEvacuatedAt;
   // Task sizes for which a pool had no free capacity during this call of schedule(), by pool.
   std::map<std::string, std::vector<resource_amounts>> UnplaceableSizes;
-  std::unordered_map<std::uint64_t, outstanding_grant> Grants;
+  // The ids start at the clock's time, so that grants of an earlier incarnation of this VM have other ids.
+  outstanding_grants Grants{static_cast<std::uint64_t>(Clock.unixMs()) << 20U};
   // The time until which a coordinator gets no servers of an owner that it could not reach, by coordinator
   // and owner.
   std::map<std::pair<std::string, std::string>, time_point> UnreachableUntil;
-  // The ids start at the clock's time, so that grants of an earlier incarnation of this VM have other ids.
-  std::uint64_t LastGrantId = static_cast<std::uint64_t>(Clock.unixMs()) << 20U;
   locality::advisor Locality;
   placement_counters Counters;
 };
--- a/src/yuccaplank/dispatch/placement_queue_test.cpp
+++ b/src/yuccaplank/dispatch/placement_queue_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <vector>
 
 using namespace yuccaplank;
@@ -409,4 +410,42 @@
   }
 });
 
+// Guards against a job of many small tasks that is granted at once: its start orders fill the memory of its
+// coordinator, and a pass over the queue takes seconds.
+const test_case ManySmallTasks("placement queue: a job of many small tasks is granted in portions", [] {
+  constexpr std::size_t ServerPortion = 32;
+  constexpr std::size_t CoordinatorPortion = 512;
+  placer Placer;
+  for (int Number = 0; Number < 20; ++Number)
+    Placer.updateServer(fmt::format("s{}", Number), 1);
+  schema::place_job Job = Placer.makeJob(1, 10'000, 5000);
+  Job.mutable_size()->set_cpu(1);
+  Job.mutable_size()->set_memory_mb(0);
+  Placer.enqueue(Job);
+  Placer.Queue->schedule();
+  CPPUNIT_ASSERT_EQUAL(CoordinatorPortion, Placer.Grants.size());
+  std::map<std::string, std::size_t> GrantsByServer;
+  for (const schema::grant &Grant : Placer.Grants)
+    CPPUNIT_ASSERT(++GrantsByServer[Grant.server()] <= ServerPortion);
+  if (auto When = section("when an owner has handled its portion, the next one is granted")) {
+    schema::server_state State;
+    State.set_server(Placer.Grants.front().server());
+    State.set_pool("pool");
+    State.mutable_capacity()->set_cpu(64000);
+    State.set_usable(true);
+    for (const schema::grant &Grant : Placer.Grants)
+      if (Grant.server() == State.server())
+        State.add_handled(Grant.id());
+    std::size_t Handled = static_cast<std::size_t>(State.handled_size());
+    Placer.Queue->updateServer("owner", State);
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT_EQUAL(CoordinatorPortion + Handled, Placer.Grants.size());
+  }
+  if (auto When = section("jobs of another coordinator get servers meanwhile")) {
+    Placer.Queue->enqueue("other", Placer.makeJob(2, 1, 100));
+    Placer.Queue->schedule();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, Placer.Grants.back().task().job());
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -1,4 +1,5 @@
 #include "yuccaplank/dispatch/server_owner.hpp"
+#include "order_window.hpp"
 #include "owner_messages.hpp"
 #include "reply_timeout.hpp"
 #include "server_evidence.hpp"
@@ -176,7 +177,7 @@
   [[nodiscard]] const ledger_counters &counters() const override { return Counters; }
 
 private:
-  server_orders &orders() override { return Ports.orders(); }
+  server_orders &orders() override { return Orders; }
   void broadcast(const schema::dispatch_message &Message) override { Ports.broadcast(Message); }
   std::uint64_t fencingToken(std::uint64_t Above) override { return Ports.fencingToken(Above); }
   [[nodiscard]] bool anyOwnerOutOfContact() const override { return Ports.anyOwnerOutOfContact(); }
@@ -210,12 +211,27 @@
       State.set_removed(true);
       if (Found != Servers.end())
         State = Found->second.Ledger->state();
+      limitTasks(State);
       for (const std::string &Placer : Subscribers)
         sendState(Placer, State);
     }
     HandledGrants.clear();
   }
 
+  // A server with too many start orders in progress gets no task beyond those that it has.
+  void limitTasks(schema::server_state &State) const {
+    if (State.task_limit() == 0 && Orders.isFull(State.server()))
+      State.set_task_limit(std::max<std::uint32_t>(State.tasks(), 1));
+  }
+
+  void onStartsFreed(const std::string &Server) {
+    if (!Server.empty())
+      return onCapacityChanged(Server);
+    for (const auto &[Id, Owned] : Servers)
+      if (!Owned.Ledger->unowned())
+        onCapacityChanged(Id);
+  }
+
   void sendState(const std::string &Placer, const schema::server_state &State) {
     schema::dispatch_message Message;
     *Message.mutable_server() = State;
@@ -281,6 +297,8 @@
   // Grants whose result is included in the next state of their server, by placer and server.
   std::map<std::string, std::map<std::string, std::vector<std::uint64_t>>> HandledGrants;
   std::map<std::string, std::uint32_t> Sessions;
+  order_window Orders{[this]() -> server_orders & { return Ports.orders(); },
+                      [this](const std::string &Server) { onStartsFreed(Server); }};
   std::deque<schema::task_event> RecentEnds;
   runtime::lifetime Lifetime;
 };
