Request each waiting task of the placer once

Callers saw: one legal job of 10,000 small tasks and one server that crashed under it took 1,003 MB on the VM that coordinated it, four pauses of up to 2.8 s in its event loop, and the job was late.

Cause: whenever a task had to be placed again, its coordinator listed all waiting tasks of the job for the placer. When many tasks of a job are placed again one after the other, the messages grow with the square of the tasks. The placer also searched the list of suspect tasks for each waiting task.

Change: a coordinator remembers for each waiting task whether the placer has been asked to place it, and lists only the others. It lists all of them when the placer or the session with it changes, and when the placer rejects a job that has begun; a task whose grant is declined is listed again. The placer keeps suspects as a set by task, so that a message says nothing about tasks that it does not list.

--- a/scripts/lib/untrusted_callers.py
+++ b/scripts/lib/untrusted_callers.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from concurrent import futures
 
 import fleet
 import untrusted_fleet
@@ -60,9 +61,10 @@
     return [b""] * (4 * crowd)
 
 
-def many_small_tasks(number):
+def many_small_tasks(number, run_ms=50):
     """The caller has time, and the servers have room for all tasks at once."""
-    body = job(specification="1 50 ".ljust(4000, "x"), count=10_000, cpu=1, memory_limit_mb=0, estimated_ms=5000)
+    specification = f"1 {run_ms} ".ljust(4000, "x")
+    body = job(specification=specification, count=10_000, cpu=1, memory_limit_mb=0, estimated_ms=5000)
     return whole(number, body, "Deadline-Milliseconds: 60000")
 
 
@@ -91,6 +93,7 @@
     ("a body of the largest size, in chunks of one byte", lambda number: chunked(number, job(size=MAX_BODY_BYTES), 1)),
     ("a job of 10,000 small tasks with a long specification", many_small_tasks),
 ]
+SERVER_CRASH = "a job of 10,000 small tasks on a server that crashes"
 
 
 def unanswered_requests(vm, number):
@@ -187,6 +190,24 @@
     return None
 
 
+def check_server_crash(options, system):
+    """Crashes a server under a job of many small tasks. The caller gets an answer."""
+    vm = next(iter(system.vms.values()))
+    watch = ProcessWatch(vm)
+    with futures.ThreadPoolExecutor() as threads:
+        answer = threads.submit(send_text, vm.caller_address, many_small_tasks(1, run_ms=1500))
+        time.sleep(0.7)
+        system.send_control_request("/workers/crash", {"names": ["w1"]})
+        time.sleep(1)
+        system.send_control_request("/workers/start", {"names": ["w1"]})
+        status = answer.result()
+    watch.sample()
+    faults = find_faults(watch, options, lambda: unanswered_requests(vm, 1 << 40))
+    if not status:
+        faults.append("no answer")
+    return {"case": SERVER_CRASH, "status": status, **(watch.figures() if watch.lives() else {}), "faults": faults}
+
+
 def check_legal_request(case, index, options, system):
     """Sends a legal request to an idle system, which has to serve it."""
     name, make = case
@@ -215,6 +236,7 @@
               for index, case in enumerate(CASES)]
     listed += [(case[0], one_vm(lambda system, case=case, index=index: check_legal_request(case, index, options, system)))
                for index, case in enumerate(LEGAL_REQUESTS)]
+    listed.append((SERVER_CRASH, one_vm(lambda system: check_server_crash(options, system))))
     return listed + [(case.name, many_vms(case)) for case in untrusted_fleet.CASES]
 
 
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -26,7 +26,7 @@
 using runtime::time_point;
 
 enum class task_phase : std::uint8_t {
-  /// The task waits until the placer chooses a server. The request is sent again when the placer changes.
+  /// The task waits until the placer chooses a server.
   Waiting,
   /// The start order was sent to the owner of the server, or a new owner has adopted the run.
   StartOrdered,
@@ -57,6 +57,8 @@
   std::optional<time_point> RefusedAt = std::nullopt;
   // Placement is not requested before this time.
   time_point PlaceAfter{};
+  // Whether the placer has been asked to place the run, and has not answered yet.
+  bool PlacementRequested = false;
   runtime::timer_id OrphanTimer = 0;
 };
 
@@ -143,8 +145,10 @@
     task_state *Task = Job ? findActiveTask(*Job, Run) : nullptr;
     if (!Task || Task->Phase != task_phase::Waiting || !Ports.reachable(Grant.owner())) {
       declineGrant(Placer, Grant);
-      if (Task && Task->Phase == task_phase::Waiting)
+      if (Task && Task->Phase == task_phase::Waiting) {
+        Task->PlacementRequested = false;
         requestPlacementLater(Run);
+      }
       return;
     }
     Task->Phase = task_phase::StartOrdered;
@@ -172,7 +176,7 @@
     if (Job.PossiblyStartedRuns > 0) {
       // A start order was sent before the rejection arrived, so the job goes on and still needs the other
       // tasks.
-      requestPlacement(Job);
+      requestAllPlacements(Job);
       return;
     }
     finishJob(Job,
@@ -233,7 +237,7 @@
     for (auto &[Id, Job] : Jobs)
       if (!Ports.placer().empty()) {
         runtime::cancelTimer(Executor, Job.PlacerTimer);
-        requestPlacement(Job);
+        requestAllPlacements(Job);
       }
   }
 
@@ -289,6 +293,15 @@
 
   // Placement of tasks.
 
+  // The placer does not know the waiting tasks, or has forgotten them.
+  void requestAllPlacements(coordinated_job &Job) {
+    for (task_state &Task : Job.Tasks)
+      Task.PlacementRequested = false;
+    requestPlacement(Job);
+  }
+
+  // Requests the placement of the waiting tasks that the placer has not been asked to place. Many tasks of a
+  // job may have to be placed again one after the other, so the others are not listed each time.
   void requestPlacement(coordinated_job &Job) {
     std::string Placer = Ports.placer();
     if (Placer.empty())
@@ -296,10 +309,12 @@
     schema::dispatch_message Message;
     schema::place_job &Place = *Message.mutable_place();
     for (std::uint32_t Index = 0; Index < Job.Tasks.size(); ++Index) {
-      if (Job.Tasks[Index].Phase != task_phase::Waiting || Job.Tasks[Index].PlaceAfter > now())
+      task_state &State = Job.Tasks[Index];
+      if (State.Phase != task_phase::Waiting || State.PlacementRequested || State.PlaceAfter > now())
         continue;
+      State.PlacementRequested = true;
       task_key Task{Job.Request.Job, Index};
-      *Place.add_tasks() = toMessage({Task, Job.Tasks[Index].Run});
+      *Place.add_tasks() = toMessage({Task, State.Run});
       if (Ports.isSuspect(Task))
         Place.add_suspects(Index);
     }
@@ -348,6 +363,7 @@
   void requeueTask(coordinated_job &Job, task_state &Task) {
     runtime::cancelTimer(Executor, Task.OrphanTimer);
     Task.Phase = task_phase::Waiting;
+    Task.PlacementRequested = false;
     Task.Owner.clear();
     Task.Server.clear();
     ++Counters.TasksPlacedAgain;
--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -420,4 +420,44 @@
   }
 });
 
+// Guards against messages whose size grows with the square of the tasks when many tasks of a job have to be
+// placed again, and against a task that is not requested again.
+const test_case
+    PlacedAgain("job coordinator: only the tasks that the placer does not know are requested", [] {
+      vm Vm;
+      constexpr std::uint32_t Tasks = 100;
+      Vm.submit(Tasks);
+      auto RequestedTasks = [&] {
+        int Requested = 0;
+        for (const auto &[To, Message] : Vm.Sent)
+          Requested += Message.place().tasks_size();
+        return Requested;
+      };
+      if (auto When = section("when half of them are refused one after the other, each of these once more")) {
+        for (std::uint32_t Index = 0; Index < Tasks / 2; ++Index)
+          Vm.grant(runOf(Index, 1));
+        for (std::uint32_t Index = 0; Index < Tasks / 2; ++Index)
+          Vm.reportEvent(runOf(Index, 1), schema::RUN_NOT_STARTED);
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(Tasks + Tasks / 2), RequestedTasks());
+      }
+      if (auto When = section("when a grant is declined, its task once more, after a delay")) {
+        Vm.Unreachable.insert("owner");
+        Vm.grant(runOf(0, 1));
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(Tasks), RequestedTasks());
+        Vm.Executor->advance(milliseconds(10));
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(Tasks + 1), RequestedTasks());
+      }
+      if (auto When = section("when the placer has changed, all of them")) {
+        Vm.Jobs->onPlacerChanged();
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(2 * Tasks), RequestedTasks());
+      }
+      if (auto When = section("when the placer rejects a job that has begun, all that wait")) {
+        Vm.grant(runOf(0, 1));
+        schema::reject_job Rejection;
+        Rejection.set_job(Job);
+        Vm.Jobs->onReject(Rejection);
+        CPPUNIT_ASSERT_EQUAL(static_cast<int>(2 * Tasks - 1), RequestedTasks());
+      }
+    });
+
 } // namespace
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -15,6 +15,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace yuccaplank::dispatch {
@@ -38,6 +39,8 @@
   bool OwedShare = false;
   // Run numbers of the waiting tasks, by the task's index in the job.
   std::map<std::uint32_t, std::uint32_t> WaitingRuns;
+  // Indexes of the tasks under which a server has crashed.
+  std::set<std::uint32_t> Suspects;
   locality::job_place Place;
   memory_budget::reservation Memory;
 };
@@ -97,11 +100,15 @@
     Job.ObjectiveEndsAt = Now + milliseconds(Request.objective_left_ms());
     Job.UsefulUntil = Now + milliseconds(Request.late_left_ms());
     Job.Deadline = Now + milliseconds(Request.deadline_left_ms());
-    for (const schema::task_run &Task : Request.tasks())
+    for (const schema::task_run &Task : Request.tasks()) {
       Job.WaitingRuns[Task.index()] = Task.run();
+      Job.Suspects.erase(Task.index());
+    }
+    Job.Suspects.insert(Request.suspects().begin(), Request.suspects().end());
     Job.Request = Request;
-    // The run numbers are kept in WaitingRuns.
+    // The tasks are kept in WaitingRuns and Suspects.
     google::protobuf::RepeatedPtrField<schema::task_run>().Swap(Job.Request.mutable_tasks());
+    Job.Request.clear_suspects();
     if (!IsNew)
       return;
     if (!reserveMemory(Job)) {
@@ -405,7 +412,7 @@
       if (Grants.coordinatorIsFull(Job.Coordinator))
         return;
       auto [Index, Run] = *Waiting;
-      bool IsSuspect = std::ranges::find(Job.Request.suspects(), Index) != Job.Request.suspects().end();
+      bool IsSuspect = Job.Suspects.contains(Index);
       const std::string *Server = IsSuspect ? chooseIdleServer(Job, Now) : nullptr;
       bool Alone = Server != nullptr;
       if (IsSuspect && !Server && SuspectsWait) {
