Move a job's record and messages out of the coordinator

The record of a job, which has no logic, is now dispatch/coordinated_job, and the messages about it are dispatch/coordinator_messages; the reason phrases of the HTTP server are wire/http_status.

--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -9,6 +9,8 @@
 // and asks the coordinators to let it adopt the runs that it found. An orphan that no owner has reported
 // within OrphanTimeout has certainly ended, and its task is placed again.
 #include "yuccaplank/dispatch/job_coordinator.hpp"
+#include "coordinated_job.hpp"
+#include "coordinator_messages.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
@@ -25,61 +27,6 @@
 using runtime::log_level;
 using runtime::time_point;
 
-enum class task_phase : std::uint8_t {
-  /// The task waits until the placer chooses a server.
-  Waiting,
-  /// The start order was sent to the owner of the server, or a new owner has adopted the run.
-  StartOrdered,
-  /// The owner of the server is out of contact or has yielded the run.
-  Orphaned,
-  Done,
-};
-
-struct task_state {
-  task_phase Phase = task_phase::Waiting;
-  // Number of the current run.
-  std::uint32_t Run = 1;
-  std::uint32_t Failures = 0;
-  // Runs that ended because their server did.
-  std::uint32_t LostRuns = 0;
-  // Runs that were stopped because they took too long.
-  std::uint32_t OverdueRuns = 0;
-  std::string Owner;
-  std::string Server;
-  // Fencing token under which the owner held the server when the run was ordered or adopted.
-  std::uint64_t Token = 0;
-  // Whether the run was granted a server without other tasks.
-  bool Alone = false;
-  // Estimated time on the granted server, which is longer outside the rack of the task's data.
-  std::uint32_t EstimateMs = 0;
-  time_point StartOrderedAt;
-  // When an owner last refused to start the task.
-  std::optional<time_point> RefusedAt = std::nullopt;
-  // Placement is not requested before this time.
-  time_point PlaceAfter{};
-  // Whether the placer has been asked to place the run, and has not answered yet.
-  bool PlacementRequested = false;
-  runtime::timer_id OrphanTimer = 0;
-};
-
-struct coordinated_job {
-  job_request Request;
-  queue_settings Queue;
-  time_point SubmittedAt;
-  // Time after submission within which the job should be completed.
-  duration Objective{};
-  std::vector<task_state> Tasks;
-  std::uint32_t DoneTasks = 0;
-  // Start orders that were sent, minus those whose owner reported that the run was not started.
-  std::uint32_t PossiblyStartedRuns = 0;
-  std::optional<time_point> FirstStartOrderedAt;
-  std::set<std::string> ServersToAvoid;
-  runtime::timer_id DeadlineTimer = 0;
-  runtime::timer_id PlacerTimer = 0;
-  runtime::timer_id StartTimer = 0;
-  time_point StartEndsAt{};
-};
-
 class job_coordinator_impl final : public job_coordinator {
 public:
   job_coordinator_impl(runtime::executor &Executor, coordinator_ports &Ports, coordinator_options Options)
@@ -320,7 +267,7 @@
     }
     if (Place.tasks_size() == 0)
       return;
-    describeJob(Job, Place);
+    describeJob(Job, now(), Options, Place);
     Ports.send(Placer, std::move(Message));
     limitWait(Job);
   }
@@ -335,31 +282,6 @@
     Job.StartTimer = Executor.after(Limit, [this, Id = Job.Request.Job] { onStartTimeout(Id); });
   }
 
-  void describeJob(const coordinated_job &Job, schema::place_job &Place) const {
-    auto RemainingMs = [&](duration Total) {
-      auto Remaining = std::chrono::duration_cast<std::chrono::milliseconds>(Job.SubmittedAt + Total - now());
-      return static_cast<std::int32_t>(Remaining.count());
-    };
-    Place.set_job(Job.Request.Job);
-    Place.set_pool(Job.Queue.Pool);
-    Place.set_queue(Job.Queue.Name);
-    *Place.mutable_size() = Job.Request.TaskSize;
-    Place.set_estimate_ms(Job.Request.EstimateMs);
-    Place.set_priority(Job.Queue.Priority);
-    Place.set_objective_left_ms(RemainingMs(Job.Objective));
-    Place.set_late_left_ms(
-        RemainingMs(std::chrono::duration_cast<duration>(Job.Objective * Options.LateFactor)));
-    Place.set_deadline_left_ms(RemainingMs(Job.Request.Deadline));
-    Place.set_started(Job.PossiblyStartedRuns > 0);
-    Place.set_origin(Job.Request.Origin);
-    Place.set_rack(Job.Request.Rack);
-    Place.set_same_rack(Job.Request.SameRack);
-    if (!Job.Request.Rack.empty() || Job.Request.SameRack)
-      Place.set_remote_factor(static_cast<float>(Options.RemoteFactor));
-    for (const std::string &Server : Job.ServersToAvoid)
-      Place.add_avoid(Server);
-  }
-
   void requeueTask(coordinated_job &Job, task_state &Task) {
     runtime::cancelTimer(Executor, Task.OrphanTimer);
     Task.Phase = task_phase::Waiting;
@@ -394,22 +316,9 @@
 
   void sendStartOrder(const std::string &Placer, const coordinated_job &Job, const run_key &Run,
                       const schema::grant &Grant) {
-    schema::dispatch_message Message;
-    schema::start_task &Start = *Message.mutable_start();
-    *Start.mutable_task() = toMessage(Run);
-    Start.set_grant(Grant.id());
-    Start.set_placer(Placer);
-    Start.set_server(Grant.server());
-    Start.set_specification(Job.Request.Specification);
-    *Start.mutable_size() = Job.Request.TaskSize;
-    // The owner learns the server's speed and recognises overdue runs by this estimate.
-    Start.set_estimate_ms(Job.Tasks.at(Run.Task.Index).EstimateMs);
-    Start.set_session(Ports.session(Grant.owner()));
-    Start.set_token(Grant.token());
-    Start.set_relayed(Job.Request.Relayed);
-    Start.set_alone(Grant.alone());
-    Start.set_overdue_runs(Job.Tasks.at(Run.Task.Index).OverdueRuns);
-    Start.set_failed_runs(Job.Tasks.at(Run.Task.Index).Failures);
+    schema::dispatch_message Message = makeStartOrder(Job, Run, Grant);
+    Message.mutable_start()->set_placer(Placer);
+    Message.mutable_start()->set_session(Ports.session(Grant.owner()));
     Ports.send(Grant.owner(), std::move(Message));
   }
 
@@ -503,15 +412,7 @@
     Task.Owner = Owner;
     Task.Token = Token;
     ++Counters.Adopted;
-    schema::adopted_run &Adopted = *Reply.add_runs();
-    *Adopted.mutable_task() = toMessage(Run);
-    *Adopted.mutable_size() = Job.Request.TaskSize;
-    Adopted.set_estimate_ms(Task.EstimateMs);
-    Adopted.set_relayed(Job.Request.Relayed);
-    Adopted.set_alone(Task.Alone);
-    Adopted.set_overdue_runs(Task.OverdueRuns);
-    Adopted.set_failed_runs(Task.Failures);
-    Adopted.set_age_ms(static_cast<std::uint32_t>(runtime::toMs(now() - Task.StartOrderedAt)));
+    describeRun(Job, Task, Run, now(), *Reply.add_runs());
   }
 
   // The new claim has raised the server's fence, so a run that the new owner does not list as running can no
--- a/src/yuccaplank/wire/http_server.cpp
+++ b/src/yuccaplank/wire/http_server.cpp
@@ -6,6 +6,7 @@
 }
 
 #include "hangup_watch.hpp"
+#include "http_status.hpp"
 #include "page_release.hpp"
 #include "unread_bound.hpp"
 #include "yuccaplank/runtime/log.hpp"
@@ -16,7 +17,6 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <new>
@@ -94,35 +94,6 @@
   return Lower;
 }
 
-struct status_reason {
-  int Status;
-  const char *Reason;
-};
-
-constexpr auto Reasons = std::to_array<status_reason>({
-    {200, "OK"},
-    {202, "Accepted"},
-    {204, "No Content"},
-    {400, "Bad Request"},
-    {401, "Unauthorized"},
-    {404, "Not Found"},
-    {405, "Method Not Allowed"},
-    {409, "Conflict"},
-    {410, "Gone"},
-    {413, "Payload Too Large"},
-    {422, "Unprocessable Entity"},
-    {429, "Too Many Requests"},
-    {431, "Request Header Fields Too Large"},
-    {500, "Internal Server Error"},
-    {502, "Bad Gateway"},
-    {503, "Service Unavailable"},
-});
-
-const char *reasonPhrase(int Status) {
-  const auto *Found = std::ranges::find(Reasons, Status, &status_reason::Status);
-  return Found == Reasons.end() ? "Other" : Found->Reason;
-}
-
 std::size_t headerBytes(const h2o_req_t &Request) {
   std::size_t Bytes = Request.path.len;
   for (std::size_t Index = 0; Index < Request.headers.size; ++Index)
