Test crowds while VMs are restarted and while they pause

A dispatching VM that is restarted or does not read is the moment at which jobs of other VMs gather. Two cases of scripts/untrusted-callers: 12 VMs with 50 callers each and jobs of 190 tasks, while the VMs are restarted by SIGTERM or stopped for 1.5 s, one after the other. Each process has to live or to end with status 0, memory and descriptors stay within the machine's, refused jobs have not run, the servers see no breach, and each VM answers an ordinary request afterwards.

--- a/scripts/lib/process_watch.py
+++ b/scripts/lib/process_watch.py
@@ -31,6 +31,8 @@
         self.ports = {int(address.rsplit(":", 1)[1]) for address in addresses}
         self.peak_descriptors = 0
         self.peak_unread_bytes = 0
+        # As of the last sample; the process may have ended since.
+        self.last_memory_mb = 0.0
 
     def sample(self, queues=None):
         if not self.lives():
@@ -39,6 +41,7 @@
         queues = read_receive_queues() if queues is None else queues
         unread = sum(size for port, inode, size in queues if port in self.ports or inode in inodes)
         self.peak_unread_bytes = max(self.peak_unread_bytes, unread)
+        self.last_memory_mb = self.memory_mb()
 
     def open_sockets(self):
         """Returns the inodes of the sockets, and counts the descriptors."""
--- a/scripts/lib/untrusted_fleet.py
+++ b/scripts/lib/untrusted_fleet.py
@@ -1,6 +1,7 @@
 """Crowds of callers at many entry VMs: each VM keeps its own limits, and the dispatching VMs get the sum."""
 import dataclasses
 import json
+import signal
 import time
 
 import fleet
@@ -29,12 +30,65 @@
     # Thousandths of a core that a task takes. The servers have 4 times 64 cores.
     cpu: int = 40_000
     run_ms: int = 200
+    # What happens to the VMs meanwhile, one after the other.
+    disturbance: type = None
+
+
+class Restarts:
+    """Stops a VM with SIGTERM and starts it again when it has ended."""
+
+    def __init__(self, vms):
+        self.waiting, self.stopping = list(vms), None
+
+    def step(self):
+        """Returns a VM that has a new process, or None."""
+        if self.stopping is None and self.waiting:
+            self.stopping = self.waiting.pop(0)
+            self.stopping.signal(signal.SIGTERM)
+        if self.stopping is None or self.stopping.process.poll() is None:
+            return None
+        started, self.stopping = self.stopping, None
+        started.start()
+        return started
+
+    def end(self):
+        """Waits until no VM is stopping."""
+        self.waiting.clear()
+        while self.stopping:
+            self.step()
+            time.sleep(SAMPLE_INTERVAL_S)
+
+
+class Pauses:
+    """Pauses a VM for longer than the others wait for it."""
+
+    PAUSE_S = 1.5
+
+    def __init__(self, vms):
+        self.waiting, self.paused, self.until = list(vms), None, 0.0
+
+    def step(self):
+        if self.paused and time.monotonic() >= self.until:
+            self.paused.signal(signal.SIGCONT)
+            self.paused = None
+        elif not self.paused and self.waiting:
+            self.paused, self.until = self.waiting.pop(0), time.monotonic() + self.PAUSE_S
+            self.paused.signal(signal.SIGSTOP)
+        return None
+
+    def end(self):
+        if self.paused:
+            self.paused.signal(signal.SIGCONT)
 
 
 LIMITS = {"cpu_share": 0.25, "memory_mb": 40, "file_descriptors": 700}
 CASES = [
     FleetCase("many jobs at all VMs", vms=24, crowded_vms=0, callers_per_vm=50, tasks=190, limits=LIMITS),
     FleetCase("many jobs at half of the VMs", vms=24, crowded_vms=12, callers_per_vm=100, tasks=95, limits=LIMITS),
+    FleetCase("many jobs at all VMs, which are restarted in turn", vms=12, crowded_vms=0, callers_per_vm=50, tasks=190,
+              limits=LIMITS, disturbance=Restarts),
+    FleetCase("many jobs at all VMs, which pause in turn", vms=12, crowded_vms=0, callers_per_vm=50, tasks=190,
+              limits=LIMITS, disturbance=Pauses),
     FleetCase("many small tasks at all VMs", vms=12, crowded_vms=0, callers_per_vm=50, tasks=190, limits=LIMITS, cpu=1,
               run_ms=2000),
 ]
@@ -57,22 +111,49 @@
     crowd = ReturningCrowd([vm.caller_address for vm in crowded for _ in range(case.callers_per_vm)],
                            lambda number: whole(number, body, "Deadline-Milliseconds: 60000"), 1)
     crowd.start()
-    end = time.monotonic() + case.seconds
-    while time.monotonic() < end:
-        sample(watches.values())
-        time.sleep(SAMPLE_INTERVAL_S)
+    ended = run_crowd(case, vms, watches)
     others = [vm for vm in vms if vm not in crowded]
     faults = ordinary_faults(others, watches, find_unanswered)
     crowd.stop()
     faults += ordinary_faults(crowded, watches, find_unanswered)
     sample(watches.values())
     faults += [f"{name}: {fault}" for name, watch in watches.items() for fault in bounds_exceeded(watch, case.limits)]
+    faults += ended
     faults += broken_promises(system, crowd)
     live = [watch for watch in watches.values() if watch.lives()]
     largest = max(live, key=ProcessWatch.memory_mb).figures() if live else {}
     return {"case": case.name, "relaying": len(relaying), "replies": crowd.replies, "largest": largest, "faults": faults}
 
 
+def run_crowd(case, vms, watches):
+    """Watches the VMs for the time of the crowd. Returns the faults of the processes that were replaced meanwhile."""
+    disturbance = case.disturbance(vms) if case.disturbance else None
+    faults = []
+    end = time.monotonic() + case.seconds
+    while time.monotonic() < end:
+        sample(watches.values())
+        started = disturbance.step() if disturbance else None
+        if started:
+            faults += replace_watch(started, watches, case.limits)
+        time.sleep(SAMPLE_INTERVAL_S)
+    if disturbance:
+        disturbance.end()
+    for vm in vms:
+        if watches[vm.name].process is not vm.process:
+            faults += replace_watch(vm, watches, case.limits)
+    return faults
+
+
+def replace_watch(vm, watches, limits):
+    """Watches the new process of the VM. Returns the faults of the former one."""
+    former = watches[vm.name]
+    watches[vm.name] = ProcessWatch(vm)
+    faults = [] if former.process.returncode == 0 else ["ended"]
+    if former.last_memory_mb > limits["memory_mb"]:
+        faults.append("memory")
+    return [f"{vm.name}, before its restart: {fault}" for fault in faults]
+
+
 def relaying_vms(vms):
     """The VMs that pass their jobs to others."""
     def dispatches(vm):
