--- a/src/yuccaplank/dispatch/outstanding_grants.cpp
+++ b/src/yuccaplank/dispatch/outstanding_grants.cpp
@@ -28,6 +28,15 @@
   return Server;
 }
 
+void outstanding_grants::removeOfServer(const std::string &Server) {
+  auto Found = ByServer.find(Server);
+  if (Found == ByServer.end())
+    return;
+  std::vector<std::uint64_t> Ids = Found->second;
+  for (std::uint64_t Id : Ids)
+    remove(Id);
+}
+
 std::vector<std::uint64_t> outstanding_grants::expired(runtime::time_point Now) const {
   std::vector<std::uint64_t> Ids;
   for (const auto &[Id, Grant] : Grants)
--- a/src/yuccaplank/dispatch/outstanding_grants.hpp
+++ b/src/yuccaplank/dispatch/outstanding_grants.hpp
@@ -37,6 +37,8 @@
   std::uint64_t add(const outstanding_grant &Grant);
   /// Removes a grant and returns the name of its server; empty if there is no such grant.
   std::string remove(std::uint64_t Id);
+  /// Removes the grants of a server whose owner is lost: the next owner refuses their start orders.
+  void removeOfServer(const std::string &Server);
   [[nodiscard]] const outstanding_grant &get(std::uint64_t Id) const { return Grants.at(Id); }
 
   [[nodiscard]] std::vector<std::uint64_t> expired(runtime::time_point Now) const;
--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -490,6 +490,7 @@
     reportPoolUsage(Server->second, {});
     Locality.onServerRemoved(State.pool(), State.rack(), Server->second.ReportedCpu);
     Pools.at(State.pool()).erase(Server->first);
+    Grants.removeOfServer(Server->first);
     return Servers.erase(Server);
   }
 
--- a/src/yuccaplank/dispatch/placement_queue_test.cpp
+++ b/src/yuccaplank/dispatch/placement_queue_test.cpp
@@ -448,4 +448,18 @@
   }
 });
 
+// Guards against a server that keeps the grants of its former owner, which the new owner has never seen.
+const test_case GrantsOfLostOwner("placement queue: a server's grants end with its owner", [] {
+  placer Placer;
+  Placer.updateServer("s1", 1);
+  Placer.enqueue(Placer.makeJob(1, 2, 100));
+  Placer.Queue->schedule();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Placer.Grants.size());
+  Placer.Queue->removeVm("owner");
+  Placer.updateServer("s1", 1, 64000, 0, 2, "heir");
+  Placer.enqueue(Placer.makeJob(2, 2, 100));
+  Placer.Queue->schedule();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{4}, Placer.Grants.size());
+});
+
 } // namespace
