Keep the end of the outage window instead of an optional time

On arm64 the build with sanitizers failed: GCC 12 reports that the optional ReturnedAt of server_health may be used uninitialized (-Wmaybe-uninitialized, inlined into server_evidence_test.cpp).

A server's return now sets the time until which a further return counts as another outage, which needs no optional; the result is the same. The file compiles with the flags of the sanitizer build, and did not before.

--- a/src/yuccaplank/dispatch/server_health.hpp
+++ b/src/yuccaplank/dispatch/server_health.hpp
@@ -70,8 +70,8 @@
   /// Records that the server is back after it had ended. Returns whether this starts or prolongs a
   /// quarantine: a server that ends over and over gets no runs until it has stayed for some time.
   bool onReturn(runtime::time_point Now) {
-    Outages = ReturnedAt && Now - *ReturnedAt < OutageWindow ? Outages + 1 : 1;
-    ReturnedAt = Now;
+    Outages = Now < OutageWindowEndsAt ? Outages + 1 : 1;
+    OutageWindowEndsAt = Now + OutageWindow;
     if (Outages < 2)
       return false;
     QuarantineEvidence = 0;
@@ -128,7 +128,8 @@
   std::uint32_t Outages = 0;
   bool Probation = false;
   double QuarantineEvidence = 0;
-  std::optional<runtime::time_point> ReturnedAt;
+  // A return before this time counts as a further outage.
+  runtime::time_point OutageWindowEndsAt = runtime::time_point::min();
   runtime::time_point ReleasedAt{};
   std::optional<runtime::time_point> QuarantinedUntil;
 };
