Restore the time limit of ordinary requests in the tests of untrusted callers

It is 5 s again; only the largest legal jobs, which are new, have 60 s. A process that is replaced during a crowd is now checked for its descriptors as well.

The check of memory and descriptors stood three times; it is now ProcessWatch.bounds_exceeded(). The limits of the machine stood twice.

--- a/scripts/lib/process_watch.py
+++ b/scripts/lib/process_watch.py
@@ -71,6 +71,15 @@
     def memory_mb(self):
         return self.status_mb("VmHWM") + self.peak_unread_bytes / BYTES_PER_MB
 
+    def bounds_exceeded(self, memory_mb, file_descriptors):
+        """Lists the bounds that the process has exceeded; of one that has ended, as of the last sample."""
+        exceeded = []
+        if (self.memory_mb() if self.lives() else self.last_memory_mb) > memory_mb:
+            exceeded.append("memory")
+        if self.peak_descriptors > file_descriptors:
+            exceeded.append("descriptors")
+        return exceeded
+
     def figures(self):
         return {"memory_mb": round(self.memory_mb(), 1), "unread_mb": round(self.peak_unread_bytes / BYTES_PER_MB, 1),
                 "rss_after_mb": round(self.status_mb("VmRSS"), 1), "descriptors": self.peak_descriptors}
--- a/scripts/lib/untrusted_callers.py
+++ b/scripts/lib/untrusted_callers.py
@@ -17,14 +17,15 @@
 from crowds import Crowd
 from process_watch import ProcessWatch
 
-LIMITS = {"cpu_share": 0.25, "memory_mb": 40, "file_descriptors": 700}
+LIMITS = untrusted_fleet.LIMITS
 CROWD = 250
 BODY_BYTES = 262_000
 SENT_BYTES = 259_000
 # Limit of a body; one of this size is legal.
 MAX_BODY_BYTES = 262_144
-# A caller waits this long for the answer to its job.
-ANSWER_TIMEOUT_S = 60
+# An ordinary request has to be answered within this time, and a large legal job within the other one.
+ORDINARY_TIMEOUT_S = 5
+LARGE_JOB_TIMEOUT_S = 60
 KNOWN_RED_PREFIX = "untrusted-callers: "
 # An ordinary caller that is refused (503, not run) comes back this many times.
 ORDINARY_TRIES = 20
@@ -128,13 +129,13 @@
     """The host names a queue, so the request is written here rather than by urllib."""
     request = (f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nConnection: close\r\n"
                f"Content-Length: {len(body or b'')}\r\n\r\n")
-    return send_text(address, request.encode() + (body or b""))
+    return send_text(address, request.encode() + (body or b""), ORDINARY_TIMEOUT_S)
 
 
-def send_text(address, text):
+def send_text(address, text, timeout=LARGE_JOB_TIMEOUT_S):
     """Returns the status of the reply, or 0 if there is none."""
     host, port = address.split(":")
-    with socket.create_connection((host, int(port)), timeout=ANSWER_TIMEOUT_S) as connection:
+    with socket.create_connection((host, int(port)), timeout=timeout) as connection:
         connection.sendall(text)
         reply = connection.recv(4096).split(b" ", 2)
     return int(reply[1]) if len(reply) > 1 else 0
@@ -182,11 +183,7 @@
     faults = [f"no answer on the {port} port" for port in find_unanswered()]
     if not watch.lives():
         return faults + ["ended"]
-    if watch.memory_mb() > (options.memory_bound_mb or options.memory_mb):
-        faults.append("memory")
-    if watch.peak_descriptors > options.file_descriptors:
-        faults.append("descriptors")
-    return faults
+    return faults + watch.bounds_exceeded(options.memory_bound_mb or options.memory_mb, options.file_descriptors)
 
 
 def wait_until_closed(crowd, watch, seconds):
--- a/scripts/lib/untrusted_fleet.py
+++ b/scripts/lib/untrusted_fleet.py
@@ -117,7 +117,7 @@
     crowd.stop()
     faults += ordinary_faults(crowded, watches, find_unanswered)
     sample(watches.values())
-    faults += [f"{name}: {fault}" for name, watch in watches.items() for fault in bounds_exceeded(watch, case.limits)]
+    faults += [f"{name}: {fault}" for name, watch in watches.items() for fault in find_faults(watch, case.limits)]
     faults += ended
     faults += broken_promises(system, crowd)
     live = [watch for watch in watches.values() if watch.lives()]
@@ -149,8 +149,7 @@
     former = watches[vm.name]
     watches[vm.name] = ProcessWatch(vm)
     faults = [] if former.process.returncode == 0 else ["ended"]
-    if former.last_memory_mb > limits["memory_mb"]:
-        faults.append("memory")
+    faults += former.bounds_exceeded(limits["memory_mb"], limits["file_descriptors"])
     return [f"{vm.name}, before its restart: {fault}" for fault in faults]
 
 
@@ -176,15 +175,8 @@
     return faults
 
 
-def bounds_exceeded(watch, limits):
-    if not watch.lives():
-        return ["ended"]
-    exceeded = []
-    if watch.memory_mb() > limits["memory_mb"]:
-        exceeded.append("memory")
-    if watch.peak_descriptors > limits["file_descriptors"]:
-        exceeded.append("descriptors")
-    return exceeded
+def find_faults(watch, limits):
+    return ([] if watch.lives() else ["ended"]) + watch.bounds_exceeded(limits["memory_mb"], limits["file_descriptors"])
 
 
 def broken_promises(system, crowd):
