Compare the hosts of requests without regard to case

Found while looking for what else the adapter narrows beside the ids of jobs: a caller that writes the host of a queue in another case got 404, although HTTP hosts are case-insensitive. Cause: configuration::findQueue compared bytes.

Test: "frontend: the case of a host does not matter" failed before with 404 in place of 200.

--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -78,11 +78,12 @@
   }
 
   wire::request_token request(const std::string &Method, const std::string &Path,
-                              const std::string &Text = "", runtime::duration MaxUnreadTime = {}) {
+                              const std::string &Text = "", runtime::duration MaxUnreadTime = {},
+                              const std::string &Host = "host.example:80") {
     wire::http_request Request;
     Request.Token = ++LastToken;
     Request.Method = Method;
-    Request.Host = "host.example:80";
+    Request.Host = Host;
     Request.Path = Path;
     Request.Body = Text;
     Request.MaxUnreadTime = MaxUnreadTime;
@@ -125,6 +126,18 @@
   }
 });
 
+// Guards against callers that get 404 because they write the host in another case.
+const test_case Hosts("frontend: the case of a host does not matter", [] {
+  vm Vm;
+  Vm.configure();
+  for (const char *Host : {"host.example", "HOST.example", "Host.Example:80"})
+    CPPUNIT_ASSERT_EQUAL(200, Vm.statusOf(Vm.request("GET", "/p/", "", {}, Host)));
+  CPPUNIT_ASSERT_EQUAL(404, Vm.statusOf(Vm.request("GET", "/p/", "", {}, "host.exampl")));
+  if (auto Then = section("but that of a path does")) {
+    CPPUNIT_ASSERT_EQUAL(404, Vm.statusOf(Vm.request("GET", "/P/")));
+  }
+});
+
 // Guards against tasks that servers are told under an id that no caller has sent, and against a cancel of
 // another job, because ids that differ only in the case of their digits are taken for one.
 const test_case Capitals("frontend: ids that differ in the case of their digits are those of two jobs", [] {
--- a/src/yuccaplank/platform/configuration_check.cpp
+++ b/src/yuccaplank/platform/configuration_check.cpp
@@ -1,10 +1,12 @@
 #include "yuccaplank/platform/configuration_check.hpp"
 
+#include <boost/algorithm/string/case_conv.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
+#include <locale>
 #include <map>
 #include <set>
 
@@ -106,7 +108,8 @@
     std::map<std::pair<std::string, std::string>, std::size_t> FirstByAddress;
     for (std::size_t Index = 0; Index < Configuration.Queues.size(); ++Index) {
       const queue_settings &Queue = Configuration.Queues[Index];
-      auto [First, IsNew] = FirstByAddress.try_emplace({Queue.Host, Queue.PathPrefix}, Index);
+      auto [First, IsNew] = FirstByAddress.try_emplace(
+          {boost::to_lower_copy(Queue.Host, std::locale::classic()), Queue.PathPrefix}, Index);
       if (!IsNew)
         warn(routePath(Index),
              fmt::format("never matches: {} has the same host and path_prefix", routePath(First->second)));
