Learn entries of servers from other VMs while the store turns a VM away

Cause: entries of servers came from the store only, and an owner decided each start by the entry that it had, however old.

Change: a VM whose reads fail, or that has not read for 1.6 s, says so in its heartbeats and each 500 ms requests the changes since its version from one VM in contact that reads the store; the store's version orders all states (dispatch/server_catalog, dispatch/server_entry_exchange). While such a VM is in contact, entries that were last confirmed more than 2.4 s ago, or before a pause, start nothing. That is why it works: either the VM knows of the change within 1.6 s, or it does not start by what it knows. With no such VM it goes on, as it has to in an outage for all.

--- a/include/yuccaplank/dispatch/configuration.hpp
+++ b/include/yuccaplank/dispatch/configuration.hpp
@@ -36,7 +36,8 @@
   std::vector<queue_settings> Queues;
   request_limits Limits;
 
-  /// Returns the queue of Host, whose case does not matter, whose PathPrefix is the longest prefix of Path, or null when there is none.
+  /// Returns the queue of Host, whose case does not matter, whose PathPrefix is the longest prefix of Path,
+  /// or null when there is none.
   [[nodiscard]] const queue_settings *findQueue(std::string_view Host, std::string_view Path) const;
 };
 
--- a/include/yuccaplank/dispatch/entry_vm.hpp
+++ b/include/yuccaplank/dispatch/entry_vm.hpp
@@ -8,12 +8,14 @@
 #include "yuccaplank/dispatch/job_coordinator.hpp"
 #include "yuccaplank/dispatch/placement_queue.hpp"
 #include "yuccaplank/dispatch/relay_options.hpp"
+#include "yuccaplank/dispatch/server_entry_options.hpp"
 #include "yuccaplank/dispatch/server_owner.hpp"
 
 #include "report.pb.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +42,7 @@
   coordinator_options Coordinator;
   relay_options Relay;
   ledger_options Ledger;
+  server_entry_options ServerEntries;
 };
 
 /// The services that an entry VM uses. Messages to a VM are delivered in order while a connection lasts.
@@ -88,6 +91,7 @@
   std::uint64_t RelayedJobsRefused = 0;
   /// Jobs of this VM's callers that it refused because of the placer's backlog.
   std::uint64_t ShedJobs = 0;
+  server_entry_counters ServerEntries = {};
   bool Dispatching = false;
   bool Placing = false;
   /// Evacuated failure domains, with the number of runs on their servers that this VM owns.
@@ -108,7 +112,14 @@
   /// Applies the evacuations of one source unless a newer state of it is known. Those in the store are set
   /// before the first configuration, so that no task starts before they are known.
   virtual void setEvacuations(const schema::evacuation_state &State) = 0;
-  virtual void setServers(const std::vector<server_entry> &Servers) = 0;
+  /// Sets the servers that the platform lists as of a version of the store, unless another VM has told newer
+  /// ones.
+  virtual void setServers(const std::vector<server_entry> &Servers, std::uint64_t Version) = 0;
+  /// Called after each attempt to read the servers' entries that was sent at SentAt, on the clock that counts
+  /// suspension: with the version of the store that it has reached, or with nothing if it has failed.
+  virtual void onServersRead(std::optional<std::uint64_t> Version, runtime::time_point SentAt) = 0;
+  /// Forgets the servers, which this VM no longer needs.
+  virtual void forgetServers() = 0;
   /// Sets the other VMs that are registered in the store.
   virtual void setRegisteredVms(const registered_vms &Vms) = 0;
   /// Sets the version of the latest roll call in the store; 0 if there is none.
--- a/include/yuccaplank/dispatch/protocol_version.hpp
+++ b/include/yuccaplank/dispatch/protocol_version.hpp
@@ -14,8 +14,10 @@
   Initial = 0,
   /// Ids of jobs may have capital digits.
   CapitalIds = 1,
+  /// Requests for the entries of servers are answered.
+  ServerEntries = 2,
 };
 
-inline constexpr protocol_version CurrentProtocolVersion = protocol_version::CapitalIds;
+inline constexpr protocol_version CurrentProtocolVersion = protocol_version::ServerEntries;
 
 } // namespace yuccaplank::dispatch
--- a/include/yuccaplank/dispatch/server_ledger.hpp
+++ b/include/yuccaplank/dispatch/server_ledger.hpp
@@ -162,6 +162,8 @@
   /// Sets whether the server's failure domain is evacuated. An evacuated server gets no new runs; the runs
   /// that have begun continue.
   virtual void setEvacuated(bool IsEvacuated) = 0;
+  /// Sets whether starts have to wait because the server's entry may be outdated.
+  virtual void suspendStarts(bool Suspend) = 0;
   /// Called when the platform no longer lists the server. Its runs are reported as gone when their lease
   /// expires.
   virtual void delist() = 0;
--- a/include/yuccaplank/dispatch/server_owner.hpp
+++ b/include/yuccaplank/dispatch/server_owner.hpp
@@ -45,6 +45,9 @@
   virtual void setServers(const std::vector<server_entry> &Servers) = 0;
   /// Sets the failure domains whose servers get no new runs. Ownership and runs are not affected.
   virtual void setEvacuatedDomains(const std::set<std::string> &Domains) = 0;
+  /// Sets whether starts have to wait because the entries of the servers may be outdated. Runs and ownership
+  /// are not affected.
+  virtual void suspendStarts(bool Suspend) = 0;
   /// Claims the servers that this VM should own but does not; called when the view of the other VMs has
   /// changed.
   virtual void claimAssignedServers() = 0;
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -4,6 +4,7 @@
 #include "job_router.hpp"
 #include "message_router.hpp"
 #include "rack_assignment.hpp"
+#include "server_entry_exchange.hpp"
 #include "shedding_job_service.hpp"
 #include "vm_components.hpp"
 #include "vm_reports.hpp"
@@ -26,9 +27,11 @@
 class entry_vm_impl final : public entry_vm, coordinator_ports, owner_ports, contact_ports {
 public:
   entry_vm_impl(runtime::executor &Executor, entry_vm_ports &Ports, entry_vm_options Options)
-      : RelayAdapter(*this), Vm(Executor, Ports, std::move(Options), rolePorts()), Configurations(Vm),
-        Roles(Vm), Sessions(Vm, Roles, Configurations), Messages(Vm, Roles, Sessions, Configurations),
-        Racks(*Vm.View, Vm.Options.Vm),
+      : RelayAdapter(*this), EntryAdapter(*this), Vm(Executor, Ports, std::move(Options), rolePorts()),
+        Configurations(Vm), ServerEntries(makeServerEntryExchange(Vm.Executor.clock(), Vm.Options.Vm,
+                                                                  EntryAdapter, Vm.Options.ServerEntries)),
+        Roles(Vm), Sessions(Vm, Roles, Configurations),
+        Messages(Vm, Roles, Sessions, Configurations, *ServerEntries), Racks(*Vm.View, Vm.Options.Vm),
         Router(*Vm.Jobs, Vm.Waiters, *Vm.Relay, [this] { return Roles.relaysNewJobs(); }),
         Shedder(Vm.Executor.clock(), Vm.Backlogs),
         Shedding(Vm.Executor, Router, Shedder,
@@ -74,7 +77,16 @@
   void setEvacuations(const schema::evacuation_state &State) override {
     Configurations.setEvacuations(State);
   }
-  void setServers(const std::vector<server_entry> &Servers) override { Vm.Owner->setServers(Servers); }
+  void setServers(const std::vector<server_entry> &Servers, std::uint64_t Version) override {
+    ServerEntries->setEntries(Servers, Version);
+  }
+  void onServersRead(std::optional<std::uint64_t> Version, time_point SentAt) override {
+    ServerEntries->onRead(Version, SentAt);
+  }
+  void forgetServers() override {
+    ServerEntries->clear();
+    Vm.Owner->setServers({});
+  }
   void setRegisteredVms(const registered_vms &Vms) override { Roles.setRegisteredVms(Vms); }
   void setRollCall(std::uint64_t Version) override { Roles.setRollCall(Version); }
 
@@ -117,6 +129,7 @@
     Vm.View->setSelf(Vm.Self);
     Sessions.endAllContacts();
     Vm.Owner->onPause();
+    ServerEntries->onPause();
     Vm.Backlogs.clear();
     Vm.Contacts.contactOthers();
     Roles.updatePlacerAndOwnership();
@@ -130,6 +143,7 @@
   [[nodiscard]] entry_vm_state state() const override {
     entry_vm_state State = makeVmState(Vm, Roles, Configurations, Messages.declinedJobs());
     State.ShedJobs = Shedder.shedJobs();
+    State.ServerEntries = ServerEntries->counters();
     return State;
   }
   [[nodiscard]] schema::fleet_report report() const override {
@@ -153,6 +167,26 @@
     entry_vm_impl &Impl;
   };
 
+  // The services that the exchange of server entries uses.
+  struct entry_adapter final : server_entry_ports {
+    explicit entry_adapter(entry_vm_impl &Impl) : Impl(Impl) {}
+    void send(const std::string &To, schema::dispatch_message Message) override {
+      Impl.send(To, std::move(Message));
+    }
+    [[nodiscard]] std::vector<std::string> sources() const override {
+      return Impl.Vm.Contacts.serverEntrySources();
+    }
+    void onEntriesChanged(const std::vector<server_entry> &Entries) override {
+      Impl.Vm.Owner->setServers(Entries);
+    }
+    void onReadingChanged(bool Reads) override {
+      Impl.Vm.Self.set_servers_unread(!Reads);
+      Impl.Vm.View->setSelf(Impl.Vm.Self);
+    }
+    void onStartsSuspended(bool Suspended) override { Impl.Vm.Owner->suspendStarts(Suspended); }
+    entry_vm_impl &Impl;
+  };
+
   role_ports rolePorts() {
     return {*this,
             *this,
@@ -247,6 +281,7 @@
   void tick() {
     Sessions.endExpiredContacts();
     Roles.tick();
+    ServerEntries->update();
     Vm.Owner->tick();
   }
 
@@ -258,8 +293,10 @@
   }
 
   relay_adapter RelayAdapter;
+  entry_adapter EntryAdapter;
   vm_components Vm;
   configuration_exchange Configurations;
+  std::unique_ptr<server_entry_exchange> ServerEntries;
   vm_roles Roles;
   contact_sessions Sessions;
   message_router Messages;
--- a/src/yuccaplank/dispatch/fleet_contacts.cpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.cpp
@@ -62,6 +62,12 @@
   return Vms;
 }
 
+std::vector<std::string> fleet_contacts::serverEntrySources() const {
+  std::vector<std::string> Vms = coordinatingVms(protocol_version::ServerEntries);
+  std::erase_if(Vms, [this](const std::string &Vm) { return View.others().at(Vm).Status.servers_unread(); });
+  return Vms;
+}
+
 std::set<std::string> fleet_contacts::contacts() const {
   std::set<std::string> Names = Dispatchers;
   if (isRelay()) {
--- a/src/yuccaplank/dispatch/fleet_contacts.hpp
+++ b/src/yuccaplank/dispatch/fleet_contacts.hpp
@@ -59,6 +59,9 @@
   /// Coordinating VMs that understand this version.
   [[nodiscard]] std::vector<std::string> coordinatingVms(protocol_version Version) const;
 
+  /// Coordinating VMs that read the entries of the servers from the store and answer requests for them.
+  [[nodiscard]] std::vector<std::string> serverEntrySources() const;
+
   /// Whether this VM keeps contact with Vm. If not, Vm may still contact this VM.
   [[nodiscard]] bool needsContact(const std::string &Vm) const;
   /// If the store has no entries, adds the VMs that an answering VM lists.
--- a/src/yuccaplank/dispatch/ledger_state.hpp
+++ b/src/yuccaplank/dispatch/ledger_state.hpp
@@ -71,6 +71,7 @@
   bool RefusesConnections = false;
   bool Delisted = false;
   bool Evacuated = false;
+  bool StartsSuspended = false;
   /// Drops callbacks of calls that were made before the server was released.
   runtime::lifetime OwnershipLifetime;
 };
--- a/src/yuccaplank/dispatch/message_router.cpp
+++ b/src/yuccaplank/dispatch/message_router.cpp
@@ -104,6 +104,12 @@
   case schema::dispatch_message::kLostServers:
     Vm.Losses.record(Message.lost_servers());
     break;
+  case schema::dispatch_message::kServerEntriesRequest:
+    ServerEntries.onRequest(From, Message.server_entries_request());
+    break;
+  case schema::dispatch_message::kServerEntries:
+    ServerEntries.onChanges(From, Message.server_entries());
+    break;
   case schema::dispatch_message::BODY_NOT_SET:
     break;
   }
@@ -118,6 +124,9 @@
   if (Status.vm() != Vm.Options.Vm)
     Vm.Contacts.answerGreeting(Status, !Changes.empty());
   Sessions.applyChanges(Changes);
+  // A VM that has just come into contact may know newer entries, before anything is started.
+  if (!Changes.empty())
+    ServerEntries.update();
   Vm.Contacts.addPeers(Status);
   Configurations.offer(Status);
   if (Roles.isOutOfDate())
--- a/src/yuccaplank/dispatch/message_router.hpp
+++ b/src/yuccaplank/dispatch/message_router.hpp
@@ -3,6 +3,7 @@
 
 #include "configuration_exchange.hpp"
 #include "contact_sessions.hpp"
+#include "server_entry_exchange.hpp"
 #include "vm_components.hpp"
 #include "vm_roles.hpp"
 #include "yuccaplank/runtime/lifetime.hpp"
@@ -16,8 +17,9 @@
 class message_router {
 public:
   message_router(vm_components &Vm, vm_roles &Roles, contact_sessions &Sessions,
-                 configuration_exchange &Configurations)
-      : Vm(Vm), Roles(Roles), Sessions(Sessions), Configurations(Configurations) {}
+                 configuration_exchange &Configurations, server_entry_exchange &ServerEntries)
+      : Vm(Vm), Roles(Roles), Sessions(Sessions), Configurations(Configurations),
+        ServerEntries(ServerEntries) {}
 
   void handle(const std::string &From, const schema::dispatch_message &Message);
   /// See entry_vm.
@@ -39,6 +41,7 @@
   vm_roles &Roles;
   contact_sessions &Sessions;
   configuration_exchange &Configurations;
+  server_entry_exchange &ServerEntries;
   bool SchedulePosted = false;
   std::uint64_t DeclinedJobs = 0;
   runtime::lifetime Lifetime;
--- a/src/yuccaplank/dispatch/run_orders.cpp
+++ b/src/yuccaplank/dispatch/run_orders.cpp
@@ -25,7 +25,7 @@
 bool run_orders::usable() const {
   return Ledger.Ownership == ownership::Owned && !Ledger.ListRefresh.pending() && !Ledger.Delisted &&
          !Ledger.Entry.Draining && Ledger.entryDescribesIncarnation() && !Ledger.Evacuated &&
-         Ledger.Responsive && !StopsOverdue && Parts.Watch.usable();
+         !Ledger.StartsSuspended && Ledger.Responsive && !StopsOverdue && Parts.Watch.usable();
 }
 
 void run_orders::start(const std::string &Coordinator, const schema::start_task &Request) {
@@ -74,6 +74,8 @@
 const char *run_orders::startRefusalReason(const schema::start_task &Request) const {
   if (Ledger.Evacuated)
     return "domain_evacuated";
+  if (Ledger.StartsSuspended)
+    return "server_entries_outdated";
   if (!usable())
     return "server_unusable";
   if (Request.token() != Ledger.Token)
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -6,6 +6,7 @@
 #include "run_orders.hpp"
 #include "server_claims.hpp"
 #include "server_watch.hpp"
+#include "yuccaplank/runtime/log.hpp"
 
 #include <set>
 
@@ -30,6 +31,11 @@
   void update(const server_entry &Updated) override {
     server_entry &Entry = Ledger.Entry;
     bool Returned = std::exchange(Ledger.Delisted, false);
+    if (!areEqual(Updated.Capacity, Entry.Capacity))
+      runtime::log(runtime::log_level::Info, "server_capacity_changed",
+                   {{"server", Entry.Target.Id},
+                    {"cpu", std::int64_t{Updated.Capacity.cpu()}},
+                    {"former_cpu", std::int64_t{Entry.Capacity.cpu()}}});
     bool Changed = Returned || Updated.Draining != Entry.Draining ||
                    Updated.Target.Address != Entry.Target.Address ||
                    Updated.IncarnationStartMs != Entry.IncarnationStartMs || Updated.Rack != Entry.Rack ||
@@ -47,6 +53,11 @@
       Ledger.onCapacityChanged();
   }
 
+  void suspendStarts(bool Suspend) override {
+    if (std::exchange(Ledger.StartsSuspended, Suspend) != Suspend)
+      Ledger.onCapacityChanged();
+  }
+
   void delist() override { Ends.delist(); }
   [[nodiscard]] bool mayBeRemoved() const override { return Ledger.Delisted && Ledger.Runs.empty(); }
 
--- a/src/yuccaplank/dispatch/server_owner.cpp
+++ b/src/yuccaplank/dispatch/server_owner.cpp
@@ -42,6 +42,7 @@
       else
         Server.Ledger = makeServerLedger(Executor, *this, Entry, Options, Fleet);
       Server.Ledger->setEvacuated(EvacuatedDomains.contains(Entry.Domain));
+      Server.Ledger->suspendStarts(StartsSuspended);
     }
     for (auto &[Id, Server] : Servers)
       if (!Names.contains(Id))
@@ -56,6 +57,12 @@
       Server.Ledger->setEvacuated(EvacuatedDomains.contains(Server.Entry.Domain));
   }
 
+  void suspendStarts(bool Suspend) override {
+    StartsSuspended = Suspend;
+    for (auto &[Id, Server] : Servers)
+      Server.Ledger->suspendStarts(Suspend);
+  }
+
   void claimAssignedServers() override {
     for (auto &[Id, Server] : Servers)
       if (Server.Ledger->unowned() && Ports.shouldOwn(Server.Entry.Rack, Server.Entry.Domain))
@@ -292,6 +299,7 @@
   std::shared_ptr<fleet_shares> Fleet = std::make_shared<fleet_shares>();
   std::map<std::string, owned_server> Servers;
   std::set<std::string> EvacuatedDomains;
+  bool StartsSuspended = false;
   std::set<std::string> Subscribers;
   std::set<std::string> ChangedServers;
   // Grants whose result is included in the next state of their server, by placer and server.
--- a/src/yuccaplank/entry/directory.cpp
+++ b/src/yuccaplank/entry/directory.cpp
@@ -59,13 +59,17 @@
     if (!Enabled) {
       Servers.reset();
       ServerRecords.clear();
-      Vm.setServers({});
+      Vm.forgetServers();
       return;
     }
     table_watch_options Watch;
     Watch.Table = platform::ServerTable;
     Watch.MinInterval = MinServerPollInterval;
-    Servers = makeTableWatch(Executor, Store, Watch, [this] { readServers(); });
+    Servers = makeTableWatch(
+        Executor, Store, Watch, [this] { readServers(); },
+        [this](const table_read &Read) {
+          Vm.onServersRead(Read.Succeeded ? std::optional(Servers->version()) : std::nullopt, Read.SentAt);
+        });
   }
 
   void removeStaleEntry(const std::string &Name) override {
@@ -192,7 +196,7 @@
         List.push_back(*Record.Entry);
       Iterator = Keep ? std::next(Iterator) : ServerRecords.erase(Iterator);
     }
-    Vm.setServers(List);
+    Vm.setServers(List, Servers->version());
     if (MissingKept && !PublishTimer)
       PublishTimer = Executor.after(Options.RetryDelay, Lifetime.guard([this] {
         PublishTimer = 0;
--- a/src/yuccaplank/entry/table_watch.cpp
+++ b/src/yuccaplank/entry/table_watch.cpp
@@ -13,8 +13,9 @@
 class table_watch_impl final : public table_watch {
 public:
   table_watch_impl(runtime::executor &Executor, platform::store_client &Store, table_watch_options Options,
-                   std::function<void()> OnChange)
-      : Executor(Executor), Store(Store), Options(std::move(Options)), OnChange(std::move(OnChange)) {
+                   std::function<void()> OnChange, std::function<void(const table_read &)> OnRead)
+      : Executor(Executor), Store(Store), Options(std::move(Options)), OnChange(std::move(OnChange)),
+        OnRead(std::move(OnRead)) {
     readPage("");
   }
   table_watch_impl(const table_watch_impl &) = delete;
@@ -31,11 +32,13 @@
   void readPage(const std::string &From) {
     if (From.empty())
       PendingRows.clear();
+    CallSentAt = Executor.clock().sinceBoot();
     Store.rows(Options.Table, From, Lifetime.guard([this](const auto &Page) { onPage(Page); }));
   }
 
   void onPage(const runtime::result<store_page> &Page) {
     if (!recordOutcome(Page)) {
+      reportRead(false);
       schedule(Options.RetryDelay, [this] { readPage(""); });
       return;
     }
@@ -53,6 +56,7 @@
     Rows.swap(PendingRows);
     PendingRows.clear();
     OnChange();
+    reportRead(true);
     poll();
   }
 
@@ -66,6 +70,7 @@
 
   void poll() {
     LastPollAt = Executor.clock().now();
+    CallSentAt = Executor.clock().sinceBoot();
     Store.changes(Options.Table, Version, Options.LongPollTimeout,
                   Lifetime.guard([this](const auto &Page) { onChanges(Page); }));
   }
@@ -80,6 +85,7 @@
       return;
     }
     if (!recordOutcome(Page)) {
+      reportRead(false);
       schedule(Options.RetryDelay, [this] { poll(); });
       return;
     }
@@ -92,6 +98,7 @@
       applyRow(Row);
     if (!Changed.empty())
       OnChange();
+    reportRead(true);
     if (Full)
       poll();
     else
@@ -108,6 +115,11 @@
       Rows[Row.Key] = Row;
   }
 
+  void reportRead(bool Succeeded) const {
+    if (OnRead)
+      OnRead({Succeeded, CallSentAt});
+  }
+
   bool recordOutcome(const runtime::result<store_page> &Page) {
     recordReachable(Page.has_value(), Page ? "" : Page.error().message());
     return Page.has_value();
@@ -134,6 +146,7 @@
   platform::store_client &Store;
   table_watch_options Options;
   std::function<void()> OnChange;
+  std::function<void(const table_read &)> OnRead;
   std::map<std::string, store_row> Rows;
   std::map<std::string, store_row> PendingRows;
   std::uint64_t Version = 0;
@@ -141,14 +154,18 @@
   bool ReachabilityKnown = false;
   runtime::time_point ReconnectedAt{};
   runtime::time_point LastPollAt{};
+  // When the call under way was sent, on the clock that counts suspension.
+  runtime::time_point CallSentAt{};
   runtime::lifetime Lifetime;
 };
 
 } // namespace
 
 std::unique_ptr<table_watch> makeTableWatch(runtime::executor &Executor, platform::store_client &Store,
-                                            table_watch_options Options, std::function<void()> OnChange) {
-  return std::make_unique<table_watch_impl>(Executor, Store, std::move(Options), std::move(OnChange));
+                                            table_watch_options Options, std::function<void()> OnChange,
+                                            std::function<void(const table_read &)> OnRead) {
+  return std::make_unique<table_watch_impl>(Executor, Store, std::move(Options), std::move(OnChange),
+                                            std::move(OnRead));
 }
 
 } // namespace yuccaplank::entry
--- a/src/yuccaplank/entry/table_watch.hpp
+++ b/src/yuccaplank/entry/table_watch.hpp
@@ -38,8 +38,17 @@
   [[nodiscard]] virtual runtime::time_point reconnectedAt() const = 0;
 };
 
-/// Starts at once. OnChange runs after each complete read of the table and after each change.
+/// A call to the store that has ended.
+struct table_read {
+  bool Succeeded = false;
+  /// When the call was sent, on the clock that counts suspension.
+  runtime::time_point SentAt{};
+};
+
+/// Starts at once. OnChange runs after each complete read of the table and after each change, OnRead after
+/// each call, and after OnChange.
 std::unique_ptr<table_watch> makeTableWatch(runtime::executor &Executor, platform::store_client &Store,
-                                            table_watch_options Options, std::function<void()> OnChange);
+                                            table_watch_options Options, std::function<void()> OnChange,
+                                            std::function<void(const table_read &)> OnRead = nullptr);
 
 } // namespace yuccaplank::entry
--- a/src/yuccaplank/simulation/changing_capacity_test.cpp
+++ b/src/yuccaplank/simulation/changing_capacity_test.cpp
@@ -32,4 +32,29 @@
   }
 });
 
+// Guards against starts by a capacity that has shrunk, ordered by VMs that the store turns away while it
+// serves others: they cannot read the entry that tells of it.
+const test_case
+    Refusals("changing capacity: no start brings a server over it while the store turns VMs away", [] {
+      simulation::simulation_options Options;
+      Options.Vms = 6;
+      Options.Servers = 12;
+      Options.CapacityChangesPerSecond = 2;
+      Options.EnableStoreRefusals = true;
+      // A smaller capacity binds 4.5 s later.
+      Options.TrafficSeconds = 20;
+      if (auto When = section("when nothing else happens")) {
+        Options.FaultsPerSecond = 0;
+      }
+      if (auto When = section("when VMs lag and fail, and servers carry out orders late")) {
+        Options.EnableLags = true;
+        Options.LateOrderShare = 0.1;
+      }
+      for (Options.Seed = 1; Options.Seed <= 10; ++Options.Seed) {
+        auto Result = testing::simulateQuietly(Options);
+        CPPUNIT_ASSERT_MESSAGE(Result.Violations.empty() ? "" : Result.Violations.front(),
+                               Result.Violations.empty());
+      }
+    });
+
 } // namespace
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -4,6 +4,7 @@
 #include "fault_injector.hpp"
 #include "simulated_evacuations.hpp"
 #include "simulated_fleet.hpp"
+#include "store_refusals.hpp"
 #include "yuccaplank/runtime/random.hpp"
 
 #include <fmt/format.h>
@@ -102,6 +103,8 @@
     scheduleTraffic();
     if (Options.EnableEvacuations)
       Evacuations.start();
+    if (Options.EnableStoreRefusals)
+      Refusals.start(TrafficEnd);
     if (Options.CapacityChangesPerSecond > 0)
       Capacities.start(TrafficEnd);
     if (Options.FaultsPerSecond > 0)
@@ -469,6 +472,7 @@
   simulation_context Context{Options, *Executor, Random, Fleet};
   simulated_evacuations Evacuations{Context, [this](std::string Text) { addViolation(std::move(Text)); }};
   capacity_changes Capacities{Context};
+  store_refusals Refusals{Context};
   std::unique_ptr<fault_injector> Faults =
       makeFaultInjector(Context, [this](const std::string &Vm) { onVmEnded(Vm); });
   std::map<job_id, simulated_job> Jobs;
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -87,6 +87,8 @@
   double LateStopShare = 0;
   /// Rate at which servers change their capacity, while they run or with a restart.
   double CapacityChangesPerSecond = 0;
+  /// The store turns VMs away for seconds, one or more of them at a time, and serves the others.
+  bool EnableStoreRefusals = false;
   /// Counts the messages between VMs during the traffic.
   bool CountMessages = false;
   /// Prints each event to standard error.
--- a/src/yuccaplank/simulation/simulated_fleet.cpp
+++ b/src/yuccaplank/simulation/simulated_fleet.cpp
@@ -53,9 +53,21 @@
   Executor.sendOut([this, Address, Message = std::move(Message)] { Network.send(Name, Address, Message); });
 }
 
+void simulated_vm::readServers() const {
+  if (!ServersNeeded)
+    return;
+  if (!StoreRefused)
+    Vm->setServers(Servers.entries(), Servers.version());
+  Vm->onServersRead(StoreRefused ? std::nullopt : std::optional(Servers.version()),
+                    Executor.clock().sinceBoot());
+}
+
 void simulated_vm::onServersNeeded(bool Needed) {
   ServersNeeded = Needed;
-  Vm->setServers(Needed ? Servers.entries() : std::vector<dispatch::server_entry>());
+  if (!Needed)
+    Vm->forgetServers();
+  else if (!StoreRefused)
+    Vm->setServers(Servers.entries(), Servers.version());
 }
 
 // The document of a simulated configuration consists of its version only.
@@ -120,6 +132,7 @@
         OnAnswer(Name, Job, Answer);
       });
   simulated_vm &Process = *Slot;
+  Process.StoreRefused = RefusedVms.contains(Name);
   Process.Executor.observeEndlessInstant([this, Name] {
     if (OnEndlessInstant)
       OnEndlessInstant(Name);
@@ -183,11 +196,19 @@
       }));
 }
 
+void simulated_fleet::setStoreRefused(const std::string &Name, bool IsRefused) {
+  if (IsRefused)
+    RefusedVms.insert(Name);
+  else
+    RefusedVms.erase(Name);
+  vm(Name).StoreRefused = IsRefused;
+}
+
 void simulated_fleet::publishServers(const std::function<runtime::duration()> &ReadDelay) {
   for (auto &[Name, Process] : Vms)
     Executor.after(ReadDelay(), Process->Executor.guard([Vm = Process.get()] {
-      if (Vm->ServersNeeded)
-        Vm->Vm->setServers(Vm->Servers.entries());
+      if (Vm->ServersNeeded && !Vm->StoreRefused)
+        Vm->Vm->setServers(Vm->Servers.entries(), Vm->Servers.version());
     }));
 }
 
--- a/src/yuccaplank/simulation/simulated_fleet.hpp
+++ b/src/yuccaplank/simulation/simulated_fleet.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   void onStaleRegistration(const std::string &) override {}
   void onRollCallNeeded() override {}
   void onConfigurationOffered(const schema::configuration_copy &Copy) override;
+  /// Reads the servers' entries if the VM needs them, unless the store turns it away.
+  void readServers() const;
 
   vm_executor Executor;
   network &Network;
@@ -50,6 +53,8 @@
   std::unique_ptr<dispatch::entry_vm> Vm;
   bool Paused = false;
   bool ServersNeeded = false;
+  /// Whether the store turns the VM away.
+  bool StoreRefused = false;
   simulated_servers &Servers;
 };
 
@@ -107,6 +112,8 @@
   /// that ReadDelay returns for it, and never if that is nothing; a VM that starts later reads it at once.
   void setEvacuated(const std::string &Domain, bool IsEvacuated,
                     const std::function<std::optional<runtime::duration>(const std::string &Vm)> &ReadDelay);
+  /// Sets whether the store turns the VM away, whichever process it runs.
+  void setStoreRefused(const std::string &Name, bool IsRefused);
   /// Lets each running VM that needs the servers read their entries, after the delay that ReadDelay returns.
   void publishServers(const std::function<runtime::duration()> &ReadDelay);
   /// Applies a configuration on one VM, as if it had read it from the store.
@@ -132,6 +139,7 @@
   // Processes that have ended; pending functions still refer to them.
   std::vector<std::unique_ptr<simulated_vm>> Ended;
   std::uint64_t LastRegistration = 0;
+  std::set<std::string> RefusedVms;
   // The evacuations in the store.
   schema::evacuation_state Evacuations;
 };
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -230,6 +230,7 @@
   Server.State = std::make_unique<standin::task_server>(IncarnationStartMs, StateOptions);
   Server.Entry.IncarnationStartMs = IncarnationStartMs;
   Server.FormerCapacities.clear();
+  ++Version;
   if (OnRestart)
     OnRestart();
 }
@@ -238,6 +239,7 @@
   simulated_server &Server = Servers.at(Name);
   Server.FormerCapacities.emplace_back(Executor.clock().now(), Server.Entry.Capacity.cpu());
   Server.Entry.Capacity.set_cpu(Cpu);
+  ++Version;
 }
 
 std::uint32_t simulated_servers::bindingCapacityCpu(const std::string &Name) const {
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -90,6 +90,8 @@
   /// smaller one binds only after the VMs can know of it.
   [[nodiscard]] std::uint32_t bindingCapacityCpu(const std::string &Server) const;
   [[nodiscard]] std::vector<std::string> names() const;
+  /// Version of the store that entries() is as of; it rises with each change of an entry.
+  [[nodiscard]] std::uint64_t version() const { return Version; }
 
 private:
   struct pending_hold {
@@ -139,6 +141,7 @@
   std::function<bool(const dispatch::task_key &)> HasLateStops;
   std::map<std::string, simulated_server> Servers;
   std::uint64_t LastHold = 0;
+  std::uint64_t Version = 1;
   double FailingJobShare = 0;
 };
 
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -61,6 +61,7 @@
       ("long-tasks", options::value(&Options.LongTaskShare),
        "share of tasks that take seven times as long as the others")                         //
       ("lags", "adds VMs and links that lag, rolling restarts, and VMs of unequal strength") //
+      ("store-refusals", "the store turns some VMs away for seconds, and serves the others") //
       ("paired-ids", "pairs of jobs have ids that differ only in the case of their digits")  //
       ("evacuations", "adds evacuations of failure domains")                                 //
       ("rack-jobs", options::value(&Options.RackJobShare),
@@ -97,6 +98,7 @@
   Options.CountMessages = Values.count("messages") > 0;
   Options.Trace = Values.count("trace") > 0;
   Options.EnableLags = Values.count("lags") > 0;
+  Options.EnableStoreRefusals = Values.count("store-refusals") > 0;
   Options.PairIds = Values.count("paired-ids") > 0;
   Options.EnableEvacuations = Values.count("evacuations") > 0;
   runtime::setLogLevel(Options.Trace ? runtime::log_level::Info : runtime::log_level::Error);
