--- a/src/yuccaplank/dispatch/placement_queue.cpp
+++ b/src/yuccaplank/dispatch/placement_queue.cpp
@@ -7,6 +7,8 @@
 #include "outstanding_grants.hpp"
 #include "pool_index.hpp"
 #include "resource_amounts.hpp"
+#include "unplaceable_sizes.hpp"
+#include "waiting_job.hpp"
 #include "yuccaplank/dispatch/job_answer.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
@@ -25,41 +27,6 @@
 using runtime::time_point;
 using std::chrono::milliseconds;
 
-// A job of one coordinator with tasks that wait for a server.
-struct waiting_job {
-  std::string Coordinator;
-  schema::place_job Request;
-  time_point ArrivedAt;
-  time_point ObjectiveEndsAt;
-  // After this time the job has no value for its caller.
-  time_point UsefulUntil;
-  time_point Deadline;
-  bool Started = false;
-  // Whether the job is served before more urgent ones because of its queue's guaranteed share.
-  bool OwedShare = false;
-  // Run numbers of the waiting tasks, by the task's index in the job.
-  std::map<std::uint32_t, std::uint32_t> WaitingRuns;
-  // Indexes of the tasks under which a server has crashed.
-  std::set<std::uint32_t> Suspects;
-  locality::job_place Place;
-  memory_budget::reservation Memory;
-};
-
-// When a job would end if its tasks started now: within its objective, late but still with value for its
-// caller, or too late.
-enum class prospect : std::uint8_t { InTime, Late, TooLate };
-
-// Position of a job in the order of service; jobs with lower values are served first.
-enum class service_rank : std::uint8_t {
-  // In time, and with tasks that have started: the time spent on them has no value until the last task ends.
-  Started,
-  // The job's queue has had less than its guaranteed share.
-  OwedShare,
-  InTime,
-  Late,
-  TooLate,
-};
-
 struct known_server {
   std::string Owner;
   schema::server_state State;
@@ -69,14 +36,6 @@
   std::int64_t ReportedCpu = 0;
 };
 
-struct job_key {
-  std::string Coordinator;
-  job_id Job;
-  bool operator<(const job_key &Other) const {
-    return std::tie(Coordinator, Job) < std::tie(Other.Coordinator, Other.Job);
-  }
-};
-
 class placement_queue_impl final : public placement_queue {
 public:
   placement_queue_impl(const runtime::clock &Clock, send_function Send, placement_options OptionsIn)
@@ -177,8 +136,8 @@
     time_point Now = Clock.now();
     expireGrants(Now);
     std::erase_if(UnreachableUntil, [&](const auto &Entry) { return Entry.second <= Now; });
-    Locality.beginPass(fullPools());
-    UnplaceableSizes.clear();
+    Locality.beginPass(Unplaceable.pools());
+    Unplaceable.clear();
     Admission.beginPass();
     for (waiting_job *Job : sortJobs(Now)) {
       if (rejectIfNotServable(*Job, Now))
@@ -221,7 +180,7 @@
     time_point End = Now + expectedRunTime(Job);
     if (End <= Job.ObjectiveEndsAt)
       return prospect::InTime;
-    return End <= std::min(Job.UsefulUntil, Job.Deadline) ? prospect::Late : prospect::TooLate;
+    return End <= Job.latestEnd() ? prospect::Late : prospect::TooLate;
   }
 
   // Late jobs are served after all others.
@@ -234,15 +193,9 @@
     prospect Prospect = estimateProspect(Job, Now);
     std::uint32_t Priority = servicePriority(Job, Prospect);
     std::uint32_t Urgency = Job.OwedShare ? 0 : Priority;
-    time_point LatestEnd =
-        Prospect == prospect::InTime ? Job.ObjectiveEndsAt : std::min(Job.UsefulUntil, Job.Deadline);
+    time_point LatestEnd = Prospect == prospect::InTime ? Job.ObjectiveEndsAt : Job.latestEnd();
     time_point LatestStart = LatestEnd - expectedRunTime(Job);
-    return {Job.Request.pool(), jobOf(Job.Request), Priority, Urgency, waitingCpu(Job), LatestStart};
-  }
-
-  // Returns the cores, in thousandths, that the waiting tasks of the job need together.
-  [[nodiscard]] static std::int64_t waitingCpu(const waiting_job &Job) {
-    return static_cast<std::int64_t>(Job.WaitingRuns.size()) * Job.Request.size().cpu();
+    return {Job.Request.pool(), jobOf(Job.Request), Priority, Urgency, Job.waitingCpu(), LatestStart};
   }
 
   [[nodiscard]] service_rank rankOf(const waiting_job &Job, time_point Now) const {
@@ -271,7 +224,7 @@
       std::ranges::sort(Waiting, {}, &waiting_job::ArrivedAt);
       for (waiting_job *Job : Waiting) {
         Job->OwedShare = Owed > 0;
-        Owed -= static_cast<double>(waitingCpu(*Job)) * Job->Request.estimate_ms();
+        Owed -= static_cast<double>(Job->waitingCpu()) * Job->Request.estimate_ms();
       }
     }
   }
@@ -478,13 +431,6 @@
                            Used - std::exchange(Server.ReportedCpu, Used));
   }
 
-  [[nodiscard]] std::vector<std::string> fullPools() const {
-    std::vector<std::string> Result;
-    for (const auto &[Pool, Sizes] : UnplaceableSizes)
-      Result.push_back(Pool);
-    return Result;
-  }
-
   server_iterator eraseServer(server_iterator Server) {
     const schema::server_state &State = Server->second.State;
     reportPoolUsage(Server->second, {});
@@ -510,19 +456,17 @@
   const std::string *chooseServer(waiting_job &Job, time_point Now) {
     Job.Place.Waits = false;
     auto Pool = Pools.find(Job.Request.pool());
-    if (Pool == Pools.end() || isKnownUnplaceable(Job.Request))
+    if (Pool == Pools.end() || Unplaceable.contains(Job.Request))
       return nullptr;
     double MaxSlowness = computeMaxSlowness(Job, Now);
     auto OwnerUnreachable = [&](const std::string &Id) { return isOwnerUnreachable(Job, Id); };
-    auto AvoidedOrUnreachable = [&](const std::string &Id) {
-      return OwnerUnreachable(Id) || isAvoided(Job, Id);
-    };
+    auto AvoidedOrUnreachable = [&](const std::string &Id) { return OwnerUnreachable(Id) || Job.avoids(Id); };
     pool_index::choice Choice =
         Pool->second.chooseServer(Job.Request.size(), MaxSlowness, AvoidedOrUnreachable);
     if (!Choice.Id && !Job.Request.avoid().empty())
       Choice = Pool->second.chooseServer(Job.Request.size(), MaxSlowness, OwnerUnreachable);
     if (!Choice.Id && UnreachableUntil.empty())
-      UnplaceableSizes[Job.Request.pool()].push_back(toResourceAmounts(Job.Request.size()));
+      Unplaceable.add(Job.Request);
     if (!Choice.Id)
       return nullptr;
     if (Locality.concerns(Job.Request))
@@ -557,7 +501,7 @@
                                       const std::function<bool(const std::string &)> &IsExcluded,
                                       time_point Now) {
     locality::job_times Times{computeMaxSlowness(Job, Now), runtime::toMs(Job.ObjectiveEndsAt - Now),
-                              runtime::toMs(std::min(Job.UsefulUntil, Job.Deadline) - Now)};
+                              runtime::toMs(Job.latestEnd() - Now)};
     auto Choice = Locality.choose(Job.Request, Job.Place, Job.WaitingRuns.size(), Times, Pool, Best,
                                   Servers.at(*Best.Id).State.rack(), IsExcluded);
     return Choice.Id ? &Servers.find(*Choice.Id)->first : nullptr;
@@ -571,7 +515,7 @@
     auto IsExcluded = [&](const std::string &Id) {
       const known_server &Server = Servers.at(Id);
       bool IsIdle = Server.State.tasks() == 0 && Grants.countOfServer(Id) == 0;
-      return !IsIdle || isOwnerUnreachable(Job, Id) || isAvoided(Job, Id);
+      return !IsIdle || isOwnerUnreachable(Job, Id) || Job.avoids(Id);
     };
     auto Choice = Pool->second.chooseServer(Job.Request.size(), computeMaxSlowness(Job, Now), IsExcluded);
     return Choice.Id ? &Servers.find(*Choice.Id)->first : nullptr;
@@ -582,22 +526,6 @@
            UnreachableUntil.contains({Job.Coordinator, Servers.at(Server).Owner});
   }
 
-  [[nodiscard]] static bool isAvoided(const waiting_job &Job, const std::string &Server) {
-    return std::ranges::find(Job.Request.avoid(), Server) != Job.Request.avoid().end();
-  }
-
-  // Whether a task that is not larger in any dimension found no server during this call of schedule().
-  [[nodiscard]] bool isKnownUnplaceable(const schema::place_job &Request) const {
-    auto Found = UnplaceableSizes.find(Request.pool());
-    if (Found == UnplaceableSizes.end())
-      return false;
-    resource_amounts Size = toResourceAmounts(Request.size());
-    return std::ranges::any_of(Found->second, [&](const resource_amounts &Unplaceable) {
-      return Size.Cpu >= Unplaceable.Cpu && Size.MemoryMb >= Unplaceable.MemoryMb &&
-             Size.Accelerators >= Unplaceable.Accelerators;
-    });
-  }
-
   void grantTask(waiting_job &Job, const run_key &Run, const std::string &ServerId, bool Alone,
                  time_point Now) {
     known_server &Server = Servers.at(ServerId);
@@ -660,8 +588,8 @@
   std::map<std::string, pool_index> Pools;
   // When a server of a pool last became evacuated, by pool.
   std::map<std::string, time_point> LastEvacuatedAt;
-  // Task sizes for which a pool had no free capacity during this call of schedule(), by pool.
-  std::map<std::string, std::vector<resource_amounts>> UnplaceableSizes;
+  // Task sizes for which a pool had no free capacity during this call of schedule().
+  unplaceable_sizes Unplaceable;
   // The ids start at the clock's time, so that grants of an earlier incarnation of this VM have other ids.
   outstanding_grants Grants{static_cast<std::uint64_t>(Clock.unixMs()) << 20U};
   // The time until which a coordinator gets no servers of an owner that it could not reach, by coordinator
