Send the same Retry-After wherever an id is refused during an upgrade

A VM that took the request itself said 1 s, one that the job was relayed to 5 s. Both say 5 s now, about the time in which an upgrade replaces the next VM. Ids in lower case no longer go through the VMs' versions, which was work for each request in proportion to the fleet. The section of the test fails with 1 before.

--- a/include/yuccaplank/dispatch/protocol_version.hpp
+++ b/include/yuccaplank/dispatch/protocol_version.hpp
@@ -1,6 +1,8 @@
 // Versions of the messages between VMs. During an upgrade, builds of two versions run side by side.
 #pragma once
 
+#include "yuccaplank/runtime/clock.hpp"
+
 #include <cstdint>
 
 namespace yuccaplank::dispatch {
@@ -20,4 +22,8 @@
 
 inline constexpr protocol_version CurrentProtocolVersion = protocol_version::ServerEntries;
 
+/// Delay after which a job that was refused because of an earlier build may be submitted again. An upgrade
+/// replaces the next VM in about this time.
+inline constexpr runtime::duration UpgradeRetryAfter = std::chrono::seconds(5);
+
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/message_router.cpp
+++ b/src/yuccaplank/dispatch/message_router.cpp
@@ -12,8 +12,6 @@
 
 constexpr std::size_t BusyQueueThreshold = 100;
 constexpr auto BusyScheduleDelay = std::chrono::milliseconds(2);
-// An upgrade that goes on replaces the next VM in about this time.
-constexpr auto UpgradeRetryAfter = std::chrono::seconds(5);
 
 // Lowest version of a VM that may be told of the job.
 protocol_version versionNeededBy(job_id Job) {
@@ -143,7 +141,7 @@
 }
 
 bool message_router::understoodByAll(job_id Job) const {
-  return Vm.Contacts.isUnderstoodByAll(versionNeededBy(Job));
+  return !Job.hasCapitals() || Vm.Contacts.isUnderstoodByAll(protocol_version::CapitalIds);
 }
 
 void message_router::refuseRelayed(const std::string &From, const schema::relay_job &Job) const {
--- a/src/yuccaplank/entry/frontend.cpp
+++ b/src/yuccaplank/entry/frontend.cpp
@@ -23,7 +23,7 @@
 
 constexpr std::uint32_t MaxTasks = 10'000;
 // Retry delay sent with a refusal that has no delay of its own, for example before there is a configuration.
-constexpr std::uint32_t DefaultRetryAfterMs = 1000;
+constexpr runtime::duration DefaultRetryAfter = std::chrono::seconds(1);
 
 struct submitted_job {
   // Arrival times of the callers' requests.
@@ -212,7 +212,7 @@
       return;
     }
     if (!Jobs.contains(Id) && !Vm.understoodByAll(Id)) {
-      refuse(Request, 503, "id_with_capitals_during_upgrade");
+      refuse(Request, 503, "id_with_capitals_during_upgrade", dispatch::UpgradeRetryAfter);
       return;
     }
     std::uint64_t Tasks = Decoded.value().Steps.front().TaskCount;
@@ -279,7 +279,8 @@
     });
   }
 
-  void refuse(const http_request &Request, int Status, const char *Reason) {
+  void refuse(const http_request &Request, int Status, const char *Reason,
+              runtime::duration RetryAfter = DefaultRetryAfter) {
     log(log_level::Info, "request_refused",
         {{"path", Request.Path},
          {"method", Request.Method},
@@ -288,7 +289,7 @@
          {"configuration",
           static_cast<std::int64_t>(Vm.currentConfiguration() ? Vm.currentConfiguration()->Version : 0)}});
     Handlers.Reply(Request.Token,
-                   Status == 503 ? makeRefusal(Status, DefaultRetryAfterMs)
+                   Status == 503 ? makeRefusal(Status, static_cast<std::uint32_t>(runtime::toMs(RetryAfter)))
                                  : makeReply(Status, Status == 400 ? platform::encodeError(Reason) : "{}"));
   }
 
--- a/src/yuccaplank/entry/frontend_test.cpp
+++ b/src/yuccaplank/entry/frontend_test.cpp
@@ -177,6 +177,7 @@
       auto Token = Vm.request("POST", "/p/00000000000000AB", Body);
       CPPUNIT_ASSERT_EQUAL(503, Vm.statusOf(Token));
       CPPUNIT_ASSERT_EQUAL(std::string("retry-after"), Vm.Replies.at(Token).Headers.at(0).Name);
+      CPPUNIT_ASSERT_EQUAL(std::string("5"), Vm.Replies.at(Token).Headers.at(0).Value);
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Vm.Entry->jobs().size());
     }
     if (auto Then = section("a caller of a job in progress waits for its answer")) {
