--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -11,9 +11,19 @@
 namespace options = boost::program_options;
 using namespace yuccaplank;
 
-int main(int Count, char **Arguments) {
-  simulation::simulation_options Options;
+namespace {
+
+using simulation::simulation_options;
+using simulation::simulation_result;
+
+struct command_line {
+  simulation_options Options;
   std::uint64_t Days = 100;
+};
+
+options::options_description describe(command_line &Line) {
+  simulation_options &Options = Line.Options;
+  std::uint64_t &Days = Line.Days;
   options::options_description Description("yuccaplank-simulate [options]");
   Description.add_options()("help,h", "show this text")                                              //
       ("seed", options::value(&Options.Seed)->default_value(Options.Seed), "seed of the first day")  //
@@ -70,23 +80,11 @@
        "compares rules for waiting for the rack of a task's data, with this factor outside the rack") //
       ("messages", "counts the messages of the VMs and prints them for each day")                     //
       ("trace", "prints each event to standard error");
-  options::variables_map Values;
-  try {
-    options::store(options::parse_command_line(Count, Arguments, Description), Values);
-    options::notify(Values);
-  } catch (const options::error &Error) {
-    fmt::print(stderr, "{}\n", Error.what());
-    return 2;
-  }
-  if (Values.count("help") > 0) {
-    std::cout << Description;
-    return 0;
-  }
-  if (Values.count("locality") > 0) {
-    runtime::setLogLevel(runtime::log_level::Error);
-    std::cout << simulation::compareWaitRules(Options.Seed, Days, Values["locality"].as<double>());
-    return 0;
-  }
+  return Description;
+}
+
+// Sets the options that are switches, or are derived from several fields.
+void applySwitches(const options::variables_map &Values, simulation_options &Options) {
   if (Values.count("load") > 0)
     Options.Kinds = simulation::siteJobKinds(Values["load"].as<double>());
   if (Values.count("burst") > 0)
@@ -101,61 +99,45 @@
   Options.EnableStoreRefusals = Values.count("store-refusals") > 0;
   Options.PairIds = Values.count("paired-ids") > 0;
   Options.EnableEvacuations = Values.count("evacuations") > 0;
-  runtime::setLogLevel(Options.Trace ? runtime::log_level::Info : runtime::log_level::Error);
-  simulation::simulation_result Total;
-  std::uint64_t DaysWithViolations = 0;
-  for (std::uint64_t Index = 0; Index < Days; ++Index, ++Options.Seed) {
-    auto Result = simulation::simulateFleet(Options);
-    for (const std::string &Violation : Result.Violations)
-      fmt::print("seed {}: {}\n", Options.Seed, Violation);
-    if (Options.CountMessages) {
-      fmt::print("seed {}: a VM sends {:.0f} messages/s, at most {:.0f} messages/s and {:.0f} bytes/s; of "
-                 "the fleet:",
-                 Options.Seed, Result.MeanVmMessagesPerSecond, Result.MaxVmMessagesPerSecond,
-                 Result.MaxVmBytesPerSecond);
-      for (const auto &[Kind, PerSecond] : Result.MessagesPerSecondByKind)
-        fmt::print(" {} {:.0f}", Kind, PerSecond);
-      fmt::print("\n");
-    }
-    DaysWithViolations += Result.Violations.empty() ? 0 : 1;
-    for (const auto &[Queue, Credit] : Result.CreditByQueue) {
-      auto &QueueTotal = Total.CreditByQueue[Queue];
-      QueueTotal.Earned += Credit.Earned;
-      QueueTotal.Attainable += Credit.Attainable;
-      QueueTotal.Jobs += Credit.Jobs;
-      QueueTotal.InTime += Credit.InTime;
-      QueueTotal.Late += Credit.Late;
-      QueueTotal.Refused += Credit.Refused;
-      QueueTotal.TooLate += Credit.TooLate;
-    }
-    Total.Jobs += Result.Jobs;
-    Total.Completed += Result.Completed;
-    Total.Refused += Result.Refused;
-    Total.Resent += Result.Resent;
-    Total.Starts += Result.Starts;
-    Total.Faults += Result.Faults;
-    Total.LapsedRuns += Result.LapsedRuns;
-    Total.Crashes += Result.Crashes;
-    Total.MaxCrashesOfTask = std::max(Total.MaxCrashesOfTask, Result.MaxCrashesOfTask);
-    Total.HarmlessJobs += Result.HarmlessJobs;
-    Total.HarmlessJobsGivenUp += Result.HarmlessJobsGivenUp;
-    Total.HarmlessJobsCompleted += Result.HarmlessJobsCompleted;
-    Total.JobsAfterFaults += Result.JobsAfterFaults;
-    Total.CompletedAfterFaults += Result.CompletedAfterFaults;
+}
+
+void printMessages(std::uint64_t Seed, const simulation_result &Result) {
+  fmt::print("seed {}: a VM sends {:.0f} messages/s, at most {:.0f} messages/s and {:.0f} bytes/s; of "
+             "the fleet:",
+             Seed, Result.MeanVmMessagesPerSecond, Result.MaxVmMessagesPerSecond, Result.MaxVmBytesPerSecond);
+  for (const auto &[Kind, PerSecond] : Result.MessagesPerSecondByKind)
+    fmt::print(" {} {:.0f}", Kind, PerSecond);
+  fmt::print("\n");
+}
+
+void addTo(simulation_result &Total, const simulation_result &Result) {
+  for (const auto &[Queue, Credit] : Result.CreditByQueue) {
+    auto &QueueTotal = Total.CreditByQueue[Queue];
+    QueueTotal.Earned += Credit.Earned;
+    QueueTotal.Attainable += Credit.Attainable;
+    QueueTotal.Jobs += Credit.Jobs;
+    QueueTotal.InTime += Credit.InTime;
+    QueueTotal.Late += Credit.Late;
+    QueueTotal.Refused += Credit.Refused;
+    QueueTotal.TooLate += Credit.TooLate;
   }
-  fmt::print("{} days, {} with breaches; {} jobs, {} completed, {} refused, {} resent, {} starts, {} faults; "
-             "after the "
-             "faults {} of {} completed\n",
-             Days, DaysWithViolations, Total.Jobs, Total.Completed, Total.Refused, Total.Resent, Total.Starts,
-             Total.Faults, Total.CompletedAfterFaults, Total.JobsAfterFaults);
-  if (Options.LateStopShare > 0)
-    fmt::print("{} runs lapsed whose stop orders were not late\n", Total.LapsedRuns);
-  if (Total.Crashes > 0)
-    fmt::print("{} servers crashed under tasks, at most {} under one; {} jobs without a crashing task, {} "
-               "completed, "
-               "{} failed\n",
-               Total.Crashes, Total.MaxCrashesOfTask, Total.HarmlessJobs, Total.HarmlessJobsCompleted,
-               Total.HarmlessJobsGivenUp);
+  Total.Jobs += Result.Jobs;
+  Total.Completed += Result.Completed;
+  Total.Refused += Result.Refused;
+  Total.Resent += Result.Resent;
+  Total.Starts += Result.Starts;
+  Total.Faults += Result.Faults;
+  Total.LapsedRuns += Result.LapsedRuns;
+  Total.Crashes += Result.Crashes;
+  Total.MaxCrashesOfTask = std::max(Total.MaxCrashesOfTask, Result.MaxCrashesOfTask);
+  Total.HarmlessJobs += Result.HarmlessJobs;
+  Total.HarmlessJobsGivenUp += Result.HarmlessJobsGivenUp;
+  Total.HarmlessJobsCompleted += Result.HarmlessJobsCompleted;
+  Total.JobsAfterFaults += Result.JobsAfterFaults;
+  Total.CompletedAfterFaults += Result.CompletedAfterFaults;
+}
+
+void printCredit(const simulation_result &Total) {
   double Earned = 0;
   double Attainable = 0;
   for (const auto &[Queue, Credit] : Total.CreditByQueue) {
@@ -167,5 +149,61 @@
   }
   if (Attainable > 0)
     fmt::print("credit {:.4f}\n", Earned / Attainable);
+}
+
+void printTotal(const command_line &Line, std::uint64_t DaysWithViolations, const simulation_result &Total) {
+  fmt::print("{} days, {} with breaches; {} jobs, {} completed, {} refused, {} resent, {} starts, {} faults; "
+             "after the "
+             "faults {} of {} completed\n",
+             Line.Days, DaysWithViolations, Total.Jobs, Total.Completed, Total.Refused, Total.Resent,
+             Total.Starts, Total.Faults, Total.CompletedAfterFaults, Total.JobsAfterFaults);
+  if (Line.Options.LateStopShare > 0)
+    fmt::print("{} runs lapsed whose stop orders were not late\n", Total.LapsedRuns);
+  if (Total.Crashes > 0)
+    fmt::print("{} servers crashed under tasks, at most {} under one; {} jobs without a crashing task, {} "
+               "completed, "
+               "{} failed\n",
+               Total.Crashes, Total.MaxCrashesOfTask, Total.HarmlessJobs, Total.HarmlessJobsCompleted,
+               Total.HarmlessJobsGivenUp);
+  printCredit(Total);
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  command_line Line;
+  simulation_options &Options = Line.Options;
+  options::options_description Description = describe(Line);
+  options::variables_map Values;
+  try {
+    options::store(options::parse_command_line(Count, Arguments, Description), Values);
+    options::notify(Values);
+  } catch (const options::error &Error) {
+    fmt::print(stderr, "{}\n", Error.what());
+    return 2;
+  }
+  if (Values.count("help") > 0) {
+    std::cout << Description;
+    return 0;
+  }
+  if (Values.count("locality") > 0) {
+    runtime::setLogLevel(runtime::log_level::Error);
+    std::cout << simulation::compareWaitRules(Options.Seed, Line.Days, Values["locality"].as<double>());
+    return 0;
+  }
+  applySwitches(Values, Options);
+  runtime::setLogLevel(Options.Trace ? runtime::log_level::Info : runtime::log_level::Error);
+  simulation_result Total;
+  std::uint64_t DaysWithViolations = 0;
+  for (std::uint64_t Index = 0; Index < Line.Days; ++Index, ++Options.Seed) {
+    auto Result = simulation::simulateFleet(Options);
+    for (const std::string &Violation : Result.Violations)
+      fmt::print("seed {}: {}\n", Options.Seed, Violation);
+    if (Options.CountMessages)
+      printMessages(Options.Seed, Result);
+    DaysWithViolations += Result.Violations.empty() ? 0 : 1;
+    addTo(Total, Result);
+  }
+  printTotal(Line, DaysWithViolations, Total);
   return DaysWithViolations == 0 ? 0 : 1;
 }
