Simulate servers that are cut off by connection resets

Callers saw jobs answered as failed although their servers ran on.

A job that is answered as failed because of crashes breaks an invariant unless two servers have crashed under one of its tasks.

--- a/src/yuccaplank/scenario/script.cpp
+++ b/src/yuccaplank/scenario/script.cpp
@@ -221,6 +221,7 @@
   void (*Apply)(simulation::simulated_servers &Servers, const std::string &Server);
 };
 
+using simulation::server_cut;
 using simulation::simulated_servers;
 
 constexpr double SlowdownFactor = 6;
@@ -229,7 +230,7 @@
      [](simulated_servers &Servers, const std::string &Server) {
        Servers.setFailing(Server, false);
        Servers.setHanging(Server, false);
-       Servers.setCut(Server, false);
+       Servers.setCut(Server, server_cut::None);
        Servers.setSlowdown(Server, 1);
      }},
     {"failing",
@@ -238,7 +239,10 @@
      [](simulated_servers &Servers, const std::string &Server) { Servers.setHanging(Server, true); }},
     {"slow", [](simulated_servers &Servers,
                 const std::string &Server) { Servers.setSlowdown(Server, SlowdownFactor); }},
-    {"cut", [](simulated_servers &Servers, const std::string &Server) { Servers.setCut(Server, true); }},
+    {"cut", [](simulated_servers &Servers,
+               const std::string &Server) { Servers.setCut(Server, server_cut::Silent); }},
+    {"reset", [](simulated_servers &Servers,
+                 const std::string &Server) { Servers.setCut(Server, server_cut::Resets); }},
     {"crashed", [](simulated_servers &Servers, const std::string &Server) { Servers.crash(Server); }},
     {"started", [](simulated_servers &Servers, const std::string &Server) { Servers.start(Server); }},
 });
--- a/src/yuccaplank/simulation/crash_checks.cpp
+++ b/src/yuccaplank/simulation/crash_checks.cpp
@@ -20,6 +20,16 @@
                      Task.Crashes);
 }
 
+std::optional<std::string> crash_checks::onGivenUp(dispatch::job_id Job) const {
+  std::uint32_t Crashes = 0;
+  for (auto Task = ByTask.lower_bound({Job, 0}); Task != ByTask.end() && Task->first.Job == Job; ++Task)
+    Crashes = std::max(Crashes, Task->second.Crashes);
+  if (Crashes >= AllowedCrashes)
+    return std::nullopt;
+  return fmt::format("job {} is answered as failed although {} servers have crashed under any of its tasks",
+                     dispatch::formatJob(Job), Crashes);
+}
+
 std::uint32_t crash_checks::maxCrashesOfTask() const {
   std::uint32_t Result = 0;
   for (const auto &[Task, Counts] : ByTask)
--- a/src/yuccaplank/simulation/crash_checks.hpp
+++ b/src/yuccaplank/simulation/crash_checks.hpp
@@ -20,11 +20,17 @@
   /// after three servers have crashed under it.
   std::optional<std::string> onCrashingStart(const dispatch::run_key &Run);
 
+  /// Returns the violation, if failing the job because of crashes is one: fewer servers have crashed under
+  /// each of its tasks than that takes.
+  [[nodiscard]] std::optional<std::string> onGivenUp(dispatch::job_id Job) const;
+
   [[nodiscard]] std::uint64_t crashes() const { return Crashes; }
   /// The most crashes under one task.
   [[nodiscard]] std::uint32_t maxCrashesOfTask() const;
 
 private:
+  // A job may be failed after the second crash.
+  static constexpr std::uint32_t AllowedCrashes = 2;
   static constexpr std::uint32_t CountedCrashes = 3;
   static constexpr std::uint32_t ForbiddenStarts = 3;
 
--- a/src/yuccaplank/simulation/crashing_tasks_test.cpp
+++ b/src/yuccaplank/simulation/crashing_tasks_test.cpp
@@ -39,4 +39,29 @@
   }
 });
 
+// Guards against jobs that are answered as failed although their servers run on: connections to servers that
+// are cut off are reset, which is no proof of a crash. Tasks that do crash their servers stay bounded
+// meanwhile.
+const test_case ResetCuts("crashing tasks: no job fails because its servers are cut off by resets", [] {
+  simulation::simulation_options Options = testing::siteWithoutFaults(16, 0.8);
+  Options.ResetCutShare = 0.17;
+  if (auto When = section("when nothing crashes")) {
+    for (Options.Seed = 1; Options.Seed <= 3; ++Options.Seed) {
+      auto Result = testing::simulateQuietly(Options);
+      CPPUNIT_ASSERT_MESSAGE(Result.Violations.empty() ? "" : Result.Violations.front(),
+                             Result.Violations.empty());
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, Result.JobsGivenUp);
+    }
+  }
+  if (auto When = section("when tasks crash their servers, each of them crashes two at most")) {
+    Options.CrashingJobShare = 0.02;
+    for (Options.Seed = 1; Options.Seed <= 3; ++Options.Seed) {
+      auto Result = testing::simulateQuietly(Options);
+      CPPUNIT_ASSERT_MESSAGE(Result.Violations.empty() ? "" : Result.Violations.front(),
+                             Result.Violations.empty());
+      CPPUNIT_ASSERT(Result.Crashes > 0 && Result.MaxCrashesOfTask <= 2);
+    }
+  }
+});
+
 } // namespace
--- a/src/yuccaplank/simulation/fault_injector.cpp
+++ b/src/yuccaplank/simulation/fault_injector.cpp
@@ -106,9 +106,9 @@
   void cutServer() {
     std::string Name = Context.randomServer();
     Context.trace(fmt::format("{} is cut off", Name));
-    Context.Fleet.servers().setCut(Name, true);
+    Context.Fleet.servers().setCut(Name, server_cut::Silent);
     Context.Executor.after(randomFaultDuration(),
-                           [this, Name] { Context.Fleet.servers().setCut(Name, false); });
+                           [this, Name] { Context.Fleet.servers().setCut(Name, server_cut::None); });
   }
   void crashServer() {
     std::string Name = Context.randomServer();
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -2,6 +2,7 @@
 #include "capacity_changes.hpp"
 #include "crash_checks.hpp"
 #include "fault_injector.hpp"
+#include "reset_cuts.hpp"
 #include "simulated_evacuations.hpp"
 #include "simulated_fleet.hpp"
 #include "store_refusals.hpp"
@@ -107,6 +108,8 @@
       Refusals.start(TrafficEnd);
     if (Options.CapacityChangesPerSecond > 0)
       Capacities.start(TrafficEnd);
+    if (Options.ResetCutShare > 0)
+      Cuts.start(FaultsEnd);
     if (Options.FaultsPerSecond > 0)
       Faults->start(FaultsEnd);
     if (Options.CountMessages)
@@ -393,6 +396,11 @@
     Job.Answered = true;
     if (!Job.CrashingTask)
       recordHarmlessAnswer(Answer);
+    if (Answer.Outcome == job_outcome::Failed && Answer.Reason == dispatch::end_reason::ServersCrashed) {
+      ++Result.JobsGivenUp;
+      if (auto Violation = Crashes.onGivenUp(Id))
+        addViolation(*Violation);
+    }
     recordCredit(Job, Answer.Outcome == job_outcome::Completed);
     if (Answer.Outcome == job_outcome::Completed) {
       ++Result.Completed;
@@ -473,6 +481,7 @@
   simulated_evacuations Evacuations{Context, [this](std::string Text) { addViolation(std::move(Text)); }};
   capacity_changes Capacities{Context};
   store_refusals Refusals{Context};
+  reset_cuts Cuts{Context};
   std::unique_ptr<fault_injector> Faults =
       makeFaultInjector(Context, [this](const std::string &Vm) { onVmEnded(Vm); });
   std::map<job_id, simulated_job> Jobs;
--- a/src/yuccaplank/simulation/fleet_simulation.hpp
+++ b/src/yuccaplank/simulation/fleet_simulation.hpp
@@ -85,6 +85,9 @@
   double CrashingJobShare = 0;
   /// Share of the jobs whose tasks run on beyond the deadline and whose stop orders are all carried out late.
   double LateStopShare = 0;
+  /// Share of the servers that are cut off by connection resets at a time, in cuts that follow each other:
+  /// two of three concern all VMs, the third one VM. The servers run on.
+  double ResetCutShare = 0;
   /// Rate at which servers change their capacity, while they run or with a restart.
   double CapacityChangesPerSecond = 0;
   /// The store turns VMs away for seconds, one or more of them at a time, and serves the others.
@@ -113,6 +116,8 @@
   std::uint64_t HarmlessJobs = 0;
   std::uint64_t HarmlessJobsGivenUp = 0;
   std::uint64_t HarmlessJobsCompleted = 0;
+  /// Jobs that were answered as failed because their servers crashed.
+  std::uint64_t JobsGivenUp = 0;
   /// Jobs that were submitted more than 3 s after the end of the fault phase.
   std::uint64_t JobsAfterFaults = 0;
   std::uint64_t CompletedAfterFaults = 0;
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -107,9 +107,13 @@
   }
 
   [[nodiscard]] bool isCutOff(const simulated_server &Server) const {
-    return Server.Cut || AllServers.Network.isCut(Vm, Server.Entry.Domain) ||
+    return Server.Cut != server_cut::None || resetsConnections(Server) ||
+           AllServers.Network.isCut(Vm, Server.Entry.Domain) ||
            AllServers.Network.isCut(Server.Entry.Domain, Vm);
   }
+  [[nodiscard]] bool resetsConnections(const simulated_server &Server) const {
+    return Server.Cut == server_cut::Resets || Server.ResetPaths.contains(Vm);
+  }
   [[nodiscard]] bool reachable(const std::string &Name) const {
     const simulated_server &Server = AllServers.Servers.at(Name);
     return Server.State && !isCutOff(Server);
@@ -117,8 +121,10 @@
   // The machine of a crashed server refuses connections unless it is down, too.
   [[nodiscard]] bool refusesConnections(const std::string &Name) const {
     auto Server = AllServers.Servers.find(Name);
-    return Server != AllServers.Servers.end() && !Server->second.State && !Server->second.MachineDown &&
-           !isCutOff(Server->second);
+    if (Server == AllServers.Servers.end())
+      return false;
+    return resetsConnections(Server->second) ||
+           (!Server->second.State && !Server->second.MachineDown && !isCutOff(Server->second));
   }
 
   template <typename Reply>
@@ -151,7 +157,8 @@
       // An order reaches only the incarnation of the server to which it was sent.
       if (!Server.State || Server.Incarnation != Incarnation)
         return;
-      bool Reachable = IsLate || (!Server.Cut && !Servers->Network.isCut(VmName, Server.Entry.Domain));
+      bool Reachable = IsLate || (Server.Cut == server_cut::None && !Server.ResetPaths.contains(VmName) &&
+                                  !Servers->Network.isCut(VmName, Server.Entry.Domain));
       if (!Reachable)
         return;
       Serve(Name, [Servers, Finish, IsLate, IsLost, Executor, VmName,
@@ -251,7 +258,12 @@
   return Cpu;
 }
 
-void simulated_servers::setCut(const std::string &Name, bool IsCut) { Servers.at(Name).Cut = IsCut; }
+void simulated_servers::setPathReset(const std::string &Name, const std::string &Vm, bool IsCut) {
+  if (IsCut)
+    Servers.at(Name).ResetPaths.insert(Vm);
+  else
+    Servers.at(Name).ResetPaths.erase(Vm);
+}
 
 void simulated_servers::serveHold(const std::string &Name, const dispatch::hold_order &Order,
                                   std::function<void(hold_reply)> Reply) {
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -16,6 +16,15 @@
 
 namespace yuccaplank::simulation {
 
+/// How connections to a server fail while it is cut off. The server runs on.
+enum class server_cut : std::uint8_t {
+  None,
+  /// Nothing arrives, and nothing is answered.
+  Silent,
+  /// Connections are reset, as if no process listened.
+  Resets,
+};
+
 class simulated_servers {
 public:
   struct options {
@@ -69,7 +78,10 @@
   /// Ends the server's process. Its address refuses connections, or is silent if the machine is down, too.
   void crash(const std::string &Server, bool MachineDown = false);
   void start(const std::string &Server);
-  void setCut(const std::string &Server, bool IsCut);
+  /// Cuts a server off from all VMs.
+  void setCut(const std::string &Server, server_cut Cut) { Servers.at(Server).Cut = Cut; }
+  /// Cuts a server off from one VM by resets, or ends that.
+  void setPathReset(const std::string &Server, const std::string &Vm, bool IsCut);
   /// Changes the capacity that the server tells from now on; what runs there goes on.
   void setCapacity(const std::string &Server, std::uint32_t Cpu);
   /// Sets the share of its runs that a server fails.
@@ -106,7 +118,9 @@
     // Factors of the run times: a permanent and a temporary one.
     double Slowness = 1;
     double Slowdown = 1;
-    bool Cut = false;
+    server_cut Cut = server_cut::None;
+    // VMs whose connections to the server are reset.
+    std::set<std::string> ResetPaths;
     bool MachineDown = false;
     double FailingShare = 0;
     double HangingShare = 0;
--- a/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
+++ b/src/yuccaplank/simulation/yuccaplank_simulate_main.cpp
@@ -46,6 +46,8 @@
        "share of orders whose answer is lost") //
       ("crashing", options::value(&Options.CrashingJobShare),
        "share of jobs with a task that crashes each server that starts it") //
+      ("reset-cuts", options::value(&Options.ResetCutShare),
+       "share of servers that are cut off by connection resets at a time, over and over") //
       ("late-stops", options::value(&Options.LateStopShare),
        "share of jobs that outlast their deadline and whose stops are all carried out late") //
       ("capacity-changes", options::value(&Options.CapacityChangesPerSecond),
@@ -133,6 +135,7 @@
   Total.HarmlessJobs += Result.HarmlessJobs;
   Total.HarmlessJobsGivenUp += Result.HarmlessJobsGivenUp;
   Total.HarmlessJobsCompleted += Result.HarmlessJobsCompleted;
+  Total.JobsGivenUp += Result.JobsGivenUp;
   Total.JobsAfterFaults += Result.JobsAfterFaults;
   Total.CompletedAfterFaults += Result.CompletedAfterFaults;
 }
@@ -159,12 +162,13 @@
              Total.Starts, Total.Faults, Total.CompletedAfterFaults, Total.JobsAfterFaults);
   if (Line.Options.LateStopShare > 0)
     fmt::print("{} runs lapsed whose stop orders were not late\n", Total.LapsedRuns);
-  if (Total.Crashes > 0)
-    fmt::print("{} servers crashed under tasks, at most {} under one; {} jobs without a crashing task, {} "
+  if (Total.Crashes + Total.JobsGivenUp > 0)
+    fmt::print("{} jobs failed because of crashes; {} servers crashed under tasks, at most {} under one; {} "
+               "jobs without a crashing task, {} "
                "completed, "
                "{} failed\n",
-               Total.Crashes, Total.MaxCrashesOfTask, Total.HarmlessJobs, Total.HarmlessJobsCompleted,
-               Total.HarmlessJobsGivenUp);
+               Total.JobsGivenUp, Total.Crashes, Total.MaxCrashesOfTask, Total.HarmlessJobs,
+               Total.HarmlessJobsCompleted, Total.HarmlessJobsGivenUp);
   printCredit(Total);
 }
 
