Count a crash only against tasks whose start the server had confirmed

Cause: a run whose start order was never answered may not have reached the server at all; when the server crashed behind a cut, its task counted as having crashed it, and after two its job was answered as failed.

Change: such a loss makes a suspicion that only time takes back: the order may also have crashed the server at once. So the task stays bounded, and its job ends with its deadline instead of as failed.

--- a/src/yuccaplank/dispatch/loss_history.cpp
+++ b/src/yuccaplank/dispatch/loss_history.cpp
@@ -104,13 +104,17 @@
   loss_count Count;
   for (const server_key &Key : Servers) {
     const lost_incarnation &Lost = Losses.at(Key);
+    bool Begun = false;
     bool Refused = false;
     for (auto Run = Lost.Runs.lower_bound({Task, 0}); Run != Lost.Runs.end() && Run->first.Task == Task;
-         ++Run)
+         ++Run) {
+      Begun |= Run->second.Begun;
       Refused |= Run->second.Loss != schema::LOSS_SILENT;
-    if (Lost.Crashed)
+    }
+    // A run whose start was not confirmed may have crashed the server at once, or never have reached it.
+    if (Lost.Crashed && Begun)
       ++Count.Crashed;
-    else if (Refused)
+    else if (Lost.Crashed || Refused)
       ++Count.Suspected;
     else
       ++Count.Silent;
--- a/src/yuccaplank/dispatch/loss_history_test.cpp
+++ b/src/yuccaplank/dispatch/loss_history_test.cpp
@@ -31,10 +31,10 @@
   }
   void lose(const std::string &Server, schema::server_loss Loss = schema::LOSS_RESTARTED,
             std::int64_t Start = 1, const std::vector<run_key> &Runs = {{Task, 1}},
-            std::int64_t LostAtClockMs = LostAtMs) {
+            std::int64_t LostAtClockMs = LostAtMs, bool Begun = true) {
     server_loss_report Report{Server, Start, Loss, LostAtClockMs, {}};
     for (const run_key &Run : Runs)
-      Report.Runs.push_back({Run, true});
+      Report.Runs.push_back({Run, Begun});
     record(toMessage(Report));
   }
   // The server replies to this VM, which tells itself and Other what that settles.
@@ -72,6 +72,16 @@
     Vm.lose("s1");
     CPPUNIT_ASSERT(!Vm.isGivenUp());
   }
+  if (auto When = section("not when one of them had not confirmed the start, but then nothing starts")) {
+    Vm.lose("s1");
+    Vm.lose("s2", schema::LOSS_RESTARTED, 1, {{Task, 2}}, LostAtMs, false);
+    CPPUNIT_ASSERT(Vm.History.verdict(Task) == loss_verdict::Suspended);
+    vm Other;
+    Other.History.record(Vm.History.recent());
+    CPPUNIT_ASSERT(Other.History.verdict(Task) == loss_verdict::Suspended);
+    Vm.lose("s2", schema::LOSS_RESTARTED, 1, {{Task, 2}});
+    CPPUNIT_ASSERT(Vm.isGivenUp());
+  }
   if (auto When =
           section("when servers that refused connections or were silent turn out to have restarted")) {
     Vm.lose("s1", schema::LOSS_REFUSED);
