Do not prolong a loss by what settles it

Cause: the message that settles a loss carried no age, so that the loss counted for another minute from then. A task was suspect for up to two minutes, and more with each VM that told it again. The new section of 'loss history: what a VM tells another one' fails without the change.

--- a/src/yuccaplank/dispatch/loss_history.cpp
+++ b/src/yuccaplank/dispatch/loss_history.cpp
@@ -94,6 +94,8 @@
     Message.set_incarnation_start_ms(Incarnation);
     Message.set_loss(Restarted ? schema::LOSS_RESTARTED : schema::LOSS_NONE);
     Message.set_up_at_clock_ms(Outlived ? ClockMs : 0);
+    // What settles a loss does not prolong the time for which it counts.
+    Message.set_age_ms(ageMs(Lost));
     return Message;
   }
   return std::nullopt;
@@ -161,7 +163,7 @@
     Server.set_server(Key.first);
     Server.set_incarnation_start_ms(Key.second);
     Server.set_loss(Lost.Crashed ? schema::LOSS_RESTARTED : Loss);
-    Server.set_age_ms(static_cast<std::uint32_t>(runtime::toMs(Clock.now() - Lost.LostAt)));
+    Server.set_age_ms(ageMs(Lost));
     Server.set_lost_at_clock_ms(LostAtClockMs == NotKnown ? 0 : LostAtClockMs);
     Server.set_up_at_clock_ms(Lost.UpAtClockMs);
     Server.set_observer(Lost.Observer);
@@ -201,6 +203,10 @@
   return Text;
 }
 
+std::uint32_t loss_history::ageMs(const lost_incarnation &Lost) const {
+  return static_cast<std::uint32_t>(runtime::toMs(Clock.now() - Lost.LostAt));
+}
+
 bool loss_history::forgetExpired() {
   runtime::time_point Before = Clock.now() - Options.Retention;
   bool Any = false;
--- a/src/yuccaplank/dispatch/loss_history.hpp
+++ b/src/yuccaplank/dispatch/loss_history.hpp
@@ -96,6 +96,7 @@
   [[nodiscard]] loss_count countLosses(const task_key &Task, const std::set<server_key> &Servers) const;
   void describeRuns(const server_key &Key, const lost_incarnation &Lost, schema::lost_servers &Message) const;
   [[nodiscard]] std::string describeLoss(const task_key &Task, const server_key &Key) const;
+  [[nodiscard]] std::uint32_t ageMs(const lost_incarnation &Lost) const;
   void forgetOldest();
   losses_by_server::iterator forget(losses_by_server::iterator Loss);
 
--- a/src/yuccaplank/dispatch/loss_history_test.cpp
+++ b/src/yuccaplank/dispatch/loss_history_test.cpp
@@ -151,6 +151,13 @@
   vm Other;
   Other.History.record(Vm.History.recent());
   CPPUNIT_ASSERT(Other.isGivenUp());
+  if (auto Then = section("counts no longer because a loss is settled late")) {
+    Vm.lose("s1", schema::LOSS_REFUSED, 5, {{Task, 1}});
+    Vm.Executor->advance(seconds(50));
+    CPPUNIT_ASSERT(Vm.reply("s1", 6, 10));
+    Vm.Executor->advance(seconds(11));
+    CPPUNIT_ASSERT(Vm.History.forgetExpired() && Vm.History.verdict(Task) == loss_verdict::Clear);
+  }
   if (auto Then = section("includes what settles the losses")) {
     Vm.lose("s3", schema::LOSS_REFUSED, 1, {{{OtherJob, 0}, 1}});
     Vm.reply("s3", 1, LostAtMs + 1);
