--- a/src/yuccaplank/simulation/crash_checks.hpp
+++ b/src/yuccaplank/simulation/crash_checks.hpp
@@ -2,6 +2,7 @@
 // servers is started.
 #pragma once
 
+#include "simulated_servers.hpp"
 #include "yuccaplank/dispatch/messages.hpp"
 
 #include <cstdint>
@@ -15,13 +16,14 @@
 class crash_checks {
 public:
   /// Records that a server has crashed with these runs.
-  void onCrash(const std::vector<dispatch::run_key> &Runs);
+  void onCrash(const simulated_servers::crashed_runs &Runs);
   /// Returns the violation, if starting the run is one: the third start of a task that crashes its servers
   /// after three servers have crashed under it.
   std::optional<std::string> onCrashingStart(const dispatch::run_key &Run);
 
   /// Returns the violation, if failing the job because of crashes is one: fewer servers have crashed under
-  /// each of its tasks than that takes.
+  /// each of its tasks than that takes. A run whose end no VM has confirmed counts, too: its server may have
+  /// crashed before any VM could know of the end.
   [[nodiscard]] std::optional<std::string> onGivenUp(dispatch::job_id Job) const;
 
   [[nodiscard]] std::uint64_t crashes() const { return Crashes; }
@@ -36,6 +38,8 @@
 
   struct task_crashes {
     std::uint32_t Crashes = 0;
+    // Crashes of servers where the end of a run was not confirmed.
+    std::uint32_t UnobservedCrashes = 0;
     // Starts after CountedCrashes crashes.
     std::uint32_t LaterStarts = 0;
   };
--- a/src/yuccaplank/simulation/fleet_simulation.cpp
+++ b/src/yuccaplank/simulation/fleet_simulation.cpp
@@ -91,7 +91,7 @@
     });
     Fleet.start();
     Fleet.servers().observeCrashes(
-        [this](const std::vector<dispatch::run_key> &Runs) { Crashes.onCrash(Runs); });
+        [this](const simulated_servers::crashed_runs &Runs) { Crashes.onCrash(Runs); });
     if (Options.LateStopShare > 0)
       Fleet.servers().setLateStops(
           [this](const dispatch::task_key &Task) { return Jobs.at(Task.Job).LateStops; });
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -201,7 +201,7 @@
   simulated_server &Server = Servers.at(Name);
   if (OnCrash && Server.State) {
     Server.State->advance(Executor.clock().now());
-    OnCrash(Server.State->running());
+    OnCrash({Server.State->running(), Server.State->unobservedEnds()});
   }
   Server.MachineDown = MachineDown;
   Server.State.reset();
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -57,8 +57,14 @@
   void observeStartOrders(std::function<void(const std::string &Vm, const std::string &Server)> Observer) {
     OnStartOrder = std::move(Observer);
   }
+  /// Runs of a server that crashes.
+  struct crashed_runs {
+    std::vector<dispatch::run_key> Running;
+    /// Runs that had ended, but whose ends no VM has confirmed, so that no VM may know of them.
+    std::vector<dispatch::run_key> Unobserved;
+  };
   /// Calls Observer with the runs of each server that crashes.
-  void observeCrashes(std::function<void(const std::vector<dispatch::run_key> &Runs)> Observer) {
+  void observeCrashes(std::function<void(const crashed_runs &Runs)> Observer) {
     OnCrash = std::move(Observer);
   }
   /// Calls Observer for each run that ends because its lease has expired.
@@ -149,7 +155,7 @@
   options Options;
   std::function<void(const std::string &, const dispatch::run_key &)> OnStart;
   std::function<void(const std::string &, const std::string &)> OnStartOrder;
-  std::function<void(const std::vector<dispatch::run_key> &)> OnCrash;
+  std::function<void(const crashed_runs &)> OnCrash;
   std::function<void()> OnRestart;
   std::function<void(const dispatch::run_key &)> OnLapsed;
   std::function<bool(const dispatch::task_key &)> HasLateStops;
--- a/src/yuccaplank/standin/task_server.cpp
+++ b/src/yuccaplank/standin/task_server.cpp
@@ -166,4 +166,11 @@
   return Result;
 }
 
+std::vector<dispatch::run_key> task_server::unobservedEnds() const {
+  std::vector<dispatch::run_key> Result;
+  for (const dispatch::listed_end &End : Ends)
+    Result.push_back(End.Run);
+  return Result;
+}
+
 } // namespace yuccaplank::standin
--- a/src/yuccaplank/standin/task_server.hpp
+++ b/src/yuccaplank/standin/task_server.hpp
@@ -64,6 +64,7 @@
   [[nodiscard]] std::optional<runtime::time_point> nextEventTime() const;
   /// Returns whether there are ends of runs that no hold has confirmed as observed.
   [[nodiscard]] bool hasUnobservedEnds() const { return !Ends.empty(); }
+  [[nodiscard]] std::vector<dispatch::run_key> unobservedEnds() const;
   [[nodiscard]] std::int64_t clockMs(runtime::time_point Now) const;
   [[nodiscard]] std::uint32_t usedCpu() const;
   [[nodiscard]] std::vector<dispatch::run_key> running() const;
