Count the runs on a server that another one has replaced as lost

Callers of a task that crashes its servers could lose more than two of them: where a crashed server's address is taken by one with another id, which answers orders for the former one with 421, its runs ended without any loss.

Change: such an answer proves that the incarnation has ended, unless the server was draining; its runs are announced as lost with it. The new section of 'server ledger: a server is lost with its runs' fails without the change.

--- a/src/yuccaplank/dispatch/run_ends.cpp
+++ b/src/yuccaplank/dispatch/run_ends.cpp
@@ -107,8 +107,13 @@
 void run_ends::onServerReplaced() {
   log(log_level::Warning, "server_replaced",
       {{"server", Ledger.Entry.Target.Id}, {"runs", static_cast<std::int64_t>(Ledger.Runs.size())}});
-  for (const run_key &Run : Ledger.Runs.keys())
-    endRun(Run, schema::RUN_GONE, "server_replaced");
+  // A server that drains has left as planned.
+  schema::server_loss Loss = Ledger.Entry.Draining ? schema::LOSS_NONE : schema::LOSS_RESTARTED;
+  std::vector<run_key> LostRuns = Ledger.Runs.keys();
+  if (Loss != schema::LOSS_NONE && !LostRuns.empty())
+    announceLoss(Loss, LostRuns);
+  for (const run_key &Run : LostRuns)
+    endRun(Run, schema::RUN_GONE, "server_replaced", Loss);
   delist();
 }
 
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -830,6 +830,14 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, Owner.Losses.at(0).incarnation_start_ms());
     CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Events.back().loss());
   }
+  if (auto When = section("when another server replies at its address, it has crashed")) {
+    hold_reply Reply;
+    Reply.Outcome = order_outcome::OtherIncarnation;
+    Owner.answerHold(Reply);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Losses.at(0).loss());
+    CPPUNIT_ASSERT_EQUAL(1, Owner.Losses.at(0).runs_size());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Events.back().loss());
+  }
   if (auto When = section("when it leaves as planned, nothing is lost with it")) {
     server_entry Draining = owner::entry();
     Draining.Draining = true;
