Answer a job whose task is given up while it waits

A task that is given up while it waits at the placer, or whose start is refused, was neither placed nor answered, since only the end of a run and the settling of a loss led to the answer. And a record that raised a verdict without settling a known loss, as two new proven crashes do, did not wake suspended jobs.

Change: each request for placement first looks whether the job is given up; each record wakes the suspended jobs, of which the coordinator keeps a set. A settled loss is the first to make room for another one. The log and the metric count suspended jobs in place of tasks: eight tasks that waited as a whole wrote the same line eight times.

--- a/include/yuccaplank/dispatch/job_coordinator.hpp
+++ b/include/yuccaplank/dispatch/job_coordinator.hpp
@@ -50,8 +50,8 @@
   std::uint64_t Adopted = 0;
   /// Runs that were lost with their server, or with the path to it.
   std::uint64_t RunsLost = 0;
-  /// How often a task had to wait until it was known whether its servers had crashed.
-  std::uint64_t TasksSuspended = 0;
+  /// How often a job had to wait until it was known whether its servers had crashed.
+  std::uint64_t Suspended = 0;
 };
 
 /// Gives the coordinator its view of the other VMs, and takes its messages and answers.
@@ -95,8 +95,8 @@
   /// A new session with the VM begins: adds the runs that this coordinator expects there to Session and sends
   /// it.
   virtual void onVmResumed(const std::string &Vm, schema::resume_session Session) = 0;
-  /// Losses of servers were settled or no longer count: the verdicts on suspended tasks may have changed.
-  virtual void onLossesSettled() = 0;
+  /// What is known of lost servers has changed, and with it perhaps the verdicts on suspended tasks.
+  virtual void onLossesChanged() = 0;
   [[nodiscard]] virtual const coordinator_counters &counters() const = 0;
 };
 
--- a/src/yuccaplank/dispatch/coordinated_job.hpp
+++ b/src/yuccaplank/dispatch/coordinated_job.hpp
@@ -44,8 +44,6 @@
   std::optional<runtime::time_point> RefusedAt = std::nullopt;
   /// Placement is not requested before this time.
   runtime::time_point PlaceAfter{};
-  /// Whether the task waits until it is known whether its servers have crashed.
-  bool Suspended = false;
   /// Whether the placer has been asked to place the run, and has not answered yet.
   bool PlacementRequested = false;
   runtime::timer_id OrphanTimer = 0;
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -56,7 +56,7 @@
     runEvery(TickInterval, [this] { tick(); });
     runEvery(LossExpiryInterval, [this] {
       if (Vm.Losses.forgetExpired())
-        Vm.Jobs->onLossesSettled();
+        Vm.Jobs->onLossesChanged();
     });
     runEvery(ScheduleInterval, [this] { schedule(); });
   }
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -52,11 +52,9 @@
     Job.DeadlineTimer =
         Executor.after(Job.Request.Deadline - Job.Request.Age, [this, Id] { onDeadline(Id); });
     ++Counters.Submitted;
-    if (Ports.verdict(Id) == loss_verdict::GivenUp) {
-      // The answer follows this call, as for every other job.
-      Executor.post([this, Id] { giveUp(Id); });
+    // The answer follows this call, as for every other job.
+    if (giveUpIfDecided(Job))
       return true;
-    }
     if (Ports.placer().empty())
       Job.PlacerTimer = Executor.after(Options.PlacerTimeout, [this, Id] { onPlacerTimeout(Id); });
     else
@@ -208,16 +206,12 @@
     Ports.send(Vm, std::move(Message));
   }
 
-  void onLossesSettled() override {
-    std::vector<job_id> Waiting;
-    for (const auto &[Id, Job] : Jobs)
-      if (std::ranges::any_of(Job.Tasks, [](const task_state &Task) { return Task.Suspended; }))
-        Waiting.push_back(Id);
+  void onLossesChanged() override {
+    const std::set<job_id> Waiting = SuspendedJobs;
     for (job_id Id : Waiting) {
-      if (Ports.verdict(Id) == loss_verdict::GivenUp)
-        giveUp(Id);
-      else
-        requestPlacement(Jobs.at(Id));
+      auto Found = Jobs.find(Id);
+      if (Found != Jobs.end())
+        requestPlacement(Found->second);
     }
   }
 
@@ -265,29 +259,43 @@
     return Ports.verdict(Task) >= loss_verdict::Suspended;
   }
 
-  // Returns whether the task has to wait until it is known whether its servers, or those of another task of
-  // the job, have crashed.
-  bool suspend(const coordinated_job &Job, task_state &Task, const run_key &Run) {
-    bool WasSuspended = std::exchange(Task.Suspended, isSuspended(Run.Task) || waitsAsWhole(Job));
-    if (!Task.Suspended || WasSuspended)
-      return Task.Suspended;
-    ++Counters.TasksSuspended;
-    log(log_level::Info, "task_suspended",
-        {{"run", format(Run)}, {"losses", Ports.describeLosses(Run.Task.Job)}});
-    return true;
-  }
-
   // A job of which nothing has started waits as a whole, so that its other tasks do not run in vain.
   [[nodiscard]] bool waitsAsWhole(const coordinated_job &Job) const {
-    return Job.PossiblyStartedRuns == 0 && Ports.verdict(Job.Request.Job) >= loss_verdict::Suspended;
+    return Job.PossiblyStartedRuns == 0 && isSuspended(Job);
+  }
+  [[nodiscard]] bool isSuspended(const coordinated_job &Job) const {
+    return Ports.verdict(Job.Request.Job) >= loss_verdict::Suspended;
+  }
+
+  // Records whether tasks of the job wait until it is known whether their servers have crashed.
+  void setSuspended(const coordinated_job &Job, bool Suspended) {
+    job_id Id = Job.Request.Job;
+    if (!Suspended) {
+      SuspendedJobs.erase(Id);
+      return;
+    }
+    if (!SuspendedJobs.insert(Id).second)
+      return;
+    ++Counters.Suspended;
+    log(log_level::Info, "job_suspended", {{"job", formatJob(Id)}, {"losses", Ports.describeLosses(Id)}});
+  }
+
+  // Ends a job with a task that is not started again. The caller may still use the job.
+  bool giveUpIfDecided(const coordinated_job &Job) {
+    job_id Id = Job.Request.Job;
+    if (Ports.verdict(Id) != loss_verdict::GivenUp)
+      return false;
+    Executor.post([this, Id] { giveUp(Id); });
+    return true;
   }
 
   // Requests the placement of the waiting tasks that the placer has not been asked to place. Many tasks of a
   // job may have to be placed again one after the other, so the others are not listed each time.
   void requestPlacement(coordinated_job &Job) {
     std::string Placer = Ports.placer();
-    if (Placer.empty())
+    if (giveUpIfDecided(Job) || Placer.empty())
       return;
+    bool Suspended = false;
     schema::dispatch_message Message;
     schema::place_job &Place = *Message.mutable_place();
     for (std::uint32_t Index = 0; Index < Job.Tasks.size(); ++Index) {
@@ -295,13 +303,16 @@
       if (State.Phase != task_phase::Waiting || State.PlacementRequested || State.PlaceAfter > now())
         continue;
       run_key Run{{Job.Request.Job, Index}, State.Run};
-      if (suspend(Job, State, Run))
+      if (isSuspended(Run.Task) || waitsAsWhole(Job)) {
+        Suspended = true;
         continue;
+      }
       State.PlacementRequested = true;
       *Place.add_tasks() = toMessage(Run);
       if (Ports.verdict(Run.Task) == loss_verdict::Suspect)
         Place.add_suspects(Index);
     }
+    setSuspended(Job, Suspended);
     if (Place.tasks_size() == 0)
       return;
     describeJob(Job, now(), Options, Place);
@@ -555,6 +566,7 @@
     stopRemainingTasks(Job);
     countOutcome(Answer.Outcome);
     logAnswer(Job, Answer);
+    SuspendedJobs.erase(Id);
     Jobs.erase(Id);
     Ports.answer(Id, Answer);
   }
@@ -640,6 +652,8 @@
   coordinator_ports &Ports;
   coordinator_options Options;
   std::map<job_id, coordinated_job> Jobs;
+  // Jobs with tasks that wait until it is known whether their servers have crashed.
+  std::set<job_id> SuspendedJobs;
   coordinator_counters Counters;
 };
 
--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -317,12 +317,13 @@
     CPPUNIT_ASSERT(Vm.Answers.empty());
     if (auto When = section("when they reply with the same incarnations, it is placed again")) {
       Vm.Verdicts.clear();
-      Vm.Jobs->onLossesSettled();
+      Vm.Jobs->onLossesChanged();
       CPPUNIT_ASSERT((std::vector<std::uint32_t>{1, 2} == Vm.requestedRuns()));
     }
     if (auto When = section("when they have restarted, the job fails")) {
       Vm.Verdicts[Task] = loss_verdict::GivenUp;
-      Vm.Jobs->onLossesSettled();
+      Vm.Jobs->onLossesChanged();
+      Vm.Executor->advance(milliseconds(1));
       CPPUNIT_ASSERT(Vm.Answers.at(0).Outcome == job_outcome::Failed);
     }
     if (auto When = section("when nothing is heard of them, the deadline ends the job")) {
@@ -337,13 +338,29 @@
     CPPUNIT_ASSERT(Vm.Sent.back().second.has_decline());
     Vm.Executor->advance(milliseconds(10));
     CPPUNIT_ASSERT((std::vector<std::uint32_t>{1} == Vm.requestedRuns()));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, Vm.Jobs->counters().Suspended);
+  }
+  if (auto Given = section("given that they are found to have crashed while the task waits for a server")) {
+    Vm.submit(1);
+    Vm.Verdicts[Task] = loss_verdict::GivenUp;
+    Vm.grant(runOf(0, 1));
+    Vm.Executor->advance(milliseconds(10));
+    CPPUNIT_ASSERT(Vm.Answers.at(0).Outcome == job_outcome::Failed);
+  }
+  if (auto Given = section("given that they are found to have crashed while the start is refused")) {
+    Vm.submit(1);
+    Vm.grant(runOf(0, 1));
+    Vm.Verdicts[Task] = loss_verdict::GivenUp;
+    Vm.reportEvent(runOf(0, 1), schema::RUN_NOT_STARTED);
+    Vm.Executor->advance(milliseconds(1));
+    CPPUNIT_ASSERT(Vm.Answers.at(0).Outcome == job_outcome::Failed);
   }
   if (auto Given = section("given that the job is sent again, none of its tasks starts before")) {
     Vm.Verdicts[Task] = loss_verdict::Suspended;
     Vm.submit(2);
     CPPUNIT_ASSERT(Vm.requestedRuns().empty());
     Vm.Verdicts.clear();
-    Vm.Jobs->onLossesSettled();
+    Vm.Jobs->onLossesChanged();
     CPPUNIT_ASSERT((std::vector<std::uint32_t>{1} == Vm.requestedRuns()));
   }
 });
--- a/src/yuccaplank/dispatch/loss_history.cpp
+++ b/src/yuccaplank/dispatch/loss_history.cpp
@@ -6,33 +6,29 @@
 
 namespace yuccaplank::dispatch {
 
-bool loss_history::record(const schema::lost_servers &Message) {
-  bool Settled = forgetExpired();
+void loss_history::record(const schema::lost_servers &Message) {
+  forgetExpired();
   for (const schema::lost_server &Server : Message.servers())
-    Settled |= recordServer(Server);
+    recordServer(Server);
   while (Losses.size() > Options.MaxServers)
     forgetOldest();
-  return Settled;
 }
 
-bool loss_history::recordServer(const schema::lost_server &Server) {
+void loss_history::recordServer(const schema::lost_server &Server) {
   server_key Key{Server.server(), Server.incarnation_start_ms()};
   runtime::time_point LostAt = Clock.now() - std::chrono::milliseconds(Server.age_ms());
   if (Clock.now() - LostAt >= Options.Retention)
-    return false;
+    return;
   auto [Entry, IsNew] = Losses.try_emplace(Key);
   lost_incarnation &Lost = Entry->second;
   Lost.LostAt = IsNew ? LostAt : std::max(Lost.LostAt, LostAt);
   if (Lost.Observer.empty())
     Lost.Observer = Server.observer();
   Lost.UpAtClockMs = std::max(Lost.UpAtClockMs, Server.up_at_clock_ms());
-  bool Settled = removeOutlivedRuns(Key, Lost);
-  if (Server.loss() == schema::LOSS_RESTARTED)
-    Settled |= !std::exchange(Lost.Crashed, true) && !Lost.Runs.empty();
+  Lost.Crashed |= Server.loss() == schema::LOSS_RESTARTED;
   if (Server.loss() != schema::LOSS_NONE)
     recordRuns(Server, Key, Lost);
   removeOutlivedRuns(Key, Lost);
-  return Settled;
 }
 
 void loss_history::recordRuns(const schema::lost_server &Server, const server_key &Key,
@@ -50,9 +46,8 @@
   }
 }
 
-bool loss_history::removeOutlivedRuns(const server_key &Key, lost_incarnation &Lost) {
+void loss_history::removeOutlivedRuns(const server_key &Key, lost_incarnation &Lost) {
   auto Outlived = [&](const auto &Run) { return Run.second.LostAtClockMs < Lost.UpAtClockMs; };
-  bool Any = false;
   for (auto Run = Lost.Runs.begin(); Run != Lost.Runs.end();) {
     if (!Outlived(*Run)) {
       ++Run;
@@ -63,9 +58,7 @@
     auto Other = Lost.Runs.lower_bound({Task, 0});
     if (Other == Lost.Runs.end() || Other->first.Task != Task)
       removeTask(Task, Key);
-    Any = true;
   }
-  return Any;
 }
 
 void loss_history::removeTask(const task_key &Task, const server_key &Key) {
@@ -219,7 +212,10 @@
 }
 
 void loss_history::forgetOldest() {
-  forget(std::ranges::min_element(Losses, {}, [](const auto &Entry) { return Entry.second.LostAt; }));
+  // Settled losses no longer count.
+  forget(std::ranges::min_element(Losses, {}, [](const auto &Entry) {
+    return std::pair(!Entry.second.Runs.empty(), Entry.second.LostAt);
+  }));
 }
 
 loss_history::losses_by_server::iterator loss_history::forget(losses_by_server::iterator Loss) {
--- a/src/yuccaplank/dispatch/loss_history.hpp
+++ b/src/yuccaplank/dispatch/loss_history.hpp
@@ -40,9 +40,8 @@
   explicit loss_history(const runtime::clock &Clock, loss_history_options Options = {})
       : Clock(Clock), Options(Options) {}
 
-  /// Records losses, and what settles them. Losses that are already known count once. Returns whether a known
-  /// loss was settled.
-  bool record(const schema::lost_servers &Losses);
+  /// Records losses, and what settles them. Losses that are already known count once.
+  void record(const schema::lost_servers &Losses);
   /// Forgets losses that no longer count. Returns whether there were any.
   bool forgetExpired();
   /// Returns the message that settles known losses of the server, if a reply of this incarnation at this time
@@ -87,10 +86,10 @@
     std::uint32_t Silent = 0;
   };
 
-  bool recordServer(const schema::lost_server &Server);
+  void recordServer(const schema::lost_server &Server);
   void recordRuns(const schema::lost_server &Server, const server_key &Key, lost_incarnation &Lost);
-  // Removes the runs that the server has outlived. Returns whether there were any.
-  bool removeOutlivedRuns(const server_key &Key, lost_incarnation &Lost);
+  // Removes the runs that the server has outlived.
+  void removeOutlivedRuns(const server_key &Key, lost_incarnation &Lost);
   void removeTask(const task_key &Task, const server_key &Key);
   [[nodiscard]] loss_verdict judge(const loss_count &Count) const;
   [[nodiscard]] loss_count countLosses(const task_key &Task, const std::set<server_key> &Servers) const;
--- a/src/yuccaplank/dispatch/loss_history_test.cpp
+++ b/src/yuccaplank/dispatch/loss_history_test.cpp
@@ -24,10 +24,10 @@
   std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
   loss_history History{Executor->clock(), {.MaxServers = 8}};
 
-  bool record(const schema::lost_server &Server) {
+  void record(const schema::lost_server &Server) {
     schema::lost_servers Message;
     *Message.add_servers() = Server;
-    return History.record(Message);
+    History.record(Message);
   }
   void lose(const std::string &Server, schema::server_loss Loss = schema::LOSS_RESTARTED,
             std::int64_t Start = 1, const std::vector<run_key> &Runs = {{Task, 1}},
@@ -44,7 +44,8 @@
       return false;
     if (Other)
       Other->record(*Settled);
-    return record(*Settled);
+    record(*Settled);
+    return true;
   }
   [[nodiscard]] bool isGivenUp(const task_key &Key = Task) const {
     return History.verdict(Key) == loss_verdict::GivenUp;
@@ -180,6 +181,14 @@
     CPPUNIT_ASSERT_EQUAL(8, Other.History.recent().servers_size());
     CPPUNIT_ASSERT(Other.History.verdict(Job) == loss_verdict::Clear && Other.isGivenUp({OtherJob, 0}));
   }
+  if (auto Then = section("is limited in number, but a settled loss makes room first")) {
+    for (int Index = 0; Index < 20; ++Index) {
+      std::string Server = std::to_string(Index);
+      Other.lose(Server, schema::LOSS_REFUSED, 1, {{{OtherJob, 0}, 1}});
+      CPPUNIT_ASSERT(Other.reply(Server, 1, LostAtMs + 1));
+    }
+    CPPUNIT_ASSERT(Other.isGivenUp());
+  }
 });
 
 } // namespace
--- a/src/yuccaplank/dispatch/message_router.cpp
+++ b/src/yuccaplank/dispatch/message_router.cpp
@@ -100,8 +100,8 @@
     Vm.Waiters.onWithdrawRelayed(From, Message.withdraw_relayed());
     break;
   case schema::dispatch_message::kLostServers:
-    if (Vm.Losses.record(Message.lost_servers()))
-      Vm.Jobs->onLossesSettled();
+    Vm.Losses.record(Message.lost_servers());
+    Vm.Jobs->onLossesChanged();
     break;
   case schema::dispatch_message::kServerEntriesRequest:
     ServerEntries.onRequest(From, Message.server_entries_request());
