Judge a restart and a replaced address by one rule

A server that drained and was back at once under its id counted as crashed, although it had left as planned. And the answer 421 proved a crash only while runs were recorded there: after the lease was over, the losses told before stayed suspicions for good.

Change: lossWithRestart decides for both, LOSS_NONE for a server that drains; the crash is told even without runs, so that it settles the losses of before. The new sections of 'server ledger: a server is lost with its runs' show both.

--- a/src/yuccaplank/dispatch/run_ends.cpp
+++ b/src/yuccaplank/dispatch/run_ends.cpp
@@ -24,7 +24,7 @@
     return;
   std::string Coordinator = Found->Coordinator;
   if (Event == schema::RUN_GONE && Found->OnFormerIncarnation)
-    Loss = schema::LOSS_RESTARTED;
+    Loss = lossWithRestart();
   schema::dispatch_message Message = makeTaskEvent(Run, Event, Ledger.Entry.Target.Id, Reason, Loss);
   Message.mutable_event()->set_overdue(Event == schema::RUN_GONE && Found->Overdue);
   Ledger.Runs.erase(Run);
@@ -50,6 +50,8 @@
 }
 
 void run_ends::announceLoss(schema::server_loss Loss, const std::vector<run_key> &LostRuns) {
+  if (Loss == schema::LOSS_NONE)
+    return;
   countLoss(Loss);
   server_loss_report Report;
   Report.Server = Ledger.Entry.Target.Id;
@@ -86,8 +88,7 @@
   if (LostRuns.empty())
     return;
   schema::server_loss Loss = lossWithoutReply();
-  if (Loss != schema::LOSS_NONE)
-    announceLoss(Loss, LostRuns);
+  announceLoss(Loss, LostRuns);
   for (const run_key &Run : LostRuns)
     endRun(Run, schema::RUN_GONE, "lease_over", Loss);
 }
@@ -98,6 +99,10 @@
   return Ledger.RefusesConnections ? schema::LOSS_REFUSED : schema::LOSS_SILENT;
 }
 
+schema::server_loss run_ends::lossWithRestart() const {
+  return Ledger.Entry.Draining ? schema::LOSS_NONE : schema::LOSS_RESTARTED;
+}
+
 void run_ends::delist() {
   if (std::exchange(Ledger.Delisted, true))
     return;
@@ -107,11 +112,10 @@
 void run_ends::onServerReplaced() {
   log(log_level::Warning, "server_replaced",
       {{"server", Ledger.Entry.Target.Id}, {"runs", static_cast<std::int64_t>(Ledger.Runs.size())}});
-  // A server that drains has left as planned.
-  schema::server_loss Loss = Ledger.Entry.Draining ? schema::LOSS_NONE : schema::LOSS_RESTARTED;
+  // Even without runs here, it tells that the runs that were lost before were lost with a crash.
+  schema::server_loss Loss = lossWithRestart();
   std::vector<run_key> LostRuns = Ledger.Runs.keys();
-  if (Loss != schema::LOSS_NONE && !LostRuns.empty())
-    announceLoss(Loss, LostRuns);
+  announceLoss(Loss, LostRuns);
   for (const run_key &Run : LostRuns)
     endRun(Run, schema::RUN_GONE, "server_replaced", Loss);
   delist();
--- a/src/yuccaplank/dispatch/run_ends.hpp
+++ b/src/yuccaplank/dispatch/run_ends.hpp
@@ -19,8 +19,11 @@
   void endRun(const run_key &Run, schema::run_event Event, std::string_view Reason,
               schema::server_loss Loss = schema::LOSS_NONE);
   /// Tells all coordinators before the runs are reported as gone, so that none places their tasks again
-  /// first.
+  /// first. LOSS_NONE is not told.
   void announceLoss(schema::server_loss Loss, const std::vector<run_key> &LostRuns);
+  /// What runs were lost with when another incarnation or another server replies: a crash, unless the server
+  /// has left as planned.
+  [[nodiscard]] schema::server_loss lossWithRestart() const;
   /// Ends the runs that the list of this hold shows to have ended.
   void endMissingRuns(std::uint64_t Hold, const std::vector<run_key> &Running);
   /// Ends the runs whose lease has expired.
--- a/src/yuccaplank/dispatch/run_lists.cpp
+++ b/src/yuccaplank/dispatch/run_lists.cpp
@@ -197,7 +197,7 @@
   for (auto &[Run, State] : Ledger.Runs)
     State.OnFormerIncarnation = std::ranges::find(Reply.Running, Run) == Reply.Running.end();
   if (!Ledger.Runs.empty())
-    Parts.Ends.announceLoss(schema::LOSS_RESTARTED, Ledger.Runs.keys());
+    Parts.Ends.announceLoss(Parts.Ends.lossWithRestart(), Ledger.Runs.keys());
   Ledger.IncarnationStartMs = Reply.IncarnationStartMs;
   LatestListMs = Reply.ClockMs.value_or(0);
   LastObservedEnd = 0;
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -847,6 +847,25 @@
     CPPUNIT_ASSERT_EQUAL(schema::LOSS_NONE, Owner.Events.back().loss());
     CPPUNIT_ASSERT(Owner.Losses.empty());
   }
+  if (auto When = section("nor when it is back at once after it has left as planned")) {
+    server_entry Draining = owner::entry();
+    Draining.Draining = true;
+    Owner.Ledger->update(Draining);
+    Owner.Executor->advance(milliseconds(1));
+    Owner.answerHold(Owner.makeListReply({}, {}, 2));
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_NONE, Owner.Events.back().loss());
+    CPPUNIT_ASSERT(Owner.Losses.empty());
+  }
+  if (auto When = section("when another server replies after its runs were lost, that tells of the crash")) {
+    FailHolds(order_outcome::ConnectionRefused);
+    Owner.Executor->advance(milliseconds(100));
+    hold_reply Reply;
+    Reply.Outcome = order_outcome::OtherIncarnation;
+    Owner.answerHold(Reply);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Losses.back().loss());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, Owner.Losses.back().incarnation_start_ms());
+    Owner.Losses.resize(1);
+  }
   CPPUNIT_ASSERT(Owner.Losses.size() <= 1);
 });
 
