Take a lost server that stays unlisted for crashed

Where crashed servers come back under another id, or not at all, nothing settled their losses: a suspended task waited for its deadline, however long.

Change: each VM takes a lost server that has been missing in the platform's list for 10 s for crashed; its losses then count, until it is listed again or replies. A server that is cut off is unlisted after three missed heartbeats, too.

Result: the new section of 'loss history: a task is suspended while crashes are open' passes.

--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -24,7 +24,7 @@
 using runtime::time_point;
 
 constexpr auto TickInterval = std::chrono::milliseconds(50);
-constexpr auto LossExpiryInterval = std::chrono::seconds(1);
+constexpr auto LossUpdateInterval = std::chrono::seconds(1);
 // The queue is processed this often even without messages, so that rejections are not late.
 constexpr auto ScheduleInterval = std::chrono::milliseconds(10);
 
@@ -54,8 +54,8 @@
       Roles.reportStaleVms();
     });
     runEvery(TickInterval, [this] { tick(); });
-    runEvery(LossExpiryInterval, [this] {
-      if (Vm.Losses.forgetExpired())
+    runEvery(LossUpdateInterval, [this] {
+      if (Vm.Losses.update())
         Vm.Jobs->onLossesChanged();
     });
     runEvery(ScheduleInterval, [this] { schedule(); });
@@ -185,6 +185,7 @@
       return Impl.Vm.Contacts.serverEntrySources();
     }
     void onEntriesChanged(const std::vector<server_entry> &Entries) override {
+      Impl.Vm.Losses.setListed(Entries);
       Impl.Vm.Owner->setServers(Entries);
     }
     void onReadingChanged(bool Reads) override {
