Move the log of answers out of the job coordinator

job_coordinator.cpp had grown to 653 lines with one class. How an answer is logged and counted has a module of its own (dispatch/answer_log), which knows nothing of the coordinator but the job's record.

--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -9,12 +9,12 @@
 // and asks the coordinators to let it adopt the runs that it found. An orphan that no owner has reported
 // within OrphanTimeout has certainly ended, and its task is placed again.
 #include "yuccaplank/dispatch/job_coordinator.hpp"
+#include "answer_log.hpp"
 #include "coordinated_job.hpp"
 #include "coordinator_messages.hpp"
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <optional>
 #include <set>
@@ -564,8 +564,8 @@
         Answer.Outcome == job_outcome::Completed && now() - Job.SubmittedAt <= Job.Objective;
     cancelTimers(Job);
     stopRemainingTasks(Job);
-    countOutcome(Answer.Outcome);
-    logAnswer(Job, Answer);
+    countOutcome(Answer.Outcome, Counters);
+    logAnswer(Job, Answer, Ports.placer(), now());
     SuspendedJobs.erase(Id);
     Jobs.erase(Id);
     Ports.answer(Id, Answer);
@@ -593,50 +593,6 @@
     Ports.send(Placer, std::move(Message));
   }
 
-  // Jobs that complete in time, complete late or fail have log events of their own: the limit on log lines
-  // counts by event, so frequent outcomes do not suppress rare ones.
-  static const char *logEventName(const job_answer &Answer) {
-    if (Answer.Outcome != job_outcome::Completed)
-      return "job_not_completed";
-    return Answer.WithinObjective ? "job_completed" : "job_late";
-  }
-
-  static std::string joinServerNames(const coordinated_job &Job) {
-    std::set<std::string> Servers;
-    for (const task_state &Task : Job.Tasks)
-      if (!Task.Server.empty())
-        Servers.insert(Task.Server);
-    std::string Text;
-    for (const std::string &Server : Servers)
-      Text += (Text.empty() ? "" : ",") + Server;
-    return Text;
-  }
-
-  void logAnswer(const coordinated_job &Job, const job_answer &Answer) const {
-    double WaitedMs = runtime::toMs(Job.FirstStartOrderedAt.value_or(now()) - Job.SubmittedAt);
-    log(log_level::Info, logEventName(Answer),
-        {{"job", formatJob(Job.Request.Job)},
-         {"queue", Job.Queue.Name},
-         {"outcome", std::string(jobOutcomeName(Answer.Outcome))},
-         {"reason", std::string(endReasonName(Answer.Reason))},
-         {"tasks", static_cast<std::int64_t>(Job.Tasks.size())},
-         {"done", std::int64_t{Job.DoneTasks}},
-         {"runs", std::int64_t{Job.PossiblyStartedRuns}},
-         {"servers", joinServerNames(Job)},
-         {"placer", Ports.placer()},
-         {"waited_ms", WaitedMs},
-         {"estimate_ms", std::int64_t{Job.Request.EstimateMs}},
-         {"took_ms", runtime::toMs(now() - Job.SubmittedAt)},
-         {"objective_ms", runtime::toMs(Job.Objective)}});
-  }
-
-  void countOutcome(job_outcome Outcome) {
-    constexpr auto Members = std::to_array<std::uint64_t coordinator_counters::*>(
-        {&coordinator_counters::Completed, &coordinator_counters::Failed, &coordinator_counters::Refused,
-         &coordinator_counters::TimedOut, &coordinator_counters::Cancelled});
-    ++(Counters.*Members.at(static_cast<std::size_t>(Outcome)));
-  }
-
   void cancelTimers(coordinated_job &Job) {
     runtime::cancelTimer(Executor, Job.DeadlineTimer);
     runtime::cancelTimer(Executor, Job.PlacerTimer);
