Move what follows from a job's record beside the record

The job coordinator also held functions of a job's record alone: its active runs, the latest useful start, the estimate on a granted server. They stand in dispatch/coordinated_job now.

--- a/src/yuccaplank/dispatch/coordinated_job.hpp
+++ b/src/yuccaplank/dispatch/coordinated_job.hpp
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "yuccaplank/dispatch/job_service.hpp"
+#include "yuccaplank/dispatch/messages.hpp"
 #include "yuccaplank/runtime/executor.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -47,6 +49,11 @@
   /// Whether the placer has been asked to place the run, and has not answered yet.
   bool PlacementRequested = false;
   runtime::timer_id OrphanTimer = 0;
+
+  /// Whether the current run may be at a server now.
+  [[nodiscard]] bool mayBeAtServer() const {
+    return Phase == task_phase::StartOrdered || Phase == task_phase::Orphaned;
+  }
 };
 
 struct coordinated_job {
@@ -65,6 +72,27 @@
   runtime::timer_id PlacerTimer = 0;
   runtime::timer_id StartTimer = 0;
   runtime::time_point StartEndsAt{};
+
+  /// Returns the task if Run is its current run and the task is not done, else null.
+  [[nodiscard]] task_state *findActiveTask(const run_key &Run);
+  /// Returns the time after submission at which the tasks have to start at the latest, so that the answer has
+  /// value. It has value up to LateFactor times the objective.
+  [[nodiscard]] runtime::duration latestStart(double LateFactor) const;
+  /// Returns the estimated time of a task on the granted server, in milliseconds.
+  [[nodiscard]] std::uint32_t estimateOn(const schema::grant &Grant) const;
 };
 
+/// Returns the runs that may be at a server now and whose tasks match.
+template <typename Predicate>
+std::vector<run_key> findActiveRuns(const std::map<job_id, coordinated_job> &Jobs, Predicate Matches) {
+  std::vector<run_key> Runs;
+  for (const auto &[Id, Job] : Jobs)
+    for (std::uint32_t Index = 0; Index < Job.Tasks.size(); ++Index) {
+      const task_state &Task = Job.Tasks[Index];
+      if (Task.mayBeAtServer() && Matches(Task))
+        Runs.push_back({{Id, Index}, Task.Run});
+    }
+  return Runs;
+}
+
 } // namespace yuccaplank::dispatch
--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -15,7 +15,6 @@
 #include "yuccaplank/runtime/log.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <optional>
 #include <set>
 
@@ -87,7 +86,7 @@
   void onGrant(const std::string &Placer, const schema::grant &Grant) override {
     run_key Run = toRunKey(Grant.task());
     coordinated_job *Job = findJob(Run);
-    task_state *Task = Job ? findActiveTask(*Job, Run) : nullptr;
+    task_state *Task = Job ? Job->findActiveTask(Run) : nullptr;
     if (!Task || Task->Phase != task_phase::Waiting || !Ports.reachable(Grant.owner()) ||
         isSuspended(Run.Task)) {
       declineGrant(Placer, Grant);
@@ -102,7 +101,7 @@
     Task->Server = Grant.server();
     Task->Token = Grant.token();
     Task->Alone = Grant.alone();
-    Task->EstimateMs = estimateOn(Grant, Job->Request);
+    Task->EstimateMs = Job->estimateOn(Grant);
     // The tasks of the job that wait, and those that wait again later, prefer the rack of the first one. The
     // placer forgets a job whose tasks are all placed.
     if (Job->Request.SameRack && Job->Request.Rack.empty())
@@ -132,7 +131,7 @@
   void onEvent(const std::string &Owner, const schema::task_event &Event) override {
     run_key Run = toRunKey(Event.task());
     coordinated_job *Job = findJob(Run);
-    task_state *Task = Job ? findActiveTask(*Job, Run) : nullptr;
+    task_state *Task = Job ? Job->findActiveTask(Run) : nullptr;
     // An earlier submission of the job may have used the same run number on another server.
     if (!Task || Task->Owner != Owner || Task->Server != Event.server())
       return;
@@ -153,9 +152,9 @@
     auto OrderedUnderEarlierClaim = [&](const task_state &Task) {
       return Task.Server == Request.server() && Request.token() > Task.Token;
     };
-    for (const run_key &Run : findActiveRuns(OrderedUnderEarlierClaim)) {
+    for (const run_key &Run : findActiveRuns(Jobs, OrderedUnderEarlierClaim)) {
       coordinated_job *Job = findJob(Run);
-      task_state *Task = Job ? findActiveTask(*Job, Run) : nullptr;
+      task_state *Task = Job ? Job->findActiveTask(Run) : nullptr;
       if (!Task)
         continue;
       if (RunningRuns.contains(Run))
@@ -195,8 +194,9 @@
     schema::dispatch_message Message;
     schema::resume_session &Resume = *Message.mutable_resume();
     Resume = std::move(Session);
-    for (const run_key &Run : findActiveRuns([&](const task_state &Task) { return Task.Owner == Vm; })) {
-      task_state &Task = *findActiveTask(*findJob(Run), Run);
+    for (const run_key &Run :
+         findActiveRuns(Jobs, [&](const task_state &Task) { return Task.Owner == Vm; })) {
+      task_state &Task = *findJob(Run)->findActiveTask(Run);
       runtime::cancelTimer(Executor, Task.OrphanTimer);
       Task.Phase = task_phase::StartOrdered;
       schema::counted_run &Expected = *Resume.add_runs();
@@ -225,27 +225,6 @@
     return Found == Jobs.end() ? nullptr : &Found->second;
   }
 
-  // Returns the task if Run is its current run and the task is not done, else null.
-  static task_state *findActiveTask(coordinated_job &Job, const run_key &Run) {
-    if (Run.Task.Index >= Job.Tasks.size())
-      return nullptr;
-    task_state &Task = Job.Tasks[Run.Task.Index];
-    return Task.Run == Run.Run && Task.Phase != task_phase::Done ? &Task : nullptr;
-  }
-
-  // Returns the runs that may be at a server now and whose tasks match.
-  template <typename Predicate> std::vector<run_key> findActiveRuns(Predicate Matches) {
-    std::vector<run_key> Runs;
-    for (auto &[Id, Job] : Jobs)
-      for (std::uint32_t Index = 0; Index < Job.Tasks.size(); ++Index) {
-        const task_state &Task = Job.Tasks[Index];
-        bool IsActive = Task.Phase == task_phase::StartOrdered || Task.Phase == task_phase::Orphaned;
-        if (IsActive && Matches(Task))
-          Runs.push_back({{Id, Index}, Task.Run});
-      }
-    return Runs;
-  }
-
   // Placement of tasks.
 
   // The placer does not know the waiting tasks, or has forgotten them.
@@ -324,7 +303,7 @@
   void limitWait(coordinated_job &Job) {
     if (Job.StartTimer || Job.PossiblyStartedRuns > 0)
       return;
-    duration Left = Job.SubmittedAt + latestStart(Job) - now();
+    duration Left = Job.SubmittedAt + Job.latestStart(Options.LateFactor) - now();
     duration Limit = std::max(Left, duration::zero()) + Options.RefusalMargin;
     Job.StartEndsAt = now() + Limit;
     Job.StartTimer = Executor.after(Limit, [this, Id = Job.Request.Job] { onStartTimeout(Id); });
@@ -347,12 +326,6 @@
     });
   }
 
-  static std::uint32_t estimateOn(const schema::grant &Grant, const job_request &Request) {
-    if (Grant.expected_factor() <= 1)
-      return Request.EstimateMs;
-    return static_cast<std::uint32_t>(std::lround(Request.EstimateMs * Grant.expected_factor()));
-  }
-
   void declineGrant(const std::string &Placer, const schema::grant &Grant) {
     schema::dispatch_message Message;
     Message.mutable_decline()->set_id(Grant.id());
@@ -475,10 +448,10 @@
   // Marks the active runs whose tasks match as orphaned; with OnlyRun, at most this one.
   template <typename Predicate>
   void orphanRuns(Predicate Matches, std::optional<run_key> OnlyRun = std::nullopt) {
-    for (const run_key &Run : findActiveRuns(Matches)) {
+    for (const run_key &Run : findActiveRuns(Jobs, Matches)) {
       if (OnlyRun && Run != *OnlyRun)
         continue;
-      task_state &Task = *findActiveTask(*findJob(Run), Run);
+      task_state &Task = *findJob(Run)->findActiveTask(Run);
       if (Task.Phase == task_phase::Orphaned)
         continue;
       Task.Phase = task_phase::Orphaned;
@@ -489,7 +462,7 @@
 
   void onOrphanTimeout(const run_key &Run) {
     coordinated_job *Job = findJob(Run);
-    task_state *Task = Job ? findActiveTask(*Job, Run) : nullptr;
+    task_state *Task = Job ? Job->findActiveTask(Run) : nullptr;
     if (!Task || Task->Phase != task_phase::Orphaned)
       return;
     log(log_level::Warning, "run_given_up",
@@ -524,13 +497,6 @@
     finishJob(Found->second, {job_outcome::Failed, end_reason::ServersCrashed, 0, {}, false});
   }
 
-  // Returns the time after submission at which the tasks have to start at the latest, so that the answer has
-  // value.
-  [[nodiscard]] duration latestStart(const coordinated_job &Job) const {
-    auto UsefulTime = std::chrono::duration_cast<duration>(Job.Objective * Options.LateFactor);
-    return std::min(UsefulTime, Job.Request.Deadline) - std::chrono::milliseconds(Job.Request.EstimateMs);
-  }
-
   void onStartTimeout(job_id Id) {
     auto Found = Jobs.find(Id);
     // A timer that became due while the process was paused may fire although it has been cancelled since.
