Free the event loop when connections need several iterations to close

Cause: a destroyed HTTP server shuts its connections down, and its state lives until h2o has closed the last of them. The destructor of the loop gave h2o two iterations, and destroyed the posted functions, which own that state, between the two. A connection with a reply just written, or with a part of a request unread, reads its end only in the second iteration. The last posted function then still held the state, whose timeouts were registered, so the loop was left undestroyed with its closed sockets, although nothing used it any more. This is a fault of the loop and not of the test, which destroys its objects in the right order.

The loop now iterates until the timeouts are released, at most 100 times: an object that outlives its loop never releases them, and h2o would abort.

The new test destroys the loop right after a server whose connections are pending, have just been answered, or have sent a part of a request. The fixture of the server's tests no longer runs the loop to hide this; it destroys server and loop at once in all of them.

--- a/src/yuccaplank/runtime/loop.cpp
+++ b/src/yuccaplank/runtime/loop.cpp
@@ -18,6 +18,9 @@
 
 // Limits each poll, so that a pause of the process is detected even without events.
 constexpr std::int32_t MaxPollMs = 100;
+// Limits the iterations in which the last connections close, because an object that outlives the loop never
+// releases its timeouts.
+constexpr int MaxClosingIterations = 100;
 
 sigset_t handledSignals() {
   sigset_t Set;
@@ -35,14 +38,9 @@
   ~loop_impl() override {
     if (SignalSocket)
       h2o_socket_close(SignalSocket);
-    // h2o disposes of closed connections in the next iteration. Posted functions may own the rest of a
-    // server, so they are destroyed after that.
-    h2o_evloop_run(Native, 0);
-    Posted.clear();
-    h2o_evloop_run(Native, 0);
-    // The loop is left undestroyed if timeouts are still registered, for example by a server with open
-    // connections, because h2o would abort.
-    if (h2o_linklist_is_empty(&Native->_timeouts))
+    closeConnections();
+    // The loop is left undestroyed if an object that uses its timeouts outlives it, because h2o would abort.
+    if (!hasTimeouts())
       h2o_evloop_destroy(Native);
   }
 
@@ -96,6 +94,22 @@
   [[nodiscard]] time_point previousIteration() const override { return PreviousStart; }
 
 private:
+  [[nodiscard]] bool hasTimeouts() const { return !h2o_linklist_is_empty(&Native->_timeouts); }
+
+  // Lets destroyed servers end. A server has shut its connections down, but its timeouts remain until h2o has
+  // completed the writes and read the end of each connection, which takes several iterations.
+  void closeConnections() {
+    int Closing = 0;
+    do {
+      h2o_evloop_run(Native, 0);
+      // Posted functions may own the rest of a server.
+      std::deque<std::function<void()>> Batch;
+      Batch.swap(Posted);
+    } while ((hasTimeouts() || !Posted.empty()) && ++Closing < MaxClosingIterations);
+    // h2o frees closed sockets in the next iteration.
+    h2o_evloop_run(Native, 0);
+  }
+
   void checkPause() {
     time_point Now = clock().sinceBoot();
     duration Pause = Now - LastIteration;
--- a/src/yuccaplank/wire/http_server_test.cpp
+++ b/src/yuccaplank/wire/http_server_test.cpp
@@ -32,11 +32,6 @@
     CPPUNIT_ASSERT(NewServer.has_value());
     Server = std::move(NewServer.value());
   }
-  // The loop has to run to close the server's sockets.
-  ~server_fixture() {
-    Server.reset();
-    runFor(*Loop, 20ms);
-  }
   server_fixture(const server_fixture &) = delete;
   server_fixture &operator=(const server_fixture &) = delete;
 
@@ -319,6 +314,29 @@
   }
 });
 
+// Guards against an event loop and sockets that are never freed, when the loop is destroyed right after a
+// server whose connections still have something to write or read.
+const test_case Destruction("http server: the loop is destroyed right after the server", [] {
+  server_fixture Fixture;
+  std::vector<raw_socket> Clients;
+  Clients.push_back(Fixture.request());
+  Clients.push_back(Fixture.request());
+  if (auto When = section("when requests are pending"))
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Fixture.Server->pendingRequests());
+  if (auto When = section("when replies have just been sent"))
+    for (const http_request &Request : Fixture.Requests)
+      Fixture.Server->reply(Request.Token, server_fixture::ok());
+  if (auto When = section("when a part of a request has not been read")) {
+    Clients.push_back(connectTo(Fixture.Server->port()));
+    runUntil(*Fixture.Loop, [&] { return Fixture.Server->connections() == 3; });
+    Clients.back().send(Get.substr(0, Get.size() / 2));
+  }
+  Fixture.Server.reset();
+  Fixture.Loop.reset();
+  for (const raw_socket &Client : Clients)
+    CPPUNIT_ASSERT(Client.closedByPeer());
+});
+
 // Returns the client preface, an empty SETTINGS frame, and the HEADERS frame of "GET /" on stream 1.
 std::string http2Request() {
   constexpr std::string_view Parts[] = {"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
