Judge each task once, and build messages of losses in one place

A request for placement computed the job's verdict for each task and each task's verdict twice; a message about a lost incarnation was filled in at two places; a comment said that no reply settles a loss without a time, which is no longer so.

--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -274,6 +274,7 @@
     std::string Placer = Ports.placer();
     if (giveUpIfDecided(Job) || Placer.empty())
       return;
+    const bool WaitsAsWhole = waitsAsWhole(Job);
     bool Suspended = false;
     schema::dispatch_message Message;
     schema::place_job &Place = *Message.mutable_place();
@@ -282,13 +283,14 @@
       if (State.Phase != task_phase::Waiting || State.PlacementRequested || State.PlaceAfter > now())
         continue;
       run_key Run{{Job.Request.Job, Index}, State.Run};
-      if (isSuspended(Run.Task) || waitsAsWhole(Job)) {
+      loss_verdict Verdict = Ports.verdict(Run.Task);
+      if (WaitsAsWhole || Verdict >= loss_verdict::Suspended) {
         Suspended = true;
         continue;
       }
       State.PlacementRequested = true;
       *Place.add_tasks() = toMessage(Run);
-      if (Ports.verdict(Run.Task) == loss_verdict::Suspect)
+      if (Verdict == loss_verdict::Suspect)
         Place.add_suspects(Index);
     }
     setSuspended(Job, Suspended);
--- a/src/yuccaplank/dispatch/loss_history.cpp
+++ b/src/yuccaplank/dispatch/loss_history.cpp
@@ -79,25 +79,25 @@
     ServersByTask.erase(Found);
 }
 
-schema::lost_server loss_history::makeSettlement(const server_key &Key, const lost_incarnation &Lost) const {
+schema::lost_server loss_history::makeMessage(const server_key &Key, const lost_incarnation &Lost) const {
   schema::lost_server Message;
   Message.set_server(Key.first);
   Message.set_incarnation_start_ms(Key.second);
   Message.set_certain(true);
   // What settles a loss does not prolong the time for which it counts.
-  Message.set_age_ms(ageMs(Lost));
+  Message.set_age_ms(static_cast<std::uint32_t>(runtime::toMs(Clock.now() - Lost.LostAt)));
   return Message;
 }
 
 schema::lost_server loss_history::makeRestart(const server_key &Key, const lost_incarnation &Lost) const {
-  schema::lost_server Message = makeSettlement(Key, Lost);
+  schema::lost_server Message = makeMessage(Key, Lost);
   Message.set_loss(schema::LOSS_RESTARTED);
   return Message;
 }
 
 std::optional<schema::lost_server>
 loss_history::makeSurvival(const server_key &Key, const lost_incarnation &Lost, std::int64_t ClockMs) const {
-  schema::lost_server Message = makeSettlement(Key, Lost);
+  schema::lost_server Message = makeMessage(Key, Lost);
   Message.set_up_at_clock_ms(ClockMs);
   bool Outlived = false;
   for (const auto &[Run, State] : Lost.Runs) {
@@ -190,11 +190,8 @@
   std::map<std::pair<schema::server_loss, std::int64_t>, schema::lost_server *> Groups;
   auto AddGroup = [&](schema::server_loss Loss, std::int64_t LostAtClockMs) -> schema::lost_server * {
     schema::lost_server &Server = *Message.add_servers();
-    Server.set_server(Key.first);
-    Server.set_incarnation_start_ms(Key.second);
+    Server = makeMessage(Key, Lost);
     Server.set_loss(Lost.Crashed ? schema::LOSS_RESTARTED : Loss);
-    Server.set_certain(true);
-    Server.set_age_ms(ageMs(Lost));
     Server.set_lost_at_clock_ms(LostAtClockMs == NotKnown ? 0 : LostAtClockMs);
     Server.set_up_at_clock_ms(Lost.UpAtClockMs);
     Server.set_observer(Lost.Observer);
@@ -236,10 +233,6 @@
   return Text;
 }
 
-std::uint32_t loss_history::ageMs(const lost_incarnation &Lost) const {
-  return static_cast<std::uint32_t>(runtime::toMs(Clock.now() - Lost.LostAt));
-}
-
 void loss_history::setListed(const std::vector<server_entry> &Servers) {
   Listed.emplace();
   for (const server_entry &Server : Servers)
--- a/src/yuccaplank/dispatch/loss_history.hpp
+++ b/src/yuccaplank/dispatch/loss_history.hpp
@@ -68,7 +68,7 @@
 private:
   // Id of a server and start of its incarnation.
   using server_key = std::pair<std::string, std::int64_t>;
-  // A run whose end is not known on the server's clock: no reply shows that the server has outlived it.
+  // Stands for the end of a run that is not known on the server's clock.
   static constexpr std::int64_t NotKnown = std::numeric_limits<std::int64_t>::max();
   struct lost_run {
     schema::server_loss Loss = schema::LOSS_SILENT;
@@ -103,8 +103,8 @@
   // Removes the runs that the server has outlived.
   void removeOutlivedRuns(const server_key &Key, lost_incarnation &Lost);
   void removeTask(const task_key &Task, const server_key &Key);
-  // The messages that settle the losses of an incarnation.
-  [[nodiscard]] schema::lost_server makeSettlement(const server_key &Key, const lost_incarnation &Lost) const;
+  // The message about an incarnation without its loss, and those that settle its losses.
+  [[nodiscard]] schema::lost_server makeMessage(const server_key &Key, const lost_incarnation &Lost) const;
   [[nodiscard]] schema::lost_server makeRestart(const server_key &Key, const lost_incarnation &Lost) const;
   [[nodiscard]] std::optional<schema::lost_server>
   makeSurvival(const server_key &Key, const lost_incarnation &Lost, std::int64_t ClockMs) const;
@@ -112,7 +112,6 @@
   [[nodiscard]] loss_count countLosses(const task_key &Task, const std::set<server_key> &Servers) const;
   void describeRuns(const server_key &Key, const lost_incarnation &Lost, schema::lost_servers &Message) const;
   [[nodiscard]] std::string describeLoss(const task_key &Task, const server_key &Key) const;
-  [[nodiscard]] std::uint32_t ageMs(const lost_incarnation &Lost) const;
   bool forgetExpired();
   // Whether the server has restarted, or has been unlisted for long.
   [[nodiscard]] bool isCrashed(const lost_incarnation &Lost) const;
