--- a/src/yuccaplank/simulation/crash_checks.cpp
+++ b/src/yuccaplank/simulation/crash_checks.cpp
@@ -25,7 +25,7 @@
 std::optional<std::string> crash_checks::onGivenUp(dispatch::job_id Job) const {
   std::uint32_t Crashes = 0;
   for (auto Task = ByTask.lower_bound({Job, 0}); Task != ByTask.end() && Task->first.Job == Job; ++Task)
-    Crashes = std::max(Crashes, Task->second.Crashes + Task->second.UnobservedCrashes);
+    Crashes = std::max(Crashes, Task->second.Crashes + std::min(Task->second.UnobservedCrashes, 1U));
   if (Crashes >= AllowedCrashes)
     return std::nullopt;
   return fmt::format("job {} is answered as failed although {} servers have crashed under any of its tasks",
--- a/src/yuccaplank/simulation/crash_checks.hpp
+++ b/src/yuccaplank/simulation/crash_checks.hpp
@@ -22,8 +22,8 @@
   std::optional<std::string> onCrashingStart(const dispatch::run_key &Run);
 
   /// Returns the violation, if failing the job because of crashes is one: fewer servers have crashed under
-  /// each of its tasks than that takes. A run whose end no VM has confirmed counts, too: its server may have
-  /// crashed before any VM could know of the end.
+  /// each of its tasks than that takes. One run whose end no VM has confirmed counts, too: its server may
+  /// have crashed before any VM could know of the end.
   [[nodiscard]] std::optional<std::string> onGivenUp(dispatch::job_id Job) const;
 
   [[nodiscard]] std::uint64_t crashes() const { return Crashes; }
