Give each fleet of real processes its own block of ports

Cause: both runs used ports 8100 on. The site of the second run could not listen and ended, but the fleet took the first one's site for its own, since it looked whether an address answers before it looked whether its process runs. Both load tools then sent the same ids (same seed) to one fleet, so that a job that one of them was refused ran for the other.

Change: a fleet reserves a block of ports and takes the next one if it is in use, and a process that has ended fails the start before an answer counts.

--- a/scripts/lib/bench.py
+++ b/scripts/lib/bench.py
@@ -46,7 +46,7 @@
 
     Measures the latency added to the running time of the tasks, and the processor time and memory of a VM."""
     with tempfile.TemporaryDirectory(prefix="yuccaplank-bench-") as directory:
-        system = fleet.Fleet(directory, DOMAINS, SERVER_COUNT, base_port=options.base_port, equal=True)
+        system = fleet.Fleet(directory, DOMAINS, SERVER_COUNT, first_port=options.first_port, equal=True)
         try:
             system.start()
             processes = [vm.process.pid for vm in system.vms.values()]
@@ -84,7 +84,8 @@
     parser.add_argument("--only", default=",".join(SECTIONS), help="sections: " + ", ".join(SECTIONS))
     parser.add_argument("--seconds", type=int, default=15)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--base-port", type=int, default=8600)
+    parser.add_argument("--first-port", type=int, default=8600,
+                        help="the first free block of ports from here on is used")
     options = parser.parse_args()
     for name in options.only.split(","):
         SECTIONS[name](options)
--- a/scripts/lib/faults.py
+++ b/scripts/lib/faults.py
@@ -179,7 +179,8 @@
     parser.add_argument("--seconds", type=int, default=30)
     parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 31))
     parser.add_argument("--rate", type=float, default=60, help="jobs per second")
-    parser.add_argument("--base-port", type=int, default=8100)
+    parser.add_argument("--first-port", type=int, default=8100,
+                        help="the first free block of ports from here on is used")
     parser.add_argument("--build", default="build", help="directory of the programs")
     parser.add_argument("--groups", default="vms,store,servers",
                         help="faults to inject at the same time: vms, store, servers, all")
@@ -188,7 +189,7 @@
     options = parser.parse_args()
     print(json.dumps({"name": "seed", "value": options.seed, "unit": ""}), flush=True)
     with tempfile.TemporaryDirectory(prefix="yuccaplank-faults-") as directory:
-        system = fleet.Fleet(options.keep_logs or directory, DOMAINS, SERVER_COUNT, base_port=options.base_port,
+        system = fleet.Fleet(options.keep_logs or directory, DOMAINS, SERVER_COUNT, first_port=options.first_port,
                              build=options.build, seed=options.seed)
         injector = FaultInjector(system, options.seed, options.groups.split(","))
         try:
--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import time
 import urllib.error
@@ -14,6 +15,31 @@
 READY_TIMEOUT_S = 20
 STOP_TIMEOUT_S = 10
 QUEUE = "jobs.example/jobs/"
+# A fleet uses the ports of one block: the first three are its store, its control listener and its reservation.
+PORT_BLOCK_SIZE = 500
+PORT_BLOCKS_TRIED = 10
+FIRST_VM_OFFSET = 10
+FIRST_SERVER_OFFSET = 200
+
+
+def reserve_ports(first_port):
+    """Finds a block of ports that no other fleet uses, from first_port on.
+
+    Returns (first port, socket). The block stays reserved until the socket is closed."""
+    for number in range(PORT_BLOCKS_TRIED):
+        base_port = first_port + number * PORT_BLOCK_SIZE
+        reservation = socket.socket()
+        try:
+            reservation.bind(("127.0.0.1", base_port + 2))
+            # Processes of a quick start outlive its reservation.
+            for port in (base_port, base_port + 1):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind(("127.0.0.1", port))
+            return base_port, reservation
+        except OSError:
+            reservation.close()
+    raise RuntimeError(f"no free block of {PORT_BLOCK_SIZE} ports from {first_port} on")
 
 
 def send_request(method, address, path, body=None, timeout=5):
@@ -81,24 +107,27 @@
 
 
 class Fleet:
-    """Entry VMs and the stand-in site. The argument domains maps each failure domain to its number of VMs."""
+    """Entry VMs and the stand-in site. The argument domains maps each failure domain to its number of VMs.
+
+    Other fleets may run at the same time: each reserves its own block of ports, from first_port on."""
 
-    def __init__(self, directory, domains, server_count, base_port=7100, build="build", seed=1, equal=False,
+    def __init__(self, directory, domains, server_count, first_port=7100, build="build", seed=1, equal=False,
                  limits=None):
         self.directory = pathlib.Path(directory)
         self.directory.mkdir(parents=True, exist_ok=True)
         self.build = ROOT / build
         self.server_count, self.domains, self.seed, self.equal = server_count, list(domains), seed, equal
-        self.base_port = base_port
+        self.base_port, self.port_reservation = reserve_ports(first_port)
         self.limits = limits or {"cpu_share": 0.25, "memory_mb": 260}
-        self.store_address = f"127.0.0.1:{base_port}"
-        self.control_address = f"127.0.0.1:{base_port + 1}"
+        self.store_address = f"127.0.0.1:{self.base_port}"
+        self.control_address = f"127.0.0.1:{self.base_port + 1}"
         self.processes = []
         self.vms = {}
         for domain, count in domains.items():
             for number in range(1, count + 1):
                 name = f"{domain}-{number}"
-                self.vms[name] = EntryVm(self, name, domain, base_port + 10 + 4 * len(self.vms))
+                port = self.base_port + FIRST_VM_OFFSET + 4 * len(self.vms)
+                self.vms[name] = EntryVm(self, name, domain, port)
 
     def start_process(self, name, command):
         log = open(self.directory / f"{name}.log", "ab")
@@ -111,8 +140,8 @@
     def start(self):
         self.site = self.start_process("site", [
             "yuccaplank-standin-site", "--store-port", str(self.base_port), "--control-port", str(self.base_port + 1),
-            "--first-worker-port", str(self.base_port + 200), "--workers", str(self.server_count), "--domains",
-            ",".join(self.domains), "--seed", str(self.seed), *(["--equal"] if self.equal else [])])
+            "--first-worker-port", str(self.base_port + FIRST_SERVER_OFFSET), "--workers", str(self.server_count),
+            "--domains", ",".join(self.domains), "--seed", str(self.seed), *(["--equal"] if self.equal else [])])
         self.wait_until(lambda: self.is_reachable(self.control_address, "/summary"), "stand-in")
         for vm in self.vms.values():
             vm.start()
@@ -131,10 +160,13 @@
 
     def wait_until(self, condition, description, timeout=READY_TIMEOUT_S):
         deadline = time.monotonic() + timeout
-        while not condition():
+        while True:
+            # Checked first, since a process of another fleet may answer in place of one that could not listen.
             failed = [process.args[0] for process in self.processes if process.poll() not in (None, 0)]
             if failed:
                 raise RuntimeError(f"{failed[0]} has ended, see the logs in {self.directory}")
+            if condition():
+                return
             if time.monotonic() > deadline:
                 raise RuntimeError(f"{description} not ready after {timeout} s, see {self.directory}")
             time.sleep(0.02)
@@ -161,3 +193,4 @@
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
+        self.port_reservation.close()
--- a/scripts/lib/untrusted_callers.py
+++ b/scripts/lib/untrusted_callers.py
@@ -141,11 +141,11 @@
     return int(reply[1]) if len(reply) > 1 else 0
 
 
-def run_with_fleet(options, domains, limits, base_port, check):
+def run_with_fleet(options, domains, limits, check):
     """Starts the processes and calls check(system). Returns its figures."""
     with tempfile.TemporaryDirectory(prefix="yuccaplank-untrusted-") as directory:
-        system = fleet.Fleet(options.keep_logs or directory, domains, 4, base_port=base_port, build=options.build,
-                             limits=limits)
+        system = fleet.Fleet(options.keep_logs or directory, domains, 4, first_port=options.first_port,
+                             build=options.build, limits=limits)
         try:
             system.start()
             system.send_control_request("/configuration", {
@@ -232,10 +232,10 @@
     limits = {**LIMITS, "memory_mb": options.memory_mb, "file_descriptors": options.file_descriptors}
 
     def one_vm(check):
-        return lambda: run_with_fleet(options, {"d1": 1}, limits, options.base_port, check)
+        return lambda: run_with_fleet(options, {"d1": 1}, limits, check)
 
     def many_vms(case):
-        return lambda: run_with_fleet(options, {"d1": case.vms}, case.limits, options.base_port,
+        return lambda: run_with_fleet(options, {"d1": case.vms}, case.limits,
                                       lambda system: untrusted_fleet.check(case, system, unanswered_requests))
 
     listed = [(case[0], one_vm(lambda system, case=case, index=index: check_crowd(case, index, options, system)))
@@ -255,7 +255,8 @@
 
 def main():
     parser = argparse.ArgumentParser(prog="scripts/untrusted-callers")
-    parser.add_argument("--base-port", type=int, default=9500)
+    parser.add_argument("--first-port", type=int, default=9600,
+                        help="the first free block of ports from here on is used")
     parser.add_argument("--build", default="build", help="directory of the programs")
     parser.add_argument("--only", default="", help="run the cases whose name contains this text")
     parser.add_argument("--keep-logs", default="", help="directory in which the logs are kept")
