Simulate a platform that unlists servers which do not reach it

Change: a server that has crashed or is cut off is unlisted after 4.5 s, and listed again .75 s after its cut ends, or when it starts.

--- a/src/yuccaplank/simulation/simulated_fleet.cpp
+++ b/src/yuccaplank/simulation/simulated_fleet.cpp
@@ -82,7 +82,7 @@
                                  answer_function OnAnswer)
     : Executor(Executor), Random(Random), Layout(std::move(LayoutIn)), Net(Executor, Random),
       Servers(Executor, Net, Random, ServerOptions, std::move(OnStart)), OnAnswer(std::move(OnAnswer)) {
-  Servers.observeRestarts([this] { publishServers([] { return RestartReadDelay; }); });
+  Servers.observeListing([this] { publishServers([] { return RestartReadDelay; }); });
 }
 
 std::string simulated_fleet::vmName(std::uint32_t Index) { return fmt::format("vm{}", Index); }
--- a/src/yuccaplank/simulation/simulated_servers.cpp
+++ b/src/yuccaplank/simulation/simulated_servers.cpp
@@ -20,6 +20,9 @@
 constexpr auto CrashRestartDelay = std::chrono::milliseconds(3300);
 // Time after which a smaller capacity binds: the platform's contact timeout and a heartbeat of the server.
 constexpr auto CapacityNotice = std::chrono::milliseconds(4500);
+// Three heartbeats of a server without one that reaches the platform, and the time to the next heartbeat.
+constexpr auto UnlistDelay = std::chrono::milliseconds(4500);
+constexpr auto ListDelay = std::chrono::milliseconds(750);
 // Run time of a task on a server that hangs; it has to exceed the simulated day.
 constexpr auto HangDuration = std::chrono::hours(1);
 
@@ -188,7 +191,8 @@
 std::vector<dispatch::server_entry> simulated_servers::entries() const {
   std::vector<dispatch::server_entry> Result;
   for (const auto &[Name, Server] : Servers)
-    Result.push_back(Server.Entry);
+    if (Server.Listed)
+      Result.push_back(Server.Entry);
   return Result;
 }
 
@@ -207,6 +211,35 @@
   Server.State.reset();
   Server.Holds.clear();
   ++Server.Incarnation;
+  scheduleListing(Name);
+}
+
+void simulated_servers::setCut(const std::string &Name, server_cut Cut) {
+  Servers.at(Name).Cut = Cut;
+  scheduleListing(Name);
+}
+
+void simulated_servers::scheduleListing(const std::string &Name) {
+  simulated_server &Server = Servers.at(Name);
+  bool Reaches = Server.State && Server.Cut == server_cut::None;
+  if (Reaches == Server.ReachesPlatform)
+    return;
+  Server.ReachesPlatform = Reaches;
+  std::uint64_t Change = ++Server.PlatformChanges;
+  Executor.after(Reaches ? ListDelay : UnlistDelay, [this, Name, Reaches, Change] {
+    if (Servers.at(Name).PlatformChanges == Change)
+      setListed(Name, Reaches);
+  });
+}
+
+void simulated_servers::setListed(const std::string &Name, bool Listed) {
+  bool &Current = Servers.at(Name).Listed;
+  if (Current == Listed)
+    return;
+  Current = Listed;
+  ++Version;
+  if (OnListingChanged)
+    OnListingChanged();
 }
 
 void simulated_servers::crashIfTaskDoes(const std::string &Name, const dispatch::run_key &Run,
@@ -237,9 +270,10 @@
   Server.State = std::make_unique<standin::task_server>(IncarnationStartMs, StateOptions);
   Server.Entry.IncarnationStartMs = IncarnationStartMs;
   Server.FormerCapacities.clear();
+  scheduleListing(Name);
   ++Version;
-  if (OnRestart)
-    OnRestart();
+  if (OnListingChanged)
+    OnListingChanged();
 }
 
 void simulated_servers::setCapacity(const std::string &Name, std::uint32_t Cpu) {
--- a/src/yuccaplank/simulation/simulated_servers.hpp
+++ b/src/yuccaplank/simulation/simulated_servers.hpp
@@ -46,8 +46,8 @@
       : Executor(Executor), Network(Network), Random(Random), Options(Options), OnStart(std::move(OnStart)) {}
 
   void add(const dispatch::server_entry &Entry, double ClockRate, double Slowness);
-  /// Returns the entries of all servers, including crashed ones: the simulated platform does not notice a
-  /// crash.
+  /// Returns the entries of the servers that the simulated platform lists. It unlists a server that has not
+  /// reached it for three heartbeats, because it has crashed or is cut off.
   [[nodiscard]] std::vector<dispatch::server_entry> entries() const;
   /// Returns the interface through which a VM sends orders to the servers. Callbacks run on the VM's
   /// executor.
@@ -75,8 +75,8 @@
   void setLateStops(std::function<bool(const dispatch::task_key &Task)> Predicate) {
     HasLateStops = std::move(Predicate);
   }
-  /// Calls Observer when a server has restarted.
-  void observeRestarts(std::function<void()> Observer) { OnRestart = std::move(Observer); }
+  /// Calls Observer when a server has restarted, or is listed no longer or again.
+  void observeListing(std::function<void()> Observer) { OnListingChanged = std::move(Observer); }
   [[nodiscard]] const std::string &domainOf(const std::string &Server) const {
     return Servers.at(Server).Entry.Domain;
   }
@@ -84,8 +84,8 @@
   /// Ends the server's process. Its address refuses connections, or is silent if the machine is down, too.
   void crash(const std::string &Server, bool MachineDown = false);
   void start(const std::string &Server);
-  /// Cuts a server off from all VMs.
-  void setCut(const std::string &Server, server_cut Cut) { Servers.at(Server).Cut = Cut; }
+  /// Cuts a server off from all VMs and from the platform.
+  void setCut(const std::string &Server, server_cut Cut);
   /// Cuts a server off from one VM by resets, or ends that.
   void setPathReset(const std::string &Server, const std::string &Vm, bool IsCut);
   /// Changes the capacity that the server tells from now on; what runs there goes on.
@@ -125,6 +125,10 @@
     double Slowness = 1;
     double Slowdown = 1;
     server_cut Cut = server_cut::None;
+    bool Listed = true;
+    // Whether its heartbeats reach the platform, and how often that has changed.
+    bool ReachesPlatform = true;
+    std::uint64_t PlatformChanges = 0;
     // VMs whose connections to the server are reset.
     std::set<std::string> ResetPaths;
     bool MachineDown = false;
@@ -148,6 +152,9 @@
   // Answers the waiting holds if runs have ended.
   void answerHolds(const std::string &Name);
   void scheduleAdvance(const std::string &Name);
+  // Lists the server or not after a delay, if that has to change and the server stays as it is.
+  void scheduleListing(const std::string &Name);
+  void setListed(const std::string &Name, bool Listed);
 
   runtime::executor &Executor;
   network &Network;
@@ -156,7 +163,7 @@
   std::function<void(const std::string &, const dispatch::run_key &)> OnStart;
   std::function<void(const std::string &, const std::string &)> OnStartOrder;
   std::function<void(const crashed_runs &)> OnCrash;
-  std::function<void()> OnRestart;
+  std::function<void()> OnListingChanged;
   std::function<void(const dispatch::run_key &)> OnLapsed;
   std::function<bool(const dispatch::task_key &)> HasLateStops;
   std::map<std::string, simulated_server> Servers;
