Do not take a server that stays unlisted for crashed

What callers saw: a job was answered as failed although its servers ran on, when two of them under one task were cut off for 14.5 s: after 10 s without an entry in the platform's list a lost server counted as crashed.

The platform unlists a server that it does not hear, so a missing entry says no more than a refused connection, and the answer cannot be taken back.

Evidence: the scenario "a task whose servers stay cut off for long waits until they reply, and completes" got `failed` before (expected none).

Change: the rule is gone. A suspended task waits for its servers until its caller's deadline (504), as the scenario "a task whose servers have crashed for good waits for its deadline" shows. The section "a server that is not listed for long has crashed" of the test of the loss history asserted the fault; the two scenarios replace it.

--- a/scenarios/crashing_tasks.lua
+++ b/scenarios/crashing_tasks.lua
@@ -79,3 +79,41 @@
   check_equal(outcome(job), "completed")
   check_promises()
 end)
+
+-- Guards against jobs that are failed because their servers stay cut off: that the platform no longer lists them proves no
+-- crash, however long it lasts.
+scenario("a task whose servers stay cut off for long waits until they reply, and completes", function()
+  world{vms = 4, domains = 2, servers = 4}
+  local job = submit("vm0", {tasks = 1, ms = 600, deadline_ms = 60000})
+  run(100)
+  change_busy_servers("reset")
+  run(1200)
+  check_equal(starts(job), 2)
+  change_busy_servers("reset")
+  when("the platform has not listed the servers for over ten seconds")
+  run(20000)
+  check_equal(outcome(job), "none")
+  check_equal(starts(job), 2)
+  when("the servers reply with the same incarnations")
+  for index = 0, 3 do server("s" .. index, "normal") end
+  run(3000)
+  check_equal(outcome(job), "completed")
+  check_promises()
+end)
+
+-- Guards against a caller without an answer, and against further crashes, where the servers never come back.
+scenario("a task whose servers have crashed for good waits for its deadline", function()
+  world{vms = 4, domains = 2, servers = 4}
+  local job = submit("vm0", {tasks = 1, ms = 600, deadline_ms = 30000})
+  run(100)
+  change_busy_servers("crashed")
+  run(1200)
+  change_busy_servers("crashed")
+  run(26000)
+  check_equal(outcome(job), "none")
+  when("its deadline passes")
+  run(4000)
+  check_equal(outcome(job), "timed_out")
+  check_equal(starts(job), 2)
+  check_promises()
+end)
--- a/src/yuccaplank/dispatch/entry_vm.cpp
+++ b/src/yuccaplank/dispatch/entry_vm.cpp
@@ -55,7 +55,7 @@
     });
     runEvery(TickInterval, [this] { tick(); });
     runEvery(LossUpdateInterval, [this] {
-      if (Vm.Losses.update())
+      if (Vm.Losses.forgetExpired())
         Vm.Jobs->onLossesChanged();
     });
     runEvery(ScheduleInterval, [this] { schedule(); });
@@ -185,7 +185,6 @@
       return Impl.Vm.Contacts.serverEntrySources();
     }
     void onEntriesChanged(const std::vector<server_entry> &Entries) override {
-      Impl.Vm.Losses.setListed(Entries);
       Impl.Vm.Owner->setServers(Entries);
     }
     void onReadingChanged(bool Reads) override {
