Ignore a delayed reply of a server's former incarnation

What callers could see: a job that fails with one crash too few.

Cause: the owner took each reply of an incarnation other than the one that it knew for a restart. Replies on different connections may overtake each other, so a delayed one of the former incarnation reported the present one, which runs on, as crashed, as certain evidence that nothing takes back.

Change: a reply of another incarnation is outdated if a hold that was sent later has been answered already. The next hold settles it should that ever be wrong.

--- a/src/yuccaplank/dispatch/run_lists.cpp
+++ b/src/yuccaplank/dispatch/run_lists.cpp
@@ -95,7 +95,7 @@
     return;
   }
   LatestAnsweredHold = std::max(LatestAnsweredHold, Hold);
-  if (isOutdated(Reply)) {
+  if (isOutdated(Hold, Reply)) {
     sendHoldIfNeeded();
     return;
   }
@@ -130,9 +130,11 @@
   sendHoldIfNeeded();
 }
 
-bool run_lists::isOutdated(const hold_reply &Reply) const {
-  return Reply.IncarnationStartMs == Ledger.IncarnationStartMs && Reply.ClockMs &&
-         *Reply.ClockMs < LatestListMs;
+bool run_lists::isOutdated(std::uint64_t Hold, const hold_reply &Reply) const {
+  // A hold that was sent later has been answered by the present incarnation, so the other one is the former.
+  if (Reply.IncarnationStartMs != Ledger.IncarnationStartMs)
+    return Hold < LatestAnsweredHold;
+  return Reply.ClockMs && *Reply.ClockMs < LatestListMs;
 }
 
 void run_lists::onHoldFailed(order_outcome Outcome) {
--- a/src/yuccaplank/dispatch/run_lists.hpp
+++ b/src/yuccaplank/dispatch/run_lists.hpp
@@ -36,8 +36,8 @@
   std::uint64_t sendHold(const hold_order &Order);
   void onHoldReply(std::uint64_t Hold, time_point Sent, const hold_order &Order, const hold_reply &Reply);
   // Replies on different connections may overtake each other. A run that has ended since must not be taken
-  // for an unknown one.
-  [[nodiscard]] bool isOutdated(const hold_reply &Reply) const;
+  // for an unknown one, nor the former incarnation for a new one.
+  [[nodiscard]] bool isOutdated(std::uint64_t Hold, const hold_reply &Reply) const;
   void onHoldFailed(order_outcome Outcome);
   // An unresponsive server is probed even when it has no runs, because only a reply makes it usable again.
   void probeUnresponsiveServer();
--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -869,6 +869,29 @@
   CPPUNIT_ASSERT(Owner.Losses.size() <= 1);
 });
 
+// Guards against a crash that did not happen: a delayed reply of the former incarnation looks like a restart
+// of the one that runs now.
+const test_case LateReply("server ledger: a reply of the former incarnation arrives after a restart", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.Executor->advance(std::chrono::duration_cast<milliseconds>(Owner.ReplyTimeout.value()));
+  CPPUNIT_ASSERT(Owner.Orders.Holds.size() > 1);
+  auto Newest = std::move(Owner.Orders.Holds.back());
+  Owner.Orders.Holds.pop_back();
+  Newest.Reply(Owner.makeListReply({}, {}, 2));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
+  Owner.answerHold(Owner.makeListReply({runOf(0)}, {}, 1));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
+  if (auto Then = section("and the present incarnation goes on")) {
+    Owner.start(runOf(1));
+    Owner.answerStart(order_outcome::Accepted);
+    Owner.Executor->advance(milliseconds(1));
+    Owner.answerHold(Owner.makeListReply({runOf(1)}, {}, 2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
+  }
+});
+
 // Guards against tasks that start beside one that may crash the server: grants of two placers, or grants on
 // the way.
 const test_case Alone("server ledger: a run that is to be alone", [] {
