--- a/scenarios/crashing_tasks.lua
+++ b/scenarios/crashing_tasks.lua
@@ -41,6 +41,10 @@
   check_equal(starts(job) <= 3, true)
 end)
 
+local function change_all_servers(change)
+  for index = 0, 3 do server("s" .. index, change) end
+end
+
 local function change_busy_servers(change)
   for index = 0, 3 do
     if busy("s" .. index) then server("s" .. index, change) end
@@ -73,7 +77,7 @@
   check_equal(starts(job), 2)
   check_equal(outcome(job), "none")
   when("the servers reply with the same incarnations")
-  for index = 0, 3 do server("s" .. index, "normal") end
+  change_all_servers("normal")
   run(1200)
   check_equal(starts(job), 3)
   check_equal(outcome(job), "completed")
@@ -95,7 +99,7 @@
   check_equal(outcome(job), "none")
   check_equal(starts(job), 2)
   when("the servers reply with the same incarnations")
-  for index = 0, 3 do server("s" .. index, "normal") end
+  change_all_servers("normal")
   run(3000)
   check_equal(outcome(job), "completed")
   check_promises()
