Judge a job by its tasks that are not done

What callers could see: a job answered as failed although the task that its servers crashed under was done.

Cause: the verdict on a job was the most severe one on any of its tasks. A task whose first runs were lost silently may be done before its servers come back and turn out to have crashed; the next placement of another task then failed the job.

Change: only tasks that are not done count.

Result: the section "but not when the task is done, and another one of the job is placed again" failed before (the job was answered) and passes.

--- a/src/yuccaplank/dispatch/job_coordinator.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator.cpp
@@ -243,7 +243,19 @@
     return Job.PossiblyStartedRuns == 0 && isSuspended(Job);
   }
   [[nodiscard]] bool isSuspended(const coordinated_job &Job) const {
-    return Ports.verdict(Job.Request.Job) >= loss_verdict::Suspended;
+    return verdict(Job) >= loss_verdict::Suspended;
+  }
+  // The most severe verdict on any task that is not done. Servers of a task that is done may turn out to have
+  // crashed later.
+  [[nodiscard]] loss_verdict verdict(const coordinated_job &Job) const {
+    job_id Id = Job.Request.Job;
+    loss_verdict Worst = loss_verdict::Clear;
+    if (Ports.verdict(Id) < loss_verdict::Suspended)
+      return Worst;
+    for (std::uint32_t Index = 0; Index < Job.Tasks.size(); ++Index)
+      if (Job.Tasks[Index].Phase != task_phase::Done)
+        Worst = std::max(Worst, Ports.verdict({Id, Index}));
+    return Worst;
   }
 
   // Records whether tasks of the job wait until it is known whether their servers have crashed.
@@ -262,7 +274,7 @@
   // Ends a job with a task that is not started again. The caller may still use the job.
   bool giveUpIfDecided(const coordinated_job &Job) {
     job_id Id = Job.Request.Job;
-    if (Ports.verdict(Id) != loss_verdict::GivenUp)
+    if (verdict(Job) != loss_verdict::GivenUp)
       return false;
     Executor.post([this, Id] { giveUp(Id); });
     return true;
--- a/src/yuccaplank/dispatch/job_coordinator_test.cpp
+++ b/src/yuccaplank/dispatch/job_coordinator_test.cpp
@@ -300,6 +300,17 @@
     CPPUNIT_ASSERT(Vm.Answers.at(0).Outcome == job_outcome::Failed);
     CPPUNIT_ASSERT(Vm.requestedRuns().empty());
   }
+  if (auto When = section("but not when the task is done, and another one of the job is placed again")) {
+    Vm.submit(2);
+    Vm.grant(runOf(0, 1));
+    Vm.grant(runOf(1, 1));
+    Vm.reportEvent(runOf(1, 1), schema::RUN_DONE);
+    Vm.Verdicts[{Job, 1}] = loss_verdict::GivenUp;
+    Vm.reportEvent(runOf(0, 1), schema::RUN_GONE);
+    Vm.Executor->advance(milliseconds(1));
+    CPPUNIT_ASSERT(Vm.Answers.empty());
+    CPPUNIT_ASSERT((std::vector<std::uint32_t>{1, 2} == Vm.requestedRuns()));
+  }
 });
 
 // Guards against a job that is answered as failed although its servers were only cut off, and against a task
