Count no run as lost that the new incarnation of its server lists

What callers could see: one crash that counts twice.

Cause: when a server had restarted, all its runs were told as lost with its former incarnation, also those that the new one lists, since their starts had only reached that one; its list even passed for the confirmation that they had begun before. If the task then crashed the new incarnation, two crashes counted.

Change: only runs that the new list lacks are told as lost, and the list confirms starts after that.

Result: "server ledger: a server restarted as a new incarnation" now checks the loss; it failed before (two runs, expected one) and passes.

--- a/src/yuccaplank/dispatch/run_lists.cpp
+++ b/src/yuccaplank/dispatch/run_lists.cpp
@@ -101,7 +101,6 @@
   }
   Ledger.Clock.setServerClock(Ledger.now(), Reply.ClockMs);
   UnansweredHolds = 0;
-  Ledger.Runs.confirmBegun(Reply.Running);
   if (!Ledger.Responsive)
     log(log_level::Info, "server_back",
         {{"server", Ledger.Entry.Target.Id},
@@ -119,6 +118,7 @@
     LatestListMs = Reply.ClockMs.value_or(LatestListMs);
     LastAcknowledgedEnd = std::max(LastAcknowledgedEnd, Order.Observed);
   }
+  Ledger.Runs.confirmBegun(Reply.Running);
   Ledger.onReply(Reply);
   for (const listed_end &End : Reply.Ended)
     onListedEnd(End);
@@ -196,10 +196,14 @@
        {"born", Reply.IncarnationStartMs},
        {"runs", static_cast<std::int64_t>(Ledger.Runs.size())},
        {"running", static_cast<std::int64_t>(Reply.Running.size())}});
-  for (auto &[Run, State] : Ledger.Runs)
+  std::vector<run_key> LostRuns;
+  for (auto &[Run, State] : Ledger.Runs) {
     State.OnFormerIncarnation = std::ranges::find(Reply.Running, Run) == Reply.Running.end();
-  if (!Ledger.Runs.empty())
-    Parts.Ends.announceLoss(Parts.Ends.lossWithRestart(), Ledger.Runs.keys());
+    if (State.OnFormerIncarnation)
+      LostRuns.push_back(Run);
+  }
+  if (!LostRuns.empty())
+    Parts.Ends.announceLoss(Parts.Ends.lossWithRestart(), LostRuns);
   Ledger.IncarnationStartMs = Reply.IncarnationStartMs;
   LatestListMs = Reply.ClockMs.value_or(0);
   LastObservedEnd = 0;
--- a/src/yuccaplank/dispatch/server_loss_test.cpp
+++ b/src/yuccaplank/dispatch/server_loss_test.cpp
@@ -51,6 +51,8 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Events.size());
     CPPUNIT_ASSERT_EQUAL(schema::RUN_GONE, Owner.lastEvent());
     CPPUNIT_ASSERT(Owner.Ledger->containsRun(runOf(1)));
+    CPPUNIT_ASSERT_EQUAL(1, Owner.Losses.at(0).runs_size());
+    CPPUNIT_ASSERT(runOf(0) == toRunKey(Owner.Losses.at(0).runs(0)));
   }
   if (auto When = section(
           "when it lists a run that was not ordered here, that run is stopped and fills the server")) {
