Count no planned restart whose next entry is seen first

What callers could see: a planned restart of a server that counts as a crash.

Cause: whether a restart was planned was read from the server's entry in the platform's store at the moment of the first list of the next incarnation. If the entry of that one arrived before, which itself requests the list, it no longer said that the server drains.

Change: the ledger keeps whether the incarnation that it knows drains; an entry of another incarnation does not change that.

Result: the section "nor when the entry of its next incarnation is seen before that replies" failed before (a loss was told) and passes, and a crash of the next incarnation still counts.

--- a/src/yuccaplank/dispatch/ledger_state.cpp
+++ b/src/yuccaplank/dispatch/ledger_state.cpp
@@ -23,6 +23,11 @@
          Entry.IncarnationStartMs == IncarnationStartMs;
 }
 
+void ledger_state::updateDraining() {
+  if (entryDescribesIncarnation())
+    Draining = Entry.Draining;
+}
+
 std::optional<duration> ledger_state::allowedLease() {
   for (auto &[Run, State] : Runs)
     Limits.updateAllowedUntil(State, Ports.lastAnsweredHeartbeat(State.Coordinator), sinceBoot());
--- a/src/yuccaplank/dispatch/ledger_state.hpp
+++ b/src/yuccaplank/dispatch/ledger_state.hpp
@@ -49,6 +49,9 @@
   void requestRunListIfUndelivered(order_outcome Outcome);
   /// Another incarnation may have another capacity. The entry and the list of runs each may be the older one.
   [[nodiscard]] bool entryDescribesIncarnation() const;
+  /// Takes over from the entry whether the present incarnation drains. The entry of the next incarnation may
+  /// arrive before its first list.
+  void updateDraining();
   /// Returns how far every run allows to extend the lease; nothing if it must not be extended.
   std::optional<duration> allowedLease();
   /// Longest lease that an order may give without prolonging a run beyond its limit.
@@ -74,6 +77,8 @@
   /// Whether a connection was refused since the latest reply to a hold.
   bool RefusesConnections = false;
   bool Delisted = false;
+  /// Whether the present incarnation drains, so that it leaves as planned.
+  bool Draining = Entry.Draining;
   bool Evacuated = false;
   bool StartsSuspended = false;
   /// Drops callbacks of calls that were made before the server was released.
--- a/src/yuccaplank/dispatch/run_ends.cpp
+++ b/src/yuccaplank/dispatch/run_ends.cpp
@@ -94,13 +94,13 @@
 }
 
 schema::server_loss run_ends::lossWithoutReply() const {
-  if (Ledger.Responsive || Ledger.Entry.Draining)
+  if (Ledger.Responsive || Ledger.Draining)
     return schema::LOSS_NONE;
   return Ledger.RefusesConnections ? schema::LOSS_REFUSED : schema::LOSS_SILENT;
 }
 
 schema::server_loss run_ends::lossWithRestart() const {
-  return Ledger.Entry.Draining ? schema::LOSS_NONE : schema::LOSS_RESTARTED;
+  return Ledger.Draining ? schema::LOSS_NONE : schema::LOSS_RESTARTED;
 }
 
 void run_ends::delist() {
--- a/src/yuccaplank/dispatch/run_lists.cpp
+++ b/src/yuccaplank/dispatch/run_lists.cpp
@@ -205,6 +205,7 @@
   if (!LostRuns.empty())
     Parts.Ends.announceLoss(Parts.Ends.lossWithRestart(), LostRuns);
   Ledger.IncarnationStartMs = Reply.IncarnationStartMs;
+  Ledger.Draining = Ledger.entryDescribesIncarnation() && Ledger.Entry.Draining;
   LatestListMs = Reply.ClockMs.value_or(0);
   LastObservedEnd = 0;
   LastAcknowledgedEnd = 0;
@@ -214,6 +215,7 @@
 void run_lists::onClaimed(const hold_reply &Reply) {
   Ledger.ListRefresh.onList(Ledger.now());
   Ledger.IncarnationStartMs = Reply.IncarnationStartMs;
+  Ledger.Draining = Ledger.entryDescribesIncarnation() && Ledger.Entry.Draining;
   LatestListMs = Reply.ClockMs.value_or(0);
   Ledger.Responsive = true;
   LastObservedEnd = 0;
--- a/src/yuccaplank/dispatch/server_ledger.cpp
+++ b/src/yuccaplank/dispatch/server_ledger.cpp
@@ -41,6 +41,7 @@
                    Updated.IncarnationStartMs != Entry.IncarnationStartMs || Updated.Rack != Entry.Rack ||
                    !areEqual(Updated.Capacity, Entry.Capacity);
     Entry = Updated;
+    Ledger.updateDraining();
     if (Changed)
       Ledger.onCapacityChanged();
     // The server may have restarted since its latest list.
--- a/src/yuccaplank/dispatch/server_loss_test.cpp
+++ b/src/yuccaplank/dispatch/server_loss_test.cpp
@@ -123,6 +123,26 @@
     CPPUNIT_ASSERT_EQUAL(schema::LOSS_NONE, Owner.Events.back().loss());
     CPPUNIT_ASSERT(Owner.Losses.empty());
   }
+  if (auto When = section("nor when the entry of its next incarnation is seen before that replies")) {
+    server_entry Entry = ledger_owner::entry();
+    Entry.Draining = true;
+    Entry.IncarnationStartMs = 1;
+    Owner.Ledger->update(Entry);
+    Entry.Draining = false;
+    Entry.IncarnationStartMs = 2;
+    Owner.Ledger->update(Entry);
+    Owner.Executor->advance(milliseconds(1));
+    Owner.answerHold(Owner.makeListReply({}, {}, 2));
+    CPPUNIT_ASSERT_EQUAL(schema::RUN_GONE, Owner.lastEvent());
+    CPPUNIT_ASSERT(Owner.Losses.empty());
+    if (auto Then = section("but a crash of that one counts")) {
+      Owner.start(runOf(1));
+      Owner.answerStart(order_outcome::Accepted);
+      Owner.Executor->advance(milliseconds(1));
+      Owner.answerHold(Owner.makeListReply({}, {}, 3));
+      CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Losses.at(0).loss());
+    }
+  }
   if (auto When = section("when another server replies after its runs were lost, that tells of the crash")) {
     FailHolds(order_outcome::ConnectionRefused);
     Owner.Executor->advance(milliseconds(100));
