Tell of the runs on a silent server that another VM takes

What operators could see: a task that crashes more than two servers. Found by review.

Cause: an owner that gave a server up because another VM claimed it forgot its runs without a word. If the server had stopped replying, within a second of its crash, the crash was counted against nobody.

Change: when a server that does not reply is released, its runs are told as lost, as they are at the end of the lease. It is a suspicion that a reply settles.

--- a/src/yuccaplank/dispatch/run_ends.cpp
+++ b/src/yuccaplank/dispatch/run_ends.cpp
@@ -103,6 +103,12 @@
   return Ledger.Draining ? schema::LOSS_NONE : schema::LOSS_RESTARTED;
 }
 
+void run_ends::onReleased() {
+  std::vector<run_key> LostRuns = Ledger.Runs.keys();
+  if (!LostRuns.empty())
+    announceLoss(lossWithoutReply(), LostRuns);
+}
+
 void run_ends::delist() {
   if (std::exchange(Ledger.Delisted, true))
     return;
--- a/src/yuccaplank/dispatch/run_ends.hpp
+++ b/src/yuccaplank/dispatch/run_ends.hpp
@@ -28,6 +28,9 @@
   void endMissingRuns(std::uint64_t Hold, const std::vector<run_key> &Running);
   /// Ends the runs whose lease has expired.
   void endExpiredRuns(time_point Now);
+  /// Tells all coordinators that the runs may be lost, if the server does not reply while another VM takes
+  /// it.
+  void onReleased();
   /// See server_ledger.
   void delist();
   /// Another server has the address, so this one has ended.
--- a/src/yuccaplank/dispatch/server_claims.cpp
+++ b/src/yuccaplank/dispatch/server_claims.cpp
@@ -1,6 +1,7 @@
 #include "server_claims.hpp"
 #include "owner_messages.hpp"
 #include "reply_timeout.hpp"
+#include "run_ends.hpp"
 #include "run_lists.hpp"
 #include "run_orders.hpp"
 #include "server_watch.hpp"
@@ -44,6 +45,7 @@
     return;
   Ledger.Ownership = ownership::None;
   Ledger.OwnershipLifetime.renew();
+  Parts.Ends.onReleased();
   sendYields();
   Ledger.Runs.clear();
   Parts.Lists.reset();
--- a/src/yuccaplank/dispatch/server_loss_test.cpp
+++ b/src/yuccaplank/dispatch/server_loss_test.cpp
@@ -105,6 +105,18 @@
     CPPUNIT_ASSERT_EQUAL(1, Owner.Losses.at(0).runs_size());
     CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Events.back().loss());
   }
+  if (auto When = section("when another VM claims it before the lease is over, it may have crashed, too")) {
+    hold_reply Refused;
+    Refused.Outcome = order_outcome::ConnectionRefused;
+    for (int Step = 0; Step < 3; ++Step) {
+      Owner.Executor->advance(milliseconds(100));
+      while (!Owner.Orders.Holds.empty())
+        Owner.answerHold(Refused);
+    }
+    CPPUNIT_ASSERT(Owner.Losses.empty());
+    Owner.Ledger->onClaimedElsewhere(Owner.Ledger->highestToken() + 1);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_REFUSED, Owner.Losses.at(0).loss());
+  }
   if (auto When = section("when it leaves as planned, nothing is lost with it")) {
     server_entry Draining = ledger_owner::entry();
     Draining.Draining = true;
