Take runs that an earlier build told for unconfirmed

What callers could see, while two builds run side by side: a job answered as failed because of a server that its task never began on. Found by review.

Cause: an earlier build passes losses on without the list of unconfirmed runs, and an empty list was read as "all confirmed".

Change: runs of a message without `certain` count as unconfirmed, so that restarts of their servers suspend the task and do not give it up.

Result: the section "and its runs may never have begun, also when the servers have restarted" failed before (given up) and passes.

--- a/src/yuccaplank/dispatch/loss_history.cpp
+++ b/src/yuccaplank/dispatch/loss_history.cpp
@@ -45,7 +45,8 @@
     lost_run &Known = Lost.Runs[Run];
     if (Server.loss() != schema::LOSS_SILENT)
       Known.Loss = lossOf(Server);
-    Known.Begun |= !Unconfirmed.contains(static_cast<std::uint32_t>(Index));
+    // An earlier build does not tell whether the start was confirmed.
+    Known.Begun |= Server.certain() && !Unconfirmed.contains(static_cast<std::uint32_t>(Index));
     // A time that is known counts in place of one that is not.
     bool AreKnown = Known.LostAtClockMs != NotKnown && LostAtClockMs != NotKnown;
     Known.LostAtClockMs = AreKnown ? std::max(Known.LostAtClockMs, LostAtClockMs)
--- a/src/yuccaplank/dispatch/loss_history_test.cpp
+++ b/src/yuccaplank/dispatch/loss_history_test.cpp
@@ -155,6 +155,11 @@
       Other.record(Lost);
     }
     CPPUNIT_ASSERT(Other.History.verdict(Task) == loss_verdict::Suspended);
+    if (auto Then = section("and its runs may never have begun, also when the servers have restarted")) {
+      for (const char *Server : {"s1", "s2"})
+        CPPUNIT_ASSERT(Other.reply(Server, 2, 10));
+      CPPUNIT_ASSERT(Other.History.verdict(Task) == loss_verdict::Suspended);
+    }
   }
 });
 
