Ignore a delayed reply that another server has the address

What callers could see: the same as for a delayed reply of a former incarnation: a crash that did not happen, told as certain. Found by review.

Cause: the reply that another server is at the address was believed although a hold that was sent later had been answered by the server.

Change: it is believed from the latest hold only, like every failed hold.

Result: the section "or one that another server has the address, as it had before" failed before (two losses, expected one) and passes.

--- a/src/yuccaplank/dispatch/run_lists.cpp
+++ b/src/yuccaplank/dispatch/run_lists.cpp
@@ -82,14 +82,12 @@
     Parts.Claims.loseOwnership();
     return;
   }
-  if (Reply.Outcome == order_outcome::OtherIncarnation) {
-    Parts.Ends.onServerReplaced();
-    return;
-  }
   if (Reply.Outcome != order_outcome::Accepted) {
-    // A hold that was sent later has been answered, so the server is responsive.
+    // A hold that was sent later has been answered, so the server is there and responsive.
     if (Hold < LatestAnsweredHold)
       sendHoldIfNeeded();
+    else if (Reply.Outcome == order_outcome::OtherIncarnation)
+      Parts.Ends.onServerReplaced();
     else
       onHoldFailed(Reply.Outcome);
     return;
--- a/src/yuccaplank/dispatch/server_loss_test.cpp
+++ b/src/yuccaplank/dispatch/server_loss_test.cpp
@@ -182,6 +182,19 @@
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
   Owner.answerHold(Owner.makeListReply({runOf(0)}, {}, 1));
   CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
+  if (auto Then = section("or one that another server has the address, as it had before")) {
+    Owner.start(runOf(1));
+    Owner.Executor->advance(std::chrono::duration_cast<milliseconds>(Owner.ReplyTimeout.value()));
+    CPPUNIT_ASSERT(Owner.Orders.Holds.size() > 1);
+    auto Later = std::move(Owner.Orders.Holds.back());
+    Owner.Orders.Holds.pop_back();
+    Later.Reply(Owner.makeListReply({runOf(1)}, {}, 2));
+    hold_reply Replaced;
+    Replaced.Outcome = order_outcome::OtherIncarnation;
+    Owner.answerHold(Replaced);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
+    CPPUNIT_ASSERT(Owner.Ledger->containsRun(runOf(1)));
+  }
   if (auto Then = section("and the present incarnation goes on")) {
     Owner.start(runOf(1));
     Owner.answerStart(order_outcome::Accepted);
