Let only one quick start use its directory

Since fleets take the next free block of ports, two quick starts of one checkout would have run at the same time and overwritten each other's settings files. The quick start tries its own block only. Shown by two that were started 1.5 s apart: the second ends with 'no free block of 500 ports', the first completes.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -22,11 +22,12 @@
 FIRST_SERVER_OFFSET = 200
 
 
-def reserve_ports(first_port):
+def reserve_ports(first_port, tried_blocks):
     """Finds a block of ports that no other fleet uses, from first_port on.
 
-    Returns (first port, socket). The block stays reserved until the socket is closed."""
-    for number in range(PORT_BLOCKS_TRIED):
+    Returns (first port, socket). The block stays reserved until the socket is closed. The first ports of all callers
+    differ by multiples of the block size, so that blocks do not overlap."""
+    for number in range(tried_blocks):
         base_port = first_port + number * PORT_BLOCK_SIZE
         reservation = socket.socket()
         try:
@@ -111,13 +112,13 @@
 
     Other fleets may run at the same time: each reserves its own block of ports, from first_port on."""
 
-    def __init__(self, directory, domains, server_count, first_port=7100, build="build", seed=1, equal=False,
-                 limits=None):
+    def __init__(self, directory, domains, server_count, first_port=7100, tried_blocks=PORT_BLOCKS_TRIED,
+                 build="build", seed=1, equal=False, limits=None):
         self.directory = pathlib.Path(directory)
         self.directory.mkdir(parents=True, exist_ok=True)
         self.build = ROOT / build
         self.server_count, self.domains, self.seed, self.equal = server_count, list(domains), seed, equal
-        self.base_port, self.port_reservation = reserve_ports(first_port)
+        self.base_port, self.port_reservation = reserve_ports(first_port, tried_blocks)
         self.limits = limits or {"cpu_share": 0.25, "memory_mb": 260}
         self.store_address = f"127.0.0.1:{self.base_port}"
         self.control_address = f"127.0.0.1:{self.base_port + 1}"
--- a/scripts/lib/quickstart.py
+++ b/scripts/lib/quickstart.py
@@ -63,7 +63,12 @@
         return 0
     if stop_earlier_run():
         print("An earlier quick start was still running and has been stopped.")
-    system = fleet.Fleet(DIRECTORY, {"d1": 2, "d2": 1}, server_count=6)
+    try:
+        # Two quick starts would share the directory, so only one gets its block of ports.
+        system = fleet.Fleet(DIRECTORY, {"d1": 2, "d2": 1}, server_count=6, tried_blocks=1)
+    except RuntimeError as error:
+        print(f"quick start failed: {error}", file=sys.stderr)
+        return 1
     try:
         system.start()
         print(f"Three entry VMs in two failure domains and {system.server_count} backend servers are up.")
