--- a/src/yuccaplank/dispatch/server_ledger_test.cpp
+++ b/src/yuccaplank/dispatch/server_ledger_test.cpp
@@ -1,22 +1,183 @@
-#include "yuccaplank/testing/ledger_owner.hpp"
+#include "reply_timeout.hpp"
+#include "yuccaplank/dispatch/server_ledger.hpp"
 #include "yuccaplank/testing/test_case.hpp"
 
 #include <cppunit/TestAssert.h>
 
+#include <deque>
+#include <map>
+
 using namespace yuccaplank;
 using namespace yuccaplank::dispatch;
 using std::chrono::milliseconds;
-using testing::ledger_owner;
-using testing::runOf;
 using testing::section;
 using testing::test_case;
 
 namespace {
 
+constexpr job_id Job(0x5c0e7a21d94b36f8);
+run_key runOf(std::uint32_t Index, std::uint32_t Run = 1) { return {{Job, Index}, Run}; }
+
+// Records orders; the test answers them.
+struct recorded_orders final : server_orders {
+  struct sent_start {
+    start_order Order;
+    std::function<void(order_reply)> Reply;
+  };
+  struct sent_stop {
+    run_key Run;
+    std::uint64_t Token = 0;
+    std::function<void(order_reply)> Reply;
+  };
+  struct sent_hold {
+    hold_order Order;
+    std::function<void(hold_reply)> Reply;
+  };
+  std::deque<sent_start> Starts;
+  std::deque<sent_stop> Stops;
+  std::deque<sent_hold> Holds;
+
+  void start(const server_target &, start_order Order, std::function<void(order_reply)> OnDone) override {
+    Starts.push_back({std::move(Order), std::move(OnDone)});
+  }
+  void stop(const server_target &, const run_key &Run, std::uint64_t Token,
+            std::function<void(order_reply)> OnDone) override {
+    Stops.push_back({Run, Token, std::move(OnDone)});
+  }
+  void hold(const server_target &, const hold_order &Order, std::function<void(hold_reply)> OnDone) override {
+    Holds.push_back({Order, std::move(OnDone)});
+  }
+};
+
+struct owner final : ledger_ports {
+  std::unique_ptr<runtime::manual_executor> Executor = runtime::makeManualExecutor();
+  recorded_orders Orders;
+  std::vector<schema::task_event> Events;
+  std::vector<schema::adopt_request> Adoptions;
+  std::vector<schema::lost_server> Losses;
+  // Start of the incarnation and clock in each reply of the server.
+  std::vector<std::pair<std::int64_t, std::int64_t>> Replies;
+  std::uint64_t LastToken = 0;
+  ledger_counters Counters;
+  std::size_t CapacityChanges = 0;
+  // Clock of the server in its replies. Tests that let it stand still only look at differences to it.
+  std::int64_t ServerClockMs = 1000;
+  // Latest lease end in holds that were answered by advanceWithLists().
+  std::int64_t AnsweredLeaseEndMs = 0;
+  reply_timeout ReplyTimeout{milliseconds(30), milliseconds(100), milliseconds(250)};
+  bool AnyOwnerOutOfContact = false;
+  // The same for all coordinators; by default the value of this VM itself.
+  std::optional<runtime::time_point> LastAnsweredHeartbeat = runtime::time_point::max();
+  // Exceptions for single coordinators.
+  std::map<std::string, std::optional<runtime::time_point>> Heartbeats;
+  std::unique_ptr<server_ledger> Ledger = makeServerLedger(*Executor, *this, entry());
+
+  static server_entry entry() {
+    server_entry Entry;
+    Entry.Target = {"s1", "10.0.0.1:80"};
+    Entry.Capacity.set_cpu(64000);
+    Entry.Capacity.set_memory_mb(1000);
+    return Entry;
+  }
+
+  server_orders &orders() override { return Orders; }
+  void send(const std::string &, schema::dispatch_message Message) override {
+    if (Message.has_event())
+      Events.push_back(Message.event());
+  }
+  void broadcast(const schema::dispatch_message &Message) override {
+    if (Message.has_adopt())
+      Adoptions.push_back(Message.adopt());
+  }
+  void announceLoss(schema::lost_server Lost) override { Losses.push_back(std::move(Lost)); }
+  void onServerReplied(const std::string &, std::int64_t IncarnationStartMs, std::int64_t ClockMs) override {
+    Replies.emplace_back(IncarnationStartMs, ClockMs);
+  }
+  void onCapacityChanged(const std::string &) override { ++CapacityChanges; }
+  std::uint64_t fencingToken(std::uint64_t Above) override {
+    return LastToken = std::max(LastToken, Above) + 1;
+  }
+  ledger_counters &counters() override { return Counters; }
+  reply_timeout &replyTimeout() override { return ReplyTimeout; }
+  [[nodiscard]] bool anyOwnerOutOfContact() const override { return AnyOwnerOutOfContact; }
+  [[nodiscard]] std::optional<runtime::time_point>
+  lastAnsweredHeartbeat(const std::string &Coordinator) const override {
+    auto Found = Heartbeats.find(Coordinator);
+    return Found == Heartbeats.end() ? LastAnsweredHeartbeat : Found->second;
+  }
+
+  [[nodiscard]] hold_reply makeListReply(std::vector<run_key> Running, std::vector<listed_end> Ended = {},
+                                         std::int64_t IncarnationStartMs = 1) const {
+    hold_reply Reply;
+    Reply.Outcome = order_outcome::Accepted;
+    Reply.ClockMs = ServerClockMs;
+    Reply.IncarnationStartMs = IncarnationStartMs;
+    Reply.Running = std::move(Running);
+    Reply.Ended = std::move(Ended);
+    return Reply;
+  }
+  void answerHold(const hold_reply &Reply) {
+    auto Hold = std::move(Orders.Holds.front());
+    Orders.Holds.pop_front();
+    Hold.Reply(Reply);
+  }
+  // Answers the holds that are open now, in steps shorter than the time after which a hold is repeated.
+  void advanceWithLists(milliseconds Time, const std::vector<run_key> &Running) {
+    constexpr milliseconds Step{100};
+    for (milliseconds Passed{}; Passed < Time; Passed += Step) {
+      Executor->advance(Step);
+      AnsweredLeaseEndMs = std::max(AnsweredLeaseEndMs, latestLeaseEndMs());
+      for (std::size_t Count = Orders.Holds.size(); Count > 0; --Count)
+        answerHold(makeListReply(Running));
+    }
+  }
+  void answerStart(order_outcome Outcome) {
+    auto Start = std::move(Orders.Starts.front());
+    Orders.Starts.pop_front();
+    Start.Reply({Outcome, 1000});
+  }
+  void answerStop(order_outcome Outcome) {
+    auto Stop = std::move(Orders.Stops.front());
+    Orders.Stops.pop_front();
+    Stop.Reply({Outcome, 1000});
+  }
+
+  void claim(const std::vector<run_key> &Running = {}) {
+    Ledger->claim();
+    answerHold(makeListReply(Running));
+  }
+  void start(const run_key &Run, std::uint32_t Cpu = 30000, bool Alone = false,
+             const std::string &Coordinator = "coordinator", bool Relayed = false,
+             std::uint32_t FailedRuns = 0) const {
+    schema::start_task Request;
+    Request.set_failed_runs(FailedRuns);
+    Request.set_relayed(Relayed);
+    *Request.mutable_task() = toMessage(Run);
+    Request.set_server("s1");
+    Request.mutable_size()->set_cpu(Cpu);
+    Request.set_estimate_ms(100);
+    Request.set_alone(Alone);
+    Request.set_token(Ledger->highestToken());
+    Ledger->start(Coordinator, Request);
+  }
+  // Latest end of a lease that the orders of this owner have given, on the server's clock.
+  [[nodiscard]] std::int64_t latestLeaseEndMs() const {
+    std::int64_t Latest = 0;
+    for (const recorded_orders::sent_start &Start : Orders.Starts)
+      Latest = std::max(Latest, Start.Order.LeaseEndMs);
+    for (const recorded_orders::sent_hold &Hold : Orders.Holds)
+      Latest = std::max(Latest, Hold.Order.LeaseEndMs.value_or(0));
+    return Latest;
+  }
+  [[nodiscard]] schema::run_event lastEvent() const {
+    return Events.empty() ? schema::RUN_UNKNOWN : Events.back().event();
+  }
+};
+
 // Guards against starts beyond the free capacity of a server, which does not check this itself. A placer's
 // grants may rest on outdated capacity.
 const test_case FreeCapacity("server ledger: free capacity", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.start(runOf(0));
   Owner.start(runOf(1));
@@ -40,7 +201,7 @@
 // Guards against work that begins in an evacuated failure domain: by grants on the way, by orders that are
 // repeated, or after a change of owner.
 const test_case Evacuation("server ledger: an evacuated server", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.start(runOf(0));
   Owner.answerStart(order_outcome::Accepted);
@@ -71,7 +232,7 @@
 
 // Guards against two concurrent runs of one task, when an unanswered start is carried out seconds later.
 const test_case LateStart("server ledger: an unanswered start", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.start(runOf(0));
   Owner.answerStart(order_outcome::NoAnswer);
@@ -99,7 +260,7 @@
 // Guards against jobs that wait for a lost reply for longer than their tasks take, and against work that is
 // thrown away because only the reply was lost.
 const test_case OverdueReply("server ledger: the reply to a start is overdue", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.start(runOf(0));
   auto InitialTimeout = Owner.ReplyTimeout.value();
@@ -152,7 +313,7 @@
 // Guards against ends that stay unknown for long because every lost reply hides them, against holds that are
 // short for no reason, and against stops that wait until their connection is given up.
 const test_case LostReplies("server ledger: replies get lost", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.start(runOf(0));
   Owner.answerStart(order_outcome::Accepted);
@@ -203,7 +364,7 @@
 // Guards against runs that outlive their owner, and against retries of a task whose run may still exist. Both
 // happen when the end of a lease is computed wrongly for an unresponsive server.
 const test_case Leases("server ledger: an unresponsive server", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.start(runOf(0));
   Owner.answerStart(order_outcome::Accepted);
@@ -243,7 +404,7 @@
 // Guards against runs and late starts for a coordinator that has given up this owner because one of the two
 // lags. They have to end in time even if later messages from the coordinator are lost.
 const test_case Coordinators("server ledger: a coordinator that no longer answers", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   auto Now = [&] { return Owner.Executor->clock().sinceBoot(); };
   Owner.LastAnsweredHeartbeat = Now();
@@ -286,7 +447,7 @@
 // of the server, so while the end of one run is not known, nothing may prolong the lease beyond the time at
 // which that run has to be over.
 const test_case RunThatHasToEnd("server ledger: a run that has to end", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.start(runOf(0), 10000);
   Owner.answerStart(order_outcome::Accepted);
@@ -362,7 +523,7 @@
 // Guards against a run that its relaying VM can no longer stop: that VM is noticed to be lost after a contact
 // lease only, so the lease of the run has to be shorter than that of a run of this VM's own callers.
 const test_case OwnRelayedRun("server ledger: a run that another VM relays to this one", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.start(runOf(0), 10000, false, "coordinator", true);
   auto Limit = Owner.ServerClockMs + runtime::toMs(ledger_options().RelayedRunLimit);
@@ -374,7 +535,7 @@
 
 // Guards against a run that a former owner had to end and that a new owner prolongs.
 const test_case UnclaimedRunLease("server ledger: a run that no coordinator claims after a takeover", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim({runOf(0), runOf(1)});
   schema::adopt_reply Reply;
   *Reply.add_runs()->mutable_task() = toMessage(runOf(1));
@@ -389,7 +550,7 @@
 // Guards against reporting a run as gone too early after a takeover, when the former owner has given it a
 // longer lease than this owner may give.
 const test_case FormerLease("server ledger: a lease given by a former owner", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim({runOf(0)});
   schema::adopt_reply Reply;
   *Reply.add_runs()->mutable_task() = toMessage(runOf(0));
@@ -410,7 +571,7 @@
 // Guards against runs of a dead owner that continue beside their replacements, and against the loss of runs
 // that can continue. Both depend on which runs the coordinators claim after a takeover.
 const test_case Takeover("server ledger: takeover", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim({runOf(0), runOf(1)});
   CPPUNIT_ASSERT_EQUAL(2, Owner.Adoptions.at(0).running_size());
   CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
@@ -452,7 +613,7 @@
 // Guards against starts beyond a server's free capacity when a restarted server has lost the fence of this
 // VM's claim and another VM has sent it orders under an earlier claim.
 const test_case EarlierClaim("server ledger: another VM has ordered runs under an earlier claim", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.Ledger->onClaimedElsewhere(Owner.Ledger->highestToken() - 1);
   Owner.start(runOf(0));
@@ -473,7 +634,7 @@
 // Guards against starts beyond a server's free capacity, when a restarted server may have lost its fence and
 // another possible owner is out of contact and cannot report its claim.
 const test_case MissingOwner("server ledger: another VM that may own the server is out of contact", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   Owner.AnyOwnerOutOfContact = true;
   Owner.Executor->advance(milliseconds(200));
@@ -498,10 +659,290 @@
   }
 });
 
+// Guards against starts beyond a server's free capacity after an order could not be sent, because the server
+// may have restarted and lost its fence.
+const test_case NotSent("server ledger: an order that could not be sent", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.Executor->advance(milliseconds(1));
+  Owner.answerStart(order_outcome::NotSent);
+  CPPUNIT_ASSERT_EQUAL(schema::RUN_NOT_STARTED, Owner.lastEvent());
+  if (auto When = section("a list that was requested before the failure does not make the server usable"))
+    Owner.answerHold(Owner.makeListReply({}));
+  Owner.start(runOf(1));
+  CPPUNIT_ASSERT(Owner.Orders.Starts.empty());
+  if (auto When = section("a list that was requested after the failure does")) {
+    Owner.answerHold(Owner.makeListReply({}));
+    Owner.answerHold(Owner.makeListReply({}));
+    Owner.start(runOf(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Starts.size());
+  }
+});
+
+// Guards against reporting a run as gone that a new incarnation of the server has started, and against starts
+// beyond the server's free capacity beside unknown runs.
+const test_case Restart("server ledger: a server restarted as a new incarnation", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.answerStart(order_outcome::Accepted);
+  Owner.start(runOf(1));
+  Owner.answerStart(order_outcome::Accepted);
+  Owner.Executor->advance(milliseconds(1));
+  Owner.answerHold(Owner.makeListReply({runOf(0), runOf(1)}));
+  if (auto When = section("when it lists one of two runs, the other is gone")) {
+    Owner.Executor->advance(milliseconds(1));
+    Owner.answerHold(Owner.makeListReply({runOf(1)}, {}, 2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Events.size());
+    CPPUNIT_ASSERT_EQUAL(schema::RUN_GONE, Owner.lastEvent());
+    CPPUNIT_ASSERT(Owner.Ledger->containsRun(runOf(1)));
+    CPPUNIT_ASSERT_EQUAL(1, Owner.Losses.at(0).runs_size());
+    CPPUNIT_ASSERT(runOf(0) == toRunKey(Owner.Losses.at(0).runs(0)));
+  }
+  if (auto When = section(
+          "when it lists a run that was not ordered here, that run is stopped and fills the server")) {
+    Owner.answerHold(Owner.makeListReply({runOf(0), runOf(1), runOf(7)}, {}, 2));
+    CPPUNIT_ASSERT(runOf(7) == Owner.Orders.Stops.at(0).Run);
+    CPPUNIT_ASSERT(Owner.Ledger->state().used().cpu() >= 64000);
+  }
+});
+
+// Guards against a server that fails or hangs all its tasks and, because its runs end fast, receives more and
+// more of them.
+const test_case Quarantine("server ledger: quarantine", [] {
+  owner Owner;
+  Owner.claim();
+  for (std::uint32_t Index = 0; Index < 3; ++Index) {
+    CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+    Owner.start(runOf(Index));
+    Owner.answerStart(order_outcome::Accepted);
+    Owner.answerHold(Owner.makeListReply({}, {{Index + 1, runOf(Index), run_end::Failed}}));
+    // The end is acknowledged.
+    Owner.answerHold(Owner.makeListReply({}));
+  }
+  CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
+  if (auto When = section("when the quarantine has expired, it gets one task at a time")) {
+    Owner.Executor->advance(milliseconds(1001));
+    Owner.Ledger->tick();
+    CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+    CPPUNIT_ASSERT_EQUAL(1U, Owner.Ledger->state().task_limit());
+    Owner.start(runOf(10));
+    Owner.start(runOf(11));
+    CPPUNIT_ASSERT_EQUAL(std::string("on_probation"), Owner.Events.back().reason());
+    if (auto Then = section("until one task is done")) {
+      Owner.answerStart(order_outcome::Accepted);
+      Owner.answerHold(Owner.makeListReply({}, {{4, runOf(10), run_end::Done}}));
+      CPPUNIT_ASSERT_EQUAL(0U, Owner.Ledger->state().task_limit());
+    }
+  }
+});
+
+// Guards against tasks that make no progress and would block their job until its deadline.
+const test_case Overdue("server ledger: a task without progress", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.answerStart(order_outcome::Accepted);
+  // Five times the declared 100 ms plus 200 ms.
+  Owner.Executor->advance(milliseconds(690));
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT(Owner.Orders.Stops.empty());
+  Owner.Executor->advance(milliseconds(20));
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT(runOf(0) == Owner.Orders.Stops.at(0).Run);
+});
+
+// Guards against a server that hangs or turns slow and gets work until its first runs are overdue.
+const test_case LongRuns("server ledger: runs in progress take much longer than declared", [] {
+  owner Owner;
+  Owner.claim();
+  std::vector<run_key> Running;
+  for (std::uint64_t Job = 1; Job <= 3; ++Job) {
+    Running.push_back({{job_id(Job), 0}, 1});
+    Owner.start(Running.back(), 10000);
+    Owner.answerStart(order_outcome::Accepted);
+  }
+  // More than twice the declared 100 ms plus 50 ms.
+  Owner.advanceWithLists(milliseconds(300), Running);
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+  CPPUNIT_ASSERT(Owner.Ledger->state().overdue_slowness() > 1);
+  CPPUNIT_ASSERT(Owner.Orders.Stops.empty());
+  if (auto When = section("when they are done, the server is as before")) {
+    Owner.answerHold(Owner.makeListReply(
+        {},
+        {{1, Running[0], run_end::Done}, {2, Running[1], run_end::Done}, {3, Running[2], run_end::Done}}));
+    CPPUNIT_ASSERT_EQUAL(0.0F, Owner.Ledger->state().overdue_slowness());
+    CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+  }
+  if (auto When = section("at three times the declared time plus 100 ms they are stopped")) {
+    Owner.advanceWithLists(milliseconds(100), Running);
+    Owner.Ledger->tick();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Owner.Orders.Stops.size());
+    CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
+  }
+});
+
+// Guards against the quarantine of a server by a task that fails on every server.
+const test_case FailedElsewhere("server ledger: failures of tasks that failed elsewhere", [] {
+  owner Owner;
+  Owner.claim();
+  for (std::uint32_t Index = 0; Index < 5; ++Index) {
+    Owner.start({{job_id(Index + 1), 0}, 2}, 30000, false, "coordinator", false, 1);
+    Owner.answerStart(order_outcome::Accepted);
+    Owner.answerHold(Owner.makeListReply({}, {{Index + 1, {{job_id(Index + 1), 0}, 2}, run_end::Failed}}));
+    Owner.answerHold(Owner.makeListReply({}));
+  }
+  CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+});
+
+// Guards against a crash that nobody counts: a server that crashed and one that is cut off look alike to an
+// owner that only waits for the end of the lease.
+const test_case Loss("server ledger: a server is lost with its runs", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.answerStart(order_outcome::Accepted);
+  Owner.answerHold(Owner.makeListReply({runOf(0)}));
+  auto FailHolds = [&](order_outcome Outcome) {
+    hold_reply Reply;
+    Reply.Outcome = Outcome;
+    for (int Step = 0; Step < 12; ++Step) {
+      Owner.Executor->advance(milliseconds(100));
+      while (!Owner.Orders.Holds.empty())
+        Owner.answerHold(Reply);
+      Owner.Ledger->tick();
+    }
+  };
+  if (auto When = section("when its address refuses connections, it may have crashed")) {
+    FailHolds(order_outcome::ConnectionRefused);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_REFUSED, Owner.Losses.at(0).loss());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_REFUSED, Owner.Events.back().loss());
+  }
+  if (auto When = section("when it does not reply, it may be cut off")) {
+    FailHolds(order_outcome::NoAnswer);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_SILENT, Owner.Losses.at(0).loss());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_SILENT, Owner.Events.back().loss());
+  }
+  if (auto When = section("when it has restarted, its former incarnation has crashed")) {
+    Owner.Executor->advance(milliseconds(1));
+    Owner.answerHold(Owner.makeListReply({}, {}, 2));
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Losses.at(0).loss());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, Owner.Losses.at(0).incarnation_start_ms());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Events.back().loss());
+  }
+  if (auto When = section("when another server replies at its address, it has crashed")) {
+    hold_reply Reply;
+    Reply.Outcome = order_outcome::OtherIncarnation;
+    Owner.answerHold(Reply);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Losses.at(0).loss());
+    CPPUNIT_ASSERT_EQUAL(1, Owner.Losses.at(0).runs_size());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Events.back().loss());
+  }
+  if (auto When = section("when another VM claims it before the lease is over, it may have crashed, too")) {
+    hold_reply Refused;
+    Refused.Outcome = order_outcome::ConnectionRefused;
+    for (int Step = 0; Step < 3; ++Step) {
+      Owner.Executor->advance(milliseconds(100));
+      while (!Owner.Orders.Holds.empty())
+        Owner.answerHold(Refused);
+    }
+    CPPUNIT_ASSERT(Owner.Losses.empty());
+    Owner.Ledger->onClaimedElsewhere(Owner.Ledger->highestToken() + 1);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_REFUSED, Owner.Losses.at(0).loss());
+  }
+  if (auto When = section("when it leaves as planned, nothing is lost with it")) {
+    server_entry Draining = owner::entry();
+    Draining.Draining = true;
+    Owner.Ledger->update(Draining);
+    FailHolds(order_outcome::ConnectionRefused);
+    CPPUNIT_ASSERT_EQUAL(schema::RUN_GONE, Owner.lastEvent());
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_NONE, Owner.Events.back().loss());
+    CPPUNIT_ASSERT(Owner.Losses.empty());
+  }
+  if (auto When = section("nor when it is back at once after it has left as planned")) {
+    server_entry Draining = owner::entry();
+    Draining.Draining = true;
+    Owner.Ledger->update(Draining);
+    Owner.Executor->advance(milliseconds(1));
+    Owner.answerHold(Owner.makeListReply({}, {}, 2));
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_NONE, Owner.Events.back().loss());
+    CPPUNIT_ASSERT(Owner.Losses.empty());
+  }
+  if (auto When = section("nor when the entry of its next incarnation is seen before that replies")) {
+    server_entry Entry = owner::entry();
+    Entry.Draining = true;
+    Entry.IncarnationStartMs = 1;
+    Owner.Ledger->update(Entry);
+    Entry.Draining = false;
+    Entry.IncarnationStartMs = 2;
+    Owner.Ledger->update(Entry);
+    Owner.Executor->advance(milliseconds(1));
+    Owner.answerHold(Owner.makeListReply({}, {}, 2));
+    CPPUNIT_ASSERT_EQUAL(schema::RUN_GONE, Owner.lastEvent());
+    CPPUNIT_ASSERT(Owner.Losses.empty());
+    if (auto Then = section("but a crash of that one counts")) {
+      Owner.start(runOf(1));
+      Owner.answerStart(order_outcome::Accepted);
+      Owner.Executor->advance(milliseconds(1));
+      Owner.answerHold(Owner.makeListReply({}, {}, 3));
+      CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Losses.at(0).loss());
+    }
+  }
+  if (auto When = section("when another server replies after its runs were lost, that tells of the crash")) {
+    FailHolds(order_outcome::ConnectionRefused);
+    Owner.Executor->advance(milliseconds(100));
+    hold_reply Reply;
+    Reply.Outcome = order_outcome::OtherIncarnation;
+    Owner.answerHold(Reply);
+    CPPUNIT_ASSERT_EQUAL(schema::LOSS_RESTARTED, Owner.Losses.back().loss());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, Owner.Losses.back().incarnation_start_ms());
+    Owner.Losses.resize(1);
+  }
+  CPPUNIT_ASSERT(Owner.Losses.size() <= 1);
+});
+
+// Guards against a crash that did not happen: a delayed reply of the former incarnation looks like a restart
+// of the one that runs now.
+const test_case LateReply("server ledger: a reply of the former incarnation arrives after a restart", [] {
+  owner Owner;
+  Owner.claim();
+  Owner.start(runOf(0));
+  Owner.Executor->advance(std::chrono::duration_cast<milliseconds>(Owner.ReplyTimeout.value()));
+  CPPUNIT_ASSERT(Owner.Orders.Holds.size() > 1);
+  auto Newest = std::move(Owner.Orders.Holds.back());
+  Owner.Orders.Holds.pop_back();
+  Newest.Reply(Owner.makeListReply({}, {}, 2));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
+  Owner.answerHold(Owner.makeListReply({runOf(0)}, {}, 1));
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
+  if (auto Then = section("or one that another server has the address, as it had before")) {
+    Owner.start(runOf(1));
+    Owner.Executor->advance(std::chrono::duration_cast<milliseconds>(Owner.ReplyTimeout.value()));
+    CPPUNIT_ASSERT(Owner.Orders.Holds.size() > 1);
+    auto Later = std::move(Owner.Orders.Holds.back());
+    Owner.Orders.Holds.pop_back();
+    Later.Reply(Owner.makeListReply({runOf(1)}, {}, 2));
+    hold_reply Replaced;
+    Replaced.Outcome = order_outcome::OtherIncarnation;
+    Owner.answerHold(Replaced);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
+    CPPUNIT_ASSERT(Owner.Ledger->containsRun(runOf(1)));
+  }
+  if (auto Then = section("and the present incarnation goes on")) {
+    Owner.start(runOf(1));
+    Owner.answerStart(order_outcome::Accepted);
+    Owner.Executor->advance(milliseconds(1));
+    Owner.answerHold(Owner.makeListReply({runOf(1)}, {}, 2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Losses.size());
+  }
+});
+
 // Guards against tasks that start beside one that may crash the server: grants of two placers, or grants on
 // the way.
 const test_case Alone("server ledger: a run that is to be alone", [] {
-  ledger_owner Owner;
+  owner Owner;
   Owner.claim();
   if (auto When = section("when it runs, the server gets no other one until it has ended")) {
     Owner.start(runOf(0), 1000, true);
@@ -524,9 +965,9 @@
 // Guards against starts beyond the capacity of a server whose capacity changes while tasks run there, or
 // whose next incarnation is of another kind.
 const test_case ChangedCapacity("server ledger: the capacity changes", [] {
-  ledger_owner Owner;
+  owner Owner;
   auto SetCapacity = [&](std::uint32_t Cpu, std::uint32_t MemoryMb, std::int64_t IncarnationStartMs) {
-    server_entry Entry = ledger_owner::entry();
+    server_entry Entry = owner::entry();
     Entry.Capacity.set_cpu(Cpu);
     Entry.Capacity.set_memory_mb(MemoryMb);
     Entry.IncarnationStartMs = IncarnationStartMs;
@@ -581,4 +1022,29 @@
   }
 });
 
+// Guards against starts on a server that has restarted unnoticed, with another capacity, while nothing ran
+// there.
+const test_case IdleServer("server ledger: a server without runs restarts", [] {
+  owner Owner;
+  server_entry Entry = owner::entry();
+  Entry.IncarnationStartMs = 1;
+  Owner.Ledger->update(Entry);
+  Owner.claim();
+  Owner.Executor->advance(milliseconds(999));
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT(Owner.Orders.Holds.empty());
+  Owner.Executor->advance(milliseconds(1));
+  if (auto When = section("while another owner is out of contact, nothing provokes a counterclaim")) {
+    Owner.AnyOwnerOutOfContact = true;
+    Owner.Ledger->tick();
+    CPPUNIT_ASSERT(Owner.Orders.Holds.empty());
+    Owner.AnyOwnerOutOfContact = false;
+  }
+  Owner.Ledger->tick();
+  CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Owner.Orders.Holds.size());
+  CPPUNIT_ASSERT(Owner.Ledger->state().usable());
+  Owner.answerHold(Owner.makeListReply({}, {}, 2));
+  CPPUNIT_ASSERT(!Owner.Ledger->state().usable());
+});
+
 } // namespace
