--- a/src/yuccaplank/dispatch/ledger_state.cpp
+++ b/src/yuccaplank/dispatch/ledger_state.cpp
@@ -23,6 +23,11 @@
          Entry.IncarnationStartMs == IncarnationStartMs;
 }
 
+void ledger_state::setIncarnation(std::int64_t StartMs) {
+  IncarnationStartMs = StartMs;
+  Draining = entryDescribesIncarnation() && Entry.Draining;
+}
+
 void ledger_state::updateDraining() {
   if (entryDescribesIncarnation())
     Draining = Entry.Draining;
--- a/src/yuccaplank/dispatch/ledger_state.hpp
+++ b/src/yuccaplank/dispatch/ledger_state.hpp
@@ -49,6 +49,7 @@
   void requestRunListIfUndelivered(order_outcome Outcome);
   /// Another incarnation may have another capacity. The entry and the list of runs each may be the older one.
   [[nodiscard]] bool entryDescribesIncarnation() const;
+  void setIncarnation(std::int64_t StartMs);
   /// Takes over from the entry whether the present incarnation drains. The entry of the next incarnation may
   /// arrive before its first list.
   void updateDraining();
--- a/src/yuccaplank/dispatch/run_lists.cpp
+++ b/src/yuccaplank/dispatch/run_lists.cpp
@@ -129,7 +129,8 @@
 }
 
 bool run_lists::isOutdated(std::uint64_t Hold, const hold_reply &Reply) const {
-  // A hold that was sent later has been answered by the present incarnation, so the other one is the former.
+  // A hold that was sent later has been answered, so the other incarnation is the former one. If that should
+  // be wrong, the next list tells.
   if (Reply.IncarnationStartMs != Ledger.IncarnationStartMs)
     return Hold < LatestAnsweredHold;
   return Reply.ClockMs && *Reply.ClockMs < LatestListMs;
@@ -202,8 +203,7 @@
   }
   if (!LostRuns.empty())
     Parts.Ends.announceLoss(Parts.Ends.lossWithRestart(), LostRuns);
-  Ledger.IncarnationStartMs = Reply.IncarnationStartMs;
-  Ledger.Draining = Ledger.entryDescribesIncarnation() && Ledger.Entry.Draining;
+  Ledger.setIncarnation(Reply.IncarnationStartMs);
   LatestListMs = Reply.ClockMs.value_or(0);
   LastObservedEnd = 0;
   LastAcknowledgedEnd = 0;
@@ -212,8 +212,7 @@
 
 void run_lists::onClaimed(const hold_reply &Reply) {
   Ledger.ListRefresh.onList(Ledger.now());
-  Ledger.IncarnationStartMs = Reply.IncarnationStartMs;
-  Ledger.Draining = Ledger.entryDescribesIncarnation() && Ledger.Entry.Draining;
+  Ledger.setIncarnation(Reply.IncarnationStartMs);
   LatestListMs = Reply.ClockMs.value_or(0);
   Ledger.Responsive = true;
   LastObservedEnd = 0;
